--- /dev/null
+++ b/internal/cmds/wave.go
@@ -0,0 +1,50 @@
+package cmds
+
+import (
+	"flag"
+
+	"github.com/greengagelane/greengagelane/internal/oas/oper"
+	"github.com/greengagelane/greengagelane/internal/verb"
+)
+
+// WaveStart starts or resumes a maintenance wave.
+var WaveStart = verb.Verb{
+	Name:     "wave start",
+	Args:     "WAVE",
+	Short:    "Starts a declared maintenance wave, or resumes one that was paused or halted.",
+	Examples: []verb.Example{{Command: "greengagelane wave start december", Help: "drains and reboots each VM of the wave's pools once, within the budgets"}},
+	New:      newWave(oper.ControlWaveActionStart, "wave started"),
+}
+
+// WavePause stops a wave from taking further VMs.
+var WavePause = verb.Verb{
+	Name:     "wave pause",
+	Args:     "WAVE",
+	Short:    "Stops a wave from taking further VMs; those in maintenance are finished.",
+	Examples: []verb.Example{{Command: "greengagelane wave pause december", Help: "takes no further VM until 'wave start december'"}},
+	New:      newWave(oper.ControlWaveActionPause, "wave paused"),
+}
+
+func newWave(action oper.ControlWaveAction, done string) func(*flag.FlagSet) verb.Action {
+	return func(fs *flag.FlagSet) verb.Action {
+		remote := verb.RemoteFlags(fs)
+		id := fs.String("operation-id", "", "sends the same command again without a second effect; made if empty")
+		return func(out *verb.IO, args []string) error {
+			if len(args) != 1 {
+				return verb.Usagef("one wave is required")
+			}
+			client, err := remote.Client()
+			if err != nil {
+				return err
+			}
+			ctx, cancel := verb.Context()
+			defer cancel()
+			params := oper.ControlWaveParams{Wave: args[0], Action: action, OperationID: verb.OperationID(*id)}
+			res, err := client.ControlWave(ctx, params)
+			if err != nil {
+				return verb.CommandError(err)
+			}
+			return verb.Accepted(out, remote.JSON, res, done)
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,299 @@
+// Package entry is the long-running role of greengagelane. It ties together the
+// folded state, the mesh, the request path, control and the operator interface.
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"github.com/greengagelane/greengagelane/internal/admit"
+	"github.com/greengagelane/greengagelane/internal/ctrl"
+	"github.com/greengagelane/greengagelane/internal/event"
+	"github.com/greengagelane/greengagelane/internal/mesh"
+	"github.com/greengagelane/greengagelane/internal/peer"
+	"github.com/greengagelane/greengagelane/internal/proxy"
+	"github.com/greengagelane/greengagelane/internal/route"
+	"github.com/greengagelane/greengagelane/internal/tail"
+	"github.com/greengagelane/greengagelane/pkg/conf"
+	"github.com/greengagelane/greengagelane/pkg/fleet"
+)
+
+const (
+	ringEvents     = 4096
+	headerLimit    = 5 * time.Second
+	headerBytes    = 64 << 10
+	callerIdle     = 60 * time.Second
+	leaveLimit     = 5 * time.Second
+	quietAfterStop = 500 * time.Millisecond // without a request, a stopping entry may go
+	pollEvery      = 20 * time.Millisecond
+)
+
+// Entry is one running entry.
+type Entry struct {
+	set      conf.Settings
+	self     fleet.Member
+	store    *tail.Store
+	log      *tail.Log
+	mesh     *mesh.Mesh
+	handler  *proxy.Handler
+	driver   *ctrl.Driver
+	events   *event.Ring
+	keys     *keyFile // operators
+	peerKeys *keyFile
+
+	mu       sync.Mutex
+	registry *route.Registry
+	list     map[string]ctrl.Listed
+	stopping bool
+}
+
+// New returns an entry that does not run yet.
+func New(set conf.Settings) (*Entry, error) {
+	e := &Entry{
+		set:      set,
+		self:     fleet.Member{Name: set.Name, Incarnation: uuid.NewString(), Address: set.PeerAddress, DataCentre: set.DataCentre},
+		events:   event.NewRing(ringEvents),
+		keys:     &keyFile{path: set.OperatorKeys},
+		peerKeys: &keyFile{path: set.PeerKeys},
+		registry: route.NewRegistry(set.MaxEntries),
+	}
+	e.store = tail.NewStore(e.noteFold)
+	log, err := tail.NewLog(e.store, set.PlatformURL)
+	if err != nil {
+		return nil, err
+	}
+	e.log = log
+	e.mesh = mesh.New(e.self, set, e.store, log, e.loads, e.events, e.peerKeys.newest)
+	e.handler = proxy.NewHandler(proxy.Options{
+		Name:         set.Name,
+		MaxBodyBytes: int64(set.MaxBodyKB) << 10,
+		SenderStall:  conf.Ms(set.SenderStallMs),
+		RetryPercent: set.RetryPercent,
+		BlindRetries: set.BlindRetries,
+		NoAdmission:  set.NoAdmission,
+	}, e.mesh, e.mesh.Fresh, e.events)
+	e.driver = &ctrl.Driver{
+		Self: e.self.Incarnation, Store: e.store, Log: log, Limit: conf.Ms(set.RebootLimitMs),
+		Drained: e.drained, Fresh: e.mesh.Fresh, OnList: e.onList,
+	}
+	return e, nil
+}
+
+// Run serves until the context ends, then stops without cutting a request.
+func (e *Entry) Run(ctx context.Context) error {
+	callers, err := net.Listen("tcp", e.set.CallerAddress)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	operators, err := net.Listen("tcp", e.set.OperatorAddress)
+	if err != nil {
+		return fmt.Errorf("listen for operators: %w", err)
+	}
+	peers, err := net.Listen("tcp", e.set.PeerAddress)
+	if err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
+	peerServer := peer.NewServer(e.peerKeys.all)
+	e.mesh.Register(peerServer)
+	go func() { _ = peerServer.Serve(work, peers) }()
+	defer peers.Close()
+	defer peerServer.Close()
+	e.startWork(work)
+	callerServer := &http.Server{
+		Handler: e.handler, ReadHeaderTimeout: headerLimit, IdleTimeout: callerIdle, MaxHeaderBytes: headerBytes,
+	}
+	operatorServer, err := e.operatorServer()
+	if err != nil {
+		return err
+	}
+	go serve(callerServer, callers)
+	go serve(operatorServer, operators)
+	e.events.Add(time.Now(), 0, event.Process, e.self.Name, "started as "+e.self.Incarnation)
+	logrus.WithFields(logrus.Fields{"entry": e.self.Name, "incarnation": e.self.Incarnation}).Info("entry started")
+	<-ctx.Done()
+	e.stop(callerServer)
+	return operatorServer.Close()
+}
+
+func (e *Entry) startWork(ctx context.Context) {
+	go e.log.Run(ctx)
+	go e.mesh.Run(ctx)
+	go e.driver.Run(ctx)
+	go e.followTable(ctx)
+	go e.followShares(ctx)
+	go e.followSnapshots(ctx)
+}
+
+func serve(s *http.Server, ln net.Listener) {
+	if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		logrus.WithError(err).Error("server ended")
+	}
+}
+
+// stop goes on serving while the balancer notices, waits for requests in
+// flight, hands its claims over, and closes.
+func (e *Entry) stop(callers *http.Server) {
+	began := time.Now()
+	e.mu.Lock()
+	e.stopping = true
+	e.mu.Unlock()
+	callers.SetKeepAlivesEnabled(false)
+	e.events.Add(began, e.store.Next(), event.Process, e.self.Name, "stopping")
+	limit := began.Add(conf.Ms(e.set.StopLimitMs))
+	quietSince := began
+	for now := began; now.Before(limit); now = time.Now() {
+		if e.handler.Busy() > 0 {
+			quietSince = now
+		}
+		if now.Sub(began) >= conf.Ms(e.set.StopGraceMs) && now.Sub(quietSince) >= quietAfterStop {
+			break
+		}
+		time.Sleep(pollEvery)
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), limit.Add(leaveLimit))
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		logrus.WithError(err).Warn("requests were still in flight at the stop limit")
+	}
+	leave, cancelLeave := context.WithTimeout(context.Background(), leaveLimit)
+	defer cancelLeave()
+	e.mesh.Leave(leave)
+	logrus.WithField("entry", e.self.Name).Info("entry stopped")
+}
+
+// Stopping reports whether the entry is on its way out.
+func (e *Entry) Stopping() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.stopping
+}
+
+// noteFold runs under the store's lock.
+func (e *Entry) noteFold(rec fleet.LogRecord, out fleet.Outcome) {
+	text := "skipped: " + out.Reason
+	if out.Applied {
+		text = "applied"
+	}
+	if out.Record == nil {
+		e.events.Add(time.Now(), rec.Offset, event.Record, "", text)
+		return
+	}
+	kind, subject := fleet.Describe(out.Record)
+	e.events.Add(time.Now(), rec.Offset, event.Record, subject, kind+" "+text)
+}
+
+// loads returns the demand by pool and the requests in flight by VM.
+func (e *Entry) loads() (map[string]int, map[string]int64) {
+	demand := map[string]int{}
+	for name, p := range e.handler.Table().Pools {
+		if n := e.handler.Gate(p).Load().Demand; n > 0 {
+			demand[name] = n
+		}
+	}
+	inFlight := map[string]int64{}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.registry.Each(func(w *route.Worker) {
+		if n := w.InFlight(); n > 0 {
+			inFlight[w.Name] = n
+		}
+	})
+	return demand, inFlight
+}
+
+// drained allows for the longest request of any service.
+func (e *Entry) drained(now time.Time, vm string, offset int64) bool {
+	longest := 0
+	e.store.View(func(s *fleet.State) {
+		for _, svc := range s.Services {
+			longest = max(longest, svc.TimeoutMs)
+		}
+	})
+	return e.handler.Table().Offset > offset && e.mesh.Drained(now, vm, offset, conf.Ms(longest))
+}
+
+func (e *Entry) onList(list map[string]ctrl.Listed) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.list = list
+	e.registry.Each(func(w *route.Worker) {
+		l, ok := list[w.Name]
+		if !ok {
+			return
+		}
+		if l.Leaving && !w.Leaving() {
+			e.events.Add(time.Now(), e.store.Next(), event.Platform, w.Name, "listed as leaving; gets no new work")
+		}
+		w.SetListed(l.Leaving, !l.Live && !l.Leaving)
+	})
+}
+
+// followTable builds a new routing table after each change of what it is made of.
+func (e *Entry) followTable(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := e.store.Changed()
+		e.rebuild()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (e *Entry) rebuild() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var t *route.Table
+	var gone []*route.Worker
+	e.store.View(func(s *fleet.State) { t, gone = e.registry.Build(s) })
+	for name, l := range e.list {
+		if w := e.registry.Find(name); w != nil {
+			w.SetListed(l.Leaving, !l.Live && !l.Leaving)
+		}
+	}
+	e.handler.SetTable(t, gone)
+	e.setLimits(time.Now(), t)
+}
+
+// followShares adapts the share of each pool's slots to all entries' demand.
+func (e *Entry) followShares(ctx context.Context) {
+	t := time.NewTicker(conf.Ms(e.set.HeartbeatMs) / 2)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			e.setLimits(now, e.handler.Table())
+			e.setElsewhere(now)
+		}
+	}
+}
+
+func (e *Entry) setLimits(now time.Time, t *route.Table) {
+	for name, p := range t.Pools {
+		gate := e.handler.Gate(p)
+		share := admit.Share(p.Slots, gate.Load().Demand, e.mesh.Demands(now, name))
+		gate.SetLimit(now, min(share, len(p.Workers)*int(p.PerWorker)))
+	}
+	if t.Older != nil {
+		e.handler.Gate(t.Older).SetLimit(now, t.Older.Slots)
+	}
+}
+
+func (e *Entry) setElsewhere(now time.Time) {
+	elsewhere := e.mesh.InFlight(now)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.registry.Each(func(w *route.Worker) { w.SetElsewhere(elsewhere[w.Name]) })
+}
--- /dev/null
+++ b/internal/entry/status.go
@@ -0,0 +1,67 @@
+package entry
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/greengagelane/greengagelane/internal/mesh"
+	"github.com/greengagelane/greengagelane/internal/oas/oper"
+	"github.com/greengagelane/greengagelane/pkg/fleet"
+)
+
+// fillStatus lists pools, VMs, waves and leases in order of their names.
+func fillStatus(st *oper.Status, s *fleet.State) {
+	st.View = s.View
+	for name, p := range s.Pools {
+		total, serving := s.PoolCount(name)
+		st.Pools = append(st.Pools, oper.PoolStatus{Name: name, Spare: p.Spare, Vms: total, Serving: serving, MinServing: s.MinServing(name)})
+	}
+	slices.SortFunc(st.Pools, func(a, b oper.PoolStatus) int { return cmp.Compare(a.Name, b.Name) })
+	for _, vm := range s.VMs {
+		st.Vms = append(st.Vms, oper.VMStatus{
+			Name: vm.Name, Pool: vm.Pool, Phase: vm.Phase.String(), Reason: reasonOf(vm),
+			DataCentre: vm.DataCentre, Rack: vm.Rack,
+		})
+	}
+	slices.SortFunc(st.Vms, func(a, b oper.VMStatus) int { return cmp.Compare(a.Name, b.Name) })
+	for name, w := range s.Waves {
+		done, total := s.WaveProgress(name)
+		st.Waves = append(st.Waves, oper.WaveStatus{Name: name, State: w.State.String(), Done: done, Total: total, Failed: w.Failed, Reason: w.Reason})
+	}
+	slices.SortFunc(st.Waves, func(a, b oper.WaveStatus) int { return cmp.Compare(a.Name, b.Name) })
+	for shard, l := range s.Leases {
+		st.Leases = append(st.Leases, oper.LeaseStatus{Shard: shard, Holder: l.Holder, Epoch: l.Epoch})
+	}
+	slices.SortFunc(st.Leases, func(a, b oper.LeaseStatus) int { return cmp.Compare(a.Shard, b.Shard) })
+}
+
+// reasonOf says why a VM is in its phase.
+func reasonOf(vm fleet.VM) string {
+	switch vm.Phase {
+	case fleet.Moving:
+		return fmt.Sprintf("moves to pool %s since offset %d", vm.MoveTo, vm.Since)
+	case fleet.Maintenance:
+		return fmt.Sprintf("in wave %s since offset %d", vm.Wave, vm.Since)
+	case fleet.Failed:
+		return fmt.Sprintf("failed in wave %s at offset %d: %s", vm.Wave, vm.Since, vm.LastFailure)
+	default:
+		return fmt.Sprintf("serves since offset %d", vm.Since)
+	}
+}
+
+func (e *Entry) memberStatus(now time.Time) []oper.MemberStatus {
+	out := []oper.MemberStatus{}
+	e.mesh.Peers(func(m fleet.Member, last mesh.Beat, at time.Time) {
+		st := oper.MemberStatus{Name: m.Name, Incarnation: m.Incarnation, DataCentre: m.DataCentre, Release: last.Release, Offset: last.Next}
+		if m.Incarnation == e.self.Incarnation {
+			t := e.handler.Table()
+			st.Release, st.Offset = t.Release, t.Offset
+		} else if !at.IsZero() {
+			st.SilentMs = now.Sub(at).Milliseconds()
+		}
+		out = append(out, st)
+	})
+	return out
+}
--- /dev/null
+++ b/internal/event/ring.go
@@ -0,0 +1,72 @@
+// Package event keeps a bounded ring of what an entry decided, for the time line
+// over all processes.
+package event
+
+import (
+	"sync"
+	"time"
+)
+
+//go:generate ../../.bin/enumer -type=Kind -transform=kebab -json -output=kind_enumer.go
+
+// Kind says what an event is about.
+type Kind int
+
+// Kinds of events.
+const (
+	Request  Kind = iota // a request's final answer
+	Attempt              // one attempt at a backend server
+	Claim                // a claim's outcome, if it was not a plain grant
+	Record               // a log record was folded or skipped
+	View                 // the membership changed
+	Fresh                // the entry's state became current, or stopped being so
+	Platform             // the platform's VM list or an operation
+	Process              // start and stop
+)
+
+// Event is one decision.
+type Event struct {
+	Time     time.Time // clock of the entry
+	Sequence int64     // counts up on one entry
+	Offset   int64     // next log offset to be folded at that time
+	Kind     Kind
+	Subject  string // request id, VM, pool, release or entry
+	Text     string
+}
+
+// Ring holds the newest events. It is safe for concurrent use.
+type Ring struct {
+	mu     sync.Mutex
+	events []Event
+	next   int64
+}
+
+// NewRing returns a ring for n events.
+func NewRing(n int) *Ring {
+	return &Ring{events: make([]Event, 0, n)}
+}
+
+// Add stores an event and drops the oldest if the ring is full.
+func (r *Ring) Add(now time.Time, offset int64, kind Kind, subject, text string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := Event{Time: now, Sequence: r.next, Offset: offset, Kind: kind, Subject: subject, Text: text}
+	r.next++
+	if len(r.events) < cap(r.events) {
+		r.events = append(r.events, e)
+		return
+	}
+	r.events[e.Sequence%int64(cap(r.events))] = e
+}
+
+// List returns the events, oldest first.
+func (r *Ring) List() []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]Event, 0, len(r.events))
+	first := r.next - int64(len(r.events))
+	for seq := first; seq < r.next; seq++ {
+		out = append(out, r.events[seq%int64(cap(r.events))])
+	}
+	return out
+}
--- /dev/null
+++ b/internal/mesh/claims.go
@@ -0,0 +1,241 @@
+package mesh
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/greengagelane/greengagelane/internal/claim"
+	"github.com/greengagelane/greengagelane/internal/event"
+	"github.com/greengagelane/greengagelane/internal/peer"
+	"github.com/greengagelane/greengagelane/internal/proxy"
+	"github.com/greengagelane/greengagelane/pkg/fleet"
+	"github.com/greengagelane/greengagelane/pkg/result"
+)
+
+const (
+	grantValid   = 1 * time.Second // from the first ask; shorter than the freshness time
+	claimLimit   = 700 * time.Millisecond
+	claimPause   = 20 * time.Millisecond
+	claimRetry   = 1 * time.Second // when a refused caller comes back
+	transferWait = 2 * time.Second
+)
+
+type releaseCall struct {
+	Key   string
+	Token uint64
+}
+
+type empty struct{}
+
+type transferAnswer struct{ Taken bool }
+
+type outcomeCall struct{ Key string }
+
+// Claim gets the grants of both holders of a key, or learns what became of
+// another copy. It implements proxy.Claimer.
+func (m *Mesh) Claim(ctx context.Context, key string) (*proxy.Grant, *claim.Saved, *result.Problem) {
+	began := time.Now()
+	a := claim.Ask{Key: key, Owner: m.self.Incarnation, Token: m.token.Add(1)}
+	if !m.outcomes.Begin(began, key, a.Token) {
+		return m.copyOf(ctx, key, m.self.Incarnation)
+	}
+	reply, owner := m.gather(ctx, began, a)
+	if reply == claim.Granted {
+		return m.grant(began, a), nil, nil
+	}
+	m.outcomes.Abandon(key)
+	if reply != claim.Taken {
+		m.releaseAll(a)
+	}
+	m.events.Add(time.Now(), m.store.Next(), event.Claim, key, reply.String())
+	switch reply {
+	case claim.Taken:
+		return m.copyOf(ctx, key, owner)
+	case claim.Lost:
+		return nil, nil, result.Unknown(http.StatusConflict, "the entries that knew whether request id %q has run are gone", key)
+	default:
+		return nil, nil, result.Refuse(http.StatusServiceUnavailable, claimRetry, "the holders of request id %q do not answer (%s)", key, reply)
+	}
+}
+
+func (m *Mesh) grant(began time.Time, a claim.Ask) *proxy.Grant {
+	return &proxy.Grant{
+		ValidUntil: began.Add(grantValid),
+		Release: func() {
+			m.outcomes.Abandon(a.Key)
+			m.releaseAll(a)
+		},
+		Finish: func(s *claim.Saved) { m.outcomes.Finish(a.Key, s) },
+	}
+}
+
+// gather asks the holders one after the other, always in the same order, so that
+// of two copies one gets both grants. It asks again while views differ.
+func (m *Mesh) gather(ctx context.Context, began time.Time, a claim.Ask) (claim.Reply, string) {
+	ctx, cancel := context.WithDeadline(ctx, began.Add(claimLimit))
+	defer cancel()
+	for {
+		reply, owner := m.askAll(ctx, a)
+		again := reply == claim.OtherView || reply == claim.Unsettled || reply == claim.Stale
+		if !again {
+			return reply, owner
+		}
+		select {
+		case <-time.After(claimPause):
+		case <-ctx.Done():
+			return reply, ""
+		}
+	}
+}
+
+func (m *Mesh) askAll(ctx context.Context, a claim.Ask) (claim.Reply, string) {
+	view, members := m.members()
+	a.View = view
+	holders := claim.Holders(members, a.Key)
+	if len(holders) == 0 {
+		return claim.Stale, ""
+	}
+	for _, holder := range holders {
+		ans := m.askOne(ctx, holder, a)
+		if ans.Reply != claim.Granted {
+			return ans.Reply, ans.Owner
+		}
+	}
+	return claim.Granted, ""
+}
+
+func (m *Mesh) askOne(ctx context.Context, holder fleet.Member, a claim.Ask) claim.Answer {
+	if holder.Incarnation == m.self.Incarnation {
+		return m.decide(a)
+	}
+	ans, err := peer.Call[claim.Ask, claim.Answer](ctx, m.clientFor(holder.Address), "ask", &a)
+	if err != nil {
+		return claim.Answer{Reply: claim.Stale}
+	}
+	return *ans
+}
+
+func (m *Mesh) decide(a claim.Ask) claim.Answer {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Ask(now, a, now.UnixNano() < m.majorityUntil.Load())
+}
+
+func (m *Mesh) onAsk(_ context.Context, from string, a *claim.Ask) (*claim.Answer, error) {
+	a.Owner = from
+	ans := m.decide(*a)
+	return &ans, nil
+}
+
+// releaseAll frees a claim whose request did not run. A release that is lost only
+// makes the id wait for its retention.
+func (m *Mesh) releaseAll(a claim.Ask) {
+	_, members := m.members()
+	for _, holder := range claim.Holders(members, a.Key) {
+		if holder.Incarnation == m.self.Incarnation {
+			m.release(a.Key, a.Owner, a.Token)
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+			defer cancel()
+			call := &releaseCall{Key: a.Key, Token: a.Token}
+			_, _ = peer.Call[releaseCall, empty](ctx, m.clientFor(holder.Address), "release", call)
+		}()
+	}
+}
+
+func (m *Mesh) release(key, owner string, token uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.table.Release(key, owner, token)
+}
+
+func (m *Mesh) onRelease(_ context.Context, from string, r *releaseCall) (*empty, error) {
+	m.release(r.Key, from, r.Token)
+	return &empty{}, nil
+}
+
+// copyOf answers a copy of a request from the entry that owns the first copy.
+func (m *Mesh) copyOf(ctx context.Context, key, owner string) (*proxy.Grant, *claim.Saved, *result.Problem) {
+	res := m.askOutcome(ctx, key, owner)
+	switch {
+	case res == nil || !res.Known:
+		return nil, nil, result.Unknown(http.StatusConflict, "another copy of request id %q was sent by an entry that does not answer", key)
+	case res.Free:
+		return nil, nil, result.Refuse(http.StatusServiceUnavailable, claimRetry, "another copy of request id %q was refused", key)
+	case res.Saved == nil:
+		return nil, nil, result.Unknown(http.StatusConflict, "another copy of request id %q may have run; its answer is not kept", key)
+	}
+	return nil, res.Saved, nil
+}
+
+func (m *Mesh) askOutcome(ctx context.Context, key, owner string) *claim.Result {
+	if owner == m.self.Incarnation {
+		return m.awaitOutcome(ctx, key)
+	}
+	address := m.addressOf(owner)
+	if address == "" {
+		return nil
+	}
+	res, err := peer.Call[outcomeCall, claim.Result](ctx, m.clientFor(address), "outcome", &outcomeCall{Key: key})
+	if err != nil {
+		return nil
+	}
+	return res
+}
+
+func (m *Mesh) addressOf(incarnation string) string {
+	_, members := m.members()
+	for _, p := range members {
+		if p.Incarnation == incarnation {
+			return p.Address
+		}
+	}
+	return ""
+}
+
+func (m *Mesh) onOutcome(ctx context.Context, _ string, c *outcomeCall) (*claim.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, maxOutcomeWait)
+	defer cancel()
+	return m.awaitOutcome(ctx, c.Key), nil
+}
+
+// awaitOutcome waits for this entry's own copy. A claim that is still held for a
+// request that did not run is released once more.
+func (m *Mesh) awaitOutcome(ctx context.Context, key string) *claim.Result {
+	res := m.outcomes.Wait(ctx, key)
+	if res.Free {
+		m.releaseAll(claim.Ask{Key: key, Owner: m.self.Incarnation, Token: res.Token})
+	}
+	return &res
+}
+
+// maxOutcomeWait is the longest deadline of a request.
+const maxOutcomeWait = 60 * time.Second
+
+// sendTransfer hands the claims over to a member of this view.
+func (m *Mesh) sendTransfer(ctx context.Context, c *peer.Client, incarnation string) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), transferWait)
+	defer cancel()
+	m.mu.Lock()
+	tr := m.table.Transfer()
+	m.mu.Unlock()
+	res, err := peer.Call[claim.Transfer, transferAnswer](ctx, c, "transfer", tr)
+	if err != nil || !res.Taken {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.table.View() == tr.View {
+		delete(m.unsent, incarnation)
+	}
+}
+
+func (m *Mesh) onTransfer(_ context.Context, from string, tr *claim.Transfer) (*transferAnswer, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return &transferAnswer{Taken: m.table.Absorb(from, tr)}, nil
+}
--- /dev/null
+++ b/internal/mesh/mesh.go
@@ -0,0 +1,326 @@
+package mesh
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/greengagelane/greengagelane/internal/claim"
+	"github.com/greengagelane/greengagelane/internal/event"
+	"github.com/greengagelane/greengagelane/internal/peer"
+	"github.com/greengagelane/greengagelane/internal/tail"
+	"github.com/greengagelane/greengagelane/pkg/conf"
+	"github.com/greengagelane/greengagelane/pkg/fleet"
+)
+
+const (
+	callLimit    = 500 * time.Millisecond // a peer's answer is awaited this long
+	maxRecords   = 1000                   // relayed in one answer
+	guestsKept   = 5 * time.Minute        // evidence of entries that are not members
+	expireEvery  = 1 * time.Second
+	bootstrapAge = 2 * time.Second // age of the last log contact after which peers are asked for state
+)
+
+// Loads returns this entry's demand by pool and requests in flight by VM.
+type Loads func() (demand map[string]int, inFlight map[string]int64)
+
+// Mesh is one entry's part of the mesh.
+type Mesh struct {
+	self   fleet.Member
+	set    conf.Settings
+	store  *tail.Store
+	log    *tail.Log
+	loads  Loads
+	events *event.Ring
+	key    func() string
+
+	mu       sync.Mutex
+	evidence *Evidence
+	clients  map[string]*peer.Client // by address
+	table    *claim.Table
+	unsent   map[string]bool // members that have not taken the transfer of this view
+	removed  map[string]time.Time
+	outcomes *claim.Outcomes
+	token    atomic.Uint64
+
+	freshUntil    atomic.Int64 // Unix nanoseconds; the entry may dispatch until then
+	majorityUntil atomic.Int64 // Unix nanoseconds; the entry may grant claims until then
+	leaving       atomic.Bool
+}
+
+// New returns the mesh of an entry.
+func New(self fleet.Member, set conf.Settings, store *tail.Store, log *tail.Log, loads Loads, events *event.Ring, key func() string) *Mesh {
+	return &Mesh{
+		self: self, set: set, store: store, log: log, loads: loads, events: events, key: key,
+		evidence: NewEvidence(self.Incarnation),
+		clients:  map[string]*peer.Client{},
+		table:    claim.NewTable(self.Incarnation),
+		unsent:   map[string]bool{},
+		removed:  map[string]time.Time{},
+		outcomes: claim.NewOutcomes(),
+	}
+}
+
+// Register adds the mesh's calls to the peer server.
+func (m *Mesh) Register(s *peer.Server) {
+	peer.Handle(s, "beat", m.onBeat)
+	peer.Handle(s, "records", m.onRecords)
+	peer.Handle(s, "state", m.onState)
+	peer.Handle(s, "ask", m.onAsk)
+	peer.Handle(s, "release", m.onRelease)
+	peer.Handle(s, "transfer", m.onTransfer)
+	peer.Handle(s, "outcome", m.onOutcome)
+}
+
+// Fresh reports whether the entry can show that its state is current: by the
+// log, or by a majority of its view.
+func (m *Mesh) Fresh(now time.Time) bool { return now.UnixNano() < m.freshUntil.Load() }
+
+// Run follows membership and sends heartbeats until the context ends.
+func (m *Mesh) Run(ctx context.Context) {
+	go m.followState(ctx)
+	go m.runMembership(ctx)
+	tick := time.NewTicker(conf.Ms(m.set.HeartbeatMs))
+	defer tick.Stop()
+	lastExpire := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			m.beatAll(ctx)
+			m.refresh(now)
+			if now.Sub(lastExpire) > expireEvery {
+				lastExpire = now
+				m.expire(now)
+			}
+		}
+	}
+}
+
+func (m *Mesh) expire(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.table.Expire(now)
+}
+
+// followState moves the claim table to each new view as soon as it is folded.
+func (m *Mesh) followState(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := m.store.Changed()
+		if m.applyView(time.Now()) {
+			m.beatAll(ctx)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// applyView seals the earlier view if the membership has changed. It holds the
+// mesh's lock while it reads the state, so no claim is granted in between.
+func (m *Mesh) applyView(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var members []fleet.Member
+	var view int64
+	changed := false
+	m.store.View(func(s *fleet.State) {
+		if s.View <= m.table.View() {
+			return
+		}
+		m.noteRemoved(now, s)
+		changed = m.table.SetMembership(now, s) != nil
+		members, view = s.SortedMembers(), s.View
+	})
+	if !changed {
+		return false
+	}
+	m.evidence.SetMembers(now, members, guestsKept)
+	m.unsent = map[string]bool{}
+	for _, p := range members {
+		if p.Incarnation != m.self.Incarnation {
+			m.unsent[p.Incarnation] = true
+		}
+	}
+	m.events.Add(now, view+1, event.View, m.self.Name, describeMembers(members))
+	return true
+}
+
+// noteRemoved remembers when this entry learned that another had been removed.
+func (m *Mesh) noteRemoved(now time.Time, s *fleet.State) {
+	for _, p := range s.Past {
+		for _, old := range p.Members {
+			if s.IsMember(old.Incarnation) {
+				delete(m.removed, old.Incarnation)
+			} else if _, ok := m.removed[old.Incarnation]; !ok {
+				m.removed[old.Incarnation] = now
+			}
+		}
+	}
+}
+
+func describeMembers(members []fleet.Member) string {
+	text := "members:"
+	for _, p := range members {
+		text += " " + p.Name
+	}
+	return text
+}
+
+// members returns the view and its members.
+func (m *Mesh) members() (view int64, members []fleet.Member) {
+	m.store.View(func(s *fleet.State) { view, members = s.View, s.SortedMembers() })
+	return view, members
+}
+
+// client returns the client for an address. The caller holds the lock.
+func (m *Mesh) client(address string) *peer.Client {
+	c := m.clients[address]
+	if c == nil {
+		c = peer.NewClient(address, m.self.Incarnation, m.key)
+		m.clients[address] = c
+	}
+	return c
+}
+
+func (m *Mesh) clientFor(address string) *peer.Client {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.client(address)
+}
+
+// beat returns this entry's present beat.
+func (m *Mesh) beat() *Beat {
+	b := &Beat{Name: m.self.Name, Incarnation: m.self.Incarnation}
+	b.Demand, b.InFlight = m.loads()
+	m.mu.Lock()
+	b.View = m.table.View()
+	m.mu.Unlock()
+	m.store.View(func(s *fleet.State) { b.Next, b.Release = s.Next, s.Release })
+	return b
+}
+
+// beatAll sends a heartbeat to every member and to the peers of the settings.
+func (m *Mesh) beatAll(ctx context.Context) {
+	_, members := m.members()
+	addresses := map[string]bool{}
+	for _, p := range members {
+		addresses[p.Address] = true
+	}
+	if len(members) < 2 || time.Since(m.store.LogSeen()) > bootstrapAge {
+		for _, a := range m.set.Peers {
+			addresses[a] = true
+		}
+	}
+	delete(addresses, m.self.Address)
+	b := m.beat()
+	for address := range addresses {
+		go m.beatOne(ctx, m.clientFor(address), b)
+	}
+}
+
+func (m *Mesh) beatOne(ctx context.Context, c *peer.Client, b *Beat) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	sent := time.Now()
+	reply, err := peer.Call[Beat, Beat](ctx, c, "beat", b)
+	if err != nil {
+		metrics.GetOrCreateCounter(`greengagelane_heartbeats_failed_total`).Inc()
+		return
+	}
+	m.mu.Lock()
+	m.evidence.Note(sent, *reply)
+	transfer := m.unsent[reply.Incarnation] && reply.View == m.table.View()
+	m.mu.Unlock()
+	m.refresh(time.Now())
+	if reply.Next > m.store.Next() {
+		m.fetch(ctx, c)
+	}
+	if transfer {
+		m.sendTransfer(ctx, c, reply.Incarnation)
+	}
+}
+
+func (m *Mesh) onBeat(context.Context, string, *Beat) (*Beat, error) {
+	return m.beat(), nil
+}
+
+// refresh recomputes until when the entry's state counts as current.
+func (m *Mesh) refresh(now time.Time) {
+	view, members := m.members()
+	m.mu.Lock()
+	inView := m.table.View() == view
+	majority := m.evidence.MajorityAt(now, view, members)
+	m.mu.Unlock()
+	freshFor := conf.Ms(m.set.FreshForMs)
+	var majorityUntil, until int64
+	if !majority.IsZero() && inView {
+		majorityUntil = majority.Add(freshFor).UnixNano()
+	}
+	if seen := m.store.LogSeen(); !seen.IsZero() {
+		until = seen.Add(freshFor).UnixNano()
+	}
+	m.majorityUntil.Store(majorityUntil)
+	was := m.freshUntil.Swap(max(until, majorityUntil)) > now.UnixNano()
+	if is := m.Fresh(now); is != was {
+		m.noteFresh(now, is)
+	}
+}
+
+func (m *Mesh) noteFresh(now time.Time, is bool) {
+	text := "the state is no longer shown to be current; requests are refused"
+	if is {
+		text = "the state is current"
+	}
+	m.events.Add(now, m.store.Next(), event.Fresh, m.self.Name, text)
+}
+
+// Drained reports whether no entry sends work to the VM any more since the
+// record at the offset took it out of service. An entry that was removed
+// meanwhile counts once its freshness and the longest request have passed.
+func (m *Mesh) Drained(now time.Time, vm string, offset int64, longest time.Duration) bool {
+	_, members := m.members()
+	_, inFlight := m.loads()
+	if inFlight[vm] > 0 || m.store.Next() <= offset {
+		return false
+	}
+	fence := conf.Ms(m.set.FreshForMs) + longest
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, at := range m.removed {
+		if now.Sub(at) < fence {
+			return false
+		}
+	}
+	return m.evidence.Drained(now.Add(-fence), vm, offset, members)
+}
+
+// Peers calls f for the last beat of each member but this one.
+func (m *Mesh) Peers(f func(member fleet.Member, last Beat, at time.Time)) {
+	_, members := m.members()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range members {
+		b, at := m.evidence.Last(p.Incarnation)
+		f(p, b, at)
+	}
+}
+
+// Demands returns the other entries' present demand on a pool.
+func (m *Mesh) Demands(now time.Time, pool string) []int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.evidence.Demands(now.Add(-conf.Ms(m.set.FreshForMs)), pool)
+}
+
+// InFlight returns the other entries' requests in flight by VM.
+func (m *Mesh) InFlight(now time.Time) map[string]int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.evidence.InFlight(now.Add(-conf.Ms(m.set.FreshForMs)))
+}
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,191 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+const dialLimit = 500 * time.Millisecond
+
+// RemoteError is what the other entry's handler returned.
+type RemoteError struct{ Reason string }
+
+// Error makes RemoteError an error.
+func (e *RemoteError) Error() string { return e.Reason }
+
+// Client calls one other entry. It opens its connection when it is needed and
+// replaces it after a failure. It is safe for concurrent use.
+type Client struct {
+	address string
+	self    string // incarnation
+	key     func() string
+	mu      sync.Mutex
+	link    *link
+}
+
+// NewClient returns a client for the peer at an address.
+func NewClient(address, self string, key func() string) *Client {
+	return &Client{address: address, self: self, key: key}
+}
+
+// Call sends a request and waits for its answer. An error other than
+// RemoteError leaves open whether the call was handled.
+func Call[Req, Res any](ctx context.Context, c *Client, kind string, req *Req) (*Res, error) {
+	body, err := msgpack.Marshal(req)
+	if err != nil {
+		return nil, fmt.Errorf("encode %s call: %w", kind, err)
+	}
+	data, err := c.call(ctx, kind, body)
+	if err != nil {
+		return nil, err
+	}
+	res := new(Res)
+	if err := msgpack.Unmarshal(data, res); err != nil {
+		return nil, fmt.Errorf("decode answer to %s: %w", kind, err)
+	}
+	return res, nil
+}
+
+func (c *Client) call(ctx context.Context, kind string, body []byte) ([]byte, error) {
+	l, err := c.connect(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("connect to peer %s: %w", c.address, err)
+	}
+	data, err := l.call(ctx, kind, body)
+	if err == nil {
+		return data, nil
+	}
+	if _, remote := err.(*RemoteError); remote {
+		return nil, err
+	}
+	if !errors.Is(err, context.Canceled) {
+		c.drop(l)
+	}
+	return nil, fmt.Errorf("%s call to peer %s: %w", kind, c.address, err)
+}
+
+// Close ends the connection.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.link != nil {
+		c.link.conn.Close()
+		c.link = nil
+	}
+}
+
+// drop closes a connection that failed or went silent.
+func (c *Client) drop(l *link) {
+	l.conn.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.link == l {
+		c.link = nil
+	}
+}
+
+func (c *Client) connect(ctx context.Context) (*link, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.link != nil {
+		return c.link, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialLimit)
+	defer cancel()
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", c.address)
+	if err != nil {
+		return nil, err
+	}
+	l := newLink(conn)
+	body, err := msgpack.Marshal(&hello{From: c.self, Key: c.key()})
+	if err != nil {
+		return nil, err
+	}
+	if _, err := l.call(ctx, helloKind, body); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	c.link = l
+	return l, nil
+}
+
+// link is one open connection with its calls in flight.
+type link struct {
+	conn  net.Conn
+	w     frameWriter
+	mu    sync.Mutex
+	next  uint64
+	calls map[uint64]chan *frame // nil once the connection has ended
+}
+
+func newLink(conn net.Conn) *link {
+	l := &link{conn: conn, calls: map[uint64]chan *frame{}}
+	l.w = frameWriter{conn: conn, w: bufio.NewWriter(conn)}
+	go l.readLoop()
+	return l
+}
+
+func (l *link) readLoop() {
+	r := bufio.NewReader(l.conn)
+	for {
+		f, err := readFrame(r)
+		if err != nil {
+			break
+		}
+		if ch := l.take(f.ID); ch != nil {
+			ch <- f
+		}
+	}
+	l.conn.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, ch := range l.calls {
+		close(ch)
+	}
+	l.calls = nil
+}
+
+func (l *link) take(id uint64) chan *frame {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ch := l.calls[id]
+	delete(l.calls, id)
+	return ch
+}
+
+func (l *link) call(ctx context.Context, kind string, body []byte) ([]byte, error) {
+	ch := make(chan *frame, 1)
+	l.mu.Lock()
+	if l.calls == nil {
+		l.mu.Unlock()
+		return nil, net.ErrClosed
+	}
+	l.next++
+	id := l.next
+	l.calls[id] = ch
+	l.mu.Unlock()
+	defer l.take(id)
+	if err := l.w.write(&frame{ID: id, Kind: kind, Body: body}); err != nil {
+		return nil, err
+	}
+	select {
+	case f, ok := <-ch:
+		switch {
+		case !ok:
+			return nil, net.ErrClosed
+		case f.Error != "":
+			return nil, &RemoteError{Reason: f.Error}
+		}
+		return f.Body, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,180 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"crypto/subtle"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+const (
+	helloKind     = "hello"
+	idleLimit     = 30 * time.Second // a connection without a frame for this long is closed
+	writeLimit    = 2 * time.Second
+	callsAtOnce   = 256 // calls of one connection that run together
+	helloDeadline = 2 * time.Second
+)
+
+// hello is the first call on each connection.
+type hello struct {
+	From string // incarnation
+	Key  string
+}
+
+type handler func(ctx context.Context, from string, body []byte) ([]byte, error)
+
+// Server answers calls of other entries.
+type Server struct {
+	handlers map[string]handler
+	keys     func() []string // accepted keys; none lets everyone in
+	mu       sync.Mutex
+	conns    map[net.Conn]bool
+}
+
+// NewServer returns a server; keys is asked at each new connection.
+func NewServer(keys func() []string) *Server {
+	return &Server{handlers: map[string]handler{}, keys: keys, conns: map[net.Conn]bool{}}
+}
+
+// Handle registers the handler of one kind of call, before Serve.
+func Handle[Req, Res any](s *Server, kind string, f func(ctx context.Context, from string, req *Req) (*Res, error)) {
+	s.handlers[kind] = func(ctx context.Context, from string, body []byte) ([]byte, error) {
+		var req Req
+		if err := msgpack.Unmarshal(body, &req); err != nil {
+			return nil, fmt.Errorf("decode %s call: %w", kind, err)
+		}
+		res, err := f(ctx, from, &req)
+		if err != nil {
+			return nil, err
+		}
+		return msgpack.Marshal(res)
+	}
+}
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return err
+		}
+		s.track(c, true)
+		go func() {
+			defer s.track(c, false)
+			defer c.Close()
+			if err := s.serveConn(ctx, c); err != nil {
+				logrus.WithError(err).Debug("peer connection ended")
+			}
+		}()
+	}
+}
+
+// Close ends all connections.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.Close()
+	}
+}
+
+func (s *Server) track(c net.Conn, add bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if add {
+		s.conns[c] = true
+	} else {
+		delete(s.conns, c)
+	}
+}
+
+func (s *Server) serveConn(ctx context.Context, c net.Conn) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r := bufio.NewReader(c)
+	w := &frameWriter{conn: c, w: bufio.NewWriter(c)}
+	from, err := s.greet(c, r, w)
+	if err != nil {
+		return err
+	}
+	slots := make(chan struct{}, callsAtOnce)
+	for {
+		_ = c.SetReadDeadline(time.Now().Add(idleLimit))
+		f, err := readFrame(r)
+		if err != nil {
+			return err
+		}
+		slots <- struct{}{}
+		go func() {
+			defer func() { <-slots }()
+			_ = w.write(s.answer(ctx, from, f))
+		}()
+	}
+}
+
+func (s *Server) greet(c net.Conn, r *bufio.Reader, w *frameWriter) (string, error) {
+	_ = c.SetReadDeadline(time.Now().Add(helloDeadline))
+	f, err := readFrame(r)
+	if err != nil {
+		return "", err
+	}
+	var h hello
+	if err := msgpack.Unmarshal(f.Body, &h); err != nil || f.Kind != helloKind {
+		return "", fmt.Errorf("first frame from %s is no hello", c.RemoteAddr())
+	}
+	if !s.admits(h.Key) {
+		logrus.WithField("address", c.RemoteAddr().String()).Warn("peer refused: its key is not accepted")
+		_ = w.write(&frame{ID: f.ID, Error: "the key is not accepted"})
+		return "", fmt.Errorf("peer %s presented no accepted key", c.RemoteAddr())
+	}
+	return h.From, w.write(&frame{ID: f.ID})
+}
+
+func (s *Server) admits(key string) bool {
+	keys := s.keys()
+	if len(keys) == 0 {
+		return true
+	}
+	for _, k := range keys {
+		if subtle.ConstantTimeCompare([]byte(k), []byte(key)) == 1 {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Server) answer(ctx context.Context, from string, f *frame) *frame {
+	h, ok := s.handlers[f.Kind]
+	if !ok {
+		return &frame{ID: f.ID, Error: fmt.Sprintf("call kind %q is not known", f.Kind)}
+	}
+	body, err := h(ctx, from, f.Body)
+	if err != nil {
+		return &frame{ID: f.ID, Error: err.Error()}
+	}
+	return &frame{ID: f.ID, Body: body}
+}
+
+// frameWriter serialises writers of one connection.
+type frameWriter struct {
+	mu   sync.Mutex
+	conn net.Conn
+	w    *bufio.Writer
+}
+
+func (w *frameWriter) write(f *frame) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_ = w.conn.SetWriteDeadline(time.Now().Add(writeLimit))
+	err := writeFrame(w.w, f)
+	if err != nil {
+		w.conn.Close()
+	}
+	return err
+}
--- /dev/null
+++ b/internal/query/check.go
@@ -0,0 +1,60 @@
+package query
+
+import (
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/greengagelane/greengagelane/internal/verb"
+	"github.com/greengagelane/greengagelane/pkg/conf"
+	"github.com/greengagelane/greengagelane/pkg/fleet"
+	"github.com/greengagelane/greengagelane/pkg/note"
+)
+
+// Check verifies a file offline.
+var Check = verb.Verb{
+	Name:  "check",
+	Args:  "FILE...",
+	Query: true,
+	Short: "Checks settings files or release notes without asking an entry.",
+	Long: "Release notes are checked in the order given, each on top of those before it. A note that is based\n" +
+		"on a release which is not among them can only be checked by 'release plan'.",
+	Examples: []verb.Example{
+		{Command: "greengagelane check -kind settings entry.jsonc", Help: "checks fields, ranges and relations"},
+		{Command: "greengagelane check first.jsonc second.jsonc", Help: "checks two notes in a row"},
+	},
+	New: newCheck,
+}
+
+func newCheck(fs *flag.FlagSet) verb.Action {
+	kind := fs.String("kind", "release", "what the files are, release or settings")
+	return func(out *verb.IO, args []string) error {
+		if len(args) == 0 || (*kind != "release" && *kind != "settings") {
+			return verb.Usagef("files are required, and -kind is release or settings")
+		}
+		s := fleet.NewState()
+		for _, file := range args {
+			if err := checkFile(*kind, file, s); err != nil {
+				return err
+			}
+			fmt.Fprintf(out.Out, "%s: ok\n", file)
+		}
+		return nil
+	}
+}
+
+func checkFile(kind, file string, s *fleet.State) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	if kind == "settings" {
+		_, err := conf.Parse(file, data)
+		return err
+	}
+	n, err := note.Check(file, data, s)
+	if err != nil {
+		return err
+	}
+	return s.Apply(s.Next, fleet.ReleasePublished{Note: n})
+}
--- /dev/null
+++ b/pkg/fleet/fold.go
@@ -0,0 +1,202 @@
+package fleet
+
+import (
+	"fmt"
+	"hash/fnv"
+)
+
+const (
+	// ClaimRetentionMs is how long a request id is remembered, in milliseconds.
+	// Earlier memberships are kept as long, to know who held the claims.
+	ClaimRetentionMs = 120_000
+	// maxOps bounds the operation ids that the fold remembers.
+	maxOps = 4096
+)
+
+// LogRecord is a record as the platform's log returns it.
+type LogRecord struct {
+	Offset      int64
+	TimeMs      int64 // platform time of the append, Unix milliseconds
+	OperationID string
+	Data        string
+}
+
+// Outcome says what a record did.
+type Outcome struct {
+	Offset  int64
+	Record  Record // nil if the record could not be decoded
+	Applied bool
+	Reason  string // why the record was skipped
+}
+
+// Fold applies the record at s.Next. The result depends on nothing but the
+// state and the record.
+func (s *State) Fold(rec LogRecord) Outcome {
+	s.Next = rec.Offset + 1
+	s.TimeMs = max(s.TimeMs, rec.TimeMs)
+	if first, ok := s.Ops[rec.OperationID]; ok {
+		reason := fmt.Sprintf("operation %q was already folded at offset %d", rec.OperationID, first)
+		return Outcome{Offset: rec.Offset, Reason: reason}
+	}
+	s.rememberOp(rec)
+	r, err := Decode(rec.Data)
+	if err != nil {
+		return Outcome{Offset: rec.Offset, Reason: err.Error()}
+	}
+	if err := s.Apply(rec.Offset, r); err != nil {
+		return Outcome{Offset: rec.Offset, Record: r, Reason: err.Error()}
+	}
+	return Outcome{Offset: rec.Offset, Record: r, Applied: true}
+}
+
+func (s *State) rememberOp(rec LogRecord) {
+	s.Ops[rec.OperationID] = rec.Offset
+	s.OpOrder = append(s.OpOrder, rec.OperationID)
+	if len(s.OpOrder) > maxOps {
+		delete(s.Ops, s.OpOrder[0])
+		s.OpOrder = s.OpOrder[1:]
+	}
+}
+
+// Apply folds one decoded record; it changes the state only if it returns nil.
+func (s *State) Apply(offset int64, r Record) error {
+	switch r := r.(type) {
+	case ReleasePublished:
+		return s.applyNote(offset, r.Note)
+	case EntryJoined:
+		return s.applyJoined(offset, r)
+	case EntryLeft:
+		return s.applyLeft(offset, r)
+	case EntryRetired:
+		return s.applyRetired(offset, r)
+	case LeaseTaken:
+		return s.applyLeaseTaken(r)
+	case LeaseReleased:
+		return s.applyLeaseReleased(r)
+	case MoveStarted:
+		return s.applyMoveStarted(offset, r)
+	case MoveFinished:
+		return s.applyMoveFinished(offset, r)
+	case WaveStarted:
+		return s.applyWaveStarted(r)
+	case WavePauseAsked:
+		return s.applyWavePaused(r)
+	case MaintenanceStarted:
+		return s.applyMaintenanceStarted(offset, r)
+	case MaintenanceFinished:
+		return s.applyMaintenanceFinished(offset, r)
+	case MaintenanceFailed:
+		return s.applyMaintenanceFailed(offset, r)
+	default:
+		return fmt.Errorf("record type %T has no fold", r)
+	}
+}
+
+// ShardOf returns the control shard that decides over the pool.
+func ShardOf(pool string) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(pool))
+	return int(h.Sum32() % ShardCount)
+}
+
+// checkFence refuses a record whose writer no longer holds the pool's lease.
+func (s *State) checkFence(pool string, by Fence) error {
+	shard := ShardOf(pool)
+	lease := s.Leases[shard]
+	if by.Shard != shard || by.Epoch == 0 || by.Epoch != lease.Epoch || lease.Holder == "" {
+		return fmt.Errorf("epoch %d of shard %d is stale, shard %d of pool %q is at epoch %d",
+			by.Epoch, by.Shard, shard, pool, lease.Epoch)
+	}
+	return nil
+}
+
+// checkSpareable refuses to take a VM out of a pool whose budget needs it.
+func (s *State) checkSpareable(vm VM) error {
+	if vm.Phase != Serving {
+		return fmt.Errorf("VM %q is in phase %s, not serving", vm.Name, vm.Phase)
+	}
+	_, serving := s.PoolCount(vm.Pool)
+	need := s.MinServing(vm.Pool)
+	if serving-1 < need {
+		return fmt.Errorf("pool %q has %d VMs serving and its budget needs %d", vm.Pool, serving, need)
+	}
+	return nil
+}
+
+func (s *State) findVM(name string) (VM, error) {
+	vm, ok := s.VMs[name]
+	if !ok {
+		return VM{}, fmt.Errorf("VM %q does not exist", name)
+	}
+	return vm, nil
+}
+
+func (s *State) applyMoveStarted(offset int64, r MoveStarted) error {
+	vm, err := s.findVM(r.VM)
+	if err != nil {
+		return err
+	}
+	if vm.Pool != r.From {
+		return fmt.Errorf("VM %q is in pool %q, not in pool %q", r.VM, vm.Pool, r.From)
+	}
+	if _, ok := s.Pools[r.To]; !ok || r.To == r.From {
+		return fmt.Errorf("VM %q cannot move from pool %q to pool %q", r.VM, r.From, r.To)
+	}
+	if r.By != (Fence{}) {
+		if err := s.checkFence(r.From, r.By); err != nil {
+			return err
+		}
+	}
+	if err := s.checkSpareable(vm); err != nil {
+		return err
+	}
+	vm.Phase, vm.Since, vm.MoveTo = Moving, offset, r.To
+	s.setVM(vm)
+	return nil
+}
+
+func (s *State) applyMoveFinished(offset int64, r MoveFinished) error {
+	vm, err := s.findVM(r.VM)
+	if err != nil {
+		return err
+	}
+	if vm.Phase != Moving {
+		return fmt.Errorf("VM %q is in phase %s, not moving", r.VM, vm.Phase)
+	}
+	if err := s.checkFence(vm.Pool, r.By); err != nil {
+		return err
+	}
+	if _, ok := s.Pools[vm.MoveTo]; ok {
+		vm.Pool = vm.MoveTo
+	}
+	vm.Phase, vm.Since, vm.MoveTo = Serving, offset, ""
+	s.setVM(vm)
+	return nil
+}
+
+func (s *State) applyLeaseTaken(r LeaseTaken) error {
+	if r.Shard < 0 || r.Shard >= ShardCount {
+		return fmt.Errorf("shard %d does not exist", r.Shard)
+	}
+	lease := s.Leases[r.Shard]
+	if r.Epoch != lease.Epoch+1 {
+		return fmt.Errorf("shard %d is at epoch %d, so epoch %d does not follow", r.Shard, lease.Epoch, r.Epoch)
+	}
+	if lease.Holder != "" && s.IsMember(lease.Holder) {
+		return fmt.Errorf("shard %d is held by member %q", r.Shard, lease.Holder)
+	}
+	if !s.IsMember(r.Holder) {
+		return fmt.Errorf("incarnation %q is not a member", r.Holder)
+	}
+	s.Leases[r.Shard] = Lease{Holder: r.Holder, Epoch: r.Epoch}
+	return nil
+}
+
+func (s *State) applyLeaseReleased(r LeaseReleased) error {
+	lease := s.Leases[r.Shard]
+	if lease.Holder == "" || r.Epoch != lease.Epoch {
+		return fmt.Errorf("shard %d is at epoch %d, epoch %d is not held", r.Shard, lease.Epoch, r.Epoch)
+	}
+	s.Leases[r.Shard] = Lease{Epoch: lease.Epoch}
+	return nil
+}
--- /dev/null
+++ b/pkg/fleet/waves.go
@@ -0,0 +1,169 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+)
+
+func (s *State) applyWaveStarted(r WaveStarted) error {
+	w, ok := s.Waves[r.Wave]
+	if !ok {
+		return fmt.Errorf("wave %q does not exist", r.Wave)
+	}
+	if w.State == WaveRunning || w.State == WaveDone {
+		return fmt.Errorf("wave %q is already %s", r.Wave, w.State)
+	}
+	if w.State == WaveHalted {
+		w.Failed = 0
+	}
+	w.State, w.Reason = WaveRunning, "started by an operator"
+	s.Waves[r.Wave] = w
+	return nil
+}
+
+func (s *State) applyWavePaused(r WavePauseAsked) error {
+	w, ok := s.Waves[r.Wave]
+	if !ok || w.State != WaveRunning {
+		return fmt.Errorf("wave %q is not running", r.Wave)
+	}
+	w.State, w.Reason = WavePaused, "paused by an operator"
+	s.Waves[r.Wave] = w
+	return nil
+}
+
+func (s *State) applyMaintenanceStarted(offset int64, r MaintenanceStarted) error {
+	vm, err := s.findVM(r.VM)
+	if err != nil {
+		return err
+	}
+	if err := s.checkFence(vm.Pool, r.By); err != nil {
+		return err
+	}
+	if err := s.CanMaintain(r.VM, r.Wave); err != nil {
+		return err
+	}
+	vm.Phase, vm.Since, vm.Wave = Maintenance, offset, r.Wave
+	s.setVM(vm)
+	return nil
+}
+
+// CanMaintain returns why a wave may not take a VM now, or nil.
+func (s *State) CanMaintain(name, wave string) error {
+	vm, err := s.findVM(name)
+	if err != nil {
+		return err
+	}
+	w := s.Waves[wave]
+	if err := s.checkInWave(vm, w); err != nil {
+		return err
+	}
+	if err := s.checkSpareable(vm); err != nil {
+		return err
+	}
+	return s.checkDomains(vm, w)
+}
+
+// checkInWave refuses a VM that the wave does not cover or has done already.
+func (s *State) checkInWave(vm VM, w Wave) error {
+	if w.State != WaveRunning {
+		return fmt.Errorf("wave %q is not running", w.Name)
+	}
+	if !slices.Contains(w.Pools, vm.Pool) {
+		return fmt.Errorf("VM %q of pool %q is not part of wave %q", vm.Name, vm.Pool, w.Name)
+	}
+	if vm.Maintained == w.Name {
+		return fmt.Errorf("VM %q has been through wave %q", vm.Name, w.Name)
+	}
+	return nil
+}
+
+// checkDomains keeps the maintenance of one pool within one data centre and
+// within the wave's number of VMs at once.
+func (s *State) checkDomains(vm VM, w Wave) error {
+	for dc, n := range s.pools[vm.Pool].maintenance {
+		if n > 0 && dc != vm.DataCentre {
+			return fmt.Errorf("pool %q has %d VMs in maintenance in data centre %q", vm.Pool, n, dc)
+		}
+	}
+	n := 0
+	for _, pool := range w.Pools {
+		if c := s.pools[pool]; c != nil {
+			for _, in := range c.maintenance {
+				n += in
+			}
+		}
+	}
+	if n >= w.AtOnce {
+		return fmt.Errorf("wave %q has %d VMs in maintenance, its limit", w.Name, n)
+	}
+	return nil
+}
+
+func (s *State) applyMaintenanceFinished(offset int64, r MaintenanceFinished) error {
+	vm, err := s.findVM(r.VM)
+	if err != nil {
+		return err
+	}
+	if vm.Phase != Maintenance && vm.Phase != Failed {
+		return fmt.Errorf("VM %q is in phase %s, not in maintenance", r.VM, vm.Phase)
+	}
+	if err := s.checkFence(vm.Pool, r.By); err != nil {
+		return err
+	}
+	vm.Phase, vm.Since, vm.Maintained = Serving, offset, vm.Wave
+	vm.Wave, vm.LastFailure = "", ""
+	s.setVM(vm)
+	s.finishWave(vm.Maintained)
+	return nil
+}
+
+func (s *State) applyMaintenanceFailed(offset int64, r MaintenanceFailed) error {
+	vm, err := s.findVM(r.VM)
+	if err != nil {
+		return err
+	}
+	if vm.Phase != Maintenance {
+		return fmt.Errorf("VM %q is in phase %s, not in maintenance", r.VM, vm.Phase)
+	}
+	if err := s.checkFence(vm.Pool, r.By); err != nil {
+		return err
+	}
+	vm.Phase, vm.Since, vm.LastFailure = Failed, offset, r.Reason
+	s.setVM(vm)
+	w := s.Waves[vm.Wave]
+	w.Failed++
+	if w.State == WaveRunning && w.Failed > w.MaxFailures {
+		w.State = WaveHalted
+		w.Reason = fmt.Sprintf("%d VMs failed, more than %d; the last one was %q: %s", w.Failed, w.MaxFailures, vm.Name, r.Reason)
+	}
+	s.Waves[vm.Wave] = w
+	s.finishWave(vm.Wave)
+	return nil
+}
+
+// finishWave marks a running wave as done once none of its VMs is left.
+func (s *State) finishWave(name string) {
+	w, ok := s.Waves[name]
+	if !ok || w.State != WaveRunning {
+		return
+	}
+	if done, total := s.WaveProgress(name); done == total {
+		w.State, w.Reason = WaveDone, ""
+		s.Waves[name] = w
+	}
+}
+
+// WaveProgress returns how many VMs of the wave's pools have been through it.
+func (s *State) WaveProgress(name string) (done, total int) {
+	w := s.Waves[name]
+	for _, vm := range s.VMs {
+		if !slices.Contains(w.Pools, vm.Pool) {
+			continue
+		}
+		total++
+		if vm.Maintained == name {
+			done++
+		}
+	}
+	return done, total
+}
--- /dev/null
+++ b/pkg/jsonc/jsonc_test.go
@@ -0,0 +1,36 @@
+package jsonc
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+type sample struct {
+	Name  string `json:"name"`
+	Inner struct {
+		Count int `json:"count"`
+	} `json:"inner"`
+}
+
+func TestDecodeNamesTheLine(t *testing.T) {
+	tests := []struct{ name, text, want string }{
+		{"unknown field", "{\n// a comment\n\"name\": \"a\",\n\"nmae\": 1}", `f:4: field "nmae" is not known`},
+		{"wrong type", "{\n\"inner\": {\n\n\"count\": \"x\"}}", `f:4: field "inner.count" takes a int, not a string`},
+		{"syntax", "{\n\"name\": }", "f:2: "},
+		{"trailing text", "{}\n{}", "f:2: "},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, _, err := Decode[sample]("f", []byte(tt.text))
+			assert.ErrorContains(t, err, tt.want)
+		})
+	}
+}
+
+func TestErrorfFallsBackToTheEnclosingValue(t *testing.T) {
+	_, doc, err := Decode[sample]("f", []byte("{\n\"inner\": {\n\"count\": 3}}"))
+	assert.NilError(t, err)
+	assert.Error(t, doc.Errorf("/inner/count", "too few"), "f:3: too few")
+	assert.Error(t, doc.Errorf("/inner/absent/deep", "missing"), "f:2: missing")
+}
