Whole path as separate processes: stand-ins, demo and checks

Change: stand-ins for platform, backend servers, older system and callers, and a demo that checks P1 to P8 from what callers, backend servers and the platform recorded.

--- a/internal/ctrl/decide.go
+++ b/internal/ctrl/decide.go
@@ -49,12 +49,12 @@
 // Input is what Decide looks at.
 type Input struct {
 	State    *fleet.State
-	Self     string                              // incarnation
-	Drained  func(vm string, offset int64) bool  // no entry sends work to the VM any more
-	List     map[string]Listed                   // by VM; empty if the list is not known
-	Rebooted map[string]Rebooted                 // by reboot operation id
+	Self     string                                  // incarnation
+	Drained  func(vm string, offset int64) bool      // no entry sends work to the VM any more
+	List     map[string]Listed                       // by VM; empty if the list is not known
+	Rebooted map[string]Rebooted                     // by reboot operation id
 	Seen     func(vm string, offset int64) time.Time // when this entry first saw the VM's phase
-	Limit    time.Duration                       // after which a VM in maintenance has failed
+	Limit    time.Duration                           // after which a VM in maintenance has failed
 }
 
 // Decide returns the actions that are due.
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -170,4 +170,3 @@
 	st.Release, st.Offset = o.e.handler.Table().Release, o.e.handler.Table().Offset
 	return st, nil
 }
-
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -136,9 +136,6 @@
 
 // serve runs an accepted request and returns nil once it has been answered.
 func (h *Handler) serve(w http.ResponseWriter, r *request) *result.Problem {
-	if !h.fresh(time.Now()) {
-		return result.Refuse(http.StatusServiceUnavailable, freshRetryAfter, "the entry cannot show that its configuration is current")
-	}
 	pool := h.poolOf(r)
 	if pool == nil || len(pool.Workers) == 0 {
 		return result.Refuse(http.StatusServiceUnavailable, time.Second, "service %q has no worker in service", r.svc.Name)
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -42,6 +42,9 @@
 
 // parse reads the request's head and the start of its body.
 func (h *Handler) parse(w http.ResponseWriter, in *http.Request, now time.Time) (*request, *result.Problem) {
+	if !h.fresh(now) {
+		return nil, result.Refuse(http.StatusServiceUnavailable, freshRetryAfter, "the entry cannot show that its configuration is current")
+	}
 	name := serviceName(in)
 	svc := h.Table().Services[name]
 	if svc == nil {
--- /dev/null
+++ b/internal/stand/platform.go
@@ -0,0 +1,218 @@
+// Package stand holds small stand-ins for what surrounds greengagelane: the
+// platform, backend servers, callers and the older system. Each can be told
+// through its own HTTP interface to fail.
+package stand
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/greengagelane/greengagelane/internal/oas/plat"
+)
+
+const (
+	dedupeRecords = 10000
+	lostAnswer    = 10 * time.Second // a lost answer arrives long after the client has given up
+)
+
+// PlatformFaults switch the platform's failures.
+type PlatformFaults struct {
+	Outage     bool `json:"outage"`      // the log answers nothing
+	LoseAnswer int  `json:"lose-answer"` // this many appends take effect but are not answered
+	SlowMs     int  `json:"slow-ms"`     // each log call takes this much longer
+}
+
+// Platform is the log, the VM list and VM operations.
+type Platform struct {
+	mu       sync.Mutex
+	faults   PlatformFaults
+	streams  map[string]*stream
+	changed  chan struct{}
+	retain   int
+	control  string // base URL of the backend servers' control interface
+	lag      time.Duration
+	list     []plat.VMState
+	reboots  map[string]plat.VMState // by operation id
+	listedAt time.Time
+}
+
+type stream struct {
+	first   int64
+	records []plat.Record
+	byOp    map[string]int64
+}
+
+// NewPlatform returns a platform that keeps the newest retain records of each
+// stream and whose VM list lags behind the backend servers by lag.
+func NewPlatform(control string, retain int, lag time.Duration) *Platform {
+	return &Platform{
+		streams: map[string]*stream{}, changed: make(chan struct{}), retain: retain,
+		control: control, lag: lag, reboots: map[string]plat.VMState{},
+	}
+}
+
+// Handler returns the platform's HTTP interface.
+func (p *Platform) Handler() (http.Handler, error) {
+	api, err := plat.NewServer(p)
+	if err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/", api)
+	mux.HandleFunc("POST /faults", func(w http.ResponseWriter, r *http.Request) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if err := json.NewDecoder(r.Body).Decode(&p.faults); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+		}
+	})
+	return mux, nil
+}
+
+// Run keeps the VM list, as late as the lag says.
+func (p *Platform) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		var list []plat.VMState
+		err := getJSON(ctx, p.control+"/vms", &list)
+		time.Sleep(p.lag)
+		if err == nil {
+			p.mu.Lock()
+			p.list = list
+			p.mu.Unlock()
+		}
+	}
+}
+
+// enter applies the faults of a log call. It returns false in an outage.
+func (p *Platform) enter(ctx context.Context) bool {
+	p.mu.Lock()
+	f := p.faults
+	p.mu.Unlock()
+	wait(ctx, time.Duration(f.SlowMs)*time.Millisecond)
+	return !f.Outage
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// AppendRecord implements plat.Handler.
+func (p *Platform) AppendRecord(ctx context.Context, req *plat.NewRecord, params plat.AppendRecordParams) (*plat.Appended, error) {
+	if !p.enter(ctx) {
+		return nil, fmt.Errorf("outage")
+	}
+	p.mu.Lock()
+	s := p.stream(params.Stream)
+	offset, known := s.byOp[req.OperationID]
+	if !known {
+		offset = p.append(s, req)
+	}
+	lose := p.faults.LoseAnswer > 0
+	if lose {
+		p.faults.LoseAnswer--
+	}
+	p.mu.Unlock()
+	if lose {
+		wait(ctx, lostAnswer)
+		return nil, fmt.Errorf("answer lost")
+	}
+	return &plat.Appended{Offset: offset}, nil
+}
+
+func (p *Platform) stream(name string) *stream {
+	s := p.streams[name]
+	if s == nil {
+		s = &stream{byOp: map[string]int64{}}
+		p.streams[name] = s
+	}
+	return s
+}
+
+func (p *Platform) append(s *stream, req *plat.NewRecord) int64 {
+	offset := s.first + int64(len(s.records))
+	s.records = append(s.records, plat.Record{
+		Offset: offset, TimeMs: time.Now().UnixMilli(), OperationID: req.OperationID, Data: req.Data,
+	})
+	s.byOp[req.OperationID] = offset
+	if len(s.records) > p.retain {
+		delete(s.byOp, s.records[0].OperationID)
+		s.records = s.records[1:]
+		s.first++
+	}
+	close(p.changed)
+	p.changed = make(chan struct{})
+	return offset
+}
+
+// ReadRecords implements plat.Handler.
+func (p *Platform) ReadRecords(ctx context.Context, params plat.ReadRecordsParams) (*plat.Records, error) {
+	limit := time.Now().Add(time.Duration(params.WaitMs.Or(0)) * time.Millisecond)
+	for {
+		if !p.enter(ctx) {
+			return nil, fmt.Errorf("outage")
+		}
+		p.mu.Lock()
+		res := p.read(params)
+		changed := p.changed
+		p.mu.Unlock()
+		left := time.Until(limit)
+		if len(res.Records) > 0 || left <= 0 {
+			return res, nil
+		}
+		t := time.NewTimer(left)
+		select {
+		case <-changed:
+		case <-t.C:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+		t.Stop()
+	}
+}
+
+func (p *Platform) read(params plat.ReadRecordsParams) *plat.Records {
+	s := p.stream(params.Stream)
+	res := &plat.Records{First: s.first, Next: s.first + int64(len(s.records)), Records: []plat.Record{}}
+	i := max(params.From, s.first) - s.first
+	if i < int64(len(s.records)) {
+		end := min(i+int64(params.Max.Or(1000)), int64(len(s.records)))
+		res.Records = append(res.Records, s.records[i:end]...)
+	}
+	return res
+}
+
+// ListVMs implements plat.Handler.
+func (p *Platform) ListVMs(context.Context) ([]plat.VMState, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]plat.VMState{}, p.list...), nil
+}
+
+// RebootVM implements plat.Handler.
+func (p *Platform) RebootVM(ctx context.Context, params plat.RebootVMParams) (*plat.VMState, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if st, ok := p.reboots[params.OperationID]; ok {
+		return &st, nil
+	}
+	var st plat.VMState
+	if err := postJSON(ctx, p.control+"/vms/"+params.VM+"/reboot", nil, &st); err != nil {
+		return nil, err
+	}
+	p.reboots[params.OperationID] = st
+	return &st, nil
+}
+
+// NewError implements plat.Handler.
+func (p *Platform) NewError(_ context.Context, err error) *plat.ProblemStatusCode {
+	return &plat.ProblemStatusCode{StatusCode: http.StatusServiceUnavailable, Response: plat.Problem{Title: err.Error()}}
+}
--- /dev/null
+++ b/internal/stand/verbs.go
@@ -0,0 +1,176 @@
+package stand
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/greengagelane/greengagelane/internal/verb"
+)
+
+const program = "standin"
+
+// Verbs lists the stand-ins; a new one is one function and one line here.
+var Verbs = []verb.Verb{
+	{Name: "platform", Short: "Runs the platform: log, VM list and VM operations.", New: newPlatformVerb},
+	{Name: "backend", Short: "Runs backend servers.", New: newBackendVerb},
+	{Name: "older", Short: "Runs the older system.", New: newOlderVerb},
+	{Name: "callers", Short: "Sends a plan's load, then checks the promises.", New: newCallersVerb},
+	{Name: "site", Short: "Writes settings, release notes and the load plan of a site.", New: newSiteVerb},
+}
+
+// Main runs the stand-in that the arguments name and returns the exit code.
+func Main(out *verb.IO, args []string) int {
+	for _, v := range Verbs {
+		if len(args) > 0 && args[0] == v.Name {
+			return v.Run(out, program, args[1:])
+		}
+	}
+	for _, v := range Verbs {
+		fmt.Fprintf(out.Err, "%s %-10s %s\n", program, v.Name, v.Short)
+	}
+	return verb.ExitUsage
+}
+
+func listenAndServe(port int, h http.Handler) error {
+	ln, err := net.Listen("tcp", address(port))
+	if err != nil {
+		return err
+	}
+	return http.Serve(ln, h)
+}
+
+func newPlatformVerb(fs *flag.FlagSet) verb.Action {
+	retain := fs.Int("retain", 100_000, "records kept in each stream")
+	lag := fs.Duration("lag", 300*time.Millisecond, "age of the VM list")
+	return func(*verb.IO, []string) error {
+		p := NewPlatform("http://"+address(ControlPort), *retain, *lag)
+		h, err := p.Handler()
+		if err != nil {
+			return err
+		}
+		go p.Run(context.Background())
+		return listenAndServe(PlatformPort, h)
+	}
+}
+
+func newBackendVerb(fs *flag.FlagSet) verb.Action {
+	count := fs.Int("count", demoVMs, "number of VMs")
+	return func(*verb.IO, []string) error {
+		b, err := NewBackends(*count, BackendPort, demoSlots, demoConns)
+		if err != nil {
+			return err
+		}
+		return listenAndServe(ControlPort, b.Control())
+	}
+}
+
+func newOlderVerb(*flag.FlagSet) verb.Action {
+	return func(*verb.IO, []string) error { return listenAndServe(OlderPort, Older()) }
+}
+
+func newSiteVerb(fs *flag.FlagSet) verb.Action {
+	name := fs.String("site", "institute", "institute or zelena")
+	dir := fs.String("dir", "out", "folder to write to")
+	seed := fs.Uint64("seed", 1, "seed of the load")
+	seconds := fs.Float64("seconds", 30, "length of the load")
+	extra := fs.String("extra", "", "settings for every entry, a JSON object")
+	return func(*verb.IO, []string) error {
+		site, err := FindSite(*name)
+		if err != nil {
+			return err
+		}
+		more := map[string]any{}
+		if *extra != "" {
+			if err := json.Unmarshal([]byte(*extra), &more); err != nil {
+				return err
+			}
+		}
+		if err := os.MkdirAll(*dir, 0o755); err != nil {
+			return err
+		}
+		return WriteSite(*dir, site, *seed, *seconds, more)
+	}
+}
+
+func newCallersVerb(fs *flag.FlagSet) verb.Action {
+	planFile := fs.String("plan", "out/plan.json", "load plan")
+	faultsFile := fs.String("faults", "", "file with a line 'kind entry begin end' for each fault, times in Unix microseconds")
+	record := fs.String("record", "", "file to write all that was recorded to, JSON")
+	only := fs.Int("only", 0, "send through this many entries only; 0 means all")
+	return func(out *verb.IO, _ []string) error {
+		data, err := os.ReadFile(*planFile)
+		if err != nil {
+			return err
+		}
+		var plan Plan
+		if err := json.Unmarshal(data, &plan); err != nil {
+			return err
+		}
+		plan.Only = *only
+		return runCallers(out, plan, *faultsFile, *record)
+	}
+}
+
+func runCallers(out *verb.IO, plan Plan, faultsFile, record string) error {
+	ctx := context.Background()
+	c := NewCallers(plan)
+	c.Run(ctx)
+	ev, err := c.gather(ctx, faultsFile)
+	if err != nil {
+		return err
+	}
+	if record != "" {
+		data, err := json.Marshal(ev)
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(record, data, 0o644); err != nil {
+			return err
+		}
+	}
+	broken := WriteVerdicts(out.Out, Check(ev))
+	WriteMeasures(out.Out, ev, plan)
+	if broken > 0 {
+		return fmt.Errorf("%d promises broken", broken)
+	}
+	return nil
+}
+
+// gather collects what everyone recorded.
+func (c *Callers) gather(ctx context.Context, faultsFile string) (*Evidence, error) {
+	ev := &Evidence{Sent: c.sent, Probes: c.probes, Probe: c.plan.Probe}
+	if err := getJSON(ctx, "http://"+address(ControlPort)+"/report", &ev.Report); err != nil {
+		return nil, err
+	}
+	log, err := ReadLog(ctx, "http://"+address(PlatformPort))
+	if err != nil {
+		return nil, err
+	}
+	ev.Log = log
+	if faultsFile != "" {
+		ev.Faults, err = readFaults(faultsFile)
+	}
+	return ev, err
+}
+
+func readFaults(file string) ([]Fault, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	var out []Fault
+	for _, line := range strings.Split(strings.TrimSpace(string(data)), "\n") {
+		var f Fault
+		if n, _ := fmt.Sscan(line, &f.Kind, &f.Entry, &f.At, &f.Until); n >= 3 {
+			out = append(out, f)
+		}
+	}
+	return out, nil
+}
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -54,13 +54,13 @@
 	Address     string `json:"address"` // IP number and port of the backend server
 	DataCentre  string `json:"data-centre"`
 	Rack        string `json:"rack"`
-	Slots       int    `json:"slots"`                 // requests it runs at once
-	Connections int    `json:"connections"`           // open connections it accepts, over all entries
-	Phase       Phase  `json:"phase"`                 // only a serving VM gets new work
-	Since       int64  `json:"since,omitempty"`       // offset at which Phase began
-	MoveTo      string `json:"move-to,omitempty"`     // target pool while Phase is moving
-	Wave        string `json:"wave,omitempty"`        // wave that the VM is in while Phase is maintenance
-	Maintained  string `json:"maintained,omitempty"`  // last wave that has finished on the VM
+	Slots       int    `json:"slots"`                  // requests it runs at once
+	Connections int    `json:"connections"`            // open connections it accepts, over all entries
+	Phase       Phase  `json:"phase"`                  // only a serving VM gets new work
+	Since       int64  `json:"since,omitempty"`        // offset at which Phase began
+	MoveTo      string `json:"move-to,omitempty"`      // target pool while Phase is moving
+	Wave        string `json:"wave,omitempty"`         // wave that the VM is in while Phase is maintenance
+	Maintained  string `json:"maintained,omitempty"`   // last wave that has finished on the VM
 	LastFailure string `json:"last-failure,omitempty"` // why Phase is failed
 }
 
