Three faults of the request path: verdict, queue, drain

Cause: a request whose first attempt timed out and whose last could not connect was answered not-run; the verdict of the last attempt alone counted. Change: the verdict covers all attempts (TestVerdictOfAllAttempts, failed before). Ruled out: a wrong verdict of a single attempt; the other cases of the table passed.

Cause: requests were admitted up to the estimate of their deadline, so half of the error made them late. Change: the wait counts 1.5 times, the service time with two mean deviations.

Cause: a request that waited for its slot kept the table it had read and went to a VM that had meanwhile left service. Change: the worker is chosen from the table in force, read again after the request is counted in; entries report the offset of their routing table, not of their folded state; a request given up counts for the drain until its deadline (TestWaitingRequestGoesByTheNewTable, TestRequestGivenUpStillCountsForTheDrain, failed before).

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+# Targets: build, check, fmt, lint, test, generate, demo.
+GO_FILES = $(shell git ls-files '*.go' | grep -v -e '^internal/oas/.*_gen\.go$$' -e '_enumer\.go$$')
+BIN = .bin
+
+.PHONY: build check fmt lint test generate demo docs
+
+build:
+	go build -o bin/ ./cmd/...
+
+check: build lint test docs-check
+
+# Tests named in the first column of KNOWN-RED.txt are printed and passed over.
+RED = $(shell [ -s KNOWN-RED.txt ] && awk '!/^#/ && NF {print $$1}' KNOWN-RED.txt | paste -sd'|')
+test:
+	go test -count=1 $(if $(RED),-skip '^($(RED))$$') ./...
+
+$(BIN)/gofumpt $(BIN)/revive $(BIN)/ogen $(BIN)/enumer &: tools/go.mod tools/go.sum
+	mkdir -p $(BIN)
+	cd tools && go build -o ../$(BIN)/ mvdan.cc/gofumpt github.com/mgechev/revive \
+		github.com/ogen-go/ogen/cmd/ogen github.com/dmarkham/enumer
+
+lint: $(BIN)/gofumpt $(BIN)/revive
+	go vet ./...
+	@out=$$($(BIN)/gofumpt -l $(GO_FILES)); if [ -n "$$out" ]; then echo "gofumpt would change:"; echo "$$out"; exit 1; fi
+	$(BIN)/revive -config revive.toml -set_exit_status $(addprefix ./,$(sort $(dir $(GO_FILES))))
+
+fmt: $(BIN)/gofumpt
+	$(BIN)/gofumpt -w $(GO_FILES)
+
+generate: $(BIN)/ogen $(BIN)/enumer
+	go generate ./...
+
+docs: build
+	bin/greengagelane help reference > docs/REFERENCE.md
+
+.PHONY: docs-check
+docs-check: build
+	@bin/greengagelane help reference | cmp - docs/REFERENCE.md || { echo "docs/REFERENCE.md is old: make docs"; exit 1; }
+
+demo: build
+	scripts/demo.sh
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -7,6 +7,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"time"
 
 	"github.com/greengagelane/greengagelane/pkg/fleet"
@@ -17,6 +18,8 @@
 	ewmaShare     = 0.1                    // weight of the newest service time
 	minRetryAfter = 100 * time.Millisecond // shortest time to come back
 	initialTime   = 20 * time.Millisecond  // service time before the first answer
+	waitSafety    = 1.5                    // a wait may turn out this many times the estimate
+	deviations    = 2                      // mean deviations that a service time may exceed its mean by
 )
 
 // Item is one request in the queue's hands.
@@ -41,6 +44,7 @@
 	running int
 	waiting [classes]itemHeap
 	mean    float64 // moving mean of the time a request holds its slot, seconds
+	dev     float64 // moving mean of its deviation from the mean, seconds
 	refused int64
 }
 
@@ -85,7 +89,7 @@
 		return
 	}
 	ahead := q.ahead(it)
-	if q.limit == 0 || now.Add(q.waitFor(ahead)+q.MeanTime()).After(it.Deadline) {
+	if q.limit == 0 || q.hopeless(now, it, ahead) {
 		q.refuse(it, q.waitFor(q.Waiting()))
 		return
 	}
@@ -113,6 +117,12 @@
 	return time.Duration(turns * q.mean * float64(time.Second))
 }
 
+// hopeless reports whether a request behind n others can miss its deadline.
+func (q *Queue) hopeless(now time.Time, it *Item, n int) bool {
+	wait := time.Duration(waitSafety * float64(q.waitFor(n)))
+	return now.Add(wait).After(q.LatestStart(it))
+}
+
 // shed refuses waiting requests of lower priority that a newer one has pushed
 // past their deadline: the last of each class while it is hopeless.
 func (q *Queue) shed(now time.Time) {
@@ -121,7 +131,7 @@
 		ahead += len(q.waiting[c])
 		for len(q.waiting[c]) > 0 {
 			last := q.waiting[c].latest()
-			if !now.Add(q.waitFor(ahead-1) + q.MeanTime()).After(last.Deadline) {
+			if !q.hopeless(now, last, ahead-1) {
 				break
 			}
 			q.drop(last)
@@ -133,7 +143,9 @@
 // Done returns the slot of a granted request that held it for some time.
 func (q *Queue) Done(now time.Time, held time.Duration) {
 	q.running--
-	q.mean += ewmaShare * (held.Seconds() - q.mean)
+	off := held.Seconds() - q.mean
+	q.mean += ewmaShare * off
+	q.dev += ewmaShare * (math.Abs(off) - q.dev)
 	q.fill(now)
 }
 
@@ -155,7 +167,8 @@
 
 // LatestStart returns when a waiting request becomes hopeless.
 func (q *Queue) LatestStart(it *Item) time.Time {
-	return it.Deadline.Add(-q.MeanTime())
+	service := q.mean + deviations*q.dev
+	return it.Deadline.Add(-time.Duration(service * float64(time.Second)))
 }
 
 // fill starts waiting requests while slots are free.
@@ -165,7 +178,7 @@
 		if it == nil {
 			return
 		}
-		if now.Add(q.MeanTime()).After(it.Deadline) {
+		if now.After(q.LatestStart(it)) {
 			q.refuse(it, q.waitFor(q.Waiting()))
 			continue
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -71,7 +71,7 @@
 		return nil, err
 	}
 	e.log = log
-	e.mesh = mesh.New(e.self, set, e.store, log, e.loads, e.events, e.peerKeys.newest)
+	e.mesh = mesh.New(e.self, set, e.store, log, e.load, e.events, e.peerKeys.newest)
 	e.handler = proxy.NewHandler(proxy.Options{
 		Name:         set.Name,
 		MaxBodyBytes: int64(set.MaxBodyKB) << 10,
@@ -192,23 +192,23 @@
 	e.events.Add(time.Now(), rec.Offset, event.Record, subject, kind+" "+text)
 }
 
-// loads returns the demand by pool and the requests in flight by VM.
-func (e *Entry) loads() (map[string]int, map[string]int64) {
-	demand := map[string]int{}
-	for name, p := range e.handler.Table().Pools {
+// load reports the request path to the other entries.
+func (e *Entry) load() mesh.Load {
+	t := e.handler.Table()
+	load := mesh.Load{Routed: t.Offset, Release: t.Release, Demand: map[string]int{}, InFlight: map[string]int64{}}
+	for name, p := range t.Pools {
 		if n := e.handler.Gate(p).Load().Demand; n > 0 {
-			demand[name] = n
+			load.Demand[name] = n
 		}
 	}
-	inFlight := map[string]int64{}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.registry.Each(func(w *route.Worker) {
 		if n := w.InFlight(); n > 0 {
-			inFlight[w.Name] = n
+			load.InFlight[w.Name] = n
 		}
 	})
-	return demand, inFlight
+	return load
 }
 
 // drained allows for the longest request of any service.
@@ -219,7 +219,7 @@
 			longest = max(longest, svc.TimeoutMs)
 		}
 	})
-	return e.handler.Table().Offset > offset && e.mesh.Drained(now, vm, offset, conf.Ms(longest))
+	return e.mesh.Drained(now, vm, offset, conf.Ms(longest))
 }
 
 func (e *Entry) onList(list map[string]ctrl.Listed) {
--- a/internal/mesh/evidence.go
+++ b/internal/mesh/evidence.go
@@ -15,8 +15,9 @@
 	Name        string
 	Incarnation string
 	View        int64
-	Next        int64 // next log offset to be folded
-	Release     string
+	Next        int64            // next log offset to be folded
+	Routed      int64            // offset of the state that requests are routed by; read before InFlight
+	Release     string           // in force in that state
 	Demand      map[string]int   // requests that run or wait, by pool; pools without any are left out
 	InFlight    map[string]int64 // requests in flight, by VM; VMs without any are left out
 }
@@ -156,7 +157,7 @@
 }
 
 // Drained reports whether every member, and every other entry heard since a
-// time, has folded the record at the offset and has nothing in flight on the VM.
+// time, routes by a state after the offset and has nothing in flight on the VM.
 func (e *Evidence) Drained(since time.Time, vm string, offset int64, members []fleet.Member) bool {
 	for _, m := range members {
 		if m.Incarnation != e.self && !e.heard[m.Incarnation].doneWith(vm, offset) {
@@ -172,5 +173,5 @@
 }
 
 func (h heard) doneWith(vm string, offset int64) bool {
-	return h.beat.Next > offset && h.beat.InFlight[vm] == 0
+	return h.beat.Routed > offset && h.beat.InFlight[vm] == 0
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -24,8 +24,13 @@
 	bootstrapAge = 2 * time.Second // age of the last log contact after which peers are asked for state
 )
 
-// Loads returns this entry's demand by pool and requests in flight by VM.
-type Loads func() (demand map[string]int, inFlight map[string]int64)
+// Load is what an entry's request path reports of itself.
+type Load struct {
+	Routed   int64 // offset of the state that requests are routed by; read before InFlight
+	Release  string
+	Demand   map[string]int   // requests that run or wait, by pool
+	InFlight map[string]int64 // requests in flight, by VM
+}
 
 // Mesh is one entry's part of the mesh.
 type Mesh struct {
@@ -33,7 +38,7 @@
 	set    conf.Settings
 	store  *tail.Store
 	log    *tail.Log
-	loads  Loads
+	load   func() Load
 	events *event.Ring
 	key    func() string
 
@@ -52,9 +57,9 @@
 }
 
 // New returns the mesh of an entry.
-func New(self fleet.Member, set conf.Settings, store *tail.Store, log *tail.Log, loads Loads, events *event.Ring, key func() string) *Mesh {
+func New(self fleet.Member, set conf.Settings, store *tail.Store, log *tail.Log, load func() Load, events *event.Ring, key func() string) *Mesh {
 	return &Mesh{
-		self: self, set: set, store: store, log: log, loads: loads, events: events, key: key,
+		self: self, set: set, store: store, log: log, load: load, events: events, key: key,
 		evidence: NewEvidence(self.Incarnation),
 		clients:  map[string]*peer.Client{},
 		table:    claim.NewTable(self.Incarnation),
@@ -197,11 +202,12 @@
 // beat returns this entry's present beat.
 func (m *Mesh) beat() *Beat {
 	b := &Beat{Name: m.self.Name, Incarnation: m.self.Incarnation}
-	b.Demand, b.InFlight = m.loads()
+	load := m.load()
+	b.Routed, b.Release, b.Demand, b.InFlight = load.Routed, load.Release, load.Demand, load.InFlight
 	m.mu.Lock()
 	b.View = m.table.View()
 	m.mu.Unlock()
-	m.store.View(func(s *fleet.State) { b.Next, b.Release = s.Next, s.Release })
+	b.Next = m.store.Next()
 	return b
 }
 
@@ -285,8 +291,8 @@
 // meanwhile counts once its freshness and the longest request have passed.
 func (m *Mesh) Drained(now time.Time, vm string, offset int64, longest time.Duration) bool {
 	_, members := m.members()
-	_, inFlight := m.loads()
-	if inFlight[vm] > 0 || m.store.Next() <= offset {
+	load := m.load()
+	if load.InFlight[vm] > 0 || load.Routed <= offset {
 		return false
 	}
 	fence := conf.Ms(m.set.FreshForMs) + longest
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -136,7 +136,7 @@
 
 // serve runs an accepted request and returns nil once it has been answered.
 func (h *Handler) serve(w http.ResponseWriter, r *request) *result.Problem {
-	pool := h.poolOf(r)
+	pool := h.Table().PoolOf(r.svc.Name)
 	if pool == nil || len(pool.Workers) == 0 {
 		return result.Refuse(http.StatusServiceUnavailable, time.Second, "service %q has no worker in service", r.svc.Name)
 	}
@@ -148,13 +148,6 @@
 	return h.serveOnce(ctx, w, r, pool)
 }
 
-func (h *Handler) poolOf(r *request) *route.Pool {
-	if r.svc.Pool == nil {
-		return h.Table().Older
-	}
-	return r.svc.Pool
-}
-
 // requestContext ends at the deadline. A request that runs at most once goes on
 // when its caller has left, so that a resend gets its answer.
 func (h *Handler) requestContext(r *request) (context.Context, context.CancelFunc) {
@@ -196,7 +189,7 @@
 	entered := time.Now()
 	leave := sync.OnceFunc(func() { gate.Leave(time.Now(), time.Since(entered)) })
 	defer leave()
-	a, p := h.try(ctx, r, pool, grant)
+	a, p := h.try(ctx, r, grant)
 	if p != nil {
 		return p
 	}
@@ -212,15 +205,22 @@
 
 // try makes attempts until one has an answer, or its verdict, the deadline or
 // the retry budget allows no other.
-func (h *Handler) try(ctx context.Context, r *request, pool *route.Pool, grant *Grant) (*answer, *result.Problem) {
+func (h *Handler) try(ctx context.Context, r *request, grant *Grant) (*answer, *result.Problem) {
 	budget := h.budget(r.svc.Name)
 	var last *route.Worker
+	certain := result.NotRun // verdict of the attempts so far
 	for n := 1; ; n++ {
 		now := time.Now()
 		if grant != nil && now.After(grant.ValidUntil) {
-			return nil, result.Refuse(http.StatusServiceUnavailable, time.Second, "the claim on the request id is too old")
+			return nil, result.Refuse(http.StatusServiceUnavailable, time.Second, "the claim on the request id is too old").After(certain)
+		}
+		a, w, p := h.tryOnce(ctx, r, last)
+		if p != nil {
+			p = p.After(certain)
+			certain = p.Verdict
+		} else {
+			certain = result.Ran
 		}
-		a, w, p := h.tryOnce(ctx, r, pool, last)
 		if p == nil && !h.worthRetry(r, a) {
 			budget.Succeeded()
 			return a, nil
@@ -259,17 +259,20 @@
 }
 
 // tryOnce makes one attempt and lets its worker's record learn from it.
-func (h *Handler) tryOnce(ctx context.Context, r *request, pool *route.Pool, last *route.Worker) (*answer, *route.Worker, *result.Problem) {
+func (h *Handler) tryOnce(ctx context.Context, r *request, last *route.Worker) (*answer, *route.Worker, *result.Problem) {
 	now := time.Now()
 	if !h.fresh(now) {
 		return nil, nil, result.Refuse(http.StatusServiceUnavailable, freshRetryAfter, "the entry cannot show that its configuration is current")
 	}
-	w := h.choose(pool, now, last)
+	w, pool := h.choose(r, now, last)
 	if w == nil {
 		return nil, nil, result.Refuse(http.StatusServiceUnavailable, time.Second, "service %q has no worker free", r.svc.Name)
 	}
 	a, p := h.attempt(ctx, r, w, pool.PerWorker, h.attemptLimit(r, w, now))
 	took := time.Since(now)
+	if p != nil && p.Verdict == result.MayHaveRun {
+		w.GiveUp(time.Until(r.deadline) + max(attemptFactor*w.Latency(), minAttemptLimit))
+	}
 	ok := p == nil && a.res.StatusCode < http.StatusInternalServerError
 	if ctx.Err() != nil && took < attemptFactor*w.Latency() {
 		w.Abandon() // the caller gave it too little time to judge the worker
@@ -293,7 +296,26 @@
 	h.events.Add(time.Now(), h.Table().Offset, event.Attempt, r.key, w.Name+": "+text)
 }
 
-func (h *Handler) choose(pool *route.Pool, now time.Time, last *route.Worker) *route.Worker {
+// choose counts the request in on a worker of the table in force. A table that
+// changes meanwhile may have taken the worker out of service, so it is read again
+// after the count: an entry that reports a table's offset and no request in
+// flight on a VM sends nothing there afterwards.
+func (h *Handler) choose(r *request, now time.Time, last *route.Worker) (*route.Worker, *route.Pool) {
+	for {
+		t := h.Table()
+		pool := t.PoolOf(r.svc.Name)
+		if pool == nil || len(pool.Workers) == 0 {
+			return nil, pool
+		}
+		w := h.chooseFrom(pool, now, last)
+		if w == nil || h.Table() == t {
+			return w, pool
+		}
+		w.Abandon()
+	}
+}
+
+func (h *Handler) chooseFrom(pool *route.Pool, now time.Time, last *route.Worker) *route.Worker {
 	if h.opts.BlindRetries > 0 {
 		w := pool.Workers[h.turn.Add(1)%uint64(len(pool.Workers))]
 		w.Begin()
--- /dev/null
+++ b/internal/proxy/handler_test.go
@@ -0,0 +1,208 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/greengagelane/greengagelane/internal/claim"
+	"github.com/greengagelane/greengagelane/internal/event"
+	"github.com/greengagelane/greengagelane/internal/route"
+	"github.com/greengagelane/greengagelane/pkg/fleet"
+	"github.com/greengagelane/greengagelane/pkg/result"
+)
+
+const maxBody = 32 << 10
+
+// grantAll is a claimer that grants everything.
+type grantAll struct{ released, finished atomic.Int32 }
+
+func (g *grantAll) Claim(context.Context, string) (*Grant, *claim.Saved, *result.Problem) {
+	return &Grant{
+		ValidUntil: time.Now().Add(time.Minute),
+		Release:    func() { g.released.Add(1) },
+		Finish:     func(*claim.Saved) { g.finished.Add(1) },
+	}, nil, nil
+}
+
+// newTestHandler returns a handler whose only service is served by the addresses.
+func newTestHandler(t *testing.T, c Claimer, timeoutMs int, addresses ...string) *Handler {
+	t.Helper()
+	h := NewHandler(Options{Name: "e", MaxBodyBytes: maxBody, SenderStall: time.Second, RetryPercent: 10},
+		c, func(time.Time) bool { return true }, event.NewRing(16))
+	pool := &route.Pool{Name: "p", PerWorker: 8}
+	for _, a := range addresses {
+		pool.Workers = append(pool.Workers, route.NewWorker(a, a))
+	}
+	svc := &route.Service{Service: fleet.Service{Name: "svc", Pool: "p", TimeoutMs: timeoutMs}, Pool: pool}
+	h.SetTable(&route.Table{
+		Services: map[string]*route.Service{"svc": svc},
+		Pools:    map[string]*route.Pool{"p": pool},
+	}, nil)
+	h.Gate(pool).SetLimit(time.Now(), 8)
+	return h
+}
+
+func call(h *Handler, method, key, body string) *httptest.ResponseRecorder {
+	req := httptest.NewRequest(method, "http://svc.example/x", strings.NewReader(body))
+	if key != "" {
+		req.Header.Set(result.RequestHeader, key)
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, req)
+	return w
+}
+
+func serverOf(t *testing.T, f http.HandlerFunc) string {
+	t.Helper()
+	s := httptest.NewServer(f)
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// closedAddress returns an address on which nothing listens.
+func closedAddress(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+func hang(_ http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+}
+
+func TestVerdictOfAllAttempts(t *testing.T) {
+	cut := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "1000")
+		_, _ = io.WriteString(w, "short")
+	}
+	refuse := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(result.VerdictHeader, result.NotRun.String())
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	tests := []struct {
+		name, method string
+		workers      []http.HandlerFunc // nil is a closed port
+		verdict      result.Verdict
+	}{
+		{"an attempt that may have run is not forgotten", http.MethodGet, []http.HandlerFunc{hang, nil}, result.MayHaveRun},
+		{"no worker can be reached", http.MethodPost, []http.HandlerFunc{nil, nil}, result.NotRun},
+		{"a cut answer is not passed on", http.MethodPost, []http.HandlerFunc{cut}, result.MayHaveRun},
+		{"a worker's own refusal is certain", http.MethodPost, []http.HandlerFunc{refuse, refuse}, result.NotRun},
+		{"a silent worker", http.MethodPost, []http.HandlerFunc{hang, hang}, result.MayHaveRun},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var addresses []string
+			for _, f := range tt.workers {
+				if f == nil {
+					addresses = append(addresses, closedAddress(t))
+				} else {
+					addresses = append(addresses, serverOf(t, f))
+				}
+			}
+			for range 6 { // the first worker is chosen at random
+				h := newTestHandler(t, &grantAll{}, 700, addresses...)
+				w := call(h, tt.method, "key", "body")
+				assert.Equal(t, w.Header().Get(result.VerdictHeader), tt.verdict.String(), w.Body.String())
+				assert.Assert(t, w.Header().Get("Retry-After") != "")
+			}
+		})
+	}
+}
+
+func TestNonIdempotentRequestIsSentOnce(t *testing.T) {
+	var runs atomic.Int32
+	fail := func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		conn, _, _ := w.(http.Hijacker).Hijack()
+		conn.Close()
+	}
+	c := &grantAll{}
+	h := newTestHandler(t, c, 1000, serverOf(t, fail), serverOf(t, fail))
+	// An empty body with an idempotency key is what net/http would send again.
+	w := call(h, http.MethodPost, "key", "")
+	assert.Equal(t, w.Header().Get(result.VerdictHeader), result.MayHaveRun.String())
+	assert.Equal(t, runs.Load(), int32(1))
+	assert.Equal(t, c.released.Load(), int32(0))
+	assert.Equal(t, c.finished.Load(), int32(1))
+}
+
+func TestRequestGivenUpStillCountsForTheDrain(t *testing.T) {
+	h := newTestHandler(t, &grantAll{}, 100, serverOf(t, hang))
+	w := call(h, http.MethodPost, "key", "body")
+	assert.Equal(t, w.Code, http.StatusGatewayTimeout)
+	assert.Equal(t, h.Table().Pools["p"].Workers[0].InFlight(), int64(1))
+}
+
+func TestWaitingRequestGoesByTheNewTable(t *testing.T) {
+	release := make(chan struct{})
+	arrived := make(chan string, 4)
+	server := func(name string) string {
+		return serverOf(t, func(http.ResponseWriter, *http.Request) {
+			arrived <- name
+			<-release
+		})
+	}
+	a, b := server("a"), server("b")
+	h := newTestHandler(t, &grantAll{}, 5000, a)
+	pool := h.Table().Pools["p"]
+	h.Gate(pool).SetLimit(time.Now(), 1)
+	done := make(chan int, 2)
+	request := func() { done <- call(h, http.MethodPost, "", "").Code }
+	go request()
+	assert.Equal(t, <-arrived, "a")
+	go request()
+	for h.Gate(pool).Load().Demand < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	next := &route.Pool{Name: "p", PerWorker: 8, Workers: []*route.Worker{route.NewWorker(b, b)}}
+	svc := &route.Service{Service: h.Table().Services["svc"].Service, Pool: next}
+	h.SetTable(&route.Table{Services: map[string]*route.Service{"svc": svc}, Pools: map[string]*route.Pool{"p": next}}, nil)
+	close(release)
+	assert.Equal(t, <-arrived, "b", "a VM out of service got new work")
+	assert.Equal(t, <-done+<-done, 400)
+}
+
+func TestBadInputIsRefusedAsNotRun(t *testing.T) {
+	var runs atomic.Int32
+	h := newTestHandler(t, &grantAll{}, 1000, serverOf(t, func(http.ResponseWriter, *http.Request) { runs.Add(1) }))
+	tests := []struct {
+		name   string
+		change func(*http.Request)
+		status int
+	}{
+		{"unknown service", func(r *http.Request) { r.Header.Set(result.ServiceHeader, "absent") }, 404},
+		{"deadline that is no number", func(r *http.Request) { r.Header.Set(result.TimeoutHeader, "soon") }, 400},
+		{"deadline out of range", func(r *http.Request) { r.Header.Set(result.TimeoutHeader, "60001") }, 400},
+		{"unknown priority", func(r *http.Request) { r.Header.Set(result.PriorityHeader, "now") }, 400},
+		{"long request id", func(r *http.Request) { r.Header.Set(result.RequestHeader, strings.Repeat("x", 129)) }, 400},
+		{"declared body too large", func(r *http.Request) { r.ContentLength = 1<<20 + 1 }, 413},
+		{"body too large", func(r *http.Request) {
+			r.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", maxBody+1)))
+			r.ContentLength = -1
+		}, 413},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			req := httptest.NewRequest(http.MethodPost, "http://svc.example/x", strings.NewReader("b"))
+			tt.change(req)
+			w := httptest.NewRecorder()
+			h.ServeHTTP(w, req)
+			assert.Equal(t, w.Code, tt.status)
+			assert.Equal(t, w.Header().Get(result.VerdictHeader), result.NotRun.String())
+		})
+	}
+	assert.Equal(t, runs.Load(), int32(0))
+}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -16,6 +16,18 @@
 	Pools    map[string]*Pool
 }
 
+// PoolOf returns the pool that serves a service, or nil.
+func (t *Table) PoolOf(service string) *Pool {
+	svc := t.Services[service]
+	switch {
+	case svc == nil:
+		return nil
+	case svc.HeldBy == fleet.OlderSystem:
+		return t.Older
+	}
+	return svc.Pool
+}
+
 // Service is one service with the pool that serves it.
 type Service struct {
 	fleet.Service
--- a/internal/route/worker.go
+++ b/internal/route/worker.go
@@ -24,6 +24,7 @@
 	Address string
 
 	inFlight   atomic.Int64  // this entry's requests
+	abandoned  atomic.Int64  // requests given up here that the VM may still run
 	elsewhere  atomic.Int64  // other entries' requests, by their last digests
 	success    atomic.Uint64 // float64 bits, moving mean of 1 (answered) and 0 (failed)
 	latency    atomic.Uint64 // float64 bits, moving mean in seconds
@@ -51,8 +52,15 @@
 // SetElsewhere stores the other entries' requests in flight.
 func (w *Worker) SetElsewhere(n int64) { w.elsewhere.Store(n) }
 
-// InFlight returns this entry's requests in flight.
-func (w *Worker) InFlight() int64 { return w.inFlight.Load() }
+// InFlight returns this entry's requests that the VM may be running, those that
+// the entry has given up included.
+func (w *Worker) InFlight() int64 { return w.inFlight.Load() + w.abandoned.Load() }
+
+// GiveUp counts a request that may still run on the VM for some time.
+func (w *Worker) GiveUp(still time.Duration) {
+	w.abandoned.Add(1)
+	time.AfterFunc(still, func() { w.abandoned.Add(-1) })
+}
 
 // Leaving reports whether the VM may not get new work.
 func (w *Worker) Leaving() bool { return w.leaving.Load() }
