Demo keeps its process ids in files, so that a restarted entry is ended too

Cause: an entry restarted in a subshell outlived its demo and handed a newer state of another log to the next one.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -6,28 +6,30 @@
 set -u
 cd "$(dirname "$0")/.."
 site=${SITE:-institute} seed=${SEED:-1} faults=",${FAULTS:-}," load=${SECONDS_LOAD:-30} extra=${EXTRA:-}
-dir=$(mktemp -d) pids=() entries=()
+dir=$(mktemp -d)
 standin=bin/standin product=bin/greengagelane
 op=127.0.0.1:7201
 
 finish() {
-  for p in "${pids[@]}" "${entries[@]}"; do kill -CONT "$p" 2>/dev/null; kill -KILL "$p" 2>/dev/null; done
+  for p in $(cat "$dir"/*.pid); do kill -CONT "$p" 2>/dev/null; kill -KILL "$p" 2>/dev/null; done
   wait 2>/dev/null
   [ -n "${KEEP:-}" ] && echo "kept $dir" || rm -rf "$dir"
 }
 trap finish EXIT
+trap 'exit 130' INT TERM PIPE
 
 now_us() { date +%s%6N; }
 has() { [[ $faults == *",$1,"* ]]; }
 fault() { curl -s -X POST "$1/faults" -d "$2" >/dev/null; }
-start_entry() { "$product" entry -settings "$dir/entry-$1.jsonc" >>"$dir/entry-$1.log" 2>&1 & entries[$1]=$!; }
+start_entry() { "$product" entry -settings "$dir/entry-$1.jsonc" >>"$dir/entry-$1.log" 2>&1 & echo "$!" >"$dir/entry-$1.pid"; }
+pid_of() { cat "$dir/entry-$1.pid"; }
 caller_of() { echo "127.0.0.1:$((7100 + $1))"; }
 cli() { local verb1=$1 verb2=$2; shift 2; "$product" "$verb1" "$verb2" -entry "$op" "$@"; }
 
 "$standin" site -site "$site" -seed "$seed" -seconds "$load" -dir "$dir" -extra "$extra" || exit 1
-"$standin" backend & pids+=($!)
-"$standin" platform & pids+=($!)
-"$standin" older & pids+=($!)
+"$standin" backend & echo "$!" >"$dir/backend.pid"
+"$standin" platform & echo "$!" >"$dir/platform.pid"
+"$standin" older & echo "$!" >"$dir/older.pid"
 for i in 1 2 3 4 5 6 7 8 9; do start_entry "$i"; done
 : >"$dir/faults"
 for _ in $(seq 100); do curl -sf "http://$op/ready" >/dev/null && break; sleep 0.1; done
@@ -56,17 +58,17 @@
   has log-lost-answer && fault http://127.0.0.1:7000 '{"lose-answer":3}'
   sleep 2
   if has entry-kill; then
-    at=$(now_us); kill -KILL "${entries[3]}"; echo "kill $(caller_of 3) $at $((at + 3000000))" >>"$dir/faults"
+    at=$(now_us); kill -KILL "$(pid_of 3)"; echo "kill $(caller_of 3) $at $((at + 3000000))" >>"$dir/faults"
     sleep 1; start_entry 3
   fi
   if has entry-freeze; then
-    at=$(now_us); kill -STOP "${entries[4]}"
-    sleep 5; kill -CONT "${entries[4]}"; echo "freeze $(caller_of 4) $at $(now_us)" >>"$dir/faults"
+    at=$(now_us); kill -STOP "$(pid_of 4)"
+    sleep 5; kill -CONT "$(pid_of 4)"; echo "freeze $(caller_of 4) $at $(now_us)" >>"$dir/faults"
   fi
   has backend-kill && fault http://127.0.0.1:7001 '{"vm":"vm-15","mode":"kill"}'
   has backend-kill && { sleep 4; fault http://127.0.0.1:7001 '{"vm":"vm-15","mode":"start"}'; }
   if has entry-stop; then
-    at=$(now_us); kill -TERM "${entries[5]}"; echo "stop $(caller_of 5) $at 0" >>"$dir/faults"
+    at=$(now_us); kill -TERM "$(pid_of 5)"; echo "stop $(caller_of 5) $at 0" >>"$dir/faults"
   fi
   if has log-outage; then
     fault http://127.0.0.1:7000 '{"outage":true}'; sleep 6; fault http://127.0.0.1:7000 '{"outage":false}'
