Choose workers by an entry's own requests in flight

Cause: the worker was chosen by all entries' reported requests in flight, so between two reports all entries sent to the same workers, and others idled: in bursts 45 to 65 % of the pools' slots were in use. Heartbeats carry requests in flight only for VMs out of service. Ruled out: retries (0 to 7 extra runs a burst) and admission (refusals came while slots were free).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -201,13 +201,11 @@
 			load.Demand[name] = n
 		}
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.registry.Each(func(w *route.Worker) {
+	for _, w := range t.Out {
 		if n := w.InFlight(); n > 0 {
 			load.InFlight[w.Name] = n
 		}
-	})
+	}
 	return load
 }
 
@@ -275,7 +273,6 @@
 			return
 		case now := <-t.C:
 			e.setLimits(now, e.handler.Table())
-			e.setElsewhere(now)
 		}
 	}
 }
@@ -290,10 +287,3 @@
 		e.handler.Gate(t.Older).SetLimit(now, t.Older.Slots)
 	}
 }
-
-func (e *Entry) setElsewhere(now time.Time) {
-	elsewhere := e.mesh.InFlight(now)
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.registry.Each(func(w *route.Worker) { w.SetElsewhere(elsewhere[w.Name]) })
-}
--- a/internal/mesh/evidence.go
+++ b/internal/mesh/evidence.go
@@ -19,7 +19,7 @@
 	Routed      int64            // offset of the state that requests are routed by; read before InFlight
 	Release     string           // in force in that state
 	Demand      map[string]int   // requests that run or wait, by pool; pools without any are left out
-	InFlight    map[string]int64 // requests in flight, by VM; VMs without any are left out
+	InFlight    map[string]int64 // requests in flight on VMs that are out of service; VMs without any are left out
 }
 
 // heard is the last proof that a peer gave of itself. It is dated by when this
@@ -141,21 +141,6 @@
 	return out
 }
 
-// InFlight returns the other entries' requests in flight by VM, as far as they
-// were heard since a time.
-func (e *Evidence) InFlight(since time.Time) map[string]int64 {
-	out := map[string]int64{}
-	for inc, h := range e.heard {
-		if inc == e.self || !h.at.After(since) {
-			continue
-		}
-		for vm, n := range h.beat.InFlight {
-			out[vm] += n
-		}
-	}
-	return out
-}
-
 // Drained reports whether every member, and every other entry heard since a
 // time, routes by a state after the offset and has nothing in flight on the VM.
 func (e *Evidence) Drained(since time.Time, vm string, offset int64, members []fleet.Member) bool {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -29,7 +29,7 @@
 	Routed   int64 // offset of the state that requests are routed by; read before InFlight
 	Release  string
 	Demand   map[string]int   // requests that run or wait, by pool
-	InFlight map[string]int64 // requests in flight, by VM
+	InFlight map[string]int64 // requests in flight on VMs that are out of service
 }
 
 // Mesh is one entry's part of the mesh.
@@ -323,10 +323,3 @@
 	defer m.mu.Unlock()
 	return m.evidence.Demands(now.Add(-conf.Ms(m.set.FreshForMs)), pool)
 }
-
-// InFlight returns the other entries' requests in flight by VM.
-func (m *Mesh) InFlight(now time.Time) map[string]int64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.evidence.InFlight(now.Add(-conf.Ms(m.set.FreshForMs)))
-}
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -40,7 +40,7 @@
 // quarantine the failures are not the workers' own.
 func (p *Pool) least(now time.Time, start int, exclude *Worker, eject bool) *Worker {
 	var best, fallback *Worker
-	var bestLoad, fallbackLoad float64
+	var bestLoad, fallbackLoad int64
 	n := len(p.Workers)
 	seen := 0
 	for i := range n {
@@ -68,11 +68,10 @@
 	return fallback
 }
 
-// load ranks workers: requests in flight from all entries, then latency.
-func (w *Worker) load() float64 {
-	queued := float64(w.inFlight.Load() + w.elsewhere.Load())
-	return queued + w.Latency().Seconds()/(1+w.Latency().Seconds())
-}
+// load ranks workers by this entry's own requests in flight. Each entry spreads
+// its share of the slots evenly, and so all together do; were the others' last
+// reports added, all entries would send to the same workers until the next ones.
+func (w *Worker) load() int64 { return w.inFlight.Load() }
 
 func (p *Pool) ejectedShare(now time.Time) float64 {
 	out := 0
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -14,6 +14,7 @@
 	Older    *Pool // the older system as a pool of one, nil if there is none
 	Services map[string]*Service
 	Pools    map[string]*Pool
+	Out      []*Worker // VMs that are out of service
 }
 
 // PoolOf returns the pool that serves a service, or nil.
@@ -74,6 +75,8 @@
 		used[vm.Name] = true
 		if vm.Phase == fleet.Serving {
 			t.Pools[vm.Pool].add(w, vm, r.PerWorker(vm.Connections))
+		} else {
+			t.Out = append(t.Out, w)
 		}
 	}
 	if s.Older != "" {
--- a/internal/route/worker.go
+++ b/internal/route/worker.go
@@ -25,7 +25,6 @@
 
 	inFlight   atomic.Int64  // this entry's requests
 	abandoned  atomic.Int64  // requests given up here that the VM may still run
-	elsewhere  atomic.Int64  // other entries' requests, by their last digests
 	success    atomic.Uint64 // float64 bits, moving mean of 1 (answered) and 0 (failed)
 	latency    atomic.Uint64 // float64 bits, moving mean in seconds
 	samples    atomic.Int64
@@ -49,9 +48,6 @@
 	w.down.Store(down)
 }
 
-// SetElsewhere stores the other entries' requests in flight.
-func (w *Worker) SetElsewhere(n int64) { w.elsewhere.Store(n) }
-
 // InFlight returns this entry's requests that the VM may be running, those that
 // the entry has given up included.
 func (w *Worker) InFlight() int64 { return w.inFlight.Load() + w.abandoned.Load() }
