Drain evidence that holds for removed entries and for guests

Cause: a model of the drain found an entry that had been removed, was in touch again and sent work to a VM that counted as drained: freshness from the log was granted before requests were routed by what the log had shown, and a majority's answers counted although they were ahead of the entry. Taking out a guard makes a test fail: routed offset, requests in flight and offset of a majority in the fuzzing, fence of a removal, own guest and members' guests in the traces.

--- a/internal/claim/table_test.go
+++ b/internal/claim/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -115,7 +116,7 @@
 		n.state.Fold(w.record(i, data))
 	}
 	if tr := n.table.SetMembership(w.now, n.state); tr != nil {
-		n.evidence.SetMembers(w.now, n.state.SortedMembers(), time.Minute)
+		n.evidence.SetMembers(w.now, n.state)
 	}
 }
 
@@ -187,7 +188,7 @@
 }
 
 func (w *world) fresh(n *node) bool {
-	at := n.evidence.MajorityAt(w.now, n.table.View(), n.state.SortedMembers())
+	at := n.evidence.MajorityAt(w.now, n.table.View(), math.MaxInt64, n.state.SortedMembers())
 	return !at.IsZero() && w.now.Sub(at) < freshFor
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -82,7 +82,7 @@
 	}, e.mesh, e.mesh.Fresh, e.events)
 	e.driver = &ctrl.Driver{
 		Self: e.self.Incarnation, Store: e.store, Log: log, Limit: conf.Ms(set.RebootLimitMs),
-		Drained: e.drained, Fresh: e.mesh.Fresh, OnList: e.onList,
+		Drained: e.mesh.Drained, Fresh: e.mesh.Fresh, OnList: e.onList,
 	}
 	return e, nil
 }
@@ -209,17 +209,6 @@
 	return load
 }
 
-// drained allows for the longest request of any service.
-func (e *Entry) drained(now time.Time, vm string, offset int64) bool {
-	longest := 0
-	e.store.View(func(s *fleet.State) {
-		for _, svc := range s.Services {
-			longest = max(longest, svc.TimeoutMs)
-		}
-	})
-	return e.mesh.Drained(now, vm, offset, conf.Ms(longest))
-}
-
 func (e *Entry) onList(list map[string]ctrl.Listed) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/mesh/evidence.go
+++ b/internal/mesh/evidence.go
@@ -3,6 +3,7 @@
 package mesh
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -20,6 +21,7 @@
 	Release     string           // in force in that state
 	Demand      map[string]int   // requests that run or wait, by pool; pools without any are left out
 	InFlight    map[string]int64 // requests in flight on VMs that are out of service; VMs without any are left out
+	Guest       bool             // an entry that is no member was answered within the fence
 }
 
 // heard is the last proof that a peer gave of itself. It is dated by when this
@@ -33,14 +35,16 @@
 // Evidence is what an entry knows of the others, by incarnation. It is not safe
 // for concurrent use.
 type Evidence struct {
-	self  string
-	heard map[string]heard
-	since map[string]time.Time // when a member that was never heard became one
+	self    string
+	heard   map[string]heard
+	since   map[string]time.Time // when a member that was never heard became one
+	removed map[string]time.Time // when this entry learned that another is no member any more
+	guestAt time.Time            // when an entry that is no member was last answered
 }
 
 // NewEvidence returns an empty Evidence of the entry with an incarnation.
 func NewEvidence(self string) *Evidence {
-	return &Evidence{self: self, heard: map[string]heard{}, since: map[string]time.Time{}}
+	return &Evidence{self: self, heard: map[string]heard{}, since: map[string]time.Time{}, removed: map[string]time.Time{}}
 }
 
 // Note takes in the answer to a heartbeat that was sent at a time.
@@ -56,40 +60,48 @@
 	return h.beat, h.at
 }
 
-// SetMembers forgets what no longer matters. Peers that are not members are kept
-// while they speak: an entry that cannot join during an outage of the log serves
-// all the same.
-func (e *Evidence) SetMembers(now time.Time, members []fleet.Member, keep time.Duration) {
-	present := map[string]bool{}
-	for _, m := range members {
-		present[m.Incarnation] = true
+// removalKept is how long a removal is remembered, more than any fence.
+const removalKept = 5 * time.Minute
+
+// SetMembers follows the membership.
+func (e *Evidence) SetMembers(now time.Time, s *fleet.State) {
+	for _, m := range s.Members {
 		if _, ok := e.since[m.Incarnation]; !ok {
 			e.since[m.Incarnation] = now
 		}
+		delete(e.removed, m.Incarnation)
 	}
-	for inc := range e.since {
-		if !present[inc] {
-			delete(e.since, inc)
-		}
-	}
-	for inc, h := range e.heard {
-		if !present[inc] && now.Sub(h.at) > keep {
-			delete(e.heard, inc)
+	for _, p := range s.Past {
+		for _, m := range p.Members {
+			if _, known := e.removed[m.Incarnation]; !known && !s.IsMember(m.Incarnation) {
+				e.removed[m.Incarnation] = now
+			}
 		}
 	}
+	maps.DeleteFunc(e.since, func(inc string, _ time.Time) bool { return !s.IsMember(inc) })
+	maps.DeleteFunc(e.heard, func(inc string, h heard) bool { return !s.IsMember(inc) && now.Sub(h.at) > removalKept })
+	maps.DeleteFunc(e.removed, func(_ string, at time.Time) bool { return now.Sub(at) > removalKept })
+}
+
+// NoteGuest remembers that an entry which is no member was answered.
+func (e *Evidence) NoteGuest(now time.Time) { e.guestAt = now }
+
+// Guest reports whether an entry that is no member was answered within the fence.
+func (e *Evidence) Guest(now time.Time, fence time.Duration) bool {
+	return !e.guestAt.IsZero() && now.Sub(e.guestAt) <= fence
 }
 
 // MajorityAt returns the newest time at which a majority of the view's members,
-// this entry included if it is one, had shown to be in the view. It is zero if
-// there was none.
-func (e *Evidence) MajorityAt(now time.Time, view int64, members []fleet.Member) time.Time {
+// this entry included if it is one, had shown to be in the view and to be no
+// further in the log than a given offset. It is zero if there was none.
+func (e *Evidence) MajorityAt(now time.Time, view, next int64, members []fleet.Member) time.Time {
 	var times []time.Time
 	for _, m := range members {
 		h := e.heard[m.Incarnation]
 		switch {
 		case m.Incarnation == e.self:
 			times = append(times, now)
-		case h.beat.View == view && !h.at.IsZero():
+		case h.beat.View == view && h.beat.Next <= next && !h.at.IsZero():
 			times = append(times, h.at)
 		}
 	}
@@ -141,16 +153,25 @@
 	return out
 }
 
-// Drained reports whether every member, and every other entry heard since a
-// time, routes by a state after the offset and has nothing in flight on the VM.
-func (e *Evidence) Drained(since time.Time, vm string, offset int64, members []fleet.Member) bool {
+// Drained reports whether no other entry sends work to the VM any more, nor has
+// any there, since the record at the offset took it out of service. Every member
+// has to say so, and that it has answered no guest within the fence: an entry
+// that is no member goes on only by the answers of a majority that is not ahead
+// of it. A removed entry counts as done once the fence has passed. The fence is
+// the time for which an entry goes on without proof that its state is current,
+// and the longest request.
+func (e *Evidence) Drained(now time.Time, vm string, offset int64, members []fleet.Member, fence time.Duration) bool {
+	if e.Guest(now, fence) {
+		return false
+	}
 	for _, m := range members {
-		if m.Incarnation != e.self && !e.heard[m.Incarnation].doneWith(vm, offset) {
+		h := e.heard[m.Incarnation]
+		if m.Incarnation != e.self && (h.beat.Guest || !h.doneWith(vm, offset)) {
 			return false
 		}
 	}
-	for inc, h := range e.heard {
-		if inc != e.self && h.at.After(since) && !h.doneWith(vm, offset) {
+	for _, at := range e.removed {
+		if now.Sub(at) <= fence {
 			return false
 		}
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,7 +20,6 @@
 const (
 	callLimit    = 500 * time.Millisecond // a peer's answer is awaited this long
 	maxRecords   = 1000                   // relayed in one answer
-	guestsKept   = 5 * time.Minute        // evidence of entries that are not members
 	expireEvery  = 1 * time.Second
 	bootstrapAge = 2 * time.Second // age of the last log contact after which peers are asked for state
 )
@@ -47,7 +47,6 @@
 	clients  map[string]*peer.Client // by address
 	table    *claim.Table
 	unsent   map[string]bool // members that have not taken the transfer of this view
-	removed  map[string]time.Time
 	outcomes *claim.Outcomes
 	token    atomic.Uint64
 
@@ -64,7 +63,6 @@
 		clients:  map[string]*peer.Client{},
 		table:    claim.NewTable(self.Incarnation),
 		unsent:   map[string]bool{},
-		removed:  map[string]time.Time{},
 		outcomes: claim.NewOutcomes(),
 	}
 }
@@ -138,14 +136,13 @@
 		if s.View <= m.table.View() {
 			return
 		}
-		m.noteRemoved(now, s)
 		changed = m.table.SetMembership(now, s) != nil
+		m.evidence.SetMembers(now, s)
 		members, view = s.SortedMembers(), s.View
 	})
 	if !changed {
 		return false
 	}
-	m.evidence.SetMembers(now, members, guestsKept)
 	m.unsent = map[string]bool{}
 	for _, p := range members {
 		if p.Incarnation != m.self.Incarnation {
@@ -156,19 +153,6 @@
 	return true
 }
 
-// noteRemoved remembers when this entry learned that another had been removed.
-func (m *Mesh) noteRemoved(now time.Time, s *fleet.State) {
-	for _, p := range s.Past {
-		for _, old := range p.Members {
-			if s.IsMember(old.Incarnation) {
-				delete(m.removed, old.Incarnation)
-			} else if _, ok := m.removed[old.Incarnation]; !ok {
-				m.removed[old.Incarnation] = now
-			}
-		}
-	}
-}
-
 func describeMembers(members []fleet.Member) string {
 	text := "members:"
 	for _, p := range members {
@@ -204,10 +188,12 @@
 	b := &Beat{Name: m.self.Name, Incarnation: m.self.Incarnation}
 	load := m.load()
 	b.Routed, b.Release, b.Demand, b.InFlight = load.Routed, load.Release, load.Demand, load.InFlight
+	fence := m.fence()
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	b.View = m.table.View()
-	m.mu.Unlock()
 	b.Next = m.store.Next()
+	b.Guest = m.evidence.Guest(time.Now(), fence)
 	return b
 }
 
@@ -252,32 +238,64 @@
 	}
 }
 
-func (m *Mesh) onBeat(context.Context, string, *Beat) (*Beat, error) {
+// onBeat answers with a beat that was made after the guest was noted.
+func (m *Mesh) onBeat(_ context.Context, _ string, b *Beat) (*Beat, error) {
+	member := false
+	m.store.View(func(s *fleet.State) { member = s.IsMember(b.Incarnation) })
+	if !member {
+		m.mu.Lock()
+		m.evidence.NoteGuest(time.Now())
+		m.mu.Unlock()
+	}
 	return m.beat(), nil
 }
 
+// fence is how long an entry may go on by what it knew before: its freshness and
+// the longest request of any service.
+func (m *Mesh) fence() time.Duration {
+	longest := 0
+	m.store.View(func(s *fleet.State) {
+		for _, svc := range s.Services {
+			longest = max(longest, svc.TimeoutMs)
+		}
+	})
+	return conf.Ms(m.set.FreshForMs + longest)
+}
+
 // refresh recomputes until when the entry's state counts as current.
 func (m *Mesh) refresh(now time.Time) {
 	view, members := m.members()
+	seen := m.store.LogSeen()
+	next := m.store.Next()
+	routed := m.load().Routed
 	m.mu.Lock()
 	inView := m.table.View() == view
-	majority := m.evidence.MajorityAt(now, view, members)
+	granting := m.evidence.MajorityAt(now, view, math.MaxInt64, members)
+	routing := m.evidence.MajorityAt(now, view, routed, members)
 	m.mu.Unlock()
-	freshFor := conf.Ms(m.set.FreshForMs)
-	var majorityUntil, until int64
-	if !majority.IsZero() && inView {
-		majorityUntil = majority.Add(freshFor).UnixNano()
+	if !inView {
+		granting = time.Time{}
 	}
-	if seen := m.store.LogSeen(); !seen.IsZero() {
-		until = seen.Add(freshFor).UnixNano()
+	// What the log showed counts once requests are routed by it.
+	if routed < next {
+		seen = time.Time{}
 	}
-	m.majorityUntil.Store(majorityUntil)
-	was := m.freshUntil.Swap(max(until, majorityUntil)) > now.UnixNano()
+	m.majorityUntil.Store(m.until(granting))
+	until := max(m.until(seen), m.until(routing))
+	was := m.freshUntil.Swap(until) > now.UnixNano()
 	if is := m.Fresh(now); is != was {
 		m.noteFresh(now, is)
 	}
 }
 
+// until returns when a proof of a date lapses, Unix nanoseconds; 0 if there is none.
+func (m *Mesh) until(proof time.Time) int64 {
+	if proof.IsZero() {
+		return 0
+	}
+	return proof.Add(conf.Ms(m.set.FreshForMs)).UnixNano()
+}
+
 func (m *Mesh) noteFresh(now time.Time, is bool) {
 	text := "the state is no longer shown to be current; requests are refused"
 	if is {
@@ -287,23 +305,17 @@
 }
 
 // Drained reports whether no entry sends work to the VM any more since the
-// record at the offset took it out of service. An entry that was removed
-// meanwhile counts once its freshness and the longest request have passed.
-func (m *Mesh) Drained(now time.Time, vm string, offset int64, longest time.Duration) bool {
+// record at the offset took it out of service.
+func (m *Mesh) Drained(now time.Time, vm string, offset int64) bool {
 	_, members := m.members()
 	load := m.load()
 	if load.InFlight[vm] > 0 || load.Routed <= offset {
 		return false
 	}
-	fence := conf.Ms(m.set.FreshForMs) + longest
+	fence := m.fence()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, at := range m.removed {
-		if now.Sub(at) < fence {
-			return false
-		}
-	}
-	return m.evidence.Drained(now.Add(-fence), vm, offset, members)
+	return m.evidence.Drained(now, vm, offset, members, fence)
 }
 
 // Peers calls f for the last beat of each member but this one.
