--- a/internal/mesh/drain_test.go
+++ b/internal/mesh/drain_test.go
@@ -254,18 +254,22 @@
 // An entry is cut off with a request under way and is removed.
 func TestTraceRemovedEntryFinishesFirst(t *testing.T) {
 	d := newDrain(t)
+	d.pass(testFence + time.Millisecond) // past what was answered at the start
 	d.senders[1].cut = true
 	d.write(fleet.EntryLeft{Name: "e1", Incarnation: "e1"})
 	d.follow(d.senders[2])
 	d.follow(d.senders[3])
 	assert.Equal(t, d.controllerHears(), false, "e1 may go on for its freshness and a request")
-	d.pass(testFence + time.Millisecond)
+	d.pass(testFence)
+	assert.Equal(t, d.controllerHears(), false)
+	d.pass(time.Millisecond)
 	assert.Equal(t, d.controllerHears(), true)
 }
 
 // A guest is current by the members that have not folded the drain yet.
 func TestTraceGuestFinishesFirst(t *testing.T) {
 	d := newDrain(t)
+	d.pass(testFence + time.Millisecond) // past what was answered at the start
 	guest := d.senders[4]
 	for _, s := range d.senders[1:4] {
 		d.ask(guest, s)
