Wave decisions: proof, a halt while paused, and a faster round

Cause 1: a wave that was paused when too many VMs had failed could be resumed without notice of it; found by TestWaveAgainstOracle (two controllers that race, die and lag, lost answers of reboots, a list that lags). Change: it halts in both states. Each of the guards drained, boots after the reboot, budget over VMs that are down, and one operation id per VM and wave fails a test when taken out. Cause 2: a round looked at every VM for each pool. Change: the state keeps the VMs of each pool and those out of service.

--- a/internal/ctrl/decide.go
+++ b/internal/ctrl/decide.go
@@ -61,9 +61,9 @@
 func Decide(now time.Time, in Input) []Action {
 	d := &decider{Input: in, now: now, shards: usedShards(in.State)}
 	d.leases()
-	for _, name := range slices.Sorted(maps.Keys(in.State.VMs)) {
+	for _, name := range in.State.OutOfService() {
 		vm := in.State.VMs[name]
-		if vm.Phase != fleet.Serving && d.holds(vm.Pool) {
+		if d.holds(vm.Pool) {
 			d.advance(vm)
 		}
 	}
@@ -186,8 +186,9 @@
 func (d *decider) nextInWave(w fleet.Wave, pool string) (fleet.VM, bool) {
 	var next fleet.VM
 	up, found := 0, false
-	for _, vm := range d.State.VMs {
-		if vm.Pool != pool || vm.Phase != fleet.Serving {
+	for name := range d.State.VMsOf(pool) {
+		vm := d.State.VMs[name]
+		if vm.Phase != fleet.Serving {
 			continue
 		}
 		if d.isUp(vm.Name) {
--- a/internal/ctrl/driver.go
+++ b/internal/ctrl/driver.go
@@ -126,8 +126,9 @@
 func (d *Driver) phases() []phaseKey {
 	var out []phaseKey
 	d.Store.View(func(s *fleet.State) {
-		for name, vm := range s.VMs {
-			if vm.Phase != fleet.Serving && s.Leases[fleet.ShardOf(vm.Pool)].Holder == d.Self {
+		for _, name := range s.OutOfService() {
+			vm := s.VMs[name]
+			if s.Leases[fleet.ShardOf(vm.Pool)].Holder == d.Self {
 				out = append(out, phaseKey{name, vm.Since})
 			}
 		}
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -4,7 +4,11 @@
 // the state at its offset changes nothing, for every reader alike.
 package fleet
 
-import "slices"
+import (
+	"iter"
+	"maps"
+	"slices"
+)
 
 // ShardCount is the number of control shards that pools are spread over.
 const ShardCount = 64
@@ -28,6 +32,7 @@
 	Ops      map[string]int64   `json:"ops"`     // recent operation ids and their offsets
 	OpOrder  []string           `json:"op-order"`
 	pools    map[string]*count  // derived: VM counts by pool
+	out      map[string]bool    // derived: VMs out of service
 }
 
 // Pool is a set of VMs that serves one or more services.
@@ -101,6 +106,7 @@
 type count struct {
 	total, serving int
 	maintenance    map[string]int // VMs in maintenance by data centre
+	vms            map[string]bool
 }
 
 // NewState returns the state before the first record.
@@ -164,9 +170,21 @@
 	return c.total, c.serving
 }
 
+// VMsOf returns the names of the pool's VMs, in no order.
+func (s *State) VMsOf(pool string) iter.Seq[string] {
+	if c := s.pools[pool]; c != nil {
+		return maps.Keys(c.vms)
+	}
+	return func(func(string) bool) {}
+}
+
+// OutOfService returns the names of the VMs that do not serve, sorted.
+func (s *State) OutOfService() []string { return slices.Sorted(maps.Keys(s.out)) }
+
 // derive recomputes the counts that are not part of a snapshot.
 func (s *State) derive() {
 	s.pools = map[string]*count{}
+	s.out = map[string]bool{}
 	for _, vm := range s.VMs {
 		s.addCounts(vm, 1)
 	}
@@ -175,12 +193,20 @@
 func (s *State) addCounts(vm VM, n int) {
 	c := s.pools[vm.Pool]
 	if c == nil {
-		c = &count{maintenance: map[string]int{}}
+		c = &count{maintenance: map[string]int{}, vms: map[string]bool{}}
 		s.pools[vm.Pool] = c
 	}
 	c.total += n
+	if n > 0 {
+		c.vms[vm.Name] = true
+	} else {
+		delete(c.vms, vm.Name)
+		delete(s.out, vm.Name)
+	}
 	if vm.Phase == Serving {
 		c.serving += n
+	} else if n > 0 {
+		s.out[vm.Name] = true
 	}
 	if vm.Phase == Maintenance {
 		c.maintenance[vm.DataCentre] += n
--- a/pkg/fleet/waves.go
+++ b/pkg/fleet/waves.go
@@ -132,7 +132,7 @@
 	s.setVM(vm)
 	w := s.Waves[vm.Wave]
 	w.Failed++
-	if w.State == WaveRunning && w.Failed > w.MaxFailures {
+	if (w.State == WaveRunning || w.State == WavePaused) && w.Failed > w.MaxFailures {
 		w.State = WaveHalted
 		w.Reason = fmt.Sprintf("%d VMs failed, more than %d; the last one was %q: %s", w.Failed, w.MaxFailures, vm.Name, r.Reason)
 	}
@@ -156,13 +156,12 @@
 // WaveProgress returns how many VMs of the wave's pools have been through it.
 func (s *State) WaveProgress(name string) (done, total int) {
 	w := s.Waves[name]
-	for _, vm := range s.VMs {
-		if !slices.Contains(w.Pools, vm.Pool) {
-			continue
-		}
-		total++
-		if vm.Maintained == name {
-			done++
+	for _, pool := range w.Pools {
+		for vm := range s.VMsOf(pool) {
+			total++
+			if s.VMs[vm].Maintained == name {
+				done++
+			}
 		}
 	}
 	return done, total
