--- a/Makefile
+++ b/Makefile
@@ -37,5 +37,8 @@
 docs-check: build
 	@bin/greengagelane help reference | cmp - docs/REFERENCE.md || { echo "docs/REFERENCE.md is old: make docs"; exit 1; }
 
+SITE ?= institute
+SEED ?= 1
+FAULTS ?=
 demo: build
-	scripts/demo.sh
+	SITE=$(SITE) SEED=$(SEED) FAULTS=$(FAULTS) scripts/demo.sh
