Time line over all entries, and a plan of a release

Change: timeline gathers the entries' rings, orders them by log offset and corrected clock, and writes text, JSON or a page with a lane for each entry; release plan says what a note would change. The page was looked at in a browser: repeated events hid the others, so each kind has its own line and equal rows are counted.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -61,8 +61,10 @@
 // New returns an entry that does not run yet.
 func New(set conf.Settings) (*Entry, error) {
 	e := &Entry{
-		set:      set,
-		self:     fleet.Member{Name: set.Name, Incarnation: uuid.NewString(), Address: set.PeerAddress, DataCentre: set.DataCentre},
+		set: set,
+		self: fleet.Member{
+			Name: set.Name, Incarnation: uuid.NewString(), Address: set.PeerAddress, Operator: set.OperatorAddress, DataCentre: set.DataCentre,
+		},
 		events:   event.NewRing(ringEvents),
 		keys:     &keyFile{path: set.OperatorKeys},
 		peerKeys: &keyFile{path: set.PeerKeys},
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -11,6 +11,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
+	"github.com/ogen-go/ogen/ogenerrors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/greengagelane/greengagelane/internal/oas/oper"
@@ -80,7 +81,12 @@
 // NewError turns an error into the answer of a call.
 func (o *operator) NewError(_ context.Context, err error) *oper.ProblemStatusCode {
 	var p *result.Problem
-	if !errors.As(err, &p) {
+	var denied *ogenerrors.SecurityError
+	switch {
+	case errors.As(err, &p):
+	case errors.As(err, &denied):
+		p = result.Refuse(http.StatusUnauthorized, time.Second, "%v", err)
+	default:
 		p = result.Refuse(http.StatusBadRequest, time.Second, "%v", err)
 	}
 	return &oper.ProblemStatusCode{
@@ -145,15 +151,34 @@
 }
 
 // ListEvents returns the ring of recent events.
-func (o *operator) ListEvents(context.Context) ([]oper.Event, error) {
-	var out []oper.Event
+func (o *operator) ListEvents(context.Context) (*oper.Events, error) {
+	out := []oper.Event{}
 	for _, ev := range o.e.events.List() {
 		out = append(out, oper.Event{
 			TimeMs: ev.Time.UnixMilli(), Sequence: ev.Sequence, Entry: o.e.self.Name, Offset: ev.Offset,
 			Kind: ev.Kind.String(), Subject: ev.Subject, Text: strings.ToValidUTF8(ev.Text, "?"),
 		})
 	}
-	return out, nil
+	return &oper.Events{NowMs: time.Now().UnixMilli(), Events: out}, nil
+}
+
+// PlanRelease says what a release note would change.
+func (o *operator) PlanRelease(_ context.Context, req oper.PlanReleaseReq) (*oper.Plan, error) {
+	data, err := io.ReadAll(req.Data)
+	if err != nil {
+		return nil, err
+	}
+	plan := &oper.Plan{}
+	o.e.store.View(func(s *fleet.State) {
+		var n fleet.Note
+		if n, err = note.Check(noteName, data, s); err == nil {
+			plan.Changes, plan.Tight = s.PlanNote(n)
+		}
+	})
+	if err != nil {
+		return nil, result.Refuse(http.StatusConflict, time.Second, "%v", err)
+	}
+	return plan, nil
 }
 
 // GetStatus returns the entry's view of the fleet.
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -54,7 +54,7 @@
 func (e *Entry) memberStatus(now time.Time) []oper.MemberStatus {
 	out := []oper.MemberStatus{}
 	e.mesh.Peers(func(m fleet.Member, last mesh.Beat, at time.Time) {
-		st := oper.MemberStatus{Name: m.Name, Incarnation: m.Incarnation, DataCentre: m.DataCentre, Release: last.Release, Offset: last.Routed}
+		st := oper.MemberStatus{Name: m.Name, Incarnation: m.Incarnation, DataCentre: m.DataCentre, OperatorAddress: m.Operator, Release: last.Release, Offset: last.Routed}
 		if m.Incarnation == e.self.Incarnation {
 			t := e.handler.Table()
 			st.Release, st.Offset = t.Release, t.Offset
--- a/internal/oas/oper/oas_client_gen.go
+++ b/internal/oas/oper/oas_client_gen.go
@@ -42,11 +42,17 @@
 	// The entry's ring of recent events, oldest first.
 	//
 	// GET /events
-	ListEvents(ctx context.Context) ([]Event, error)
+	ListEvents(ctx context.Context) (*Events, error)
 	// MoveVM invokes moveVM operation.
 	//
 	// POST /vms/{vm}/move
 	MoveVM(ctx context.Context, params MoveVMParams) (*Accepted, error)
+	// PlanRelease invokes planRelease operation.
+	//
+	// Checks a release note against the state in force and says what it would change.
+	//
+	// POST /releases/plan
+	PlanRelease(ctx context.Context, request PlanReleaseReq) (*Plan, error)
 	// PublishRelease invokes publishRelease operation.
 	//
 	// Publishes a release note, given as JSON with comments. It is checked whole before it is accepted.
@@ -384,12 +390,12 @@
 // The entry's ring of recent events, oldest first.
 //
 // GET /events
-func (c *Client) ListEvents(ctx context.Context) ([]Event, error) {
+func (c *Client) ListEvents(ctx context.Context) (*Events, error) {
 	res, err := c.sendListEvents(ctx)
 	return res, err
 }
 
-func (c *Client) sendListEvents(ctx context.Context) (res []Event, err error) {
+func (c *Client) sendListEvents(ctx context.Context) (res *Events, err error) {
 	otelAttrs := []attribute.KeyValue{
 		otelogen.OperationID("listEvents"),
 		semconv.HTTPRequestMethodKey.String("GET"),
@@ -654,6 +660,122 @@
 	return result, nil
 }
 
+// PlanRelease invokes planRelease operation.
+//
+// Checks a release note against the state in force and says what it would change.
+//
+// POST /releases/plan
+func (c *Client) PlanRelease(ctx context.Context, request PlanReleaseReq) (*Plan, error) {
+	res, err := c.sendPlanRelease(ctx, request)
+	return res, err
+}
+
+func (c *Client) sendPlanRelease(ctx context.Context, request PlanReleaseReq) (res *Plan, err error) {
+	otelAttrs := []attribute.KeyValue{
+		otelogen.OperationID("planRelease"),
+		semconv.HTTPRequestMethodKey.String("POST"),
+		semconv.URLTemplateKey.String("/releases/plan"),
+	}
+	otelAttrs = append(otelAttrs, c.cfg.Attributes...)
+
+	// Run stopwatch.
+	startTime := time.Now()
+	defer func() {
+		// Use floating point division here for higher precision (instead of Millisecond method).
+		elapsedDuration := time.Since(startTime)
+		c.duration.Record(ctx, float64(elapsedDuration)/float64(time.Millisecond), metric.WithAttributes(otelAttrs...))
+	}()
+
+	// Increment request counter.
+	c.requests.Add(ctx, 1, metric.WithAttributes(otelAttrs...))
+
+	// Start a span for this request.
+	ctx, span := c.cfg.Tracer.Start(ctx, PlanReleaseOperation,
+		trace.WithAttributes(otelAttrs...),
+		clientSpanKind,
+	)
+	// Track stage for error reporting.
+	var stage string
+	defer func() {
+		if err != nil {
+			span.RecordError(err)
+			span.SetStatus(codes.Error, stage)
+			c.errors.Add(ctx, 1, metric.WithAttributes(otelAttrs...))
+		}
+		span.End()
+	}()
+
+	stage = "BuildURL"
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/releases/plan"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	stage = "EncodeRequest"
+	r, err := ht.NewRequest(ctx, "POST", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+	if err := encodePlanReleaseRequest(request, r); err != nil {
+		return res, errors.Wrap(err, "encode request")
+	}
+
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			stage = "Security:Key"
+			switch err := c.securityKey(ctx, PlanReleaseOperation, r); {
+			case err == nil: // if NO error
+				satisfied[0] |= 1 << 0
+			case errors.Is(err, ogenerrors.ErrSkipClientSecurity):
+				// Skip this security.
+			default:
+				return res, errors.Wrap(err, "security \"Key\"")
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			return res, ogenerrors.ErrSecurityRequirementIsNotSatisfied
+		}
+	}
+
+	stage = "SendRequest"
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	stage = "DecodeResponse"
+	result, err := decodePlanReleaseResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // PublishRelease invokes publishRelease operation.
 //
 // Publishes a release note, given as JSON with comments. It is checked whole before it is accepted.
--- a/internal/oas/oper/oas_handlers_gen.go
+++ b/internal/oas/oper/oas_handlers_gen.go
@@ -547,7 +547,7 @@
 
 	var rawBody []byte
 
-	var response []Event
+	var response *Events
 	if m := s.cfg.Middleware; m != nil {
 		mreq := middleware.Request{
 			Context:          ctx,
@@ -563,7 +563,7 @@
 		type (
 			Request  = struct{}
 			Params   = struct{}
-			Response = []Event
+			Response = *Events
 		)
 		response, err = middleware.HookMiddleware[
 			Request,
@@ -813,6 +813,206 @@
 	}
 }
 
+// handlePlanReleaseRequest handles planRelease operation.
+//
+// Checks a release note against the state in force and says what it would change.
+//
+// POST /releases/plan
+func (s *Server) handlePlanReleaseRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	otelAttrs := []attribute.KeyValue{
+		otelogen.OperationID("planRelease"),
+		semconv.HTTPRequestMethodKey.String("POST"),
+		semconv.HTTPRouteKey.String("/releases/plan"),
+	}
+	// Add attributes from config.
+	otelAttrs = append(otelAttrs, s.cfg.Attributes...)
+
+	// Start a span for this request.
+	ctx, span := s.cfg.Tracer.Start(r.Context(), PlanReleaseOperation,
+		trace.WithAttributes(otelAttrs...),
+		serverSpanKind,
+	)
+	defer span.End()
+
+	// Add Labeler to context.
+	labeler := &Labeler{attrs: otelAttrs}
+	ctx = contextWithLabeler(ctx, labeler)
+
+	// Run stopwatch.
+	startTime := time.Now()
+	defer func() {
+		elapsedDuration := time.Since(startTime)
+
+		attrSet := labeler.AttributeSet()
+		attrs := attrSet.ToSlice()
+		code := statusWriter.status
+		if code != 0 {
+			codeAttr := semconv.HTTPResponseStatusCode(code)
+			attrs = append(attrs, codeAttr)
+			span.SetAttributes(attrs...)
+		}
+		attrOpt := metric.WithAttributes(attrs...)
+
+		// Increment request counter.
+		s.requests.Add(ctx, 1, attrOpt)
+
+		// Use floating point division here for higher precision (instead of Millisecond method).
+		s.duration.Record(ctx, float64(elapsedDuration)/float64(time.Millisecond), attrOpt)
+	}()
+
+	var (
+		recordError = func(stage string, err error) {
+			span.RecordError(err)
+
+			// https://opentelemetry.io/docs/specs/semconv/http/http-spans/#status
+			// Span Status MUST be left unset if HTTP status code was in the 1xx, 2xx or 3xx ranges,
+			// unless there was another error (e.g., network error receiving the response body; or 3xx codes with
+			// max redirects exceeded), in which case status MUST be set to Error.
+			code := statusWriter.status
+			if code < 100 || code >= 500 {
+				span.SetStatus(codes.Error, stage)
+			}
+
+			attrSet := labeler.AttributeSet()
+			attrs := attrSet.ToSlice()
+			if code != 0 {
+				attrs = append(attrs, semconv.HTTPResponseStatusCode(code))
+			}
+
+			s.errors.Add(ctx, 1, metric.WithAttributes(attrs...))
+		}
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: PlanReleaseOperation,
+			ID:   "planRelease",
+		}
+	)
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			sctx, ok, err := s.securityKey(ctx, PlanReleaseOperation, r)
+			if err != nil {
+				err = &ogenerrors.SecurityError{
+					OperationContext: opErrContext,
+					Security:         "Key",
+					Err:              err,
+				}
+				if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w, span); encodeErr != nil {
+					defer recordError("Security:Key", err)
+				}
+				return
+			}
+			if ok {
+				satisfied[0] |= 1 << 0
+				ctx = sctx
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			err = &ogenerrors.SecurityError{
+				OperationContext: opErrContext,
+				Err:              ogenerrors.ErrSecurityRequirementIsNotSatisfied,
+			}
+			if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w, span); encodeErr != nil {
+				defer recordError("Security", err)
+			}
+			return
+		}
+	}
+
+	var rawBody []byte
+	request, rawBody, close, err := s.decodePlanReleaseRequest(r)
+	if err != nil {
+		err = &ogenerrors.DecodeRequestError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeRequest", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+	defer func() {
+		if err := close(); err != nil {
+			recordError("CloseRequest", err)
+		}
+	}()
+
+	var response *Plan
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    PlanReleaseOperation,
+			OperationSummary: "",
+			OperationID:      "planRelease",
+			Body:             request,
+			RawBody:          rawBody,
+			Params:           middleware.Parameters{},
+			Raw:              r,
+		}
+
+		type (
+			Request  = PlanReleaseReq
+			Params   = struct{}
+			Response = *Plan
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			nil,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.PlanRelease(ctx, request)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.PlanRelease(ctx, request)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*ProblemStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w, span); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w, span); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodePlanReleaseResponse(response, w, span); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handlePublishReleaseRequest handles publishRelease operation.
 //
 // Publishes a release note, given as JSON with comments. It is checked whole before it is accepted.
--- a/internal/oas/oper/oas_json_gen.go
+++ b/internal/oas/oper/oas_json_gen.go
@@ -305,6 +305,129 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *Events) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Events) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("now-ms")
+		e.Int64(s.NowMs)
+	}
+	{
+		e.FieldStart("events")
+		e.ArrStart()
+		for _, elem := range s.Events {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+}
+
+var jsonFieldsNameOfEvents = [2]string{
+	0: "now-ms",
+	1: "events",
+}
+
+// Decode decodes Events from json.
+func (s *Events) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Events to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "now-ms":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Int64()
+				s.NowMs = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"now-ms\"")
+			}
+		case "events":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				s.Events = make([]Event, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem Event
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Events = append(s.Events, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"events\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Events")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000011,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfEvents) {
+					name = jsonFieldsNameOfEvents[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Events) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Events) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *LeaseStatus) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -452,6 +575,10 @@
 		e.FieldStart("incarnation")
 		e.Str(s.Incarnation)
 	}
+	{
+		e.FieldStart("operator-address")
+		e.Str(s.OperatorAddress)
+	}
 	{
 		e.FieldStart("data-centre")
 		e.Str(s.DataCentre)
@@ -470,13 +597,14 @@
 	}
 }
 
-var jsonFieldsNameOfMemberStatus = [6]string{
+var jsonFieldsNameOfMemberStatus = [7]string{
 	0: "name",
 	1: "incarnation",
-	2: "data-centre",
-	3: "silent-ms",
-	4: "release",
-	5: "offset",
+	2: "operator-address",
+	3: "data-centre",
+	4: "silent-ms",
+	5: "release",
+	6: "offset",
 }
 
 // Decode decodes MemberStatus from json.
@@ -512,8 +640,20 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"incarnation\"")
 			}
-		case "data-centre":
+		case "operator-address":
 			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Str()
+				s.OperatorAddress = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"operator-address\"")
+			}
+		case "data-centre":
+			requiredBitSet[0] |= 1 << 3
 			if err := func() error {
 				v, err := d.Str()
 				s.DataCentre = string(v)
@@ -525,7 +665,7 @@
 				return errors.Wrap(err, "decode field \"data-centre\"")
 			}
 		case "silent-ms":
-			requiredBitSet[0] |= 1 << 3
+			requiredBitSet[0] |= 1 << 4
 			if err := func() error {
 				v, err := d.Int64()
 				s.SilentMs = int64(v)
@@ -537,7 +677,7 @@
 				return errors.Wrap(err, "decode field \"silent-ms\"")
 			}
 		case "release":
-			requiredBitSet[0] |= 1 << 4
+			requiredBitSet[0] |= 1 << 5
 			if err := func() error {
 				v, err := d.Str()
 				s.Release = string(v)
@@ -549,7 +689,7 @@
 				return errors.Wrap(err, "decode field \"release\"")
 			}
 		case "offset":
-			requiredBitSet[0] |= 1 << 5
+			requiredBitSet[0] |= 1 << 6
 			if err := func() error {
 				v, err := d.Int64()
 				s.Offset = int64(v)
@@ -570,7 +710,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00111111,
+		0b01111111,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -616,6 +756,143 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *Plan) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Plan) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("changes")
+		e.ArrStart()
+		for _, elem := range s.Changes {
+			e.Str(elem)
+		}
+		e.ArrEnd()
+	}
+	{
+		e.FieldStart("tight")
+		e.ArrStart()
+		for _, elem := range s.Tight {
+			e.Str(elem)
+		}
+		e.ArrEnd()
+	}
+}
+
+var jsonFieldsNameOfPlan = [2]string{
+	0: "changes",
+	1: "tight",
+}
+
+// Decode decodes Plan from json.
+func (s *Plan) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Plan to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "changes":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				s.Changes = make([]string, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem string
+					v, err := d.Str()
+					elem = string(v)
+					if err != nil {
+						return err
+					}
+					s.Changes = append(s.Changes, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"changes\"")
+			}
+		case "tight":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				s.Tight = make([]string, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem string
+					v, err := d.Str()
+					elem = string(v)
+					if err != nil {
+						return err
+					}
+					s.Tight = append(s.Tight, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"tight\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Plan")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000011,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfPlan) {
+					name = jsonFieldsNameOfPlan[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Plan) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Plan) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *PoolStatus) Encode(e *jx.Encoder) {
 	e.ObjStart()
--- a/internal/oas/oper/oas_operations_gen.go
+++ b/internal/oas/oper/oas_operations_gen.go
@@ -10,6 +10,7 @@
 	GetStatusOperation      OperationName = "GetStatus"
 	ListEventsOperation     OperationName = "ListEvents"
 	MoveVMOperation         OperationName = "MoveVM"
+	PlanReleaseOperation    OperationName = "PlanRelease"
 	PublishReleaseOperation OperationName = "PublishRelease"
 	RetireEntryOperation    OperationName = "RetireEntry"
 )
--- a/internal/oas/oper/oas_request_decoders_gen.go
+++ b/internal/oas/oper/oas_request_decoders_gen.go
@@ -10,6 +10,41 @@
 	"github.com/ogen-go/ogen/validate"
 )
 
+func (s *Server) decodePlanReleaseRequest(r *http.Request) (
+	req PlanReleaseReq,
+	rawBody []byte,
+	close func() error,
+	rerr error,
+) {
+	var closers []func() error
+	close = func() error {
+		var merr error
+		// Close in reverse order, to match defer behavior.
+		for i := len(closers) - 1; i >= 0; i-- {
+			c := closers[i]
+			merr = errors.Join(merr, c())
+		}
+		return merr
+	}
+	defer func() {
+		if rerr != nil {
+			rerr = errors.Join(rerr, close())
+		}
+	}()
+	ct, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
+	if err != nil {
+		return req, rawBody, close, errors.Wrap(err, "parse media type")
+	}
+	switch {
+	case ct == "text/plain":
+		reader := r.Body
+		request := PlanReleaseReq{Data: reader}
+		return request, rawBody, close, nil
+	default:
+		return req, rawBody, close, validate.InvalidContentType(ct)
+	}
+}
+
 func (s *Server) decodePublishReleaseRequest(r *http.Request) (
 	req PublishReleaseReq,
 	rawBody []byte,
--- a/internal/oas/oper/oas_request_encoders_gen.go
+++ b/internal/oas/oper/oas_request_encoders_gen.go
@@ -8,6 +8,16 @@
 	ht "github.com/ogen-go/ogen/http"
 )
 
+func encodePlanReleaseRequest(
+	req PlanReleaseReq,
+	r *http.Request,
+) error {
+	const contentType = "text/plain"
+	body := req
+	ht.SetBody(r, body, contentType)
+	return nil
+}
+
 func encodePublishReleaseRequest(
 	req PublishReleaseReq,
 	r *http.Request,
--- a/internal/oas/oper/oas_response_decoders_gen.go
+++ b/internal/oas/oper/oas_response_decoders_gen.go
@@ -206,7 +206,7 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
-func decodeListEventsResponse(resp *http.Response) (res []Event, _ error) {
+func decodeListEventsResponse(resp *http.Response) (res *Events, _ error) {
 	switch resp.StatusCode {
 	case 200:
 		// Code 200.
@@ -222,17 +222,9 @@
 			}
 			d := jx.DecodeBytes(buf)
 
-			var response []Event
+			var response Events
 			if err := func() error {
-				response = make([]Event, 0)
-				if err := d.Arr(func(d *jx.Decoder) error {
-					var elem Event
-					if err := elem.Decode(d); err != nil {
-						return err
-					}
-					response = append(response, elem)
-					return nil
-				}); err != nil {
+				if err := response.Decode(d); err != nil {
 					return err
 				}
 				if err := d.Skip(); err != io.EOF {
@@ -249,14 +241,14 @@
 			}
 			// Validate response.
 			if err := func() error {
-				if response == nil {
-					return errors.New("nil is invalid value")
+				if err := response.Validate(); err != nil {
+					return err
 				}
 				return nil
 			}(); err != nil {
 				return res, errors.Wrap(err, "validate")
 			}
-			return response, nil
+			return &response, nil
 		default:
 			return res, validate.InvalidContentType(ct)
 		}
@@ -407,6 +399,107 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
+func decodePlanReleaseResponse(resp *http.Response) (res *Plan, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Plan
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *ProblemStatusCode, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Problem
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &ProblemStatusCode{
+				StatusCode: resp.StatusCode,
+				Response:   response,
+			}, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
 func decodePublishReleaseResponse(resp *http.Response) (res *Accepted, _ error) {
 	switch resp.StatusCode {
 	case 200:
--- a/internal/oas/oper/oas_response_encoders_gen.go
+++ b/internal/oas/oper/oas_response_encoders_gen.go
@@ -38,16 +38,12 @@
 	return nil
 }
 
-func encodeListEventsResponse(response []Event, w http.ResponseWriter, span trace.Span) error {
+func encodeListEventsResponse(response *Events, w http.ResponseWriter, span trace.Span) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(200)
 
 	e := new(jx.Encoder)
-	e.ArrStart()
-	for _, elem := range response {
-		elem.Encode(e)
-	}
-	e.ArrEnd()
+	response.Encode(e)
 	if _, err := e.WriteTo(w); err != nil {
 		return errors.Wrap(err, "write")
 	}
@@ -68,6 +64,19 @@
 	return nil
 }
 
+func encodePlanReleaseResponse(response *Plan, w http.ResponseWriter, span trace.Span) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodePublishReleaseResponse(response *Accepted, w http.ResponseWriter, span trace.Span) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(200)
--- a/internal/oas/oper/oas_router_gen.go
+++ b/internal/oas/oper/oas_router_gen.go
@@ -11,12 +11,15 @@
 )
 
 var (
-	rn15AllowedHeaders = map[string]string{
+	rn16AllowedHeaders = map[string]string{
 		"POST": "Authorization",
 	}
 	rn7AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
+	rn12AllowedHeaders = map[string]string{
+		"POST": "Authorization,Content-Type",
+	}
 	rn11AllowedHeaders = map[string]string{
 		"POST": "Authorization,Content-Type",
 	}
@@ -133,7 +136,7 @@
 							default:
 								s.notAllowed(w, r, notAllowedParams{
 									allowedMethods: "POST",
-									allowedHeaders: rn15AllowedHeaders,
+									allowedHeaders: rn16AllowedHeaders,
 									acceptPost:     "",
 									acceptPatch:    "",
 								})
@@ -180,14 +183,13 @@
 				}
 
 				if len(elem) == 0 {
-					// Leaf node.
 					switch r.Method {
 					case "POST":
 						s.handlePublishReleaseRequest([0]string{}, elemIsEscaped, w, r)
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "POST",
-							allowedHeaders: rn11AllowedHeaders,
+							allowedHeaders: rn12AllowedHeaders,
 							acceptPost:     "text/plain",
 							acceptPatch:    "",
 						})
@@ -195,6 +197,33 @@
 
 					return
 				}
+				switch elem[0] {
+				case '/': // Prefix: "/plan"
+
+					if l := len("/plan"); len(elem) >= l && elem[0:l] == "/plan" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch r.Method {
+						case "POST":
+							s.handlePlanReleaseRequest([0]string{}, elemIsEscaped, w, r)
+						default:
+							s.notAllowed(w, r, notAllowedParams{
+								allowedMethods: "POST",
+								allowedHeaders: rn11AllowedHeaders,
+								acceptPost:     "text/plain",
+								acceptPatch:    "",
+							})
+						}
+
+						return
+					}
+
+				}
 
 			case 's': // Prefix: "status"
 
@@ -527,7 +556,6 @@
 				}
 
 				if len(elem) == 0 {
-					// Leaf node.
 					switch method {
 					case "POST":
 						r.name = PublishReleaseOperation
@@ -542,6 +570,33 @@
 						return
 					}
 				}
+				switch elem[0] {
+				case '/': // Prefix: "/plan"
+
+					if l := len("/plan"); len(elem) >= l && elem[0:l] == "/plan" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch method {
+						case "POST":
+							r.name = PlanReleaseOperation
+							r.summary = ""
+							r.operationID = "planRelease"
+							r.operationGroup = ""
+							r.pathPattern = "/releases/plan"
+							r.args = args
+							r.count = 0
+							return r, true
+						default:
+							return
+						}
+					}
+
+				}
 
 			case 's': // Prefix: "status"
 
--- a/internal/oas/oper/oas_schemas_gen.go
+++ b/internal/oas/oper/oas_schemas_gen.go
@@ -151,6 +151,33 @@
 	s.Text = val
 }
 
+// Ref: #/components/schemas/Events
+type Events struct {
+	// The entry's clock.
+	NowMs  int64   `json:"now-ms"`
+	Events []Event `json:"events"`
+}
+
+// GetNowMs returns the value of NowMs.
+func (s *Events) GetNowMs() int64 {
+	return s.NowMs
+}
+
+// GetEvents returns the value of Events.
+func (s *Events) GetEvents() []Event {
+	return s.Events
+}
+
+// SetNowMs sets the value of NowMs.
+func (s *Events) SetNowMs(val int64) {
+	s.NowMs = val
+}
+
+// SetEvents sets the value of Events.
+func (s *Events) SetEvents(val []Event) {
+	s.Events = val
+}
+
 type Key struct {
 	Token string
 	Roles []string
@@ -215,12 +242,13 @@
 
 // Ref: #/components/schemas/MemberStatus
 type MemberStatus struct {
-	Name        string `json:"name"`
-	Incarnation string `json:"incarnation"`
-	DataCentre  string `json:"data-centre"`
-	SilentMs    int64  `json:"silent-ms"`
-	Release     string `json:"release"`
-	Offset      int64  `json:"offset"`
+	Name            string `json:"name"`
+	Incarnation     string `json:"incarnation"`
+	OperatorAddress string `json:"operator-address"`
+	DataCentre      string `json:"data-centre"`
+	SilentMs        int64  `json:"silent-ms"`
+	Release         string `json:"release"`
+	Offset          int64  `json:"offset"`
 }
 
 // GetName returns the value of Name.
@@ -233,6 +261,11 @@
 	return s.Incarnation
 }
 
+// GetOperatorAddress returns the value of OperatorAddress.
+func (s *MemberStatus) GetOperatorAddress() string {
+	return s.OperatorAddress
+}
+
 // GetDataCentre returns the value of DataCentre.
 func (s *MemberStatus) GetDataCentre() string {
 	return s.DataCentre
@@ -263,6 +296,11 @@
 	s.Incarnation = val
 }
 
+// SetOperatorAddress sets the value of OperatorAddress.
+func (s *MemberStatus) SetOperatorAddress(val string) {
+	s.OperatorAddress = val
+}
+
 // SetDataCentre sets the value of DataCentre.
 func (s *MemberStatus) SetDataCentre(val string) {
 	s.DataCentre = val
@@ -283,6 +321,48 @@
 	s.Offset = val
 }
 
+// Ref: #/components/schemas/Plan
+type Plan struct {
+	// What would be added.
+	Changes []string `json:"changes"`
+	// Pools that would have no VM to spare.
+	Tight []string `json:"tight"`
+}
+
+// GetChanges returns the value of Changes.
+func (s *Plan) GetChanges() []string {
+	return s.Changes
+}
+
+// GetTight returns the value of Tight.
+func (s *Plan) GetTight() []string {
+	return s.Tight
+}
+
+// SetChanges sets the value of Changes.
+func (s *Plan) SetChanges(val []string) {
+	s.Changes = val
+}
+
+// SetTight sets the value of Tight.
+func (s *Plan) SetTight(val []string) {
+	s.Tight = val
+}
+
+type PlanReleaseReq struct {
+	Data io.Reader
+}
+
+// Read reads data from the Data reader.
+//
+// Kept to satisfy the io.Reader interface.
+func (s PlanReleaseReq) Read(p []byte) (n int, err error) {
+	if s.Data == nil {
+		return 0, io.EOF
+	}
+	return s.Data.Read(p)
+}
+
 // Ref: #/components/schemas/PoolStatus
 type PoolStatus struct {
 	Name       string `json:"name"`
--- a/internal/oas/oper/oas_security_gen.go
+++ b/internal/oas/oper/oas_security_gen.go
@@ -38,6 +38,7 @@
 	GetStatusOperation:      []string{},
 	ListEventsOperation:     []string{},
 	MoveVMOperation:         []string{},
+	PlanReleaseOperation:    []string{},
 	PublishReleaseOperation: []string{},
 	RetireEntryOperation:    []string{},
 }
--- a/internal/oas/oper/oas_server_gen.go
+++ b/internal/oas/oper/oas_server_gen.go
@@ -21,11 +21,17 @@
 	// The entry's ring of recent events, oldest first.
 	//
 	// GET /events
-	ListEvents(ctx context.Context) ([]Event, error)
+	ListEvents(ctx context.Context) (*Events, error)
 	// MoveVM implements moveVM operation.
 	//
 	// POST /vms/{vm}/move
 	MoveVM(ctx context.Context, params MoveVMParams) (*Accepted, error)
+	// PlanRelease implements planRelease operation.
+	//
+	// Checks a release note against the state in force and says what it would change.
+	//
+	// POST /releases/plan
+	PlanRelease(ctx context.Context, req PlanReleaseReq) (*Plan, error)
 	// PublishRelease implements publishRelease operation.
 	//
 	// Publishes a release note, given as JSON with comments. It is checked whole before it is accepted.
--- a/internal/oas/oper/oas_unimplemented_gen.go
+++ b/internal/oas/oper/oas_unimplemented_gen.go
@@ -32,7 +32,7 @@
 // The entry's ring of recent events, oldest first.
 //
 // GET /events
-func (UnimplementedHandler) ListEvents(ctx context.Context) (r []Event, _ error) {
+func (UnimplementedHandler) ListEvents(ctx context.Context) (r *Events, _ error) {
 	return r, ht.ErrNotImplemented
 }
 
@@ -43,6 +43,15 @@
 	return r, ht.ErrNotImplemented
 }
 
+// PlanRelease implements planRelease operation.
+//
+// Checks a release note against the state in force and says what it would change.
+//
+// POST /releases/plan
+func (UnimplementedHandler) PlanRelease(ctx context.Context, req PlanReleaseReq) (r *Plan, _ error) {
+	return r, ht.ErrNotImplemented
+}
+
 // PublishRelease implements publishRelease operation.
 //
 // Publishes a release note, given as JSON with comments. It is checked whole before it is accepted.
--- a/internal/oas/oper/oas_validators_gen.go
+++ b/internal/oas/oper/oas_validators_gen.go
@@ -18,6 +18,63 @@
 	}
 }
 
+func (s *Events) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.Events == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "events",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
+func (s *Plan) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.Changes == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "changes",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if s.Tight == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "tight",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
 func (s *Problem) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
--- a/internal/shell/shell.go
+++ b/internal/shell/shell.go
@@ -26,7 +26,9 @@
 	cmds.WaveStart,
 	query.Check,
 	query.PoolShow,
+	query.ReleasePlan,
 	query.Status,
+	query.Timeline,
 	query.VMShow,
 	versionVerb,
 }
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -85,6 +85,7 @@
 	Name        string `json:"name"`
 	Incarnation string `json:"incarnation"` // new at each start of the process
 	Address     string `json:"address"`     // IP number and port for peers
+	Operator    string `json:"operator"`    // IP number and port for operators
 	DataCentre  string `json:"data-centre"`
 }
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -80,5 +80,6 @@
 "$standin" callers -plan "$dir/plan.json" -faults "$dir/faults" -record "$dir/record.json" -only "${ONLY:-0}"
 code=$?
 wait "$watchers" "$troubler" 2>/dev/null
+[ -n "${TIMELINE:-}" ] && "$product" timeline -entry "$op" -html "$TIMELINE"
 cat "$dir/operators.log"
 exit "$code"
