--- a/internal/cmds/retire.go
+++ b/internal/cmds/retire.go
@@ -9,13 +9,13 @@
 
 // EntryRetire states that an entry's VM is gone for good.
 var EntryRetire = verb.Verb{
-	Name:  "entry-retire",
+	Name:  "entry retire",
 	Args:  "ENTRY",
 	Short: "States that an entry's VM is gone for good.",
 	Long: "Entries remove a silent one by themselves while a majority of them is in touch. This command is for\n" +
 		"when fewer are left. Make sure that the VM is off: a retired entry that still runs may let a request\n" +
 		"run a second time.",
-	Examples: []verb.Example{{Command: "greengagelane entry-retire entry-4", Help: "removes entry-4 from the membership"}},
+	Examples: []verb.Example{{Command: "greengagelane entry retire entry-4", Help: "removes entry-4 from the membership"}},
 	New:      newEntryRetire,
 }
 
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -9,11 +9,15 @@
 	"fmt"
 	"io"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/vmihailenco/msgpack/v5"
 )
 
 const maxFrameBytes = 64 << 20
 
+// bytesSent counts what this entry writes to its peers, calls and answers.
+var bytesSent = metrics.GetOrCreateCounter(`greengagelane_peer_sent_bytes_total`)
+
 // frame is one message on the wire.
 type frame struct {
 	ID    uint64 // of the call that it asks or answers
@@ -29,6 +33,7 @@
 	}
 	var size [4]byte
 	binary.BigEndian.PutUint32(size[:], uint32(len(data)))
+	bytesSent.Add(len(size) + len(data))
 	if _, err := w.Write(size[:]); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,125 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+type echo struct{ Text string }
+
+func newServer(t *testing.T, keys ...string) (string, *Server) {
+	t.Helper()
+	s := NewServer(func() []string { return keys })
+	Handle(s, "echo", func(_ context.Context, from string, e *echo) (*echo, error) {
+		if e.Text == "fail" {
+			return nil, errors.New("no")
+		}
+		return &echo{Text: from + " " + e.Text}, nil
+	})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		ln.Close()
+		s.Close()
+	})
+	go func() { _ = s.Serve(t.Context(), ln) }()
+	return ln.Addr().String(), s
+}
+
+func noKey() string { return "" }
+
+func TestCall(t *testing.T) {
+	address, _ := newServer(t)
+	c := NewClient(address, "me", noKey)
+	res, err := Call[echo, echo](t.Context(), c, "echo", &echo{Text: "hello"})
+	assert.NilError(t, err)
+	assert.Equal(t, res.Text, "me hello")
+	_, err = Call[echo, echo](t.Context(), c, "echo", &echo{Text: "fail"})
+	var remote *RemoteError
+	assert.Assert(t, errors.As(err, &remote), "%v", err)
+	_, err = Call[echo, echo](t.Context(), c, "absent", &echo{})
+	assert.ErrorContains(t, err, `call kind "absent" is not known`)
+}
+
+func TestKeys(t *testing.T) {
+	address, _ := newServer(t, "new", "old")
+	tests := []struct {
+		key string
+		ok  bool
+	}{{"new", true}, {"old", true}, {"wrong", false}, {"", false}}
+	for _, tt := range tests {
+		c := NewClient(address, "me", func() string { return tt.key })
+		_, err := Call[echo, echo](t.Context(), c, "echo", &echo{})
+		assert.Equal(t, err == nil, tt.ok, "key %q: %v", tt.key, err)
+	}
+}
+
+// TestSilentConnectionIsReplaced puts a relay between the two that forgets its
+// first connection: it takes bytes and passes nothing on.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	address, _ := newServer(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	var silent atomic.Bool
+	go func() {
+		for {
+			in, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", address)
+			if err != nil {
+				return
+			}
+			forgets := !silent.Load()
+			go relay(out, in, func() bool { return forgets && silent.Load() })
+			go relay(in, out, func() bool { return forgets && silent.Load() })
+		}
+	}()
+	c := NewClient(ln.Addr().String(), "me", noKey)
+	_, err = Call[echo, echo](t.Context(), c, "echo", &echo{})
+	assert.NilError(t, err)
+	silent.Store(true)
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err = Call[echo, echo](ctx, c, "echo", &echo{})
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+	_, err = Call[echo, echo](t.Context(), c, "echo", &echo{Text: "again"})
+	assert.NilError(t, err)
+}
+
+func relay(to io.WriteCloser, from io.Reader, forgotten func() bool) {
+	defer to.Close()
+	buf := make([]byte, 4096)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			return
+		}
+		if forgotten() {
+			continue
+		}
+		if _, err := to.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
+
+func TestOversizedFrameEndsTheConnection(t *testing.T) {
+	address, _ := newServer(t)
+	conn, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = conn.Write([]byte{0xff, 0xff, 0xff, 0xff})
+	assert.NilError(t, err)
+	_, err = conn.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF)
+}
--- /dev/null
+++ b/internal/proxy/bench_test.go
@@ -0,0 +1,64 @@
+package proxy
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"gotest.tools/v3/assert"
+)
+
+// BenchmarkLatency compares a call through an entry with a direct call to the
+// same backend server, one at a time, and reports quantiles.
+func BenchmarkLatency(b *testing.B) {
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
+	defer backend.Close()
+	h := benchHandler(backend.Listener.Addr().String())
+	front := httptest.NewServer(h)
+	defer front.Close()
+	for _, bb := range []struct{ name, url string }{{"direct", backend.URL}, {"entry", front.URL}} {
+		b.Run(bb.name, func(b *testing.B) {
+			hist := hdrhistogram.New(1, time.Minute.Nanoseconds(), 3)
+			b.ReportAllocs()
+			for b.Loop() {
+				began := time.Now()
+				get(b, bb.url)
+				_ = hist.RecordValue(time.Since(began).Nanoseconds())
+			}
+			b.ReportMetric(float64(hist.ValueAtQuantile(50))/1000, "p50-us")
+			b.ReportMetric(float64(hist.ValueAtQuantile(99))/1000, "p99-us")
+		})
+	}
+}
+
+// BenchmarkThroughput sends many requests at once through one entry.
+func BenchmarkThroughput(b *testing.B) {
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
+	defer backend.Close()
+	front := httptest.NewServer(benchHandler(backend.Listener.Addr().String()))
+	defer front.Close()
+	b.SetParallelism(4)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			get(b, front.URL)
+		}
+	})
+}
+
+func get(b *testing.B, url string) {
+	req, err := http.NewRequest(http.MethodGet, url, nil)
+	assert.NilError(b, err)
+	req.Header.Set("Greengagelane-Service", "svc")
+	res, err := benchClient.Do(req)
+	assert.NilError(b, err)
+	_, _ = io.Copy(io.Discard, res.Body)
+	res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		b.Fatalf("status %d", res.StatusCode)
+	}
+}
+
+var benchClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
--- a/internal/proxy/handler_test.go
+++ b/internal/proxy/handler_test.go
@@ -36,9 +36,15 @@
 // newTestHandler returns a handler whose only service is served by the addresses.
 func newTestHandler(t *testing.T, c Claimer, timeoutMs int, addresses ...string) *Handler {
 	t.Helper()
+	return newHandler(c, timeoutMs, 8, addresses...)
+}
+
+func benchHandler(address string) *Handler { return newHandler(&grantAll{}, 5000, 64, address) }
+
+func newHandler(c Claimer, timeoutMs, slots int, addresses ...string) *Handler {
 	h := NewHandler(Options{Name: "e", MaxBodyBytes: maxBody, SenderStall: time.Second, RetryPercent: 10},
 		c, func(time.Time) bool { return true }, event.NewRing(16))
-	pool := &route.Pool{Name: "p", PerWorker: 8}
+	pool := &route.Pool{Name: "p", PerWorker: int64(slots)}
 	for _, a := range addresses {
 		pool.Workers = append(pool.Workers, route.NewWorker(a, a))
 	}
@@ -47,7 +53,7 @@
 		Services: map[string]*route.Service{"svc": svc},
 		Pools:    map[string]*route.Pool{"p": pool},
 	}, nil)
-	h.Gate(pool).SetLimit(time.Now(), 8)
+	h.Gate(pool).SetLimit(time.Now(), slots)
 	return h
 }
 
--- a/internal/tail/log.go
+++ b/internal/tail/log.go
@@ -26,6 +26,7 @@
 // Log reads and appends records of the control stream.
 type Log struct {
 	store  *Store
+	url    string // base URL of the platform
 	client *plat.Client
 	http   *http.Client
 }
@@ -38,7 +39,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("platform client for %q: %w", url, err)
 	}
-	return &Log{store: store, client: client, http: hc}, nil
+	return &Log{store: store, url: url, client: client, http: hc}, nil
 }
 
 // Platform returns the platform's client.
--- /dev/null
+++ b/scripts/measure-idle.sh
@@ -0,0 +1,28 @@
+#!/usr/bin/env bash
+# Measures what nine entries spend on control when no request arrives: processor
+# time, resident memory and bytes to peers a second.
+set -eu
+cd "$(dirname "$0")/.."
+seconds=${1:-20} dir=$(mktemp -d)
+finish() { for p in $(cat "$dir"/*.pid); do kill -KILL "$p" 2>/dev/null; done; rm -rf "$dir"; }
+trap finish EXIT
+bin/standin site -dir "$dir" -extra "${EXTRA:-}"
+bin/standin backend & echo $! >"$dir/backend.pid"
+bin/standin platform & echo $! >"$dir/platform.pid"
+for i in 1 2 3 4 5 6 7 8 9; do
+  bin/greengagelane entry -settings "$dir/entry-$i.jsonc" 2>/dev/null & echo $! >"$dir/entry-$i.pid"
+done
+sleep 3
+bin/greengagelane release apply -entry 127.0.0.1:7201 "$dir/release-1.jsonc" >/dev/null
+sleep 2
+ticks() { awk '{print $14 + $15}' "/proc/$1/stat"; }
+sent() { curl -s "http://127.0.0.1:$1/metrics" | awk '/^greengagelane_peer_sent_bytes_total/ {print $2}'; }
+pid=$(cat "$dir/entry-1.pid") platform=$(cat "$dir/platform.pid")
+t0=$(ticks "$pid") p0=$(ticks "$platform") s0=$(sent 7201)
+sleep "$seconds"
+t1=$(ticks "$pid") p1=$(ticks "$platform") s1=$(sent 7201)
+hz=$(getconf CLK_TCK)
+awk -v t="$((t1 - t0))" -v p="$((p1 - p0))" -v s="$((s1 - s0))" -v n="$seconds" -v hz="$hz" \
+  -v rss="$(awk '/VmRSS/ {print $2}' "/proc/$pid/status")" 'BEGIN {
+  printf "entry: %.2f %% of a core, %.1f MB resident, %.0f bytes/s to 8 peers; platform stand-in: %.2f %% of a core\n",
+    100 * t / hz / n, rss / 1024, s / n, 100 * p / hz / n }'
