Heartbeats within the control budget

Each of ten heartbeats a second carried the same state both ways, with names and field names. Change: only the answer carries the state, encoded by position, with a 22-byte incarnation and no names; an entry without requests, VMs out of service or claims to hand over beats every third of the freshness time.

--- a/internal/claim/table_test.go
+++ b/internal/claim/table_test.go
@@ -184,7 +184,7 @@
 }
 
 func (w *world) hear(a, b *node) {
-	a.evidence.Note(w.now, mesh.Beat{Name: b.name, Incarnation: b.incarnation, View: b.table.View()})
+	a.evidence.Note(w.now, mesh.Beat{Incarnation: b.incarnation, View: b.table.View()})
 }
 
 func (w *world) fresh(n *node) bool {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"errors"
 	"fmt"
 	"net"
@@ -63,7 +64,7 @@
 	e := &Entry{
 		set: set,
 		self: fleet.Member{
-			Name: set.Name, Incarnation: uuid.NewString(), Address: set.PeerAddress, Operator: set.OperatorAddress, DataCentre: set.DataCentre,
+			Name: set.Name, Incarnation: newIncarnation(), Address: set.PeerAddress, Operator: set.OperatorAddress, DataCentre: set.DataCentre,
 		},
 		events:   event.NewRing(ringEvents),
 		keys:     &keyFile{path: set.OperatorKeys},
@@ -97,6 +98,13 @@
 	return e, nil
 }
 
+// newIncarnation returns a name that no other start of an entry has; it is short
+// because each heartbeat carries it.
+func newIncarnation() string {
+	id := uuid.New()
+	return base64.RawURLEncoding.EncodeToString(id[:])
+}
+
 // Run serves until the context ends, then stops without cutting a request.
 func (e *Entry) Run(ctx context.Context) error {
 	callers, err := net.Listen("tcp", e.set.CallerAddress)
@@ -213,7 +221,7 @@
 func (e *Entry) load() mesh.Load {
 	t := e.handler.Table()
 	load := mesh.Load{
-		Routed: t.Offset, Release: t.Release, Demand: map[string]int{}, Offered: map[string]float32{}, InFlight: map[string]int64{},
+		Routed: t.Offset, Demand: map[string]int{}, Offered: map[string]float32{}, InFlight: map[string]int64{},
 	}
 	for name, p := range t.Pools {
 		if n := e.handler.Gate(p).Load().Demand; n > 0 {
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -53,14 +53,19 @@
 
 func (e *Entry) memberStatus(now time.Time) []oper.MemberStatus {
 	out := []oper.MemberStatus{}
+	var release string
+	var since int64
+	e.store.View(func(s *fleet.State) { release, since = s.Release, s.Releases })
 	e.mesh.Peers(func(m fleet.Member, last mesh.Beat, at time.Time) {
-		st := oper.MemberStatus{Name: m.Name, Incarnation: m.Incarnation, DataCentre: m.DataCentre, OperatorAddress: m.Operator, Release: last.Release, Offset: last.Routed}
+		st := oper.MemberStatus{Name: m.Name, Incarnation: m.Incarnation, DataCentre: m.DataCentre, OperatorAddress: m.Operator, Offset: last.Routed}
 		if m.Incarnation == e.self.Incarnation {
-			t := e.handler.Table()
-			st.Release, st.Offset = t.Release, t.Offset
+			st.Offset = e.handler.Table().Offset
 		} else if !at.IsZero() {
 			st.SilentMs = now.Sub(at).Milliseconds()
 		}
+		if st.Offset > since {
+			st.Release = release
+		}
 		out = append(out, st)
 	})
 	return out
--- a/internal/mesh/evidence.go
+++ b/internal/mesh/evidence.go
@@ -10,15 +10,13 @@
 	"github.com/greengagelane/greengagelane/pkg/fleet"
 )
 
-// Beat is what an entry tells another in a heartbeat, and what it is told back.
+// Beat is what an entry answers to a heartbeat.
 type Beat struct {
 	_msgpack    struct{} `msgpack:",as_array"` //nolint:unused // encodes fields by position
-	Name        string
 	Incarnation string
 	View        int64
 	Next        int64              // next log offset to be folded
 	Routed      int64              // offset of the state that requests are routed by; read before InFlight
-	Release     string             // in force in that state
 	Demand      map[string]int     // requests that run or wait, by pool; pools without any are left out
 	Offered     map[string]float32 // slots that arriving requests would fill, by pool; small ones are left out
 	InFlight    map[string]int64   // requests in flight on VMs that are out of service; VMs without any are left out
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -26,8 +26,7 @@
 
 // Load is what an entry's request path reports of itself.
 type Load struct {
-	Routed   int64 // offset of the state that requests are routed by; read before InFlight
-	Release  string
+	Routed   int64              // offset of the state that requests are routed by; read before InFlight
 	Demand   map[string]int     // requests that run or wait, by pool
 	Offered  map[string]float32 // slots that arriving requests would fill, by pool
 	InFlight map[string]int64   // requests in flight on VMs that are out of service
@@ -89,13 +88,16 @@
 	go m.runMembership(ctx)
 	tick := time.NewTicker(conf.Ms(m.set.HeartbeatMs))
 	defer tick.Stop()
-	lastExpire := time.Now()
+	var lastExpire, lastBeat time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-tick.C:
-			m.beatAll(ctx)
+			if m.busy() || now.Sub(lastBeat) >= m.idleBeat() {
+				lastBeat = now
+				m.beatAll(ctx)
+			}
 			m.refresh(now)
 			if now.Sub(lastExpire) > expireEvery {
 				lastExpire = now
@@ -105,6 +107,21 @@
 	}
 }
 
+// busy reports whether what the peers say matters at once: requests are here,
+// VMs are out of service, or claims have to be handed over.
+func (m *Mesh) busy() bool {
+	if len(m.load().Demand) > 0 || m.pendingTransfers() > 0 {
+		return true
+	}
+	out := 0
+	m.store.View(func(s *fleet.State) { out = len(s.OutOfService()) })
+	return out > 0
+}
+
+// idleBeat is the time between heartbeats of an entry with nothing to do: a
+// third of the freshness time, so that two may be lost.
+func (m *Mesh) idleBeat() time.Duration { return conf.Ms(m.set.FreshForMs / 3) }
+
 func (m *Mesh) expire(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -186,9 +203,9 @@
 
 // beat returns this entry's present beat.
 func (m *Mesh) beat() *Beat {
-	b := &Beat{Name: m.self.Name, Incarnation: m.self.Incarnation}
+	b := &Beat{Incarnation: m.self.Incarnation}
 	load := m.load()
-	b.Routed, b.Release, b.Demand, b.Offered, b.InFlight = load.Routed, load.Release, load.Demand, load.Offered, load.InFlight
+	b.Routed, b.Demand, b.Offered, b.InFlight = load.Routed, load.Demand, load.Offered, load.InFlight
 	fence := m.fence()
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -211,17 +228,16 @@
 		}
 	}
 	delete(addresses, m.self.Address)
-	b := m.beat()
 	for address := range addresses {
-		go m.beatOne(ctx, m.clientFor(address), b)
+		go m.beatOne(ctx, m.clientFor(address))
 	}
 }
 
-func (m *Mesh) beatOne(ctx context.Context, c *peer.Client, b *Beat) {
+func (m *Mesh) beatOne(ctx context.Context, c *peer.Client) {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
 	sent := time.Now()
-	reply, err := peer.Call[Beat, Beat](ctx, c, "beat", b)
+	reply, err := peer.Call[empty, Beat](ctx, c, "beat", &empty{})
 	if err != nil {
 		metrics.GetOrCreateCounter(`greengagelane_heartbeats_failed_total`).Inc()
 		return
@@ -240,9 +256,9 @@
 }
 
 // onBeat answers with a beat that was made after the guest was noted.
-func (m *Mesh) onBeat(_ context.Context, _ string, b *Beat) (*Beat, error) {
+func (m *Mesh) onBeat(_ context.Context, from string, _ *empty) (*Beat, error) {
 	member := false
-	m.store.View(func(s *fleet.State) { member = s.IsMember(b.Incarnation) })
+	m.store.View(func(s *fleet.State) { member = s.IsMember(from) })
 	if !member {
 		m.mu.Lock()
 		m.evidence.NoteGuest(time.Now())
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -20,10 +20,11 @@
 
 // frame is one message on the wire.
 type frame struct {
-	ID    uint64 // of the call that it asks or answers
-	Kind  string // of the call, empty on an answer
-	Error string // of a failed call
-	Body  msgpack.RawMessage
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // encodes fields by position
+	ID       uint64   // of the call that it asks or answers
+	Kind     string   // of the call, empty on an answer
+	Error    string   // of a failed call
+	Body     msgpack.RawMessage
 }
 
 func writeFrame(w *bufio.Writer, f *frame) error {
--- a/scripts/measure-idle.sh
+++ b/scripts/measure-idle.sh
@@ -4,13 +4,14 @@
 set -eu
 cd "$(dirname "$0")/.."
 seconds=${1:-20} dir=$(mktemp -d)
-finish() { for p in $(cat "$dir"/*.pid); do kill -KILL "$p" 2>/dev/null; done; rm -rf "$dir"; }
+finish() { for p in $(cat "$dir"/*.pid); do kill -KILL "$p" 2>/dev/null; done; wait 2>/dev/null; rm -rf "$dir"; }
 trap finish EXIT
 bin/standin site -dir "$dir" -extra "${EXTRA:-}"
 bin/standin backend & echo $! >"$dir/backend.pid"
 bin/standin platform & echo $! >"$dir/platform.pid"
 for i in 1 2 3 4 5 6 7 8 9; do
-  bin/greengagelane entry -settings "$dir/entry-$i.jsonc" 2>/dev/null & echo $! >"$dir/entry-$i.pid"
+  bin/greengagelane entry -settings "$dir/entry-$i.jsonc" 2>/dev/null &
+  echo $! >"$dir/entry-$i.pid"
 done
 sleep 3
 bin/greengagelane release apply -entry 127.0.0.1:7201 "$dir/release-1.jsonc" >/dev/null
