--- a/internal/proxy/bench_test.go
+++ b/internal/proxy/bench_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"testing"
 	"time"
 
@@ -62,3 +64,48 @@
 }
 
 var benchClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+
+// BenchmarkConnections reports the heap that a caller's open connection takes,
+// idle and with a request in flight.
+func BenchmarkConnections(b *testing.B) {
+	release := make(chan struct{})
+	backend := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
+	defer backend.Close()
+	defer close(release)
+	front := httptest.NewServer(newHandler(&grantAll{}, 60_000, connections, backend.Listener.Addr().String()))
+	defer front.Close()
+	for b.Loop() {
+		before := heapInUse()
+		var conns []net.Conn
+		for range connections {
+			c, err := net.Dial("tcp", front.Listener.Addr().String())
+			assert.NilError(b, err)
+			conns = append(conns, c)
+		}
+		time.Sleep(settleTime)
+		idle := heapInUse()
+		for _, c := range conns {
+			_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: svc\r\n\r\n")
+		}
+		time.Sleep(settleTime)
+		busy := heapInUse()
+		b.ReportMetric(float64(idle-before)/connections, "idle-bytes")
+		b.ReportMetric(float64(busy-before)/connections, "busy-bytes")
+		for _, c := range conns {
+			c.Close()
+		}
+		time.Sleep(settleTime)
+	}
+}
+
+const (
+	connections = 500
+	settleTime  = 500 * time.Millisecond
+)
+
+func heapInUse() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc + m.StackInuse
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -79,6 +79,10 @@
 troubles >"$dir/troubles.log" 2>&1 & troubler=$!
 "$standin" callers -plan "$dir/plan.json" -faults "$dir/faults" -record "$dir/record.json" -only "${ONLY:-0}"
 code=$?
+cpu=$(for i in 1 2 6 7 8 9; do awk '{print $14 + $15}' "/proc/$(pid_of "$i")/stat"; done | awk '{t += $1} END {print t}')
+served=$(for i in 1 2 6 7 8 9; do curl -s "http://127.0.0.1:$((7200 + i))/metrics" | awk '/^greengagelane_requests_total/ {n += $2} END {print n + 0}'; done | awk '{t += $1} END {print t}')
+awk -v c="$cpu" -v n="$served" -v hz="$(getconf CLK_TCK)" -v rss="$(awk '/VmHWM/ {print $2}' "/proc/$(pid_of 1)/status")" \
+  'BEGIN { if (n > 0) printf "entries: %.0f us of processor time a request, %.1f MB resident at most\n", c / hz / n * 1e6, rss / 1024 }'
 wait "$watchers" "$troubler" 2>/dev/null
 [ -n "${TIMELINE:-}" ] && "$product" timeline -entry "$op" -html "$TIMELINE"
 cat "$dir/operators.log"
