--- a/internal/ctrl/decide_test.go
+++ b/internal/ctrl/decide_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/greengagelane/greengagelane/internal/buffer"
 	"github.com/greengagelane/greengagelane/internal/fuzz"
 	"github.com/greengagelane/greengagelane/pkg/fleet"
 )
@@ -254,8 +255,9 @@
 }
 
 func BenchmarkDecide(b *testing.B) {
-	for _, n := range []int{50, 500, 5000, 27000} {
-		b.Run(fmt.Sprintf("vms-%d", n), func(b *testing.B) {
+	for _, size := range []struct{ vms, every int }{{50, 1}, {500, 1}, {5000, 1}, {27000, 1}, {27000, 9}} {
+		n, every := size.vms, size.every
+		b.Run(fmt.Sprintf("vms-%d-leases-1-of-%d", n, every), func(b *testing.B) {
 			s, pools := fleet.NewState(), max(5, n/145)
 			note := fleet.Note{Release: "r"}
 			w := fleet.Wave{Name: "w", AtOnce: 100}
@@ -276,7 +278,9 @@
 			_ = s.Apply(2, fleet.EntryJoined{Member: fleet.Member{Name: "e", Incarnation: "e"}})
 			_ = s.Apply(3, fleet.WaveStarted{Wave: "w"})
 			for shard := range fleet.ShardCount {
-				_ = s.Apply(4, fleet.LeaseTaken{Shard: shard, Holder: "e", Epoch: 1})
+				if shard%every == 0 {
+					_ = s.Apply(4, fleet.LeaseTaken{Shard: shard, Holder: "e", Epoch: 1})
+				}
 			}
 			in := Input{State: s, Self: "e", Limit: testLimit, Seen: func(string, int64) time.Time { return time.Time{} }}
 			b.ReportAllocs()
@@ -286,3 +290,33 @@
 		})
 	}
 }
+
+// BenchmarkRebalance plans for all pools.
+func BenchmarkRebalance(b *testing.B) {
+	for _, n := range []int{50, 27000} {
+		b.Run(fmt.Sprintf("vms-%d", n), func(b *testing.B) {
+			s, pools := fleet.NewState(), max(5, n/145)
+			note := fleet.Note{Release: "r"}
+			offered := map[string]float64{}
+			for i := range pools {
+				name := fmt.Sprintf("pool-%d", i)
+				note.Added.Pools = append(note.Added.Pools, fleet.Pool{Name: name, Spare: i == 0})
+				offered[name] = 800
+			}
+			for i := range n {
+				note.Added.VMs = append(note.Added.VMs, fleet.VM{
+					Name: fmt.Sprintf("vm-%05d", i), Pool: fmt.Sprintf("pool-%d", i%pools),
+					Address: fmt.Sprintf("10.%d.%d.1:80", i/250, i%250), Slots: 8, Connections: 64,
+				})
+			}
+			assert.NilError(b, s.Apply(1, fleet.ReleasePublished{Note: note}))
+			p := buffer.NewPlanner(buffer.Weights{Move: 1e6, IdlePerMin: 1, ShortPerS: 1})
+			now := time.Unix(0, 0)
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Second)
+				Rebalance(now, s, "e", p, offered)
+			}
+		})
+	}
+}
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -22,6 +22,7 @@
 	freshRetryAfter = 1 * time.Second
 	minAttemptLimit = 250 * time.Millisecond // shortest time for an attempt that may be repeated
 	attemptFactor   = 4                      // attempts get this many times the worker's mean latency
+	blindLimit      = 500 * time.Millisecond // baseline: fixed timeout of an attempt
 	maxAttempts     = 4
 )
 
@@ -330,9 +331,12 @@
 // attemptLimit leaves time for another attempt if the request may have one.
 func (h *Handler) attemptLimit(r *request, w *route.Worker, now time.Time) time.Duration {
 	left := r.deadline.Sub(now)
-	if !r.idempotent || r.rest != nil || h.opts.BlindRetries > 0 {
+	if !r.idempotent || r.rest != nil {
 		return left
 	}
+	if h.opts.BlindRetries > 0 {
+		return min(left, blindLimit)
+	}
 	usual := max(attemptFactor*w.Latency(), minAttemptLimit)
 	return min(left, usual)
 }
--- a/pkg/fleet/bench_test.go
+++ b/pkg/fleet/bench_test.go
@@ -59,28 +59,40 @@
 	}
 }
 
-// BenchmarkSnapshot writes and restores a snapshot, and reports its size and the
-// heap that the restored state takes.
+// BenchmarkSnapshot writes and restores a snapshot, and reports its size.
 func BenchmarkSnapshot(b *testing.B) {
 	for _, n := range sizes {
 		b.Run(fmt.Sprintf("vms-%d", n), func(b *testing.B) {
 			s := largeState(b, n)
 			var data []byte
-			var kept *fleet.State
-			before := heap()
 			for b.Loop() {
 				data, _ = s.Snapshot()
-				kept, _ = fleet.Restore(data)
+				_, _ = fleet.Restore(data)
 			}
 			b.ReportMetric(float64(len(data)), "bytes")
-			b.ReportMetric(float64(heap()-before-uint64(len(data))), "heap-bytes")
-			runtime.KeepAlive(kept)
+		})
+	}
+}
+
+// BenchmarkMemory reports the heap that a state takes.
+func BenchmarkMemory(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("vms-%d", n), func(b *testing.B) {
+			for b.Loop() {
+				data, _ := largeState(b, n).Snapshot()
+				before := heap()
+				s, _ := fleet.Restore(data)
+				b.ReportMetric(float64(heap()-before), "heap-bytes")
+				runtime.KeepAlive(s)
+				runtime.KeepAlive(data)
+			}
 		})
 	}
 }
 
 func heap() uint64 {
 	runtime.GC()
+	runtime.GC() // sweeps what the first one found
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
