Verdict of a request whose claim fails; copies that wait; slow senders

Cause 1: a request with an id was refused as not-run when no holder of its claim answered, although an earlier copy may have run through an entry that is gone. Change: not-run only if a holder has granted the claim, which rules other copies out; an entry that is not current answers such requests may-have-run. Cause 2: when a claim was taken by another entry, other copies that waited on the same entry were refused as not-run while the first ran. Change: they get what it learned. TestClaimWhenHoldersAreGone and TestCopiesGetTheFirstAnswer failed before. The demo's check of P4 now also looks at each refused copy. Also: tests of senders and callers that stall, long bodies and cut long answers.

--- a/internal/claim/outcome.go
+++ b/internal/claim/outcome.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/greengagelane/greengagelane/pkg/result"
 )
 
 const (
@@ -35,6 +37,7 @@
 	saved   *Saved // nil if the answer was not kept
 	token   uint64 // of the claim, set once it has been asked for
 	gone    bool   // the request did not run and its id is free again
+	problem *result.Problem
 }
 
 // NewOutcomes returns an empty store.
@@ -100,12 +103,26 @@
 	}
 }
 
+// Pass gives the copies that wait what was learned of a request that another
+// entry owns, and forgets it.
+func (o *Outcomes) Pass(key string, saved *Saved, p *result.Problem) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if oc := o.byKey[key]; oc != nil {
+		oc.saved, oc.problem = saved, p
+		delete(o.byKey, key)
+		close(oc.done)
+	}
+}
+
 // Result is what became of the first copy of a request.
 type Result struct {
 	Known bool   // this entry knows the id
 	Free  bool   // the first copy did not run
 	Saved *Saved // its answer, nil if none was kept
 	Token uint64 // of its claim
+
+	Problem *result.Problem // what was learned instead of an answer, nil if nothing was
 }
 
 // Wait returns the first copy's result once there is one, or at the context's
@@ -124,5 +141,5 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return Result{Known: true, Free: oc.gone, Saved: oc.saved, Token: oc.token}
+	return Result{Known: true, Free: oc.gone, Saved: oc.saved, Token: oc.token, Problem: oc.problem}
 }
--- a/internal/cmds/pool.go
+++ b/internal/cmds/pool.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"context"
 	"flag"
 
 	"github.com/greengagelane/greengagelane/internal/oas/oper"
@@ -19,22 +20,8 @@
 }
 
 func newPoolMove(fs *flag.FlagSet) verb.Action {
-	remote := verb.RemoteFlags(fs)
-	id := fs.String("operation-id", "", "sends the same command again without a second effect; made if empty")
-	return func(out *verb.IO, args []string) error {
-		if len(args) != 2 {
-			return verb.Usagef("a VM and a pool are required")
-		}
-		client, err := remote.Client()
-		if err != nil {
-			return err
-		}
-		ctx, cancel := verb.Context()
-		defer cancel()
-		res, err := client.MoveVM(ctx, oper.MoveVMParams{VM: args[0], To: args[1], OperationID: verb.OperationID(*id)})
-		if err != nil {
-			return verb.CommandError(err)
-		}
-		return verb.Accepted(out, remote.JSON, res, "move started")
-	}
+	return newRemote(fs, 2, "a VM and a pool are", "move started",
+		func(ctx context.Context, c *oper.Client, args []string, id string) (*oper.Accepted, error) {
+			return c.MoveVM(ctx, oper.MoveVMParams{VM: args[0], To: args[1], OperationID: id})
+		})
 }
--- a/internal/cmds/retire.go
+++ b/internal/cmds/retire.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"context"
 	"flag"
 
 	"github.com/greengagelane/greengagelane/internal/oas/oper"
@@ -20,22 +21,8 @@
 }
 
 func newEntryRetire(fs *flag.FlagSet) verb.Action {
-	remote := verb.RemoteFlags(fs)
-	id := fs.String("operation-id", "", "sends the same command again without a second effect; made if empty")
-	return func(out *verb.IO, args []string) error {
-		if len(args) != 1 {
-			return verb.Usagef("one entry is required")
-		}
-		client, err := remote.Client()
-		if err != nil {
-			return err
-		}
-		ctx, cancel := verb.Context()
-		defer cancel()
-		res, err := client.RetireEntry(ctx, oper.RetireEntryParams{Entry: args[0], OperationID: verb.OperationID(*id)})
-		if err != nil {
-			return verb.CommandError(err)
-		}
-		return verb.Accepted(out, remote.JSON, res, "entry retired")
-	}
+	return newRemote(fs, 1, "one entry is", "entry retired",
+		func(ctx context.Context, c *oper.Client, args []string, id string) (*oper.Accepted, error) {
+			return c.RetireEntry(ctx, oper.RetireEntryParams{Entry: args[0], OperationID: id})
+		})
 }
--- a/internal/cmds/wave.go
+++ b/internal/cmds/wave.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"context"
 	"flag"
 
 	"github.com/greengagelane/greengagelane/internal/oas/oper"
@@ -27,24 +28,9 @@
 
 func newWave(action oper.ControlWaveAction, done string) func(*flag.FlagSet) verb.Action {
 	return func(fs *flag.FlagSet) verb.Action {
-		remote := verb.RemoteFlags(fs)
-		id := fs.String("operation-id", "", "sends the same command again without a second effect; made if empty")
-		return func(out *verb.IO, args []string) error {
-			if len(args) != 1 {
-				return verb.Usagef("one wave is required")
-			}
-			client, err := remote.Client()
-			if err != nil {
-				return err
-			}
-			ctx, cancel := verb.Context()
-			defer cancel()
-			params := oper.ControlWaveParams{Wave: args[0], Action: action, OperationID: verb.OperationID(*id)}
-			res, err := client.ControlWave(ctx, params)
-			if err != nil {
-				return verb.CommandError(err)
-			}
-			return verb.Accepted(out, remote.JSON, res, done)
-		}
+		return newRemote(fs, 1, "one wave is", done,
+			func(ctx context.Context, c *oper.Client, args []string, id string) (*oper.Accepted, error) {
+				return c.ControlWave(ctx, oper.ControlWaveParams{Wave: args[0], Action: action, OperationID: id})
+			})
 	}
 }
--- a/internal/mesh/claims.go
+++ b/internal/mesh/claims.go
@@ -17,7 +17,8 @@
 	grantValid   = 1 * time.Second // from the first ask; shorter than the freshness time
 	claimLimit   = 700 * time.Millisecond
 	claimPause   = 20 * time.Millisecond
-	claimRetry   = 1 * time.Second // when a refused caller comes back
+	probeLimit   = 100 * time.Millisecond // a holder's word on a claim that failed is awaited this long
+	claimRetry   = 1 * time.Second        // when a refused caller comes back
 	transferWait = 2 * time.Second
 )
 
@@ -44,19 +45,43 @@
 	if reply == claim.Granted {
 		return m.grant(began, a), nil, nil
 	}
-	m.outcomes.Abandon(key)
-	if reply != claim.Taken {
-		m.releaseAll(a)
-	}
 	m.events.Add(time.Now(), m.store.Next(), event.Claim, key, reply.String())
-	switch reply {
-	case claim.Taken:
-		return m.copyOf(ctx, key, owner)
-	case claim.Lost:
-		return nil, nil, result.Unknown(http.StatusConflict, "the entries that knew whether request id %q has run are gone", key)
-	default:
-		return nil, nil, result.Refuse(http.StatusServiceUnavailable, claimRetry, "the holders of request id %q do not answer (%s)", key, reply)
+	if reply == claim.Taken {
+		_, saved, p := m.copyOf(ctx, key, owner)
+		m.outcomes.Pass(key, saved, p)
+		return nil, saved, p
+	}
+	p := m.refuse(ctx, a, reply)
+	m.outcomes.Pass(key, nil, p)
+	return nil, nil, p
+}
+
+// refuse answers a request that did not get both grants. If a holder has granted
+// the claim, no other copy can have been dispatched, so the request did not run;
+// if none can be asked, an earlier copy may have.
+func (m *Mesh) refuse(ctx context.Context, a claim.Ask, reply claim.Reply) *result.Problem {
+	granted := m.grantedByAny(ctx, a)
+	m.releaseAll(a)
+	switch {
+	case reply == claim.Lost:
+		return result.Unknown(http.StatusConflict, "the entries that knew whether request id %q has run are gone", a.Key)
+	case granted:
+		return result.Refuse(http.StatusServiceUnavailable, claimRetry, "a holder of request id %q does not answer (%s)", a.Key, reply)
+	}
+	return result.Unknown(http.StatusServiceUnavailable, "the holders of request id %q do not answer (%s)", a.Key, reply)
+}
+
+func (m *Mesh) grantedByAny(ctx context.Context, a claim.Ask) bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeLimit)
+	defer cancel()
+	view, members := m.members()
+	a.View = view
+	for _, holder := range claim.Holders(members, a.Key) {
+		if m.askOne(ctx, holder, a).Reply == claim.Granted {
+			return true
+		}
 	}
+	return false
 }
 
 func (m *Mesh) grant(began time.Time, a claim.Ask) *proxy.Grant {
@@ -166,6 +191,8 @@
 		return nil, nil, result.Unknown(http.StatusConflict, "another copy of request id %q was sent by an entry that does not answer", key)
 	case res.Free:
 		return nil, nil, result.Refuse(http.StatusServiceUnavailable, claimRetry, "another copy of request id %q was refused", key)
+	case res.Problem != nil:
+		return nil, nil, res.Problem
 	case res.Saved == nil:
 		return nil, nil, result.Unknown(http.StatusConflict, "another copy of request id %q may have run; its answer is not kept", key)
 	}
--- /dev/null
+++ b/internal/mesh/claims_test.go
@@ -0,0 +1,164 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/greengagelane/greengagelane/internal/claim"
+	"github.com/greengagelane/greengagelane/internal/event"
+	"github.com/greengagelane/greengagelane/internal/peer"
+	"github.com/greengagelane/greengagelane/internal/tail"
+	"github.com/greengagelane/greengagelane/pkg/conf"
+	"github.com/greengagelane/greengagelane/pkg/fleet"
+	"github.com/greengagelane/greengagelane/pkg/result"
+)
+
+// group is a few entries' meshes on loopback, in one settled view without a log.
+type group struct {
+	meshes  []*Mesh
+	servers []*peer.Server
+	lns     []net.Listener
+}
+
+func newGroup(t *testing.T, n int) *group {
+	t.Helper()
+	g := &group{}
+	var records []fleet.LogRecord
+	for i := range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		name := fmt.Sprintf("e%d", i)
+		self := fleet.Member{Name: name, Incarnation: name, Address: ln.Addr().String(), DataCentre: name}
+		data, err := fleet.Encode(fleet.EntryJoined{Member: self})
+		assert.NilError(t, err)
+		records = append(records, fleet.LogRecord{Offset: int64(i), OperationID: name, Data: data})
+		m := New(self, conf.Default(), tail.NewStore(nil), nil, func() Load { return Load{} }, event.NewRing(16), func() string { return "" })
+		s := peer.NewServer(func() []string { return nil })
+		m.Register(s)
+		go func() { _ = s.Serve(t.Context(), ln) }()
+		t.Cleanup(func() {
+			ln.Close()
+			s.Close()
+		})
+		g.meshes, g.servers, g.lns = append(g.meshes, m), append(g.servers, s), append(g.lns, ln)
+	}
+	for _, m := range g.meshes {
+		m.store.Apply(records)
+		m.applyView(time.Now())
+		m.majorityUntil.Store(math.MaxInt64)
+	}
+	for _, m := range g.meshes {
+		for _, other := range g.meshes {
+			other.table.Absorb(m.self.Incarnation, m.table.Transfer())
+		}
+	}
+	return g
+}
+
+func (g *group) kill(i int) {
+	g.lns[i].Close()
+	g.servers[i].Close()
+}
+
+// keyFor returns a key with these first and second holders.
+func (g *group) keyFor(first, second int) string {
+	_, members := g.meshes[0].members()
+	for i := 0; ; i++ {
+		key := fmt.Sprint("key-", i)
+		h := claim.Holders(members, key)
+		if h[0].Name == g.meshes[first].self.Name && h[1].Name == g.meshes[second].self.Name {
+			return key
+		}
+	}
+}
+
+func TestClaimWhenHoldersAreGone(t *testing.T) {
+	tests := []struct {
+		name    string
+		killed  []int // holders are 0 and 1, the asker is 2
+		granted bool
+		verdict result.Verdict
+	}{
+		{"both holders answer", nil, true, 0},
+		{"the second is gone", []int{1}, false, result.NotRun},
+		{"the first is gone", []int{0}, false, result.NotRun},
+		{"both are gone, so an earlier copy may have run", []int{0, 1}, false, result.MayHaveRun},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := newGroup(t, 4)
+			for _, i := range tt.killed {
+				g.kill(i)
+			}
+			grant, _, p := g.meshes[2].Claim(t.Context(), g.keyFor(0, 1))
+			assert.Equal(t, grant != nil, tt.granted)
+			if !tt.granted {
+				assert.Equal(t, p.Verdict, tt.verdict, p.Title)
+				assert.Assert(t, p.RetryAfter > 0)
+			}
+		})
+	}
+}
+
+func TestCopiesGetTheFirstAnswer(t *testing.T) {
+	g := newGroup(t, 4)
+	key := g.keyFor(0, 1)
+	grant, _, p := g.meshes[2].Claim(t.Context(), key)
+	assert.Assert(t, grant != nil, "%v", p)
+	type got struct {
+		saved *claim.Saved
+		p     *result.Problem
+	}
+	answers := make(chan got, 4)
+	for _, i := range []int{2, 3, 3, 3} { // one on the same entry, three on another
+		go func() {
+			_, saved, p := g.meshes[i].Claim(t.Context(), key)
+			answers <- got{saved, p}
+		}()
+	}
+	time.Sleep(50 * time.Millisecond)
+	grant.Finish(&claim.Saved{Status: 200, Body: []byte("licence")})
+	for range 4 {
+		a := <-answers
+		assert.Assert(t, a.saved != nil, "%v", a.p)
+		assert.Equal(t, string(a.saved.Body), "licence")
+	}
+}
+
+func TestCopyOfAnUnansweredRequestIsUncertain(t *testing.T) {
+	g := newGroup(t, 4)
+	key := g.keyFor(0, 1)
+	grant, _, _ := g.meshes[2].Claim(t.Context(), key)
+	assert.Assert(t, grant != nil)
+	g.kill(2)
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	for range 2 {
+		_, saved, p := g.meshes[3].Claim(ctx, key)
+		assert.Assert(t, saved == nil)
+		assert.Equal(t, p.Verdict, result.MayHaveRun)
+	}
+}
+
+func TestReleasedRequestMayRunElsewhere(t *testing.T) {
+	g := newGroup(t, 4)
+	key := g.keyFor(0, 1)
+	grant, _, _ := g.meshes[2].Claim(t.Context(), key)
+	assert.Assert(t, grant != nil)
+	grant.Release()
+	for range 100 {
+		grant, _, p := g.meshes[3].Claim(t.Context(), key)
+		if grant != nil {
+			return
+		}
+		assert.Equal(t, p.Verdict, result.NotRun, p.Title)
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the id was not free again")
+}
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -43,7 +43,7 @@
 // parse reads the request's head and the start of its body.
 func (h *Handler) parse(w http.ResponseWriter, in *http.Request, now time.Time) (*request, *result.Problem) {
 	if !h.fresh(now) {
-		return nil, result.Refuse(http.StatusServiceUnavailable, freshRetryAfter, "the entry cannot show that its configuration is current")
+		return nil, notFresh(in)
 	}
 	name := serviceName(in)
 	svc := h.Table().Services[name]
@@ -60,6 +60,16 @@
 	return r, r.readHead(w, h.opts)
 }
 
+// notFresh refuses a request on an entry that cannot show that its state is
+// current. Of a request that may run once it cannot know another copy's fate.
+func notFresh(in *http.Request) *result.Problem {
+	const text = "the entry cannot show that its configuration is current"
+	if !isIdempotent(in.Method) && in.Header.Get(result.RequestHeader) != "" {
+		return result.Unknown(http.StatusServiceUnavailable, text)
+	}
+	return result.Refuse(http.StatusServiceUnavailable, freshRetryAfter, text)
+}
+
 // serviceName returns the service that a request names in its header, or in the
 // first label of its host.
 func serviceName(in *http.Request) string {
--- /dev/null
+++ b/internal/proxy/slow_test.go
@@ -0,0 +1,105 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/greengagelane/greengagelane/pkg/result"
+)
+
+// dialEntry returns a connection to an entry whose senders may stall for 100 ms.
+func dialEntry(t *testing.T, worker http.HandlerFunc) (net.Conn, *Handler) {
+	t.Helper()
+	h := newHandler(&grantAll{}, 30_000, 1, serverOf(t, worker))
+	h.opts.SenderStall = 100 * time.Millisecond
+	front := httptest.NewServer(h)
+	t.Cleanup(front.Close)
+	c, err := net.Dial("tcp", front.Listener.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { c.Close() })
+	return c, h
+}
+
+func TestSenderThatStallsIsRefusedAndHoldsNoSlot(t *testing.T) {
+	c, h := dialEntry(t, func(http.ResponseWriter, *http.Request) { t.Error("the request ran") })
+	_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: svc\r\nContent-Length: 10\r\n\r\nhalf")
+	assert.NilError(t, err)
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, res.StatusCode, http.StatusRequestTimeout)
+	assert.Equal(t, res.Header.Get(result.VerdictHeader), result.NotRun.String())
+	assert.Equal(t, h.Gate(h.Table().Pools["p"]).Load().Running, 0)
+}
+
+// TestSenderThatStallsInALongBody has sent more than the entry holds, so the
+// backend server may have begun.
+func TestSenderThatStallsInALongBody(t *testing.T) {
+	c, h := dialEntry(t, func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })
+	const length = 4 * heldBodyBytes
+	h.opts.MaxBodyBytes = length
+	_, err := fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: svc\r\nContent-Length: %d\r\n\r\n%s", length, strings.Repeat("x", 2*heldBodyBytes))
+	assert.NilError(t, err)
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, res.Header.Get(result.VerdictHeader), result.MayHaveRun.String())
+	assert.Equal(t, h.Gate(h.Table().Pools["p"]).Load().Running, 0)
+}
+
+func TestLongBodyArrivesWhole(t *testing.T) {
+	body := strings.Repeat("0123456789", heldBodyBytes/4)
+	var got string
+	worker := serverOf(t, func(w http.ResponseWriter, r *http.Request) {
+		data, _ := io.ReadAll(r.Body)
+		got = string(data)
+		_, _ = w.Write(data)
+	})
+	h := newHandler(&grantAll{}, 30_000, 1, worker)
+	h.opts.MaxBodyBytes = 1 << 20
+	w := call(h, http.MethodPost, "key", body)
+	assert.Equal(t, w.Code, http.StatusOK)
+	assert.Assert(t, got == body && w.Body.String() == body)
+}
+
+// TestCallerThatTakesNoAnswerHoldsNothing lets a caller ask for a long answer and
+// read none of it.
+func TestCallerThatTakesNoAnswerHoldsNothing(t *testing.T) {
+	done := make(chan struct{})
+	c, h := dialEntry(t, func(w http.ResponseWriter, _ *http.Request) {
+		defer close(done)
+		for range 1024 {
+			if _, err := w.Write(make([]byte, 64<<10)); err != nil {
+				return
+			}
+		}
+	})
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: svc\r\n\r\n")
+	assert.NilError(t, err)
+	<-done // the entry has given up the backend server's answer
+	for h.Busy() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, h.Gate(h.Table().Pools["p"]).Load().Running, 0)
+}
+
+// TestCutLongAnswerEndsTheConnection passes a long answer on whose end is missing.
+func TestCutLongAnswerEndsTheConnection(t *testing.T) {
+	c, _ := dialEntry(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", fmt.Sprint(8*heldAnswerBytes))
+		_, _ = w.Write(make([]byte, 4*heldAnswerBytes))
+	})
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: svc\r\n\r\n")
+	assert.NilError(t, err)
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	_, err = io.ReadAll(res.Body)
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
--- a/internal/shell/shell.go
+++ b/internal/shell/shell.go
@@ -29,6 +29,8 @@
 	query.ReleasePlan,
 	query.Status,
 	query.Timeline,
+	query.TraceRecord,
+	query.TraceReplay,
 	query.VMShow,
 	versionVerb,
 }
--- a/internal/stand/callers.go
+++ b/internal/stand/callers.go
@@ -190,7 +190,7 @@
 	defer func() { cp.End = time.Now().UnixMicro() }()
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(d.TimeoutMs)*time.Millisecond+callerExtra)
 	defer cancel()
-	method, body := http.MethodGet, io.Reader(nil)
+	method, body := http.MethodGet, io.Reader(bytes.NewReader(nil))
 	if s.Once {
 		method, body = http.MethodPost, bytes.NewReader(Content("body"+s.Key, 300))
 	}
@@ -199,10 +199,9 @@
 		cp.Error = err.Error()
 		return cp
 	}
-	// A body of unknown origin keeps the client from sending it again by itself.
-	if s.Once {
-		req.GetBody = nil
-	}
+	// A body that cannot be had again keeps the client from sending the request a
+	// second time by itself, which would be a copy that nobody records.
+	req.Body, req.GetBody = io.NopCloser(body), nil
 	req.Header.Set(result.ServiceHeader, d.Service)
 	req.Header.Set(result.RequestHeader, s.Key)
 	req.Header.Set(result.TimeoutHeader, strconv.Itoa(d.TimeoutMs))
--- a/internal/stand/checks.go
+++ b/internal/stand/checks.go
@@ -195,7 +195,8 @@
 	})
 }
 
-// p4: a request all of whose copies were answered as not run has no run.
+// p4: a request all of whose copies were answered as not run has no run, and a
+// request that may run once has none that began before any copy's refusal.
 func (x *checker) p4() Verdict {
 	v := Verdict{Promise: "P4"}
 	n := 0
@@ -203,6 +204,9 @@
 		refused := len(s.Copies) > 0
 		for _, c := range s.Copies {
 			refused = refused && c.Verdict == "not-run"
+			if s.Once && c.Verdict == "not-run" && x.ranBefore(s.Key, c.End) {
+				v.Broken = fmt.Sprintf("request %s was refused as not run after a copy had run", s.Key)
+			}
 		}
 		if !refused {
 			continue
@@ -219,6 +223,10 @@
 	return v
 }
 
+func (x *checker) ranBefore(key string, us int64) bool {
+	return slices.ContainsFunc(x.runs[key], func(r Run) bool { return r.Start < us })
+}
+
 func (x *checker) p5() Verdict {
 	v := Verdict{Promise: "P5"}
 	n, copies, unsure := 0, 0, 0
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -2,7 +2,7 @@
 # Runs the main job on loopback as separate processes and checks the promises.
 #   SITE=institute|zelena  SEED=n  FAULTS=a,b  SECONDS_LOAD=n  EXTRA='{"setting": value}'
 # Faults: entry-kill entry-freeze entry-stop log-outage log-lost-answer
-#   silent-connections backend-kill backend-fails-all operator-race
+#   silent-connections backend-kill backend-fails-all operator-race centre-loss
 set -u
 cd "$(dirname "$0")/.."
 site=${SITE:-institute} seed=${SEED:-1} faults=",${FAULTS:-}," load=${SECONDS_LOAD:-30} extra=${EXTRA:-}
@@ -23,6 +23,7 @@
 fault() { curl -s -X POST "$1/faults" -d "$2" >/dev/null; }
 start_entry() { "$product" entry -settings "$dir/entry-$1.jsonc" >>"$dir/entry-$1.log" 2>&1 & echo "$!" >"$dir/entry-$1.pid"; }
 pid_of() { cat "$dir/entry-$1.pid"; }
+centre_of() { sed -n 's/.*"data-centre": "\(.*\)".*/\1/p' "$dir/entry-$1.jsonc"; }
 caller_of() { echo "127.0.0.1:$((7100 + $1))"; }
 cli() { local verb1=$1 verb2=$2; shift 2; "$product" "$verb1" "$verb2" -entry "$op" "$@"; }
 
@@ -67,6 +68,17 @@
   fi
   has backend-kill && fault http://127.0.0.1:7001 '{"vm":"vm-15","mode":"kill"}'
   has backend-kill && { sleep 4; fault http://127.0.0.1:7001 '{"vm":"vm-15","mode":"start"}'; }
+  if has centre-loss; then
+    local vms vm
+    vms=$("$product" status -entry "$op" -json | awk -F'"' '/"name":/ {n = $4} /"data-centre": "'"$(centre_of 3)"'"/ {print n}' | grep '^vm-')
+    at=$(now_us)
+    for i in 3 6 9; do kill -KILL "$(pid_of $i)"; echo "kill $(caller_of $i) $at $((at + 8000000))" >>"$dir/faults"; done
+    for vm in $vms; do fault http://127.0.0.1:7001 "{\"vm\":\"$vm\",\"mode\":\"kill\"}"; done
+    sleep 6
+    # vm-45 was leaving: it does not come back.
+    for vm in $vms; do [ "$vm" = vm-45 ] || fault http://127.0.0.1:7001 "{\"vm\":\"$vm\",\"mode\":\"start\"}"; done
+    for i in 3 6 9; do start_entry $i; done
+  fi
   if has entry-stop; then
     at=$(now_us); kill -TERM "$(pid_of 5)"; echo "stop $(caller_of 5) $at 0" >>"$dir/faults"
   fi
