Claims by two of three holders; one silent entry no longer stops ids

Cause: both of two holders were needed, so an entry that was frozen, killed or cut off stopped a fifth of the ids until its removal, and in an outage of the log for good. Change: three holders in different data centres, two grants; a view is settled for an id once two of its holders have spoken.

--- a/internal/claim/reply_enumer.go
+++ b/internal/claim/reply_enumer.go
@@ -24,12 +24,12 @@
 // Re-run the stringer command to generate them again.
 func _ReplyNoOp() {
 	var x [1]struct{}
-	_ = x[Granted-(0)]
-	_ = x[Taken-(1)]
-	_ = x[OtherView-(2)]
-	_ = x[Unsettled-(3)]
-	_ = x[Lost-(4)]
-	_ = x[Stale-(5)]
+	_ = x[Granted-0]
+	_ = x[Taken-1]
+	_ = x[OtherView-2]
+	_ = x[Unsettled-3]
+	_ = x[Lost-4]
+	_ = x[Stale-5]
 }
 
 var _ReplyValues = []Reply{Granted, Taken, OtherView, Unsettled, Lost, Stale}
--- a/internal/claim/table.go
+++ b/internal/claim/table.go
@@ -173,7 +173,7 @@
 	return Answer{Reply: Granted, View: t.view}
 }
 
-// settled reports whether every past view has had a holder of the key speak.
+// settled reports whether every past view's holders of the key have spoken.
 func (t *Table) settled(key string) Reply {
 	reply := Granted
 	for _, p := range t.past {
@@ -187,17 +187,27 @@
 	return reply
 }
 
+// settledIn reports whether enough holders of a past view have told what they
+// know: any majority that may have allowed a run has to include one of them.
 func (t *Table) settledIn(p pastView, key string) Reply {
-	reply := Lost
-	for _, h := range Holders(p.Members, key) {
-		if p.known[h.Incarnation] {
-			return Granted
-		}
-		if contains(t.members, h.Incarnation) {
-			reply = Unsettled
+	holders := Holders(p.Members, key)
+	need := len(holders) - Quorum(len(holders)) + 1
+	known, possible := 0, 0
+	for _, h := range holders {
+		switch {
+		case p.known[h.Incarnation]:
+			known++
+		case contains(t.members, h.Incarnation):
+			possible++
 		}
 	}
-	return reply
+	switch {
+	case known >= need:
+		return Granted
+	case known+possible >= need:
+		return Unsettled
+	}
+	return Lost
 }
 
 // Release forgets a claim whose request certainly did not run.
--- a/internal/mesh/claims.go
+++ b/internal/mesh/claims.go
@@ -9,6 +9,7 @@
 	"github.com/greengagelane/greengagelane/internal/event"
 	"github.com/greengagelane/greengagelane/internal/peer"
 	"github.com/greengagelane/greengagelane/internal/proxy"
+	"github.com/greengagelane/greengagelane/pkg/conf"
 	"github.com/greengagelane/greengagelane/pkg/fleet"
 	"github.com/greengagelane/greengagelane/pkg/result"
 )
@@ -17,7 +18,7 @@
 	grantValid   = 1 * time.Second // from the first ask; shorter than the freshness time
 	claimLimit   = 700 * time.Millisecond
 	claimPause   = 20 * time.Millisecond
-	probeLimit   = 100 * time.Millisecond // a holder's word on a claim that failed is awaited this long
+	askLimit     = 100 * time.Millisecond // a holder that has not answered by then is passed over
 	claimRetry   = 1 * time.Second        // when a refused caller comes back
 	transferWait = 2 * time.Second
 )
@@ -33,7 +34,7 @@
 
 type outcomeCall struct{ Key string }
 
-// Claim gets the grants of both holders of a key, or learns what became of
+// Claim gets the grants of most holders of a key, or learns what became of
 // another copy. It implements proxy.Claimer.
 func (m *Mesh) Claim(ctx context.Context, key string) (*proxy.Grant, *claim.Saved, *result.Problem) {
 	began := time.Now()
@@ -47,6 +48,7 @@
 	}
 	m.events.Add(time.Now(), m.store.Next(), event.Claim, key, reply.String())
 	if reply == claim.Taken {
+		m.releaseAll(a)
 		_, saved, p := m.copyOf(ctx, key, owner)
 		m.outcomes.Pass(key, saved, p)
 		return nil, saved, p
@@ -56,32 +58,33 @@
 	return nil, nil, p
 }
 
-// refuse answers a request that did not get both grants. If a holder has granted
-// the claim, no other copy can have been dispatched, so the request did not run;
-// if none can be asked, an earlier copy may have.
+// refuse answers a request that did not get its grants. If so many holders have
+// granted the claim that no other copy can have had most of them, the request did
+// not run; else an earlier copy may have.
 func (m *Mesh) refuse(ctx context.Context, a claim.Ask, reply claim.Reply) *result.Problem {
-	granted := m.grantedByAny(ctx, a)
+	alone := m.holdsOthersOff(ctx, a)
 	m.releaseAll(a)
 	switch {
 	case reply == claim.Lost:
 		return result.Unknown(http.StatusConflict, "the entries that knew whether request id %q has run are gone", a.Key)
-	case granted:
+	case alone:
 		return result.Refuse(http.StatusServiceUnavailable, claimRetry, "a holder of request id %q does not answer (%s)", a.Key, reply)
 	}
 	return result.Unknown(http.StatusServiceUnavailable, "the holders of request id %q do not answer (%s)", a.Key, reply)
 }
 
-func (m *Mesh) grantedByAny(ctx context.Context, a claim.Ask) bool {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeLimit)
-	defer cancel()
+func (m *Mesh) holdsOthersOff(ctx context.Context, a claim.Ask) bool {
+	ctx = context.WithoutCancel(ctx)
 	view, members := m.members()
 	a.View = view
-	for _, holder := range claim.Holders(members, a.Key) {
+	holders := claim.Holders(members, a.Key)
+	granted := 0
+	for _, holder := range holders {
 		if m.askOne(ctx, holder, a).Reply == claim.Granted {
-			return true
+			granted++
 		}
 	}
-	return false
+	return len(holders) > 0 && len(holders)-granted < claim.Quorum(len(holders))
 }
 
 func (m *Mesh) grant(began time.Time, a claim.Ask) *proxy.Grant {
@@ -96,14 +99,13 @@
 }
 
 // gather asks the holders one after the other, always in the same order, so that
-// of two copies one gets both grants. It asks again while views differ.
+// of two copies one gets its grants. It asks again while there are too few.
 func (m *Mesh) gather(ctx context.Context, began time.Time, a claim.Ask) (claim.Reply, string) {
 	ctx, cancel := context.WithDeadline(ctx, began.Add(claimLimit))
 	defer cancel()
 	for {
 		reply, owner := m.askAll(ctx, a)
-		again := reply == claim.OtherView || reply == claim.Unsettled || reply == claim.Stale
-		if !again {
+		if reply == claim.Granted || reply == claim.Taken || reply == claim.Lost {
 			return reply, owner
 		}
 		select {
@@ -114,26 +116,38 @@
 	}
 }
 
+// askAll returns Granted once most holders have granted the claim in one view,
+// Taken as soon as one names another copy, and else the last other reply.
 func (m *Mesh) askAll(ctx context.Context, a claim.Ask) (claim.Reply, string) {
 	view, members := m.members()
 	a.View = view
 	holders := claim.Holders(members, a.Key)
-	if len(holders) == 0 {
-		return claim.Stale, ""
-	}
+	granted, other := 0, claim.Stale
 	for _, holder := range holders {
 		ans := m.askOne(ctx, holder, a)
-		if ans.Reply != claim.Granted {
-			return ans.Reply, ans.Owner
+		switch ans.Reply {
+		case claim.Granted:
+			if granted++; granted == claim.Quorum(len(holders)) {
+				return claim.Granted, ""
+			}
+		case claim.Taken:
+			return claim.Taken, ans.Owner
+		default:
+			other = ans.Reply
 		}
 	}
-	return claim.Granted, ""
+	return other, ""
 }
 
 func (m *Mesh) askOne(ctx context.Context, holder fleet.Member, a claim.Ask) claim.Answer {
 	if holder.Incarnation == m.self.Incarnation {
 		return m.decide(a)
 	}
+	if m.isSilent(holder) {
+		return claim.Answer{Reply: claim.Stale}
+	}
+	ctx, cancel := context.WithTimeout(ctx, askLimit)
+	defer cancel()
 	ans, err := peer.Call[claim.Ask, claim.Answer](ctx, m.clientFor(holder.Address), "ask", &a)
 	if err != nil {
 		return claim.Answer{Reply: claim.Stale}
@@ -141,6 +155,14 @@
 	return *ans
 }
 
+// isSilent reports whether a peer that was heard once has shown nothing since.
+func (m *Mesh) isSilent(p fleet.Member) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, at := m.evidence.Last(p.Incarnation)
+	return !at.IsZero() && time.Since(at) > conf.Ms(m.set.FreshForMs)
+}
+
 func (m *Mesh) decide(a claim.Ask) claim.Answer {
 	now := time.Now()
 	m.mu.Lock()
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -12,7 +12,10 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-const dialLimit = 500 * time.Millisecond
+const (
+	openLimit    = 500 * time.Millisecond // for a connection and its greeting
+	failurePause = 100 * time.Millisecond // before a failed connection is tried again
+)
 
 // RemoteError is what the other entry's handler returned.
 type RemoteError struct{ Reason string }
@@ -28,6 +31,9 @@
 	key     func() string
 	mu      sync.Mutex
 	link    *link
+	opening chan struct{} // closed once the connection attempt under way has ended
+	failed  time.Time     // end of the last attempt, if it failed
+	err     error         // of that attempt
 }
 
 // NewClient returns a client for the peer at an address.
@@ -91,14 +97,47 @@
 	}
 }
 
+// connect returns the open connection. Callers wait for one attempt together, each
+// no longer than its context, and after a failed one all fail for a short while.
 func (c *Client) connect(ctx context.Context) (*link, error) {
+	for {
+		c.mu.Lock()
+		l, opening := c.link, c.opening
+		if l == nil && opening == nil {
+			if time.Since(c.failed) < failurePause {
+				defer c.mu.Unlock()
+				return nil, c.err
+			}
+			opening = make(chan struct{})
+			c.opening = opening
+			go c.open(opening)
+		}
+		c.mu.Unlock()
+		if l != nil {
+			return l, nil
+		}
+		select {
+		case <-opening:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (c *Client) open(done chan struct{}) {
+	ctx, cancel := context.WithTimeout(context.Background(), openLimit)
+	defer cancel()
+	l, err := c.dial(ctx)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.link != nil {
-		return c.link, nil
+	c.link, c.err, c.opening = l, err, nil
+	if err != nil {
+		c.failed = time.Now()
 	}
-	ctx, cancel := context.WithTimeout(ctx, dialLimit)
-	defer cancel()
+	close(done)
+}
+
+func (c *Client) dial(ctx context.Context) (*link, error) {
 	var d net.Dialer
 	conn, err := d.DialContext(ctx, "tcp", c.address)
 	if err != nil {
@@ -113,7 +152,6 @@
 		conn.Close()
 		return nil, err
 	}
-	c.link = l
 	return l, nil
 }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -96,6 +96,34 @@
 	assert.NilError(t, err)
 }
 
+// TestFrozenPeerIsOpenedOnceForAll calls a peer whose connections open and on
+// which nothing answers, as a paused process's do.
+func TestFrozenPeerIsOpenedOnceForAll(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	var opened atomic.Int32
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			opened.Add(1)
+			t.Cleanup(func() { c.Close() })
+		}
+	}()
+	c := NewClient(ln.Addr().String(), "me", noKey)
+	const calls = 5
+	for range calls {
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+		_, err := Call[echo, echo](ctx, c, "echo", &echo{})
+		cancel()
+		assert.ErrorIs(t, err, context.DeadlineExceeded)
+	}
+	assert.Assert(t, opened.Load() < calls, "each call opened a connection of its own")
+}
+
 func relay(to io.WriteCloser, from io.Reader, forgotten func() bool) {
 	defer to.Close()
 	buf := make([]byte, 4096)
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -96,6 +96,7 @@
 awk -v c="$cpu" -v n="$served" -v hz="$(getconf CLK_TCK)" -v rss="$(awk '/VmHWM/ {print $2}' "/proc/$(pid_of 1)/status")" \
   'BEGIN { if (n > 0) printf "entries: %.0f us of processor time a request, %.1f MB resident at most\n", c / hz / n * 1e6, rss / 1024 }'
 wait "$watchers" "$troubler" 2>/dev/null
+[ -n "${TRACE:-}" ] && "$product" trace record -platform http://127.0.0.1:7000 >"$TRACE"
 [ -n "${TIMELINE:-}" ] && "$product" timeline -entry "$op" -html "$TIMELINE"
 cat "$dir/operators.log"
 exit "$code"
