--- a/internal/claim/trace_test.go
+++ b/internal/claim/trace_test.go
@@ -154,8 +154,10 @@
 
 func TestHoldersAreInTwoDataCentres(t *testing.T) {
 	members := []fleet.Member{
-		{Name: "a", Incarnation: "a", DataCentre: "1"}, {Name: "b", Incarnation: "b", DataCentre: "1"},
-		{Name: "c", Incarnation: "c", DataCentre: "1"}, {Name: "d", Incarnation: "d", DataCentre: "2"},
+		{Name: "a", Incarnation: "a", DataCentre: "1"},
+		{Name: "b", Incarnation: "b", DataCentre: "1"},
+		{Name: "c", Incarnation: "c", DataCentre: "1"},
+		{Name: "d", Incarnation: "d", DataCentre: "2"},
 	}
 	for i := range 200 {
 		h := claim.Holders(members, fmt.Sprint(i))
