Claims are renewed after a wait; errors name the operator's file

Cause 1: grants are valid for one second, but a request may wait for its slot for longer; it was then refused as not-run after the wait, in pools with deadlines of 4 s most of all. Found by reading. Change: the grants are asked for again under the same token before the dispatch (TestClaimIsRenewedAfterAWait, failed before). Cause 2: tried as a new user with keys: a refused query spoke of decoding, and a refused note of a file that the operator does not know. Change: both name the reason and the operator's own file.

--- a/internal/cmds/release.go
+++ b/internal/cmds/release.go
@@ -43,7 +43,7 @@
 	defer cancel()
 	res, err := client.PublishRelease(ctx, oper.PublishReleaseReq{Data: strings.NewReader(string(data))})
 	if err != nil {
-		return verb.CommandError(err)
+		return verb.NoteError(file, verb.CommandError(err))
 	}
 	return verb.Accepted(out, remote.JSON, res, "release accepted")
 }
--- a/internal/mesh/claims.go
+++ b/internal/mesh/claims.go
@@ -88,7 +88,7 @@
 }
 
 func (m *Mesh) grant(began time.Time, a claim.Ask) *proxy.Grant {
-	return &proxy.Grant{
+	g := &proxy.Grant{
 		ValidUntil: began.Add(grantValid),
 		Release: func() {
 			m.outcomes.Abandon(a.Key)
@@ -96,6 +96,13 @@
 		},
 		Finish: func(s *claim.Saved) { m.outcomes.Finish(a.Key, s) },
 	}
+	g.Renew = func(ctx context.Context) bool {
+		again := time.Now()
+		reply, _ := m.gather(ctx, again, a)
+		g.ValidUntil = again.Add(grantValid)
+		return reply == claim.Granted
+	}
+	return g
 }
 
 // gather asks the holders one after the other, always in the same order, so that
--- a/internal/proxy/handler_test.go
+++ b/internal/proxy/handler_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -23,13 +24,20 @@
 const maxBody = 32 << 10
 
 // grantAll is a claimer that grants everything.
-type grantAll struct{ released, finished atomic.Int32 }
+type grantAll struct {
+	released, finished, renewed atomic.Int32
+	validFor                    time.Duration // of the first grant; zero means a minute
+}
 
 func (g *grantAll) Claim(context.Context, string) (*Grant, *claim.Saved, *result.Problem) {
 	return &Grant{
-		ValidUntil: time.Now().Add(time.Minute),
-		Release:    func() { g.released.Add(1) },
-		Finish:     func(*claim.Saved) { g.finished.Add(1) },
+		ValidUntil: time.Now().Add(cmp.Or(g.validFor, time.Minute)),
+		Renew: func(context.Context) bool {
+			g.renewed.Add(1)
+			return true
+		},
+		Release: func() { g.released.Add(1) },
+		Finish:  func(*claim.Saved) { g.finished.Add(1) },
 	}, nil, nil
 }
 
@@ -181,6 +189,16 @@
 	assert.Equal(t, <-done+<-done, 400)
 }
 
+// TestClaimIsRenewedAfterAWait lets a request wait for its slot for longer than
+// its grants are valid.
+func TestClaimIsRenewedAfterAWait(t *testing.T) {
+	c := &grantAll{validFor: -time.Second}
+	h := newTestHandler(t, c, 1000, serverOf(t, func(http.ResponseWriter, *http.Request) {}))
+	w := call(h, http.MethodPost, "key", "body")
+	assert.Equal(t, w.Code, http.StatusOK, w.Body.String())
+	assert.Equal(t, c.renewed.Load(), int32(1))
+}
+
 func TestBadInputIsRefusedAsNotRun(t *testing.T) {
 	var runs atomic.Int32
 	h := newTestHandler(t, &grantAll{}, 1000, serverOf(t, func(http.ResponseWriter, *http.Request) { runs.Add(1) }))
--- a/internal/query/plan.go
+++ b/internal/query/plan.go
@@ -38,7 +38,7 @@
 		defer cancel()
 		plan, err := client.PlanRelease(ctx, oper.PlanReleaseReq{Data: strings.NewReader(string(data))})
 		if err != nil {
-			return verb.CommandError(err)
+			return verb.NoteError(args[0], verb.QueryError(err))
 		}
 		if remote.JSON {
 			return verb.WriteJSON(out.Out, plan)
--- a/internal/query/status.go
+++ b/internal/query/status.go
@@ -45,7 +45,8 @@
 	}
 	ctx, cancel := verb.Context()
 	defer cancel()
-	return client.GetStatus(ctx)
+	st, err := client.GetStatus(ctx)
+	return st, verb.QueryError(err)
 }
 
 func writeStatus(w io.Writer, st *oper.Status) error {
--- a/internal/verb/client.go
+++ b/internal/verb/client.go
@@ -13,6 +13,7 @@
 	"github.com/google/uuid"
 
 	"github.com/greengagelane/greengagelane/internal/oas/oper"
+	"github.com/greengagelane/greengagelane/pkg/note"
 )
 
 const callLimit = 8 * time.Second
@@ -89,6 +90,24 @@
 	return fmt.Errorf("refused, nothing has changed: %s", refused.Response.Title)
 }
 
+// QueryError gives the reason of an entry that refused a query.
+func QueryError(err error) error {
+	var refused *oper.ProblemStatusCode
+	if errors.As(err, &refused) {
+		return fmt.Errorf("refused: %s", refused.Response.Title)
+	}
+	return err
+}
+
+// NoteError names the operator's own file in an entry's refusal of a note.
+func NoteError(file string, err error) error {
+	var unknown *UnknownError
+	if err == nil || errors.As(err, &unknown) {
+		return err
+	}
+	return errors.New(strings.Replace(err.Error(), note.SentName+":", file+":", 1))
+}
+
 // Accepted reports a command that took effect.
 func Accepted(out *IO, asJSON bool, res *oper.Accepted, text string) error {
 	if asJSON {
