A member's name is not taken over from another address

Cause: a join under a member's name replaced it in one step. If the earlier entry was cut off but alive, the majorities of the two views need not meet, and both could grant claims. Found by reading; the model replaced only entries that had ended. Change: only a process on the same address takes a name over; another waits until the earlier entry has been removed (TestNameOfALiveMemberIsNotTakenOver, failed before).

--- a/internal/mesh/membership.go
+++ b/internal/mesh/membership.go
@@ -47,9 +47,13 @@
 // remove the same member from the same view use one operation id.
 func (m *Mesh) proposal(now time.Time, n int) (string, fleet.Record) {
 	view, members := m.members()
-	isMember := false
+	isMember, nameTaken := false, false
 	for _, p := range members {
 		isMember = isMember || p.Incarnation == m.self.Incarnation
+		nameTaken = nameTaken || p.Name == m.self.Name && p.Address != m.self.Address
+	}
+	if nameTaken {
+		return "", nil // until the others have removed the entry that has the name
 	}
 	if !isMember {
 		return fmt.Sprintf("join-%s-%d-%d", m.self.Incarnation, view, n), fleet.EntryJoined{Member: m.self}
--- a/pkg/fleet/fold_test.go
+++ b/pkg/fleet/fold_test.go
@@ -353,3 +353,19 @@
 		})
 	}
 }
+
+// A process that listens on a member's address proves that the earlier one has
+// ended; a process elsewhere that uses its name does not.
+func TestNameOfALiveMemberIsNotTakenOver(t *testing.T) {
+	s := fleet.NewState()
+	join := func(incarnation, address string) error {
+		m := fleet.Member{Name: "entry-1", Incarnation: incarnation, Address: address}
+		return s.Apply(s.View+1, fleet.EntryJoined{Member: m})
+	}
+	assert.NilError(t, join("a", "10.1.0.1:8200"))
+	assert.NilError(t, join("b", "10.1.0.1:8200"))
+	assert.ErrorContains(t, join("c", "10.1.0.2:8200"), `entry "entry-1" is a member at 10.1.0.1:8200`)
+	assert.Equal(t, s.Members["entry-1"].Incarnation, "b")
+	assert.NilError(t, s.Apply(9, fleet.EntryRetired{Name: "entry-1"}))
+	assert.NilError(t, join("c", "10.1.0.2:8200"))
+}
--- a/pkg/fleet/members.go
+++ b/pkg/fleet/members.go
@@ -2,6 +2,9 @@
 
 import "fmt"
 
+// applyJoined adds an entry. An earlier incarnation of its name has ended if the
+// new one listens on its address; else both might be alive, and the majorities of
+// the view before and after would not have to meet.
 func (s *State) applyJoined(offset int64, r EntryJoined) error {
 	m := r.Member
 	if m.Name == "" || m.Incarnation == "" {
@@ -10,6 +13,9 @@
 	if s.IsMember(m.Incarnation) {
 		return fmt.Errorf("incarnation %q is already a member", m.Incarnation)
 	}
+	if old, ok := s.Members[m.Name]; ok && old.Address != m.Address {
+		return fmt.Errorf("entry %q is a member at %s; it has to be removed before one at %s joins", m.Name, old.Address, m.Address)
+	}
 	s.closeView()
 	s.Members[m.Name] = m
 	s.View = offset
