One place sets the write deadline of an answer

Suspected by reading: that the deadline of an earlier answer would cut a saved answer on the same connection. Ruled out: net/http clears it after each request; a test of it passed without the change and is not kept.

--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -22,19 +22,18 @@
 	if a.rest == nil && r.in.Method != http.MethodHead {
 		w.Header().Set("Content-Length", strconv.Itoa(len(a.head)))
 	}
-	rc := http.NewResponseController(w)
-	_ = rc.SetWriteDeadline(time.Now().Add(h.opts.SenderStall))
+	h.extendWrite(w)
 	w.WriteHeader(a.res.StatusCode)
 	if _, err := w.Write(a.head); err != nil || a.rest == nil {
 		return
 	}
-	if err := h.stream(w, rc, a); err != nil {
+	if err := h.stream(w, a); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 }
 
 // stream copies the rest of an answer while both ends make progress.
-func (h *Handler) stream(w http.ResponseWriter, rc *http.ResponseController, a *answer) error {
+func (h *Handler) stream(w http.ResponseWriter, a *answer) error {
 	buf := make([]byte, copyBytes)
 	stall := time.AfterFunc(stallLimit, a.stop)
 	defer stall.Stop()
@@ -42,7 +41,7 @@
 		stall.Reset(stallLimit)
 		n, err := a.rest.Read(buf)
 		if n > 0 {
-			_ = rc.SetWriteDeadline(time.Now().Add(h.opts.SenderStall))
+			h.extendWrite(w)
 			if _, err := w.Write(buf[:n]); err != nil {
 				return err
 			}
@@ -67,8 +66,14 @@
 	return &claim.Saved{Status: a.res.StatusCode, Header: header, Body: a.head}
 }
 
+// extendWrite gives the caller time to take the next bytes.
+func (h *Handler) extendWrite(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(h.opts.SenderStall))
+}
+
 // sendSaved answers a copy of a request with the first copy's answer.
-func sendSaved(w http.ResponseWriter, s *claim.Saved) {
+func (h *Handler) sendSaved(w http.ResponseWriter, s *claim.Saved) {
+	h.extendWrite(w)
 	copyHeader(w.Header(), s.Header)
 	w.Header().Set(result.VerdictHeader, result.Ran.String())
 	w.Header().Set("Content-Length", strconv.Itoa(len(s.Body)))
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -128,8 +128,7 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf(`greengagelane_requests_total{verdict=%q}`, p.Verdict.String())).Inc()
 	h.events.Add(now, h.Table().Offset, event.Request, key, fmt.Sprintf("%d %s: %s", p.Status, p.Verdict, p.Title))
 	logrus.WithFields(logrus.Fields{"request": key, "verdict": p.Verdict.String()}).Debug(p.Title)
-	rc := http.NewResponseController(w)
-	_ = rc.SetWriteDeadline(now.Add(h.opts.SenderStall))
+	h.extendWrite(w)
 	if p.Status == http.StatusRequestTimeout || p.Status == http.StatusRequestEntityTooLarge {
 		w.Header().Set("Connection", "close")
 	}
@@ -170,7 +169,7 @@
 	case p != nil:
 		return p
 	case saved != nil:
-		sendSaved(w, saved)
+		h.sendSaved(w, saved)
 		return nil
 	}
 	p = h.serveAdmitted(ctx, w, r, pool, grant)
