One transfer of claims at a time, on a connection of its own

Cause: after a change of the membership each heartbeat started another transfer of all claims to a member until one had been acknowledged; five at once in TestOneTransferAtATime (failed before). They held up the claims that shared the connection. Change: one transfer to a member at a time, on its own connection.

--- a/internal/mesh/claims.go
+++ b/internal/mesh/claims.go
@@ -20,7 +20,7 @@
 	claimPause   = 20 * time.Millisecond
 	askLimit     = 100 * time.Millisecond // a holder that has not answered by then is passed over
 	claimRetry   = 1 * time.Second        // when a refused caller comes back
-	transferWait = 2 * time.Second
+	transferWait = 10 * time.Second
 )
 
 type releaseCall struct {
@@ -272,20 +272,24 @@
 // maxOutcomeWait is the longest deadline of a request.
 const maxOutcomeWait = 60 * time.Second
 
-// sendTransfer hands the claims over to a member of this view.
-func (m *Mesh) sendTransfer(ctx context.Context, c *peer.Client, incarnation string) {
+// sendTransfer hands the claims over to a member of this view. One transfer at a
+// time is on its way to a member, on a connection of its own.
+func (m *Mesh) sendTransfer(ctx context.Context, address, incarnation string) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), transferWait)
 	defer cancel()
 	m.mu.Lock()
 	tr := m.table.Transfer()
+	c := m.bulk[address]
+	if c == nil {
+		c = peer.NewClient(address, m.self.Incarnation, m.key)
+		m.bulk[address] = c
+	}
 	m.mu.Unlock()
 	res, err := peer.Call[claim.Transfer, transferAnswer](ctx, c, "transfer", tr)
-	if err != nil || !res.Taken {
-		return
-	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.table.View() == tr.View {
+	delete(m.sending, incarnation)
+	if err == nil && res.Taken && m.table.View() == tr.View {
 		delete(m.unsent, incarnation)
 	}
 }
--- a/internal/mesh/claims_test.go
+++ b/internal/mesh/claims_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math"
 	"net"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -164,3 +166,43 @@
 	}
 	t.Fatal("the id was not free again")
 }
+
+// TestOneTransferAtATime answers many heartbeats while a transfer is under way.
+func TestOneTransferAtATime(t *testing.T) {
+	g := newGroup(t, 2)
+	var transfers, most atomic.Int32
+	release := make(chan struct{})
+	s := peer.NewServer(func() []string { return nil })
+	peer.Handle(s, "beat", g.meshes[1].onBeat)
+	peer.Handle(s, "transfer", func(context.Context, string, *claim.Transfer) (*transferAnswer, error) {
+		most.Store(max(most.Load(), transfers.Add(1)))
+		<-release
+		transfers.Add(-1)
+		return &transferAnswer{Taken: true}, nil
+	})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer s.Close()
+	defer ln.Close()
+	go func() { _ = s.Serve(t.Context(), ln) }()
+	c := peer.NewClient(ln.Addr().String(), "e0", func() string { return "" })
+	var sent sync.WaitGroup
+	for range 5 {
+		sent.Add(1)
+		go func() {
+			defer sent.Done()
+			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+			defer cancel()
+			g.meshes[0].beatOne(ctx, c)
+		}()
+	}
+	sent.Wait()
+	for transfers.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	close(release)
+	assert.Equal(t, most.Load(), int32(1))
+	for g.meshes[0].pendingTransfers() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -45,7 +45,9 @@
 	evidence *Evidence
 	clients  map[string]*peer.Client // by address
 	table    *claim.Table
-	unsent   map[string]bool // members that have not taken the transfer of this view
+	unsent   map[string]bool         // members that have not taken the transfer of this view
+	sending  map[string]bool         // members that a transfer is on its way to
+	bulk     map[string]*peer.Client // by address; for transfers, which would hold up other calls
 	outcomes *claim.Outcomes
 	token    atomic.Uint64
 
@@ -62,6 +64,8 @@
 		clients:  map[string]*peer.Client{},
 		table:    claim.NewTable(self.Incarnation),
 		unsent:   map[string]bool{},
+		sending:  map[string]bool{},
+		bulk:     map[string]*peer.Client{},
 		outcomes: claim.NewOutcomes(),
 	}
 }
@@ -239,14 +243,17 @@
 	}
 	m.mu.Lock()
 	m.evidence.Note(sent, *reply)
-	transfer := m.unsent[reply.Incarnation] && reply.View == m.table.View()
+	transfer := m.unsent[reply.Incarnation] && !m.sending[reply.Incarnation] && reply.View == m.table.View()
+	if transfer {
+		m.sending[reply.Incarnation] = true
+	}
 	m.mu.Unlock()
 	m.refresh(time.Now())
 	if reply.Next > m.store.Next() {
 		m.fetch(ctx, c)
 	}
 	if transfer {
-		m.sendTransfer(ctx, c, reply.Incarnation)
+		go m.sendTransfer(ctx, c.Address(), reply.Incarnation)
 	}
 }
 
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -41,6 +41,9 @@
 	return &Client{address: address, self: self, key: key}
 }
 
+// Address returns the peer's address.
+func (c *Client) Address() string { return c.address }
+
 // Call sends a request and waits for its answer. An error other than
 // RemoteError leaves open whether the call was handled.
 func Call[Req, Res any](ctx context.Context, c *Client, kind string, req *Req) (*Res, error) {
