Read the whole change once more: work done twice, logic that stood twice

A change of the membership copied every claim and threw the copy away, under the lock that claims wait for; SetMembership now only says whether the view is newer. The offered load was added up for a planner that is off by default.

--- a/internal/claim/table.go
+++ b/internal/claim/table.go
@@ -81,11 +81,11 @@
 // Len returns the number of claims.
 func (t *Table) Len() int { return len(t.claims) }
 
-// SetMembership moves the table to a new view and returns what has to be sent to
-// its members, or nil if the view is not newer.
-func (t *Table) SetMembership(now time.Time, s *fleet.State) *Transfer {
+// SetMembership moves the table to a new view, or returns false if the view is
+// not newer. What the table knows then has to be sent to the view's members.
+func (t *Table) SetMembership(now time.Time, s *fleet.State) bool {
 	if s.View <= t.view {
-		return nil
+		return false
 	}
 	t.view = s.View
 	t.members = s.SortedMembers()
@@ -94,7 +94,7 @@
 			t.addPast(now, p)
 		}
 	}
-	return t.Transfer()
+	return true
 }
 
 func (t *Table) findPast(view int64) *pastView {
--- a/internal/claim/table_test.go
+++ b/internal/claim/table_test.go
@@ -116,7 +116,7 @@
 		data, _ := fleet.Encode(w.log[i])
 		n.state.Fold(w.record(i, data))
 	}
-	if tr := n.table.SetMembership(w.now, n.state); tr != nil {
+	if n.table.SetMembership(w.now, n.state) {
 		n.evidence.SetMembers(w.now, n.state)
 	}
 }
--- a/internal/ctrl/driver.go
+++ b/internal/ctrl/driver.go
@@ -118,7 +118,10 @@
 		Seen:    func(vm string, offset int64) time.Time { return d.firstSeen(now, phaseKey{vm, offset}) },
 	}
 	var actions []Action
-	offered := d.Offered(now)
+	var offered map[string]float64
+	if d.Planner != nil {
+		offered = d.Offered(now)
+	}
 	d.Store.View(func(s *fleet.State) {
 		in.State = s
 		actions = Decide(now, in)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -251,10 +251,12 @@
 		if l.Leaving && !w.Leaving() {
 			e.events.Add(time.Now(), e.store.Next(), event.Platform, w.Name, "listed as leaving; gets no new work")
 		}
-		w.SetListed(l.Leaving, !l.Live && !l.Leaving)
+		setListed(w, l)
 	})
 }
 
+func setListed(w *route.Worker, l ctrl.Listed) { w.SetListed(l.Leaving, !l.Live && !l.Leaving) }
+
 // followTable builds a new routing table after each change of what it is made of.
 func (e *Entry) followTable(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -275,7 +277,7 @@
 	e.store.View(func(s *fleet.State) { t, gone = e.registry.Build(s) })
 	for name, l := range e.list {
 		if w := e.registry.Find(name); w != nil {
-			w.SetListed(l.Leaving, !l.Live && !l.Leaving)
+			setListed(w, l)
 		}
 	}
 	e.handler.SetTable(t, gone)
--- a/internal/mesh/claims.go
+++ b/internal/mesh/claims.go
@@ -277,13 +277,9 @@
 func (m *Mesh) sendTransfer(ctx context.Context, address, incarnation string) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), transferWait)
 	defer cancel()
+	c := m.clientIn(m.bulk, address)
 	m.mu.Lock()
 	tr := m.table.Transfer()
-	c := m.bulk[address]
-	if c == nil {
-		c = peer.NewClient(address, m.self.Incarnation, m.key)
-		m.bulk[address] = c
-	}
 	m.mu.Unlock()
 	res, err := peer.Call[claim.Transfer, transferAnswer](ctx, c, "transfer", tr)
 	m.mu.Lock()
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -153,7 +153,7 @@
 		if s.View <= m.table.View() {
 			return
 		}
-		changed = m.table.SetMembership(now, s) != nil
+		changed = m.table.SetMembership(now, s)
 		m.evidence.SetMembers(now, s)
 		members, view = s.SortedMembers(), s.View
 	})
@@ -184,22 +184,21 @@
 	return view, members
 }
 
-// client returns the client for an address. The caller holds the lock.
-func (m *Mesh) client(address string) *peer.Client {
-	c := m.clients[address]
+// clientFor returns the client for calls to an address.
+func (m *Mesh) clientFor(address string) *peer.Client { return m.clientIn(m.clients, address) }
+
+// clientIn returns the client that a map holds for an address.
+func (m *Mesh) clientIn(clients map[string]*peer.Client, address string) *peer.Client {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := clients[address]
 	if c == nil {
 		c = peer.NewClient(address, m.self.Incarnation, m.key)
-		m.clients[address] = c
+		clients[address] = c
 	}
 	return c
 }
 
-func (m *Mesh) clientFor(address string) *peer.Client {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.client(address)
-}
-
 // beat returns this entry's present beat.
 func (m *Mesh) beat() *Beat {
 	b := &Beat{Incarnation: m.self.Incarnation}
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -28,8 +28,8 @@
 
 // Claimer gets a claim for a request id from its holders.
 type Claimer interface {
-	// Claim returns nil if the request may be dispatched, a saved answer of
-	// another copy, or the refusal. The claim is valid until the returned time.
+	// Claim returns the grant to dispatch the request, a saved answer of another
+	// copy, or the refusal.
 	Claim(ctx context.Context, key string) (*Grant, *claim.Saved, *result.Problem)
 }
 
@@ -90,19 +90,20 @@
 
 // Gate returns the admission gate of a pool.
 func (h *Handler) Gate(p *route.Pool) *admit.Gate {
-	if g, ok := h.gates.Load(p.Name); ok {
-		return g.(*admit.Gate)
-	}
-	g, _ := h.gates.LoadOrStore(p.Name, admit.NewGate(1, h.opts.NoAdmission))
-	return g.(*admit.Gate)
+	return loadOr(&h.gates, p.Name, func() *admit.Gate { return admit.NewGate(1, h.opts.NoAdmission) })
 }
 
 func (h *Handler) budget(service string) *admit.RetryBudget {
-	if b, ok := h.budgets.Load(service); ok {
-		return b.(*admit.RetryBudget)
+	return loadOr(&h.budgets, service, func() *admit.RetryBudget { return admit.NewRetryBudget(h.opts.RetryPercent) })
+}
+
+// loadOr returns the value of a key, which it makes if there is none.
+func loadOr[T any](m *sync.Map, key string, newValue func() T) T {
+	if v, ok := m.Load(key); ok {
+		return v.(T)
 	}
-	b, _ := h.budgets.LoadOrStore(service, admit.NewRetryBudget(h.opts.RetryPercent))
-	return b.(*admit.RetryBudget)
+	v, _ := m.LoadOrStore(key, newValue())
+	return v.(T)
 }
 
 // ServeHTTP answers one request.
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -60,14 +60,15 @@
 	return r, r.readHead(w, h.opts)
 }
 
+const notCurrent = "the entry cannot show that its configuration is current"
+
 // notFresh refuses a request on an entry that cannot show that its state is
 // current. Of a request that may run once it cannot know another copy's fate.
 func notFresh(in *http.Request) *result.Problem {
-	const text = "the entry cannot show that its configuration is current"
 	if !isIdempotent(in.Method) && in.Header.Get(result.RequestHeader) != "" {
-		return result.Unknown(http.StatusServiceUnavailable, text)
+		return result.Unknown(http.StatusServiceUnavailable, notCurrent)
 	}
-	return result.Refuse(http.StatusServiceUnavailable, freshRetryAfter, text)
+	return result.Refuse(http.StatusServiceUnavailable, freshRetryAfter, notCurrent)
 }
 
 // serviceName returns the service that a request names in its header, or in the
--- a/internal/proxy/try.go
+++ b/internal/proxy/try.go
@@ -72,7 +72,7 @@
 func (h *Handler) tryOnce(ctx context.Context, r *request, last *route.Worker) (*answer, *route.Worker, *result.Problem) {
 	now := time.Now()
 	if !h.fresh(now) {
-		return nil, nil, result.Refuse(http.StatusServiceUnavailable, freshRetryAfter, "the entry cannot show that its configuration is current")
+		return nil, nil, result.Refuse(http.StatusServiceUnavailable, freshRetryAfter, notCurrent)
 	}
 	w, pool := h.choose(r, now, last)
 	if w == nil {
--- a/internal/tail/log.go
+++ b/internal/tail/log.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -143,5 +142,3 @@
 		return false
 	}
 }
-
-var errNoSnapshot = errors.New("no whole snapshot is kept")
--- a/internal/tail/snapshot.go
+++ b/internal/tail/snapshot.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"strings"
 
@@ -19,6 +20,8 @@
 	chunkBytes     = 256 << 10 // bytes of state in one snapshot record
 )
 
+var errNoSnapshot = errors.New("no whole snapshot is kept")
+
 // chunk is one record of the snapshot stream.
 type chunk struct {
 	Next  int64  `json:"next"` // offset that the snapshot reaches to
