Machines maintained in the spare pool are free once they are back

A spare machine has no VM before or after its maintenance. Change: an order is over once the inventory has shown its machine away and then up. Test: TestMaintainedSpareMachineIsFreeAgain fails without it.

--- a/internal/moves/moves.go
+++ b/internal/moves/moves.go
@@ -63,6 +63,7 @@
 	done   bool // accepted
 	doneAt time.Time
 	fromVM string // the machine's life at the time of the plan
+	away   bool   // the inventory has shown that it is carried out
 }
 
 // wave is a maintenance wave.
@@ -166,10 +167,12 @@
 		switch {
 		case m == nil:
 			delete(p.intents, name)
-		case in.done && m.State == site.Up && (m.VM != in.fromVM || st.now.Sub(in.doneAt) > lost):
+		case in.done && m.State == site.Up && (in.away || m.VM != in.fromVM || st.now.Sub(in.doneAt) > lost):
 			delete(p.intents, name)
 		case !in.sent && (m.State != site.Up || m.VM != in.fromVM):
 			delete(p.intents, name) // the machine failed or left by itself
+		case in.done && m.State != site.Up:
+			in.away = true
 		}
 	}
 }
--- a/internal/moves/moves_test.go
+++ b/internal/moves/moves_test.go
@@ -217,3 +217,40 @@
 	assert.Equal(t, len(f.plan(p, 250, 2000)), 0)
 	assert.Assert(t, p.WaveStates(&f.view)[0].Completed)
 }
+
+// TestMaintainedSpareMachineIsFreeAgain plays the maintenance of spare machines, which
+// have no VM before or after it. They are free for moves once it is over, and the
+// next machines of the wave have their turn.
+func TestMaintainedSpareMachineIsFreeAgain(t *testing.T) {
+	f, p := newFleet(map[string]int{"a": 1, "spare": 2}), newPlanner()
+	for i := range f.view.Machines {
+		if m := &f.view.Machines[i]; m.Pool == "spare" {
+			m.VM = ""
+		}
+	}
+	p.AddWave(at(0), site.Wave{Number: 1, WithinMS: 20_000, AtOnce: 1, Machines: []string{"spare0", "spare1"}}, nil)
+	var begun []string
+	play := func(fromMS, toMS int) {
+		back := map[string]int{}
+		for ms := fromMS; ms <= toMS; ms += 250 {
+			for i := range f.view.Machines {
+				if m := &f.view.Machines[i]; m.State == site.InMaintenance && ms >= back[m.Name] {
+					m.State = site.Up
+				}
+			}
+			for _, o := range p.Plan(at(ms), &f.view) {
+				begun = append(begun, o.Machine)
+				p.Ordered(at(ms), o, site.Accepted, nil)
+				for i := range f.view.Machines {
+					if m := &f.view.Machines[i]; m.Name == o.Machine {
+						m.State, back[m.Name] = site.InMaintenance, ms+2000
+					}
+				}
+			}
+		}
+	}
+	play(0, 5000)
+	assert.DeepEqual(t, begun, []string{"spare0", "spare1"})
+	f.view.Reports["a"].Rate = 100
+	assert.Equal(t, len(f.plan(p, 5250, 5250)), 2, "the machines are still held by their maintenance")
+}
