Waves: slowest machines first, machines coming in do not hold one back

Change: only machines of the pool that are out of service count as away; a wave near its end is not held up by the share; of the busy machines those that take longest to empty go first. The mover logs once a second which machines a wave waits for. Tests: TestWaveTakesAMachineOfAGrowingPool, TestWaveBeginsWithTheMachineThatTakesLongest, TestLateWaveTakesMoreOfAPool fail without it.

--- a/internal/drive/fleet.go
+++ b/internal/drive/fleet.go
@@ -148,13 +148,30 @@
 	record := m.note(orders)
 	m.mu.Unlock()
 	m.give(ctx, orders, record)
-	m.logPools(time.Now())
+	m.logPools(time.Now(), states)
 	m.showWaves(ctx, states)
 }
 
-// readInventory keeps the list of machines current.
+// logWaves writes a few of the machines that a wave still waits for.
+func (m *mover) logWaves(states []moves.WaveState) {
+	const most = 4 // lines a wave
+	for _, s := range states {
+		if s.Completed {
+			continue
+		}
+		open := m.planner.OpenMachines(&m.view, s.Number)
+		for i := range open[:min(most, len(open))] {
+			o := &open[i]
+			logrus.WithFields(logrus.Fields{
+				"wave": s.Number, "open": len(open), "machine": o.Machine, "pool": o.Pool, "state": o.State.String(),
+				"planned": o.Planned, "ordered": o.Ordered, "runs": o.Runs, "lasting": o.Lasting,
+			}).Info("machine awaits its maintenance")
+		}
+	}
+}
+
 // logPools writes what the plan is based on, once a second.
-func (m *mover) logPools(now time.Time) {
+func (m *mover) logPools(now time.Time, states []moves.WaveState) {
 	const every = time.Second
 	if now.Sub(m.loggedAt) < every {
 		return
@@ -162,6 +179,7 @@
 	m.loggedAt = now
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.logWaves(states)
 	for _, s := range m.planner.Summary(&m.view) {
 		logrus.WithFields(logrus.Fields{
 			"pool": s.Pool, "machines": s.Machines, "coming": s.Coming, "empty": s.Empty, "cores-used": int(s.Used),
--- a/internal/moves/moves_test.go
+++ b/internal/moves/moves_test.go
@@ -254,3 +254,45 @@
 	f.view.Reports["a"].Rate = 100
 	assert.Equal(t, len(f.plan(p, 5250, 5250)), 2, "the machines are still held by their maintenance")
 }
+
+// TestWaveTakesAMachineOfAGrowingPool has two machines on their way into a pool. They
+// are no reason to keep a machine of the wave back: the pool has as many in service as
+// before.
+func TestWaveTakesAMachineOfAGrowingPool(t *testing.T) {
+	f, p := newFleet(map[string]int{"a": 4, "spare": 2}), newPlanner()
+	f.view.Reports["a"].Rate = 48
+	f.use("vm-a1", 5, 3)
+	assert.Equal(t, len(f.plan(p, 0, 0)), 2, "both spare machines are to come")
+	p.AddWave(at(250), site.Wave{Number: 1, WithinMS: 20_000, AtOnce: 2, Machines: []string{"a1"}}, nil)
+	f.plan(p, 250, 250)
+	assert.DeepEqual(t, p.Cordons(&f.view, "a"), []string{"vm-a1"})
+}
+
+// TestWaveBeginsWithTheMachineThatTakesLongest has machines that empty at different
+// speeds, one at a time. The one with most tasks that last goes before the others.
+func TestWaveBeginsWithTheMachineThatTakesLongest(t *testing.T) {
+	f, p := newFleet(map[string]int{"a": 4}), newPlanner()
+	f.view.Reports["a"].Rate = 32
+	f.use("vm-a0", 2, 0)
+	f.use("vm-a1", 2, 2)
+	f.use("vm-a2", 7, 7)
+	f.use("vm-a3", 1, 0)
+	p.AddWave(at(0), site.Wave{Number: 1, WithinMS: 20_000, AtOnce: 1, Machines: []string{"a0", "a1", "a2", "a3"}}, nil)
+	f.plan(p, 0, 0)
+	assert.DeepEqual(t, p.Cordons(&f.view, "a"), []string{"vm-a2"})
+}
+
+// TestLateWaveTakesMoreOfAPool has little time left. The share of a pool that may be
+// away gives way to it; the tasks' own budgets still hold at the owner of the pool.
+func TestLateWaveTakesMoreOfAPool(t *testing.T) {
+	f, p := newFleet(map[string]int{"a": 3}), newPlanner()
+	f.view.Reports["a"].Rate = 24
+	for _, vm := range []string{"vm-a0", "vm-a1"} {
+		f.use(vm, 4, 4)
+	}
+	p.AddWave(at(0), site.Wave{Number: 1, WithinMS: 20_000, AtOnce: 2, Machines: []string{"a0", "a1"}}, nil)
+	f.plan(p, 0, 0)
+	assert.Equal(t, len(p.Cordons(&f.view, "a")), 1)
+	f.plan(p, 12_000, 12_000)
+	assert.Equal(t, len(p.Cordons(&f.view, "a")), 2)
+}
--- a/internal/moves/summary.go
+++ b/internal/moves/summary.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"github.com/greengagelane/greengagelane/pkg/site"
 )
@@ -54,3 +55,39 @@
 	}
 	return out
 }
+
+// OpenMachine is a machine whose maintenance has not begun.
+type OpenMachine struct {
+	Machine string
+	Pool    string
+	State   site.MachineState
+	Planned bool // it is kept from new runs until it is empty
+	Ordered bool // the order was given; its outcome is open
+	Runs    int  // -1 if its pool's owner does not know it
+	Lasting int  // runs of tasks that last
+}
+
+// OpenMachines returns the machines of a wave that are still to be maintained.
+func (p *Planner) OpenMachines(v *View, number int64) []OpenMachine {
+	w := p.waves[number]
+	if w == nil {
+		return nil
+	}
+	st := p.read(time.Time{}, v)
+	var list []OpenMachine
+	for _, name := range w.Machines {
+		m := st.all[name]
+		if m == nil || w.done[name] {
+			continue
+		}
+		o := OpenMachine{Machine: name, Pool: m.Pool, State: m.State, Runs: -1}
+		if m.use != nil && m.use.Known {
+			o.Runs, o.Lasting = m.use.Runs, m.use.Lasting
+		}
+		if in := p.intents[name]; in != nil && in.Kind == Maintain {
+			o.Planned, o.Ordered = true, in.sent
+		}
+		list = append(list, o)
+	}
+	return list
+}
--- a/internal/moves/waves.go
+++ b/internal/moves/waves.go
@@ -93,11 +93,11 @@
 		}
 		open = append(open, m)
 	}
-	sort.SliceStable(open, func(i, k int) bool { return p.cost(st, open[i]) < p.cost(st, open[k]) })
+	sort.SliceStable(open, func(i, k int) bool { return st.before(open[i], open[k]) })
 	limit := p.waveLimit(st, w, len(open)+planned)
+	late := p.remaining(st, w) < waveTurn
 	for _, m := range open {
-		idle := p.cost(st, m) == 0
-		if planned >= w.AtOnce || (planned >= limit && !idle) || !p.mayTake(st, m) {
+		if planned >= w.AtOnce || (planned >= limit && !st.idle(m)) || !p.mayTake(st, m, late) {
 			continue
 		}
 		p.intents[m.Name] = &intent{Order: Order{Kind: Maintain, Machine: m.Name, Wave: w.Number}, since: st.now, fromVM: m.VM}
@@ -105,33 +105,52 @@
 	}
 }
 
+// waveTurn is the time to empty a machine with a few tasks that last, to maintain it
+// and to take it back.
+const waveTurn = 5 * time.Second
+
+// remaining returns the time that is left of a wave, less the reserve for machines
+// that empty slowly.
+func (p *Planner) remaining(st *state, w *wave) time.Duration {
+	total := time.Duration(w.WithinMS) * time.Millisecond
+	return total - time.Duration(p.policy.WaveReserve*float64(total)) - st.now.Sub(w.from)
+}
+
 // waveLimit returns how many machines are to be away together so that the wave ends
-// in time, with a reserve for machines that empty slowly.
+// in time.
 func (p *Planner) waveLimit(st *state, w *wave, left int) int {
-	const turn = 5 * time.Second // to empty a machine, maintain it and take it back
-	total := time.Duration(w.WithinMS) * time.Millisecond
-	remaining := total - time.Duration(p.policy.WaveReserve*float64(total)) - st.now.Sub(w.from)
-	if remaining < turn {
+	remaining := p.remaining(st, w)
+	if remaining < waveTurn {
 		return w.AtOnce
 	}
-	need := int(float64(left)/(float64(remaining)/float64(turn))) + 1
+	need := int(float64(left)/(float64(remaining)/float64(waveTurn))) + 1
 	return min(need, w.AtOnce)
 }
 
-// cost is how much a machine's maintenance disturbs: 0 for an idle one.
-func (p *Planner) cost(st *state, m *machine) int {
-	if st.pools[m.Pool].Spare {
-		return 0
+// idle reports whether a machine's maintenance disturbs nothing.
+func (st *state) idle(m *machine) bool {
+	return st.pools[m.Pool].Spare || (m.use != nil && m.use.Runs == 0)
+}
+
+// before orders the machines of a wave: idle ones, then those that take longest to
+// empty, since tasks that last leave one after the other.
+func (st *state) before(a, b *machine) bool {
+	if x, y := st.idle(a), st.idle(b); x != y {
+		return x
 	}
-	if m.use == nil {
-		return 1 << 20
+	if a.use == nil || b.use == nil {
+		return a.use != nil && b.use == nil
 	}
-	const lasting = 1000 // a task that lasts must be back at work before the next may go
-	return m.use.Runs + lasting*m.use.Lasting
+	if a.use.Lasting != b.use.Lasting {
+		return a.use.Lasting > b.use.Lasting
+	}
+	return a.use.Runs < b.use.Runs
 }
 
-// mayTake reports whether a pool can spare a machine for maintenance now.
-func (p *Planner) mayTake(st *state, m *machine) bool {
+// mayTake reports whether a pool can spare a machine for maintenance now. Machines on
+// their way into the pool do not count as away, and a late wave is not held up by the
+// share.
+func (p *Planner) mayTake(st *state, m *machine, late bool) bool {
 	if st.pools[m.Pool].Spare {
 		return true
 	}
@@ -139,11 +158,15 @@
 		return false
 	}
 	total, away := 0, 0
-	for _, x := range st.by[m.Pool] {
+	for i := range st.view.Machines {
+		x := &st.view.Machines[i]
+		if x.Pool != m.Pool || x.State == site.Moving {
+			continue
+		}
 		total++
 		if x.State != site.Up || p.intents[x.Name] != nil {
 			away++
 		}
 	}
-	return away < max(1, int(p.policy.Share*float64(total)))
+	return late || away < max(1, int(p.policy.Share*float64(total)))
 }
