Soak of real processes against the emulated platform; late work gets a machine where nothing else runs

standin soak starts entries as processes, harms them from outside (signals, links that hold, delay, reset or lose, the log, VMs, configuration, waves) and checks the promises while it runs. The emulator guards capacity, carries orders out late, drifts clocks, judges orders for machines. Now one machine comes where late work waits and nothing that ends by itself runs. Test: TestLateWorkGetsAMachineWhereNothingElseRuns.

--- a/internal/drive/node.go
+++ b/internal/drive/node.go
@@ -62,7 +62,7 @@
 // New returns a node that is not running yet.
 func New(set *site.Settings) *Node {
 	return &Node{
-		set: set, started: time.Now(), address: set.PeerAddress(), self: set.Entry + "-" + uuid.NewString()[:8],
+		set: set, started: time.Now(), address: set.AnnouncedAddress(), self: set.Entry + "-" + uuid.NewString()[:8],
 		policy: schedPolicy(set),
 		shards: map[int]*shard{}, peers: map[string]*peer.Client{}, servers: map[string]site.VM{}, waves: map[int64]site.Wave{}, moved: map[string]time.Time{},
 		refresh: make(chan struct{}, 1), aborted: make(chan struct{}),
@@ -78,7 +78,7 @@
 	ps := peer.NewServer(func() []string { return nil })
 	n.handlePeers(ps)
 	n.handleAdmin(ps)
-	ln, err := net.Listen("tcp", n.address)
+	ln, err := net.Listen("tcp", n.set.PeerAddress())
 	if err != nil {
 		return fmt.Errorf("listen for entries: %w", err)
 	}
--- a/internal/moves/demand.go
+++ b/internal/moves/demand.go
@@ -155,6 +155,7 @@
 
 func (p *Planner) balance(st *state, name string, r *sched.Report) *balance {
 	b := &balance{pool: name}
+	coming := false
 	for _, m := range st.by[name] {
 		in := p.intents[m.Name]
 		if m.State == site.Down || (in != nil && in.Kind == Maintain) {
@@ -163,6 +164,7 @@
 		b.have += float64(m.CPU) / 1000
 		b.left++
 		if in != nil || m.State != site.Up || m.Pool != name || m.use == nil || !m.use.Known {
+			coming = true
 			continue
 		}
 		switch {
@@ -178,6 +180,9 @@
 	if b.left > 0 && b.left < r.MinVMs {
 		b.want = math.Max(b.want, b.have/float64(b.left)*float64(r.MinVMs))
 	}
+	if r.Late > 0 && r.Used == 0 && !coming && len(b.idle) == 0 && b.left > 0 {
+		b.want = math.Max(b.want, b.have+b.have/float64(b.left)) // late work, and nothing else, waits for room
+	}
 	b.keep = p.recent(st.now, name, b.want)
 	b.least = max(r.MinVMs, p.policy.MinPerPool)
 	sort.SliceStable(b.busy, func(i, k int) bool { return b.busy[i].use.CPU < b.busy[k].use.CPU })
--- a/internal/moves/moves_test.go
+++ b/internal/moves/moves_test.go
@@ -296,3 +296,22 @@
 	f.plan(p, 12_000, 12_000)
 	assert.Equal(t, len(p.Cordons(&f.view, "a")), 2)
 }
+
+// TestLateWorkGetsAMachineWhereNothingElseRuns has a pool whose machines are full of
+// tasks that last while a job that has missed its objective waits. It gets one machine,
+// and no second one while the first is on its way. A soak without faults (seed 1) left
+// such jobs waiting for good.
+func TestLateWorkGetsAMachineWhereNothingElseRuns(t *testing.T) {
+	f, p := newFleet(map[string]int{"a": 2, "spare": 3}), newPlanner()
+	r := f.view.Reports["a"]
+	r.Lasting, r.Late = 15, 1
+	f.use("vm-a0", 5, 5)
+	f.use("vm-a1", 5, 5)
+	orders := f.plan(p, 0, 750)
+	assert.Equal(t, len(orders), 1)
+	f.moved(orders[0])
+	p.Ordered(at(800), orders[0], site.Accepted, nil)
+	r.Used, r.Late = 1, 0
+	f.use(r.VMs[2].ID, 1, 0)
+	assert.Equal(t, len(f.plan(p, 1000, 3000)), 0)
+}
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -15,6 +15,7 @@
 	MinVMs  int     // VMs that the tasks that last need at least, by their spread
 	Waiting float64 // core-seconds of tasks that could start and are still in time
 	Width   float64 // cores that these tasks could use at once
+	Late    float64 // core-seconds of tasks that could start, of jobs past their objective
 	Rate    float64 // core-seconds that callers offer a second, with what is refused
 	VMs     []VMReport
 }
@@ -58,23 +59,26 @@
 				r.Lasting += float64(st.Count) * shape.cores(st)
 			}
 		}
-		if j.Repeat > 0 || !now.After(j.due) {
-			s.addDemand(j, shape, r)
-		}
+		s.addDemand(j, shape, r, j.Repeat > 0 || !now.After(j.due))
 	}
 	r.MinVMs = shape.pack(lasting)
 	return r
 }
 
-func (s *Shard) addDemand(j *job, shape room, r *Report) {
+func (s *Shard) addDemand(j *job, shape room, r *Report, inTime bool) {
 	for _, o := range j.occs {
 		for _, st := range o.steps {
 			if st.Lasts || !o.ready(st) {
 				continue
 			}
 			cores := float64(st.idle) * shape.cores(st.Step)
+			work := cores * float64(st.EstimateMS) / 1000 * s.pool(j.Pool).ratio
+			if !inTime {
+				r.Late += work
+				continue
+			}
 			r.Width += cores
-			r.Waiting += cores * float64(st.EstimateMS) / 1000 * s.pool(j.Pool).ratio
+			r.Waiting += work
 		}
 	}
 }
--- a/internal/stand/emul/operator.go
+++ b/internal/stand/emul/operator.go
@@ -6,20 +6,34 @@
 	"strings"
 )
 
+// Queue is a queue of the configuration: its path is /Name/ at host h.example.
+type Queue struct{ Name, Pool string }
+
+// MaxAttempts is how often a task may fail.
+const MaxAttempts = 3
+
 // Configure writes a configuration as the operator would: one queue at host h.example
 // under /q/, whose jobs run in pool, and a spare pool named rest.
 func (w *World) Configure(version int64, pool string, pools ...string) error {
+	return w.ConfigureQueues(version, []Queue{{"q", pool}}, pools)
+}
+
+// ConfigureQueues writes a configuration with these queues and pools, and a spare pool
+// named rest.
+func (w *World) ConfigureQueues(version int64, queues []Queue, pools []string) error {
 	services := []map[string]any{{"name": "rest", "spare": true}}
 	for _, p := range pools {
 		services = append(services, map[string]any{"name": p, "rejectsOverload": true})
 	}
+	var routes []map[string]any
+	for _, q := range queues {
+		routes = append(routes, map[string]any{
+			"name": q.Name, "host": "h.example", "pathPrefix": "/" + q.Name + "/", "service": q.Pool, "timeoutMs": 3000,
+			"targetRuntimeMs": 600, "maxAttempts": MaxAttempts, "stretch": 1.6,
+		})
+	}
 	data, err := json.Marshal(map[string]any{
-		"version": version,
-		"routes": []map[string]any{{
-			"name": "q", "host": "h.example", "pathPrefix": "/q/", "service": pool, "timeoutMs": 3000,
-			"targetRuntimeMs": 600, "maxAttempts": 3, "stretch": 1.6,
-		}},
-		"services": services, "limits": map[string]any{"maxBodyBytes": 262144},
+		"version": version, "routes": routes, "services": services, "limits": map[string]any{"maxBodyBytes": 262144},
 	})
 	if err != nil {
 		return err
@@ -34,6 +48,9 @@
 	if err != nil {
 		return err
 	}
+	w.mu.Lock()
+	w.waves[int64(number)] = &waveUnderWay{atOnce: atOnce}
+	w.mu.Unlock()
 	w.Store.Put("keyed.op", fmt.Sprintf("wave/%d", number), data)
 	return nil
 }
--- a/internal/stand/emul/store.go
+++ b/internal/stand/emul/store.go
@@ -27,6 +27,8 @@
 	count   int            // partitions of a topic
 	Down    bool           // answers 503 to all calls
 	LoseOne bool           // carries the next append out and does not answer it
+	Lose    int            // percent of the appends that are carried out and not answered
+	Delay   time.Duration  // before each call is carried out
 	Appends int
 }
 
@@ -100,8 +102,9 @@
 // ServeHTTP answers the log's calls.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	down := s.Down
+	down, delay := s.Down, s.Delay
 	s.mu.Unlock()
+	time.Sleep(delay)
 	if down {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -139,7 +142,7 @@
 	}
 	status, answer := s.doAppend(r, body)
 	s.mu.Lock()
-	lose := s.LoseOne && status == http.StatusOK
+	lose := status == http.StatusOK && (s.LoseOne || s.Appends*37%100 < s.Lose)
 	if lose {
 		s.LoseOne = false
 	}
--- a/internal/stand/emul/worker.go
+++ b/internal/stand/emul/worker.go
@@ -2,83 +2,33 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 )
 
-// Ran is one run of a task, as the VM saw it.
-type Ran struct {
-	Task  string
-	Run   int64
-	VM    string
-	Start time.Time
-	End   time.Time // zero while it runs
-	How   string
-	Noted bool // the end was acknowledged
-}
-
-// Ledger is what ran on all VMs.
-type Ledger struct {
-	mu   sync.Mutex
-	runs []*Ran
-}
-
-// Runs returns a copy of the record.
-func (l *Ledger) Runs() []Ran {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	out := make([]Ran, len(l.runs))
-	for i, r := range l.runs {
-		out[i] = *r
-	}
-	return out
-}
-
-func (l *Ledger) add(r *Ran) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.runs = append(l.runs, r)
-}
-
-func (l *Ledger) end(r *Ran, how string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	r.End, r.How = time.Now(), how
-}
-
-// Broken returns the first breach of at most one run of a task at a time, and of no
-// start after a done end was noted.
-func (l *Ledger) Broken() string {
-	runs := l.Runs()
-	for i := range runs {
-		for k := range runs {
-			a, b := &runs[i], &runs[k]
-			if i == k || a.Task != b.Task || b.Start.Before(a.Start) {
-				continue
-			}
-			if a.End.IsZero() || b.Start.Before(a.End) {
-				return fmt.Sprintf("%s: run %d on %s began while run %d on %s went on", a.Task, b.Run, b.VM, a.Run, a.VM)
-			}
-			if a.How == "done" && a.Noted {
-				return fmt.Sprintf("%s: run %d on %s began after run %d was done", a.Task, b.Run, b.VM, a.Run)
-			}
-		}
-	}
-	return ""
+// Task is what the emulator knows of a task, which no order says.
+type Task struct {
+	CPU   int           // thousandths of a core
+	For   time.Duration // how long it takes
+	Lasts bool          // it ends when it is stopped
+	Fails int           // so many of its runs fail by themselves
 }
 
 // Worker emulates one VM.
 type Worker struct {
 	ID      string
 	Pool    string
+	Machine string
+	address string // that the VM list names
+	lookup  func(task string) Task
 	ledger  *Ledger
 	ln      net.Listener
 	server  *http.Server
 	born    time.Time
-	workFor time.Duration // of each task
+	drift   float64 // its clock is so much slower
+	used    int     // thousandths of a core
 	mu      sync.Mutex
 	fence   int64
 	lease   time.Time
@@ -89,11 +39,19 @@
 	wake    chan struct{}
 	quit    chan struct{} // closed at the end of this life
 	Mute    bool          // swallows orders without an answer
+	Late    time.Duration // carries orders out so much later, without an answer
 	Fails   bool          // fails all that it starts
 }
 
+const (
+	vmCPU   = 8000  // thousandths of a core
+	vmMemMB = 16000 // of memory
+	clockMS = 1000  // of a VM at its start
+)
+
 type active struct {
 	ran   *Ran
+	task  Task
 	timer *time.Timer
 }
 
@@ -105,14 +63,14 @@
 	ran  *Ran
 }
 
-// NewWorker starts a VM on a free port of loopback; each task takes workFor.
-func NewWorker(id, pool string, l *Ledger, workFor time.Duration) (*Worker, error) {
+// NewWorker starts a VM of a machine on a free port of loopback.
+func NewWorker(id, machine, pool string, l *Ledger, lookup func(task string) Task) (*Worker, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	w := &Worker{
-		ID: id, Pool: pool, ledger: l, ln: ln, born: time.Now(), workFor: workFor,
+		ID: id, Machine: machine, Pool: pool, address: ln.Addr().String(), ledger: l, ln: ln, born: time.Now(), lookup: lookup,
 		running: map[string]*active{}, highest: map[string]int64{}, wake: make(chan struct{}), quit: make(chan struct{}),
 	}
 	w.server = &http.Server{Handler: w, ReadHeaderTimeout: time.Minute}
@@ -124,8 +82,8 @@
 // Report is what the VM writes of itself into the platform's log.
 func (w *Worker) Report(state string) []byte {
 	data, err := json.Marshal(map[string]any{
-		"service": w.Pool, "address": w.ln.Addr().String(), "zone": "z", "state": state, "slots": 8,
-		"capacity": map[string]int{"cpu": 8000, "memMb": 16000}, "labels": []string{"a", "r1-1"}, "born": w.born.UnixMilli(),
+		"service": w.Pool, "address": w.address, "zone": "z", "state": state, "slots": 8,
+		"capacity": map[string]int{"cpu": vmCPU, "memMb": vmMemMB}, "labels": []string{"a", "r1-1"}, "born": w.born.UnixMilli(),
 	})
 	if err != nil {
 		return nil
@@ -133,20 +91,22 @@
 	return data
 }
 
-// Kill ends the VM and all that runs on it.
-func (w *Worker) Kill() {
+// Kill ends the VM and all that runs on it; how is noted of the runs.
+func (w *Worker) Kill(how string) {
 	w.server.Close()
 	close(w.quit)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for name, a := range w.running {
 		a.timer.Stop()
-		w.ledger.end(a.ran, "gone")
+		w.ledger.end(a.ran, how, w.sound())
 		delete(w.running, name)
 	}
 }
 
-func (w *Worker) clock() int64 { return time.Since(w.born).Milliseconds() + 1000 }
+func (w *Worker) clock() int64 {
+	return int64(float64(time.Since(w.born).Milliseconds())*(1-w.drift)) + clockMS
+}
 
 func (w *Worker) expire() {
 	const tick = 20 * time.Millisecond
@@ -168,6 +128,9 @@
 	}
 }
 
+// sound reports whether the VM has no fault; w.mu is held.
+func (w *Worker) sound() bool { return !w.Mute && !w.Fails && w.Late == 0 }
+
 // finish ends a run; w.mu is held.
 func (w *Worker) finish(name, how string) {
 	a := w.running[name]
@@ -176,7 +139,8 @@
 	}
 	a.timer.Stop()
 	delete(w.running, name)
-	w.ledger.end(a.ran, how)
+	w.used -= a.task.CPU
+	w.ledger.end(a.ran, how, w.sound())
 	w.n++
 	w.ends = append(w.ends, endRow{w.n, name, a.ran.Run, how, a.ran})
 	w.highest[name] = max(w.highest[name], a.ran.Run)
@@ -189,6 +153,7 @@
 	Run     int64  `json:"run"`
 	UntilMS int64  `json:"untilMs"`
 	Fence   int64  `json:"fence"`
+	Spec    string `json:"spec"`
 	Cursor  int64  `json:"ackCursor"`
 	WaitMS  int64  `json:"waitMs"`
 }
@@ -205,23 +170,55 @@
 		return
 	}
 	w.mu.Lock()
+	order := r.URL.Path != "/v1/hold"
+	mute, late := w.Mute && order, w.Late
+	w.mu.Unlock()
+	if late > 0 && order {
+		path := r.URL.Path
+		time.AfterFunc(late, func() { w.serve(&nobody{}, nil, path, &b) })
+		mute = true
+	}
+	if mute {
+		<-r.Context().Done()
+		return
+	}
+	w.serve(rw, r, r.URL.Path, &b)
+}
+
+// nobody is a caller that has left.
+type nobody struct{}
+
+// Header makes nobody a response writer.
+func (*nobody) Header() http.Header { return http.Header{} }
+
+// Write makes nobody a response writer.
+func (*nobody) Write(p []byte) (int, error) { return len(p), nil }
+
+// WriteHeader makes nobody a response writer.
+func (*nobody) WriteHeader(int) {}
+
+func (w *Worker) serve(rw http.ResponseWriter, r *http.Request, path string, b *orderBody) {
+	w.mu.Lock()
+	select {
+	case <-w.quit:
+		w.mu.Unlock()
+		return
+	default:
+	}
 	if b.Fence < w.fence {
 		w.mu.Unlock()
 		w.refuse(rw, "fence")
 		return
 	}
 	w.fence = b.Fence
-	mute := w.Mute && r.URL.Path != "/v1/hold"
 	w.mu.Unlock()
-	switch {
-	case mute:
-		<-r.Context().Done()
-	case r.URL.Path == "/v1/run-start":
-		w.start(rw, &b)
-	case r.URL.Path == "/v1/run-stop":
-		w.stop(rw, &b)
-	case r.URL.Path == "/v1/hold":
-		w.hold(rw, r, &b)
+	switch path {
+	case "/v1/run-start":
+		w.start(rw, b)
+	case "/v1/run-stop":
+		w.stop(rw, b)
+	case "/v1/hold":
+		w.hold(rw, r, b)
 	default:
 		reply(rw, map[string]any{"clockMs": w.clock()})
 	}
@@ -234,7 +231,8 @@
 
 // renew extends the leases; w.mu is held.
 func (w *Worker) renew(untilMS int64) {
-	if until := w.born.Add(time.Duration(untilMS-1000) * time.Millisecond); untilMS > 0 && until.After(w.lease) {
+	left := time.Duration(float64(untilMS-w.clock())/(1-w.drift)) * time.Millisecond
+	if until := time.Now().Add(left); untilMS > 0 && until.After(w.lease) {
 		w.lease = until
 	}
 }
@@ -252,23 +250,40 @@
 		return
 	case w.running[b.Task] != nil:
 	default:
-		ran := &Ran{Task: b.Task, Run: b.Run, VM: w.ID, Start: time.Now()}
-		w.ledger.add(ran)
-		how := "done"
-		if w.Fails {
-			how = "failed"
+		task := w.lookup(b.Task)
+		if w.used+task.CPU > vmCPU {
+			w.refuse(rw, "room")
+			return
 		}
-		w.running[b.Task] = &active{ran: ran, timer: time.AfterFunc(w.workFor, func() {
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			if a := w.running[b.Task]; a != nil && a.ran == ran {
-				w.finish(b.Task, how)
-			}
-		})}
+		w.run(b, task)
 	}
 	reply(rw, map[string]any{"clockMs": w.clock()})
 }
 
+// run begins a task; w.mu is held.
+func (w *Worker) run(b *orderBody, task Task) {
+	ran := &Ran{Task: b.Task, Run: b.Run, VM: w.ID, Spec: b.Spec, Lasts: task.Lasts, Start: time.Now()}
+	failed := w.ledger.add(ran)
+	how := "done"
+	if w.Fails || failed < task.Fails {
+		how = "failed"
+	}
+	a := &active{ran: ran, task: task}
+	w.used += task.CPU
+	w.running[b.Task] = a
+	long := task.For
+	if task.Lasts {
+		long = time.Hour
+	}
+	a.timer = time.AfterFunc(long, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.running[b.Task] == a {
+			w.finish(b.Task, how)
+		}
+	})
+}
+
 func (w *Worker) stop(rw http.ResponseWriter, b *orderBody) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -300,7 +315,11 @@
 	defer w.mu.Unlock()
 	running, ended := [][]any{}, [][]any{}
 	for name, a := range w.running {
-		running = append(running, []any{name, a.ran.Run, "", 50, 1000})
+		percent := 50
+		if a.task.Lasts {
+			percent = 100
+		}
+		running = append(running, []any{name, a.ran.Run, "", percent, 1000})
 	}
 	for _, e := range w.ends {
 		ended = append(ended, []any{e.n, e.task, e.run, e.how, ""})
--- a/internal/stand/emul/world.go
+++ b/internal/stand/emul/world.go
@@ -10,19 +10,32 @@
 	"time"
 )
 
+// Options are how a platform is to be.
+type Options struct {
+	Pools    map[string]int // machines
+	MoveTime time.Duration  // a machine is away for a move or its maintenance
+	// Lookup tells what no order says of a task.
+	Lookup func(task string) Task
+	// Address returns where a VM is to be reached, nil for where it listens.
+	Address func(vm, listens string) (string, error)
+	Drift   float64 // of the clock of every third VM, which is so much slower
+}
+
 // World is a platform with machines in pools.
 type World struct {
 	Store    *Store
 	Ledger   *Ledger
 	LogAddr  string
 	FleetAt  string
-	workFor  time.Duration
-	moveTime time.Duration
+	opts     Options
 	mu       sync.Mutex
 	machines map[string]*machine
-	fences   map[string]int64 // highest fencing token, by machine
+	fences   map[string]int64  // highest fencing token, by machine
+	holders  map[string]string // of an order, by machine and fencing token
+	waves    map[int64]*waveUnderWay
 	lives    int
 	Orders   []string // accepted orders for machines
+	Breaches []string // orders that no mover may give
 	servers  []*http.Server
 	quit     chan struct{}
 }
@@ -34,11 +47,22 @@
 	vm    *Worker
 }
 
+// waveUnderWay counts the machines that are away for a wave.
+type waveUnderWay struct {
+	atOnce, away int
+}
+
 // NewWorld starts a platform whose pools have so many machines; each task takes
 // workFor.
 func NewWorld(pools map[string]int, workFor time.Duration) (*World, error) {
+	const moveTime = 200 * time.Millisecond
+	return Start(Options{Pools: pools, MoveTime: moveTime, Lookup: func(string) Task { return Task{For: workFor} }})
+}
+
+// Start starts a platform.
+func Start(o Options) (*World, error) {
 	w := &World{
-		Store: NewStore(4), Ledger: &Ledger{}, workFor: workFor, moveTime: 200 * time.Millisecond,
+		Store: NewStore(4), Ledger: &Ledger{}, opts: o, waves: map[int64]*waveUnderWay{}, holders: map[string]string{},
 		machines: map[string]*machine{}, fences: map[string]int64{}, quit: make(chan struct{}),
 	}
 	var err error
@@ -48,7 +72,7 @@
 	if w.FleetAt, err = w.listen(http.HandlerFunc(w.serveFleet)); err != nil {
 		return nil, err
 	}
-	for pool, n := range pools {
+	for pool, n := range o.Pools {
 		for i := range n {
 			m := &machine{name: fmt.Sprintf("m-%s-%d", pool, i), pool: pool, state: "up"}
 			w.machines[m.name] = m
@@ -79,7 +103,7 @@
 		s.Close()
 	}
 	for _, vm := range w.VMs() {
-		vm.Kill()
+		vm.Kill("gone")
 	}
 }
 
@@ -99,10 +123,18 @@
 // boot starts a new life of a machine.
 func (w *World) boot(m *machine) error {
 	w.lives++
-	vm, err := NewWorker(fmt.Sprintf("i-%d", w.lives), m.pool, w.Ledger, w.workFor)
+	vm, err := NewWorker(fmt.Sprintf("i-%d", w.lives), m.name, m.pool, w.Ledger, w.opts.Lookup)
 	if err != nil {
 		return err
 	}
+	if w.opts.Address != nil {
+		if vm.address, err = w.opts.Address(vm.ID, vm.address); err != nil {
+			return err
+		}
+	}
+	if w.lives%3 == 0 {
+		vm.drift = w.opts.Drift
+	}
 	m.vm, m.state = vm, "up"
 	w.Store.Put("keyed.servers", vm.ID, vm.Report("ready"))
 	return nil
@@ -114,13 +146,27 @@
 	defer w.mu.Unlock()
 	for _, m := range w.machines {
 		if m.vm == vm {
-			vm.Kill()
+			vm.Kill("gone")
 			m.vm, m.state = nil, "down"
 			time.AfterFunc(500*time.Millisecond, func() { w.Store.Put("keyed.servers", vm.ID, nil) })
 		}
 	}
 }
 
+// Repair starts a new life on each machine that is down.
+func (w *World) Repair() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, m := range w.machines {
+		if m.state == "down" {
+			if err := w.boot(m); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 // beat renews the VMs' entries, as they do themselves.
 func (w *World) beat() {
 	ticker := time.NewTicker(500 * time.Millisecond)
@@ -149,7 +195,7 @@
 			}
 			rows = append(rows, map[string]any{
 				"machine": m.name, "pool": m.pool, "state": m.state, "zone": "z", "labels": []string{"a", "r1-1"},
-				"capacity": map[string]int{"cpu": 8000, "memMb": 16000}, "id": id,
+				"capacity": map[string]int{"cpu": vmCPU, "memMb": vmMemMB}, "id": id,
 			})
 		}
 		reply(rw, map[string]any{"machines": rows, "nextToken": nil})
@@ -181,9 +227,10 @@
 		reply(rw, map[string]string{"reason": "busy"})
 		return
 	}
+	w.judge(b.Machine, b.Wave, fence, r.Header.Get("X-Lease-Holder"))
 	w.fences[b.Machine] = fence
 	w.Orders = append(w.Orders, fmt.Sprintf("%s %s %d", b.Machine, b.Pool, b.Wave))
-	m.vm.Kill()
+	m.vm.Kill("ordered away")
 	w.Store.Put("keyed.servers", m.vm.ID, nil)
 	m.vm, m.state = nil, "moving"
 	if b.Pool == "" {
@@ -191,18 +238,45 @@
 	} else {
 		m.pool = b.Pool
 	}
-	time.AfterFunc(w.moveTime, func() {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		select {
-		case <-w.quit:
-		default:
-			_ = w.boot(m) // without a port the machine stays away, which its test will see
-		}
-	})
+	time.AfterFunc(w.opts.MoveTime, func() { w.back(m, b.Wave) })
 	reply(rw, struct{}{})
 }
 
+// back ends an order for a machine.
+func (w *World) back(m *machine, wave int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if x := w.waves[wave]; x != nil {
+		x.away--
+	}
+	select {
+	case <-w.quit:
+	default:
+		_ = w.boot(m) // without a port the machine stays away, which its test will see
+	}
+}
+
+// judge notes orders that no mover may give; w.mu is held.
+func (w *World) judge(machine string, wave, fence int64, holder string) {
+	key := fmt.Sprintf("%s %d", machine, fence)
+	if first := w.holders[key]; first != "" && first != holder {
+		w.Breaches = append(w.Breaches, fmt.Sprintf("%s and %s order %s with the fencing token %d", first, holder, machine, fence))
+	}
+	w.holders[key] = holder
+	if x := w.waves[wave]; x != nil {
+		if x.away++; x.away > x.atOnce {
+			w.Breaches = append(w.Breaches, fmt.Sprintf("wave %d: %d machines are away, %d may be", wave, x.away, x.atOnce))
+		}
+	}
+}
+
+// Breached returns orders that no mover may give.
+func (w *World) Breached() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]string(nil), w.Breaches...)
+}
+
 // Accepted returns the accepted orders.
 func (w *World) Accepted() []string {
 	w.mu.Lock()
--- /dev/null
+++ b/internal/stand/soak.go
@@ -0,0 +1,32 @@
+package stand
+
+import (
+	"flag"
+	"fmt"
+	"time"
+
+	"github.com/greengagelane/greengagelane/internal/stand/soak"
+	"github.com/greengagelane/greengagelane/internal/verb"
+)
+
+func newSoakVerb(fs *flag.FlagSet) verb.Action {
+	cfg := soak.Config{}
+	fs.Uint64Var(&cfg.Seed, "seed", 1, "first seed")
+	seeds := fs.Int("seeds", 1, "number of seeds")
+	fs.DurationVar(&cfg.Length, "length", 20*time.Second, "time with faults, of each seed")
+	fs.IntVar(&cfg.Entries, "entries", 4, "number of entries")
+	fs.IntVar(&cfg.Callers, "callers", 6, "number of callers")
+	fs.StringVar(&cfg.Program, "program", "bin/greengagelane", "program of an entry")
+	fs.StringVar(&cfg.Dir, "dir", "out/soak", "folder for settings and logs; those of a seed that broke nothing are removed")
+	fs.BoolVar(&cfg.Calm, "calm", false, "without faults")
+	return func(out *verb.IO, _ []string) error {
+		broken, err := soak.PlaySeeds(cfg, *seeds, out.Out)
+		if err != nil {
+			return err
+		}
+		if broken > 0 {
+			return fmt.Errorf("%d of %d seeds broke a promise; their logs are in %s", broken, *seeds, cfg.Dir)
+		}
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/stand/soak/soak.go
@@ -0,0 +1,433 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/greengagelane/greengagelane/internal/stand/emul"
+)
+
+const (
+	deadline      = 3 * time.Second // of a caller's request
+	shutdownGrace = 6 * time.Second // from SIGTERM to SIGKILL
+	holdMS        = 10_000          // longest lease
+	moveTime      = 500 * time.Millisecond
+	checkEvery    = 300 * time.Millisecond
+	settleLimit   = 60 * time.Second // for all jobs to end once nothing is harmed any more
+	lateFor       = 12 * time.Second // an order on its way to a harmed VM may arrive so late
+)
+
+// Config says what to play.
+type Config struct {
+	Seed    uint64
+	Length  time.Duration // of the time with faults
+	Entries int
+	Callers int
+	Program string // path of the program
+	Dir     string // for settings and logs
+	Calm    bool   // without faults
+}
+
+// Run is one run of the soak.
+type Run struct {
+	cfg     Config
+	out     io.Writer
+	began   time.Time
+	world   *emul.World
+	entries []*Entry
+	book    *Book
+	queues  []emul.Queue
+
+	mu       sync.Mutex
+	breaches []string
+	links    map[string]*Link     // of VMs
+	late     map[string]time.Time // VMs with orders that may come late
+	ready    []*Entry
+	version  int64
+	waves    int
+	played   int
+}
+
+var pools = []string{"alpha", "beta"}
+
+// Play plays one seed. It returns the broken promises; what happened goes to out.
+func Play(cfg Config, out io.Writer) ([]string, error) {
+	run := &Run{
+		cfg: cfg, out: out, began: time.Now(), book: &Book{jobs: map[string]*Job{}}, links: map[string]*Link{}, late: map[string]time.Time{},
+		queues: []emul.Queue{{Name: "qa", Pool: "alpha"}, {Name: "qb", Pool: "beta"}},
+	}
+	defer run.close()
+	if err := run.start(); err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go run.balance(ctx)
+	if !run.await(run.allReady) {
+		return nil, fmt.Errorf("seed %d: entries are not ready within %s; logs in %s", cfg.Seed, settleLimit, cfg.Dir)
+	}
+	var checks sync.WaitGroup
+	checks.Add(1)
+	go func() {
+		defer checks.Done()
+		for ctx.Err() == nil {
+			run.checkRuns()
+			pause(ctx, checkEvery)
+		}
+	}()
+	callers := run.load()
+	run.settle(callers)
+	stop()
+	checks.Wait()
+	run.checkRuns()
+	for _, e := range run.entries {
+		for _, c := range e.Crashes {
+			run.breach("%s", c)
+		}
+	}
+	run.summary()
+	return run.breaches, nil
+}
+
+func (run *Run) start() error {
+	var err error
+	run.world, err = emul.Start(emul.Options{
+		Pools: map[string]int{"alpha": 4, "beta": 4, "rest": 3}, MoveTime: moveTime, Lookup: run.book.Lookup, Address: run.linkVM, Drift: 0.02,
+	})
+	if err != nil {
+		return err
+	}
+	run.configure()
+	for i := range run.cfg.Entries {
+		e, err := newEntry(fmt.Sprintf("entry-%d", i+1), run.cfg.Program, run.cfg.Dir, run.world.LogAddr, run.world.FleetAt)
+		if err != nil {
+			return err
+		}
+		run.entries = append(run.entries, e)
+		if err := e.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (run *Run) close() {
+	for _, e := range run.entries {
+		e.close()
+	}
+	if run.world != nil {
+		run.world.Close()
+	}
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	for _, l := range run.links {
+		l.Close()
+	}
+}
+
+// load has callers work while faults come, and returns the callers.
+func (run *Run) load() []*caller {
+	ctx, stop := context.WithTimeout(context.Background(), run.cfg.Length)
+	defer stop()
+	var callers []*caller
+	var work sync.WaitGroup
+	for i := range run.cfg.Callers {
+		c := newCaller(run, run.cfg.Seed, uint64(i+1))
+		callers = append(callers, c)
+		work.Add(1)
+		go func() {
+			defer work.Done()
+			c.work(ctx)
+		}()
+	}
+	if !run.cfg.Calm {
+		run.harm(ctx)
+	}
+	work.Wait()
+	return callers
+}
+
+// harm plays faults, several at a time, until the context ends, and ends them all.
+func (run *Run) harm(ctx context.Context) {
+	r := rand.New(rand.NewPCG(run.cfg.Seed, 0))
+	var open sync.WaitGroup
+	defer open.Wait()
+	for ctx.Err() == nil {
+		f, long := draw(r), someTime(r, 5*time.Second)
+		own := rand.New(rand.NewPCG(r.Uint64(), 0))
+		run.log("fault: %s, for %s", f.name, long.Round(time.Millisecond))
+		run.played++
+		open.Add(1)
+		go func() {
+			defer open.Done()
+			if end := f.begin(run, own); end != nil {
+				pause(ctx, long)
+				end()
+			}
+		}()
+		pause(ctx, someTime(r, time.Second))
+	}
+}
+
+// settle ends all harm and waits until all jobs have come to their end.
+func (run *Run) settle(callers []*caller) {
+	for _, e := range run.entries {
+		e.heal()
+		e.Signal(syscall.SIGCONT)
+		if err := e.Start(); err != nil {
+			run.breach("%v", err)
+		}
+	}
+	if err := run.world.Repair(); err != nil {
+		run.breach("%v", err)
+	}
+	run.log("all is healed")
+	if !run.await(run.allReady) {
+		run.breach("not all entries are ready %s after the last fault", settleLimit)
+	}
+	if !run.await(func() bool { return run.openJobs(callers, false) == 0 }) {
+		run.openJobs(callers, true)
+	}
+	if !run.await(run.wavesDone) {
+		run.breach("a maintenance wave is not completed %s after the last fault", settleLimit)
+	}
+}
+
+func (run *Run) allReady() bool {
+	for _, e := range run.entries {
+		if !e.Ready() {
+			return false
+		}
+	}
+	return true
+}
+
+func (run *Run) wavesDone() bool {
+	for n := range run.waves {
+		if !run.world.WaveCompleted(n + 1) {
+			return false
+		}
+	}
+	return true
+}
+
+// openJobs counts the accepted jobs that have not come to their end.
+func (run *Run) openJobs(callers []*caller, report bool) int {
+	h := run.history()
+	n := 0
+	for _, c := range callers {
+		for _, j := range c.mine {
+			why := run.open(c, j, h)
+			if why == "" {
+				continue
+			}
+			n++
+			if report {
+				run.breach("job %s (%s): %s, %s after the last fault", j.ID, j.Shape, why, settleLimit)
+			}
+		}
+	}
+	return n
+}
+
+// open says why a job has not come to its end, empty if it has.
+func (run *Run) open(c *caller, j *Job, h history) string {
+	j.mu.Lock()
+	cancelled := !j.cancel.IsZero()
+	j.mu.Unlock()
+	if cancelled {
+		c.cancel(j) // until it is acknowledged
+	}
+	state := c.ask(j)
+	switch {
+	case cancelled && (state == "" || state == "running" || state == "queued"):
+		return "cancelled, shown as " + state
+	case !j.lasts() && state != "completed" && state != "failed" && state != "cancelled":
+		return "shown as " + state
+	}
+	for s := range j.Steps {
+		for i := range j.Steps[s].Count {
+			running := runsNow(h[taskName(j, s, i)])
+			if final := cancelled || !j.lasts(); running == final {
+				return fmt.Sprintf("%s runs: %t, shown as %s", taskName(j, s, i), running, state)
+			}
+		}
+	}
+	return ""
+}
+
+func runsNow(runs []emul.Ran) bool {
+	for i := range runs {
+		if runs[i].End.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
+func (run *Run) await(ok func() bool) bool {
+	const poll = 200 * time.Millisecond
+	for end := time.Now().Add(settleLimit); time.Now().Before(end); time.Sleep(poll) {
+		if ok() {
+			return true
+		}
+	}
+	return false
+}
+
+// balance keeps the list of entries that take new connections, as the platform's
+// balancer does.
+func (run *Run) balance(ctx context.Context) {
+	for ctx.Err() == nil {
+		var ready []*Entry
+		for _, e := range run.entries {
+			if e.Ready() {
+				ready = append(ready, e)
+			}
+		}
+		run.mu.Lock()
+		run.ready = ready
+		run.mu.Unlock()
+		pause(ctx, checkEvery)
+	}
+}
+
+// pick returns an entry for a new connection, a ready one where there is one.
+func (run *Run) pick(r *rand.Rand) *Entry {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	if len(run.ready) == 0 {
+		return run.entries[r.IntN(len(run.entries))]
+	}
+	return run.ready[r.IntN(len(run.ready))]
+}
+
+func (run *Run) nameOf(e *Entry) string {
+	if e == nil {
+		return "an entry"
+	}
+	return e.Name
+}
+
+// configure writes the next configuration; each adds an unused queue.
+func (run *Run) configure() {
+	run.mu.Lock()
+	run.version += 2
+	version := run.version
+	run.mu.Unlock()
+	queues := append([]emul.Queue{{Name: fmt.Sprintf("extra-%d", version), Pool: "alpha"}}, run.queues...)
+	if err := run.world.ConfigureQueues(version, queues, pools); err != nil {
+		run.breach("%v", err)
+	}
+}
+
+// wave asks for the maintenance of some machines.
+func (run *Run) wave(r *rand.Rand) {
+	run.mu.Lock()
+	run.waves++
+	number := run.waves
+	run.mu.Unlock()
+	var machines []string
+	for _, vm := range run.world.VMs() {
+		if r.IntN(3) == 0 {
+			machines = append(machines, vm.Machine)
+		}
+	}
+	const withinS, atOnce = 20, 2
+	if err := run.world.Wave(number, withinS, atOnce, machines...); err != nil {
+		run.breach("%v", err)
+	}
+}
+
+// linkVM puts a link before a VM.
+func (run *Run) linkVM(vm, listens string) (string, error) {
+	l, err := NewLink(listens)
+	if err != nil {
+		return "", err
+	}
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	run.links[vm] = l
+	return l.Address, nil
+}
+
+func (run *Run) vmLink(vm string) *Link {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	return run.links[vm]
+}
+
+// markLate notes that orders on their way to a VM may be carried out late.
+func (run *Run) markLate(vm string) {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	run.late[vm] = time.Now()
+}
+
+func (run *Run) lateOn(vm string) bool {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	return time.Since(run.late[vm]) < lateFor
+}
+
+func (run *Run) log(format string, args ...any) {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	fmt.Fprintf(run.out, "%7.3f %s\n", time.Since(run.began).Seconds(), fmt.Sprintf(format, args...))
+}
+
+func (run *Run) summary() {
+	accepted, refused := 0, 0
+	for _, j := range run.book.All() {
+		if !j.accepted.IsZero() {
+			accepted++
+		}
+		if !j.refused.IsZero() {
+			refused++
+		}
+	}
+	run.log("seed %d: %d faults, %d jobs accepted, %d refused, %d runs, %d orders for machines, %d promises broken",
+		run.cfg.Seed, run.played, accepted, refused, len(run.world.Ledger.Runs()), len(run.world.Accepted()), len(run.breaches))
+}
+
+// PlaySeeds plays seeds one after the other, each in a folder of its own below dir. The
+// folder of a seed that broke nothing is removed.
+func PlaySeeds(cfg Config, seeds int, out io.Writer) (int, error) {
+	broken := 0
+	first, dir := cfg.Seed, cfg.Dir
+	for i := range seeds {
+		cfg.Seed = first + uint64(i)
+		cfg.Dir = filepath.Join(dir, fmt.Sprintf("seed-%d", cfg.Seed))
+		if err := os.MkdirAll(cfg.Dir, 0o755); err != nil {
+			return broken, err
+		}
+		events, err := os.Create(filepath.Join(cfg.Dir, "events.log"))
+		if err != nil {
+			return broken, err
+		}
+		breaches, err := Play(cfg, events)
+		events.Close()
+		if err != nil {
+			return broken, err
+		}
+		fmt.Fprintf(out, "seed %d: %d promises broken\n", cfg.Seed, len(breaches))
+		for _, b := range breaches {
+			fmt.Fprintln(out, "  "+b)
+		}
+		if len(breaches) > 0 {
+			broken++
+			continue
+		}
+		if err := os.RemoveAll(cfg.Dir); err != nil {
+			return broken, err
+		}
+	}
+	return broken, nil
+}
--- a/internal/stand/verbs.go
+++ b/internal/stand/verbs.go
@@ -22,6 +22,7 @@
 	{Name: "backend", Short: "Runs backend servers.", New: newBackendVerb},
 	{Name: "older", Short: "Runs the older system.", New: newOlderVerb},
 	{Name: "callers", Short: "Sends a plan's load, then checks the promises.", New: newCallersVerb},
+	{Name: "soak", Short: "Runs entries that schedule jobs, harms them, and checks the promises.", New: newSoakVerb},
 	{Name: "site", Short: "Writes settings, release notes and the load plan of a site.", New: newSiteVerb},
 }
 
--- a/pkg/site/settings.go
+++ b/pkg/site/settings.go
@@ -14,18 +14,21 @@
 
 // Settings of one entry that schedules jobs on the platform.
 type Settings struct {
-	Entry      string         `json:"entry"`       // name of this entry
-	DataCentre string         `json:"data-centre"` // that this entry is in
-	IP         string         `json:"ip"`
-	Ports      []int          `json:"ports"`   // first and last port for traffic between entries
-	Callers    string         `json:"callers"` // address for callers
-	Ready      string         `json:"ready"`   // address that the balancer asks
-	Log        LogSettings    `json:"log"`
-	Fleet      ServiceAddress `json:"fleet"`
-	Advice     ServiceAddress `json:"advice"`
-	Cores      float64        `json:"cores"` // share of a core that the process gets
-	Bounds     Bounds         `json:"bounds"`
-	Policy     PolicySettings `json:"policy"`
+	Entry      string `json:"entry"`       // name of this entry
+	DataCentre string `json:"data-centre"` // that this entry is in
+	IP         string `json:"ip"`
+	Ports      []int  `json:"ports"`   // first and last port for traffic between entries
+	Callers    string `json:"callers"` // address for callers
+	Ready      string `json:"ready"`   // address that the balancer asks
+	// Announce is where other entries reach this one, if not at its ip and first port,
+	// as behind a forwarder of ports.
+	Announce string         `json:"announce"`
+	Log      LogSettings    `json:"log"`
+	Fleet    ServiceAddress `json:"fleet"`
+	Advice   ServiceAddress `json:"advice"`
+	Cores    float64        `json:"cores"` // share of a core that the process gets
+	Bounds   Bounds         `json:"bounds"`
+	Policy   PolicySettings `json:"policy"`
 }
 
 // ServiceAddress says where a service of the platform is; empty where there is none.
@@ -75,7 +78,7 @@
 	if len(s.Ports) != 2 || s.Ports[0] < 1 || s.Ports[1] < s.Ports[0] || s.Ports[1] > 65535 {
 		return fmt.Errorf("ports %v are not a first and a last port", s.Ports)
 	}
-	for name, address := range map[string]string{"callers": s.Callers, "ready": s.Ready, "log": s.Log.Address} {
+	for name, address := range map[string]string{"callers": s.Callers, "ready": s.Ready, "log": s.Log.Address, "announce": s.AnnouncedAddress()} {
 		if _, _, err := net.SplitHostPort(address); err != nil {
 			return fmt.Errorf("%s address: %w", name, err)
 		}
@@ -89,6 +92,14 @@
 	return s.Policy.check()
 }
 
+// AnnouncedAddress returns where other entries reach this one.
+func (s *Settings) AnnouncedAddress() string {
+	if s.Announce != "" {
+		return s.Announce
+	}
+	return s.PeerAddress()
+}
+
 // PeerAddress returns where this entry listens for other entries.
 func (s *Settings) PeerAddress() string {
 	return net.JoinHostPort(s.IP, strconv.Itoa(s.Ports[0]))
