--- a/internal/drive/node_test.go
+++ b/internal/drive/node_test.go
@@ -7,12 +7,9 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -62,41 +59,13 @@
 	return c
 }
 
-// firstPort and portSpan lie below the ports that the system gives to connections,
-// so that none of these takes a port between the look for it and its use.
-const (
-	firstPort = 12_000
-	portSpan  = 18_000
-)
-
-var nextPort atomic.Int64
-
-// freePorts returns the first of two free ports.
-func freePorts(t *testing.T) int {
-	t.Helper()
-	for range portSpan {
-		p := firstPort + int(int64(os.Getpid()*64)+nextPort.Add(2))%portSpan
-		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
-		if err != nil {
-			continue
-		}
-		next, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p+1))
-		ln.Close()
-		if err == nil {
-			next.Close()
-			return p
-		}
-	}
-	t.Fatal("no free ports")
-	return 0
-}
-
 func (c *cluster) startEntry(i int) {
 	c.t.Helper()
-	inner, outer := freePorts(c.t), freePorts(c.t)
+	ports, err := emul.FreePorts(4)
+	assert.NilError(c.t, err)
 	set := &site.Settings{
-		Entry: fmt.Sprintf("entry-%d", i), IP: "127.0.0.1", Ports: []int{inner, inner + 1},
-		Callers: fmt.Sprintf("127.0.0.1:%d", outer), Ready: fmt.Sprintf("127.0.0.1:%d", outer+1),
+		Entry: fmt.Sprintf("entry-%d", i), IP: "127.0.0.1", Ports: ports[:2],
+		Callers: fmt.Sprintf("127.0.0.1:%d", ports[2]), Ready: fmt.Sprintf("127.0.0.1:%d", ports[3]),
 		Log:   site.LogSettings{Address: c.world.LogAddr, Partitions: 4, RecordBytes: 1 << 18, CallBytes: 1 << 21, MinTTLMS: 1000},
 		Fleet: site.ServiceAddress{Address: c.world.FleetAt}, Cores: 1,
 		Bounds: site.Bounds{HoldMS: 10000, StopGraceMS: 400, ShutdownGraceS: 6, KeepFinalS: 120, MoveS: 0.2, TurnMS: 300},
--- a/internal/stand/soak/entry.go
+++ b/internal/stand/soak/entry.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -12,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/greengagelane/greengagelane/internal/stand/emul"
 	"github.com/greengagelane/greengagelane/pkg/site"
 )
 
@@ -37,7 +37,7 @@
 // newEntry writes the settings of an entry that is not running yet.
 func newEntry(name, program, dir, logAddress, fleetAddress string) (*Entry, error) {
 	e := &Entry{Name: name, program: program, settings: filepath.Join(dir, name+".jsonc")}
-	ports, err := freePorts(4)
+	ports, err := emul.FreePorts(4)
 	if err != nil {
 		return nil, err
 	}
@@ -68,37 +68,6 @@
 	return e, err
 }
 
-// freePorts returns two neighbouring ports and others, all free.
-func freePorts(n int) ([]int, error) {
-	for range 1000 {
-		var list []net.Listener
-		var ports []int
-		first, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		list = append(list, first)
-		ports = append(ports, first.Addr().(*net.TCPAddr).Port)
-		next, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", ports[0]+1))
-		if err == nil {
-			list, ports = append(list, next), append(ports, ports[0]+1)
-		}
-		for err == nil && len(ports) < n {
-			var ln net.Listener
-			if ln, err = net.Listen("tcp", "127.0.0.1:0"); err == nil {
-				list, ports = append(list, ln), append(ports, ln.Addr().(*net.TCPAddr).Port)
-			}
-		}
-		for _, ln := range list {
-			ln.Close()
-		}
-		if err == nil {
-			return ports, nil
-		}
-	}
-	return nil, fmt.Errorf("no %d free ports", n)
-}
-
 // Start starts the process unless it runs.
 func (e *Entry) Start() error {
 	e.mu.Lock()
