--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -145,44 +145,6 @@
 	return placed
 }
 
-// offers counts the work that callers offer.
-type offers struct {
-	slots [offerSlots]float64 // core-seconds, by time
-	last  int64               // number of the latest slot
-}
-
-const (
-	offerSlot  = 100 * time.Millisecond
-	offerSlots = 10 // a second: some jobs even of the largest kind, and short enough to see a burst begin
-)
-
-func (o *offers) advance(now time.Time) {
-	n := now.UnixMilli() / offerSlot.Milliseconds()
-	if n < o.last || n-o.last >= offerSlots {
-		o.slots = [offerSlots]float64{}
-	} else {
-		for k := o.last + 1; k <= n; k++ {
-			o.slots[k%offerSlots] = 0
-		}
-	}
-	o.last = n
-}
-
-func (o *offers) add(now time.Time, work float64) {
-	o.advance(now)
-	o.slots[o.last%offerSlots] += work
-}
-
-// rate returns core-seconds a second.
-func (o *offers) rate(now time.Time) float64 {
-	o.advance(now)
-	var sum float64
-	for _, w := range o.slots {
-		sum += w
-	}
-	return sum / (offerSlot.Seconds() * offerSlots)
-}
-
 // Cordon keeps new runs off the given VMs of a pool, and lets them off again that
 // are not among them.
 func (s *Shard) Cordon(pool string, ids []string) {
