Planner rounds of 150 ms

With bursts seen within 0.4 s, the round's 250 ms were a good part of the time until machines are ordered. The limit for a pool's report stays at 250 ms.

--- a/internal/drive/fleet.go
+++ b/internal/drive/fleet.go
@@ -19,7 +19,8 @@
 
 const (
 	fleetPartition = 0                      // its owner moves and maintains machines
-	fleetEvery     = 250 * time.Millisecond // between two rounds of the planner
+	fleetEvery     = 150 * time.Millisecond // between two rounds of the planner; a burst is seen within a few
+	reportLimit    = 250 * time.Millisecond // for the report of a pool; an entry that is slowed five times still gives it
 	inventoryEvery = 300 * time.Millisecond // between two reads of the inventory without orders
 	cordonFor      = 3 * time.Second        // a cordon that is not renewed ends
 	waveKey        = "wave/"
@@ -362,7 +363,7 @@
 	if n.shardOf(c.Partition) != nil {
 		return n.reportLocal(ctx, c)
 	}
-	limit, cancel := context.WithTimeout(ctx, fleetEvery)
+	limit, cancel := context.WithTimeout(ctx, reportLimit)
 	defer cancel()
 	last := errNoOwner
 	for _, address := range n.owners.addresses(c.Partition) {
@@ -379,7 +380,7 @@
 
 func (n *Node) reportLocal(ctx context.Context, c *reportCall) (*sched.Report, error) {
 	if c.Coming {
-		n.coming.Store(time.Now().Add(2 * fleetEvery).UnixNano())
+		n.coming.Store(time.Now().Add(2 * reportLimit).UnixNano())
 	}
 	return askShard(ctx, n.shardOf(c.Partition), func(sh *shard, now time.Time) *sched.Report {
 		if !c.ReadOnly {
