The next owner of a partition asks the last one to yield

Change: the owner works on until the next one, which has read the partition, asks; it then stores its handover in one last append, and only what came since is read again. A claimant that gets no answer first shuts the last owner out by an append of its epoch, so that it need not race with its appends. The first sequence number of an epoch is drawn at random, so that a second claimant of an epoch is refused, and reading the claim back is gone. An entry that leaves the group tells the others. Tests: TestLeavingOwnerWorksUntilItIsAsked, TestNextOwnerAsksForThePartition, TestBusyOwnerYieldsInTime, TestTailReplacesTheTable.

--- a/internal/drive/claim.go
+++ b/internal/drive/claim.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -21,6 +22,10 @@
 	Address  string
 }
 
+// maxSequence bounds the first sequence number of an epoch; two claimants draw the same
+// one in a million million.
+const maxSequence = 1 << 40
+
 // claim makes this entry the owner and reads the partition.
 func (sh *shard) claim(ctx context.Context) bool {
 	began := time.Now()
@@ -37,51 +42,66 @@
 }
 
 func (sh *shard) tryClaim(ctx context.Context) error {
+	heard := sh.node.lastOwner(sh.partition)
+	probed := sh.probe(ctx, heard)
 	table, err := sh.store.JobTable(ctx, sh.partition)
 	if err != nil {
 		return err
 	}
-	last := sh.readOwn(table.Records)
-	epoch := max(last.Epoch, sh.node.owners.epoch(sh.partition)) + 1
-	claim := ownerRecord{Epoch: epoch, Claim: sh.node.nonce(), Address: sh.node.address}
-	value, err := jobs.Encode(&claim)
+	yielded, err := sh.takeTail(ctx, table, heard, probed)
 	if err != nil {
 		return err
 	}
-	err = sh.store.AppendJobs(ctx, &site.Append{
-		Partition: sh.partition, Epoch: epoch, ExpectEnd: table.End,
-		Records: []site.Record{{Key: ownerKey, Value: value}},
-	})
-	if err != nil {
-		return fmt.Errorf("claim epoch %d: %w", epoch, err)
+	last := sh.readOwn(table.Records)
+	epoch := max(last.Epoch, sh.node.owners.epoch(sh.partition), sh.tried) + 1
+	sh.tried = epoch
+	// The log takes the same epoch and number of another claimant for a repeat and
+	// answers it with success. Numbers drawn at random make that one a refusal.
+	sh.sequence = rand.Int64N(maxSequence)
+	if last.Epoch > 0 && !yielded {
+		if err := sh.shutOut(ctx, table, epoch); err != nil {
+			return err
+		}
+		last = sh.readOwn(table.Records)
 	}
-	if err := sh.verifyClaim(ctx, table.End, &claim); err != nil {
+	value, err := jobs.Encode(&ownerRecord{Epoch: epoch, Claim: sh.node.nonce(), Address: sh.node.address})
+	if err != nil {
 		return err
 	}
-	sh.sequence = 1
+	if err := sh.claimAppend(ctx, epoch, table.End, site.Record{Key: ownerKey, Value: value}); err != nil {
+		return fmt.Errorf("claim epoch %d: %w", epoch, err)
+	}
 	sh.core = sched.New(epoch, sh.node.policy, sh.log)
 	sh.core.Restore(time.Now(), last.Epoch, table.Records)
 	sh.core.SetVMs(time.Now(), sh.node.vmsOf(sh.partition))
 	return nil
 }
 
-// verifyClaim reads the claim back. The log takes another entry's claim of the same
-// epoch for a repeat of the first one and answers it with success too.
-func (sh *shard) verifyClaim(ctx context.Context, offset int64, claim *ownerRecord) error {
-	r, err := sh.store.JobRecord(ctx, sh.partition, offset)
-	if err != nil {
-		return fmt.Errorf("read claim back: %w", err)
-	}
-	stored, err := jobs.Decode[ownerRecord](r.Value)
+// shutOut keeps the last owner, which may still be at work, from storing more, and
+// adds what it has stored meanwhile. Without it a claim whose table is a moment old
+// would be refused again and again.
+func (sh *shard) shutOut(ctx context.Context, table *site.Table, epoch int64) error {
+	value, err := jobs.Encode(&epoch)
 	if err != nil {
 		return err
 	}
-	if r.Key != ownerKey || *stored != *claim {
-		return fmt.Errorf("epoch %d is claimed by %s", claim.Epoch, stored.Address)
+	if err := sh.claimAppend(ctx, epoch, -1, site.Record{Key: epochKey, Value: value}); err != nil {
+		return fmt.Errorf("shut epochs below %d out: %w", epoch, err)
 	}
+	tail, err := sh.store.JobTail(ctx, sh.partition, table.End)
+	if err != nil {
+		return fmt.Errorf("read what the last owner stored at the end: %w", err)
+	}
+	table.Add(tail)
 	return nil
 }
 
+func (sh *shard) claimAppend(ctx context.Context, epoch, expectEnd int64, r site.Record) error {
+	a := &site.Append{Partition: sh.partition, Epoch: epoch, Sequence: sh.sequence, ExpectEnd: expectEnd, Records: []site.Record{r}}
+	sh.sequence++
+	return sh.store.AppendJobs(ctx, a)
+}
+
 // readOwn returns the last owner and takes over what the job log keeps of waves.
 func (sh *shard) readOwn(records []site.Record) ownerRecord {
 	var last ownerRecord
--- a/internal/drive/member.go
+++ b/internal/drive/member.go
@@ -66,19 +66,45 @@
 		changed := false
 		if err == nil {
 			m.Generation = share.Generation
-			changed = n.ownOnly(ctx, share.Partitions)
+			changed = n.ownOnly(share.Partitions)
 			n.joined.Store(true)
 		}
 		if !changed {
-			sleep(ctx, n.joinPause(time.Now()))
+			n.awaitJoin(ctx)
 		}
 	}
 	end, cancel := context.WithTimeout(context.Background(), handOver+handOver)
 	defer cancel()
-	n.release(end, nil)
 	if err := log.Leave(end, m); err != nil {
 		logrus.WithError(err).Warn("entry could not leave the group; its partitions are free once it is silent")
 	}
+	n.tellLeft()
+	n.release(nil)
+	n.awaitReleased()
+}
+
+// awaitJoin waits until the next join is due, or another entry has left.
+func (n *Node) awaitJoin(ctx context.Context) {
+	t := time.NewTimer(n.joinPause(time.Now()))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-n.rejoin:
+	case <-ctx.Done():
+	}
+}
+
+// tellLeft tells the other entries that this one has left the group.
+func (n *Node) tellLeft() {
+	for _, address := range n.owners.peers(n.address) {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), pushDeadline)
+			defer cancel()
+			if _, err := peer.Call[none, none](ctx, n.peer(address), leftKind, &none{}); err != nil {
+				logrus.WithError(err).WithField("peer", address).Debug("entry was not told of the leave")
+			}
+		}()
+	}
 }
 
 // joinPause returns the time to the next join: short while entries that started
@@ -92,41 +118,47 @@
 
 // ownOnly opens and closes shards so that this entry owns just the given
 // partitions. It reports whether it closed one, which another entry waits for.
-func (n *Node) ownOnly(ctx context.Context, partitions []int) bool {
+func (n *Node) ownOnly(partitions []int) bool {
 	keep := map[int]bool{}
 	for _, p := range partitions {
 		keep[p] = true
 	}
-	closed := n.release(ctx, keep)
+	closed := n.release(keep)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for p := range keep {
-		if n.shards[p] == nil {
-			logrus.WithField("partition", p).Info("partition assigned")
-			n.shards[p] = newShard(context.Background(), n, p)
+		if sh := n.shards[p]; sh != nil {
+			sh.leaving.Store(false)
+			continue
 		}
+		logrus.WithField("partition", p).Info("partition assigned")
+		n.shards[p] = newShard(context.Background(), n, p)
 	}
 	return closed
 }
 
-// release closes the shards of all partitions but those to keep.
-func (n *Node) release(ctx context.Context, keep map[int]bool) bool {
+// release begins to give up all partitions but those to keep. It reports whether there
+// was one that is not given up yet.
+func (n *Node) release(keep map[int]bool) bool {
 	n.mu.Lock()
-	var gone []*shard
+	defer n.mu.Unlock()
+	begun := false
 	for p, sh := range n.shards {
-		if !keep[p] {
-			gone = append(gone, sh)
-			delete(n.shards, p)
+		if !keep[p] && !sh.leaving.Swap(true) {
+			begun = true
+			go n.leave(sh, yieldWait)
 		}
 	}
-	n.mu.Unlock()
-	for _, sh := range gone {
-		limit, cancel := context.WithTimeout(ctx, handOver)
-		sh.stop(limit)
-		cancel()
-		logrus.WithField("partition", sh.partition).Info("partition released")
+	return begun
+}
+
+// awaitReleased waits until the partitions have gone to other entries, or for as long as
+// an owner works on for them.
+func (n *Node) awaitReleased() {
+	const poll = 10 * time.Millisecond
+	for end := time.Now().Add(yieldWait + handOver); n.owns() && time.Now().Before(end); time.Sleep(poll) {
+		continue
 	}
-	return len(gone) > 0
 }
 
 // askOwners asks for the owners to be read soon.
--- a/internal/drive/node.go
+++ b/internal/drive/node.go
@@ -55,6 +55,7 @@
 	claims  int
 
 	refresh chan struct{} // asks for the owners to be read anew
+	rejoin  chan struct{} // an entry has left: its partitions are to be shared out
 
 	adviceMu   sync.Mutex
 	adviceConn *httpc.Conn
@@ -66,7 +67,7 @@
 		set: set, started: time.Now(), address: set.AnnouncedAddress(), self: set.Entry + "-" + uuid.NewString()[:8],
 		policy: schedPolicy(set),
 		shards: map[int]*shard{}, peers: map[string]*peer.Client{}, servers: map[string]site.VM{}, waves: map[int64]site.Wave{}, moved: map[string]time.Time{},
-		refresh: make(chan struct{}, 1), aborted: make(chan struct{}),
+		refresh: make(chan struct{}, 1), rejoin: make(chan struct{}, 1), aborted: make(chan struct{}),
 	}
 }
 
@@ -112,10 +113,11 @@
 		return errAborted
 	}
 	n.stopping.Store(true)
+	told := time.Now()
 	logrus.Info("entry stops: partitions are handed over")
 	leave()
 	<-memberDone
-	sleep(work, stopServing)
+	sleep(work, stopServing-time.Since(told))
 	end, cancelEnd := context.WithTimeout(work, stopReserve)
 	defer cancelEnd()
 	if err := front.Shutdown(end); err != nil {
@@ -261,6 +263,16 @@
 	peer.Handle(s, reportKind, func(ctx context.Context, _ string, c *reportCall) (*sched.Report, error) {
 		return n.reportLocal(ctx, c)
 	})
+	peer.Handle(s, leftKind, func(context.Context, string, *none) (*none, error) {
+		select {
+		case n.rejoin <- struct{}{}:
+		default:
+		}
+		return &none{}, nil
+	})
+	peer.Handle(s, yieldKind, func(ctx context.Context, _ string, c *yieldCall) (*yieldReply, error) {
+		return &yieldReply{Yielded: n.yield(ctx, c)}, nil
+	})
 	peer.Handle(s, announceKind, func(_ context.Context, _ string, a *announcement) (*none, error) {
 		n.heardClaim(a.Partition, a.Owner, "announcement")
 		return &none{}, nil
--- a/internal/drive/node_test.go
+++ b/internal/drive/node_test.go
@@ -461,3 +461,79 @@
 	_, err = AskJob(t.Context(), c.nodes[0].address, &JobQuestion{ID: "00000000000000f2"})
 	assert.ErrorContains(t, err, "no partition holds the job")
 }
+
+// TestLeavingOwnerWorksUntilItIsAsked takes a partition from its owner's share. The owner
+// goes on taking jobs until the next owner asks, and all is stored when it has yielded.
+func TestLeavingOwnerWorksUntilItIsAsked(t *testing.T) {
+	c := newCluster(t, 1, map[string]int{"alpha": 1})
+	n := c.nodes[0]
+	ids := jobIDs(2)
+	c.submit(0, ids[0], twoSteps)
+	partition := n.partitionOf("alpha")
+	sh := n.shardOf(partition)
+	sh.leaving.Store(true)
+	c.submit(0, ids[1], twoSteps)
+	assert.Assert(t, n.yield(t.Context(), &yieldCall{Partition: partition, Probe: true}))
+	assert.Equal(t, n.shardOf(partition), sh, "a probe ends nothing")
+	assert.Assert(t, n.yield(t.Context(), &yieldCall{Partition: partition}))
+	log := platform.NewLog(n.set)
+	defer log.Close()
+	table, err := log.JobTable(t.Context(), partition)
+	assert.NilError(t, err)
+	stored := map[string]bool{}
+	for _, r := range table.Records {
+		stored[r.Key] = true
+	}
+	assert.Assert(t, stored["j/"+ids[0]] && stored["j/"+ids[1]] && stored["handover"])
+	c.completed(0, ids...) // it is assigned anew
+}
+
+// TestNextOwnerAsksForThePartition stops an entry at work. The next owner asks it to
+// yield and finds its handover, so that no task waits for other VMs.
+func TestNextOwnerAsksForThePartition(t *testing.T) {
+	c := newCluster(t, 2, map[string]int{"alpha": 2})
+	ids := jobIDs(6)
+	for _, id := range ids {
+		c.submit(0, id, twoSteps)
+	}
+	first := c.owner()
+	sh := c.nodes[first].shardOf(c.nodes[first].partitionOf("alpha"))
+	c.cancels[first]()
+	<-sh.done
+	assert.Assert(t, sh.retired, "the owner ended without word for the next one")
+	c.completed(1-first, ids...)
+}
+
+// TestTailReplacesTheTable reads the end of a partition after its table.
+func TestTailReplacesTheTable(t *testing.T) {
+	table := &site.Table{End: 7, Records: []site.Record{{Key: "a", Value: []byte("1")}, {Key: "b", Value: []byte("1")}}}
+	table.Add(&site.Table{End: 10, Records: []site.Record{{Key: "b", Value: []byte("2")}, {Key: "c", Value: []byte("1")}, {Key: "b", Value: nil}}})
+	assert.DeepEqual(t, table, &site.Table{End: 10, Records: []site.Record{{Key: "a", Value: []byte("1")}, {Key: "b"}, {Key: "c", Value: []byte("1")}}})
+}
+
+// TestBusyOwnerYieldsInTime has callers hand jobs in all the while at a log that takes its
+// time. The owner ends with one last append; waiting for a moment without changes, it
+// would not end at all.
+func TestBusyOwnerYieldsInTime(t *testing.T) {
+	c := newCluster(t, 1, map[string]int{"alpha": 2})
+	n := c.nodes[0]
+	c.world.Store.Set(func(s *emul.Store) { s.Delay = 20 * time.Millisecond })
+	ctx, stop := context.WithCancel(t.Context())
+	var work sync.WaitGroup
+	for i := range 8 {
+		work.Add(1)
+		go func() {
+			defer work.Done()
+			for k := 0; ctx.Err() == nil; k++ {
+				c.call(0, http.MethodPost, fmt.Sprintf("/q/%016x", i*10_000+k+1), twoSteps)
+			}
+		}()
+	}
+	c.await("jobs run", func() bool { return len(c.world.Ledger.Runs()) > 10 })
+	limit, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	assert.Assert(t, n.yield(limit, &yieldCall{Partition: n.partitionOf("alpha")}))
+	stop()
+	work.Wait()
+	assert.Equal(t, c.world.Ledger.Broken(), "")
+}
--- a/internal/drive/proto.go
+++ b/internal/drive/proto.go
@@ -13,6 +13,8 @@
 	callKind     = "job-call"
 	syncKind     = "sync"
 	announceKind = "announce"
+	yieldKind    = "yield"
+	leftKind     = "left"
 	reportKind   = "pool-report"
 	explainKind  = "explain"
 )
@@ -51,5 +53,16 @@
 	Address string // of its peer interface
 }
 
+// yieldCall asks a partition's owner to store its last changes and end, since the
+// asking entry is about to claim the partition.
+type yieldCall struct {
+	Partition int
+	Probe     bool // only asks whether the entry owns the partition
+}
+
+// yieldReply says whether the entry owned the partition; its last changes are stored
+// unless the call was a probe.
+type yieldReply struct{ Yielded bool }
+
 // none is an empty answer.
 type none struct{}
--- a/internal/drive/shard.go
+++ b/internal/drive/shard.go
@@ -23,6 +23,7 @@
 	flushPause  = 100 * time.Millisecond // before a failed append is tried again
 	eventBuffer = 1024
 	ownerKey    = "owner"
+	epochKey    = "epoch" // of the latest claimant that did not wait for the last owner
 )
 
 // shard owns one partition of the job log: it runs the scheduler on one goroutine.
@@ -36,7 +37,8 @@
 	done      chan struct{}
 	cancel    context.CancelFunc
 	loaded    chan struct{} // closed once the partition is claimed and read
-	sequence  int64
+	sequence  int64         // of the next append
+	tried     int64         // epoch of the last claim, which may have been stored
 
 	sessions map[string]*session
 	open     atomic.Int64 // sessions
@@ -45,6 +47,9 @@
 	flushed  time.Time
 	badSince time.Time // appends have failed since; zero while the log answers
 	retryAt  time.Time // no append before
+	retired  bool      // no more decisions; the next owner is told what is under way
+	handed   chan struct{}
+	leaving  atomic.Bool
 
 	extra    []extraRecord // of the mover, for the next flush
 	kept     keptFleet     // what the job log keeps for the mover; set before loaded is closed
@@ -74,7 +79,7 @@
 	sh := &shard{
 		node: n, partition: partition, store: platform.NewLog(n.set), cancel: cancel,
 		log:    logrus.WithField("partition", partition),
-		events: make(chan func(time.Time), eventBuffer), done: make(chan struct{}), loaded: make(chan struct{}),
+		events: make(chan func(time.Time), eventBuffer), done: make(chan struct{}), loaded: make(chan struct{}), handed: make(chan struct{}),
 		sessions: map[string]*session{}, waiters: map[string][]*waiter{},
 	}
 	go sh.run(ctx)
@@ -243,6 +248,10 @@
 }
 
 func (sh *shard) handle(now time.Time, c *jobCall, w *waiter) {
+	if sh.retired && (c.Kind == site.SubmitJob || c.Kind == site.CancelJob) {
+		w.answer(site.Reply{Outcome: site.NotOwner, Reason: "partition is being handed over"})
+		return
+	}
 	switch c.Kind {
 	case site.SubmitJob:
 		sh.submit(now, c.Job, w)
@@ -299,47 +308,49 @@
 	w.answer(site.Reply{Outcome: site.Undecided, Reason: "the job log has not answered"})
 }
 
-// retire ends the decisions and leaves the next owner word of what is under way.
-func (sh *shard) retire() {
+// retire ends the decisions and stores word of what is under way for the next owner,
+// with all that has changed until then. handed is closed once that is done.
+func (sh *shard) retire(ctx context.Context, now time.Time) {
+	if sh.retired {
+		return
+	}
+	sh.retired = true
+	if sh.mover != nil {
+		sh.mover.handOver(now)
+	}
 	const keyAndLength = 64 // bytes of a record beside its value, at most
 	r, err := sh.core.Retire(sh.node.set.Log.RecordBytes - keyAndLength)
 	if err != nil {
 		sh.log.WithError(err).Warn("the next owner has to wait for all VMs")
-		return
 	}
-	sh.extra = append(sh.extra, extraRecord{record: r, done: func() {}})
+	sh.extra = append(sh.extra, extraRecord{record: r, done: func() { close(sh.handed) }})
+	if !sh.flushing {
+		sh.flush(ctx, now)
+	}
 }
 
-// stop ends the shard after its last changes are stored, or the context ends.
-func (sh *shard) stop(ctx context.Context) {
-	const poll = 5 * time.Millisecond
-	sh.post(func(now time.Time) {
-		if sh.mover != nil {
-			sh.mover.handOver(now)
-		}
-		sh.retire()
-	})
-	for ctx.Err() == nil {
-		idle := make(chan bool, 1)
-		sh.post(func(now time.Time) {
-			if !sh.flushing {
-				sh.flush(ctx, now)
-			}
-			idle <- !sh.flushing
-		})
-		select {
-		case done := <-idle:
-			if done {
-				sh.cancel()
-				<-sh.done
-				return
-			}
-		case <-sh.done:
-			return
-		case <-ctx.Done():
-		}
-		sleep(ctx, poll)
+// isLoaded reports whether the partition is claimed and read.
+func (sh *shard) isLoaded() bool {
+	select {
+	case <-sh.loaded:
+		return true
+	default:
+		return false
+	}
+}
+
+// stop ends the shard after its last changes are stored, or the context ends. It
+// reports whether they are stored.
+func (sh *shard) stop(ctx context.Context) bool {
+	sh.post(func(now time.Time) { sh.retire(ctx, now) })
+	stored := false
+	select {
+	case <-sh.handed:
+		stored = true
+	case <-sh.done:
+	case <-ctx.Done():
 	}
 	sh.cancel()
 	<-sh.done
+	return stored
 }
--- /dev/null
+++ b/internal/drive/yield.go
@@ -0,0 +1,132 @@
+package drive
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/greengagelane/greengagelane/internal/peer"
+	"github.com/greengagelane/greengagelane/pkg/jobs"
+	"github.com/greengagelane/greengagelane/pkg/site"
+)
+
+const (
+	// yieldWait is how long an owner that is to leave works on for the next one to ask.
+	// The next one learns of its share, reads the partition and asks; a log that is
+	// slowed thirty times takes most of it.
+	yieldWait  = 1200 * time.Millisecond
+	probeWait  = 50 * time.Millisecond  // after the partition is read, for an owner that is slow
+	yieldLimit = 600 * time.Millisecond // for the owner's last append
+)
+
+// yield ends this entry's ownership for an entry that is about to claim the partition.
+func (n *Node) yield(ctx context.Context, c *yieldCall) bool {
+	sh := n.shardOf(c.Partition)
+	if sh == nil || !sh.isLoaded() {
+		return false
+	}
+	if c.Probe {
+		return true
+	}
+	stored := sh.stop(ctx)
+	n.lost(sh)
+	sh.log.WithField("stored", stored).Info("partition yielded to the next owner")
+	return stored
+}
+
+// leave gives a partition up: at once if the next owner asks, else after a while.
+func (n *Node) leave(sh *shard, wait time.Duration) {
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-sh.done:
+	case <-t.C:
+	}
+	if !sh.leaving.Load() {
+		return // assigned anew
+	}
+	limit, cancel := context.WithTimeout(context.Background(), handOver)
+	defer cancel()
+	sh.stop(limit)
+	n.lost(sh)
+	sh.log.Info("partition released")
+}
+
+// takeTail has the present owner yield, if it answers, and adds what it has stored
+// since the table was read. probed tells whether the owner that was heard of has
+// answered meanwhile. yielded is false where the owner may go on.
+func (sh *shard) takeTail(ctx context.Context, table *site.Table, heard string, probed <-chan bool) (yielded bool, err error) {
+	last, err := ownerOf(table)
+	if err != nil {
+		sh.log.WithError(err).Warn("owner record cannot be read; nobody is asked to yield")
+		return false, nil
+	}
+	owner := last.Address
+	if owner == "" || owner == sh.node.address {
+		return false, nil
+	}
+	if owner != heard {
+		probed = sh.probe(ctx, owner)
+	}
+	t := time.NewTimer(probeWait)
+	defer t.Stop()
+	select {
+	case there := <-probed:
+		if !there {
+			return false, nil
+		}
+	case <-t.C:
+		return false, nil
+	}
+	limit, cancel := context.WithTimeout(ctx, yieldLimit)
+	defer cancel()
+	r, err := peer.Call[yieldCall, yieldReply](limit, sh.node.peer(owner), yieldKind, &yieldCall{Partition: sh.partition})
+	if err != nil || !r.Yielded {
+		sh.log.WithError(err).WithField("owner", owner).Info("owner did not yield; the partition is claimed all the same")
+		return false, nil
+	}
+	tail, err := sh.store.JobTail(ctx, sh.partition, table.End)
+	if err != nil {
+		return false, fmt.Errorf("read what the last owner stored at the end: %w", err)
+	}
+	table.Add(tail)
+	return true, nil
+}
+
+// probe asks in the background whether an entry owns the shard's partition.
+func (sh *shard) probe(ctx context.Context, owner string) <-chan bool {
+	answer := make(chan bool, 1)
+	if owner == "" || owner == sh.node.address {
+		answer <- false
+		return answer
+	}
+	go func() {
+		limit, cancel := context.WithTimeout(ctx, yieldLimit)
+		defer cancel()
+		r, err := peer.Call[yieldCall, yieldReply](limit, sh.node.peer(owner), yieldKind, &yieldCall{Partition: sh.partition, Probe: true})
+		answer <- err == nil && r.Yielded
+	}()
+	return answer
+}
+
+// lastOwner returns where the last owner of a partition was, as far as this entry has
+// heard.
+func (n *Node) lastOwner(partition int) string {
+	n.owners.mu.Lock()
+	defer n.owners.mu.Unlock()
+	return n.owners.claimed[partition].Address
+}
+
+// ownerOf returns the owner that a table names.
+func ownerOf(table *site.Table) (ownerRecord, error) {
+	for _, r := range table.Records {
+		if r.Key == ownerKey {
+			o, err := jobs.Decode[ownerRecord](r.Value)
+			if err != nil {
+				return ownerRecord{}, err
+			}
+			return *o, nil
+		}
+	}
+	return ownerRecord{}, nil
+}
--- a/internal/sched/handover.go
+++ b/internal/sched/handover.go
@@ -27,8 +27,8 @@
 }
 
 // Retire ends the owner's decisions and returns the record for the next owner, which
-// must be stored before this one is gone. It fails if the record is larger than the
-// log takes; the next owner then waits for all VMs.
+// must be stored before this one is gone. With an error, if the record is larger than
+// the log takes, it is one that drops the key; the next owner then waits for all VMs.
 func (s *Shard) Retire(mostBytes int) (site.Record, error) {
 	s.retired = true
 	h := handover{Epoch: s.Epoch, Tasks: map[string][]string{}, Unknown: s.unknownVMs()}
@@ -52,7 +52,7 @@
 		err = fmt.Errorf("record of %d bytes is larger than the log's %d", len(value), mostBytes)
 	}
 	if err != nil {
-		return site.Record{}, fmt.Errorf("tasks under way for the next owner: %w", err)
+		return site.Record{Key: handoverKey}, fmt.Errorf("tasks under way for the next owner: %w", err)
 	}
 	return site.Record{Key: handoverKey, Value: value}, nil
 }
--- a/pkg/site/log.go
+++ b/pkg/site/log.go
@@ -32,6 +32,23 @@
 	End     int64 // a record at or after this offset may be missing
 }
 
+// Add takes over records that were appended after the table was read.
+func (t *Table) Add(tail *Table) {
+	at := make(map[string]int, len(t.Records))
+	for i, r := range t.Records {
+		at[r.Key] = i
+	}
+	for _, r := range tail.Records {
+		if i, known := at[r.Key]; known {
+			t.Records[i] = r
+			continue
+		}
+		at[r.Key] = len(t.Records)
+		t.Records = append(t.Records, r)
+	}
+	t.End = tail.End
+}
+
 // Member asks for a share of the job log's partitions.
 type Member struct {
 	Name       string
