--- a/internal/buffer/plan.go
+++ b/internal/buffer/plan.go
@@ -3,26 +3,34 @@
 // hysteresis follows from these costs alone.
 //
 // Each pool is seen as levels: level k is the pool's k-th VM, which is needed
-// while the demand exceeds k-1 VMs. A level changes hands when what it has cost
-// since its last change, idle or missing, has reached the price of moving a VM
-// there and back; no more than twice what the best choice in hindsight costs.
-// Once a level has been seen to come and go, its mean durations tell earlier: it
-// moves at once if the expected cost exceeds that price.
+// while the demand exceeds k-1 VMs. A level changes hands once its other state would
+// have saved the price of the moves, or at once if its mean durations say that it
+// will. A level that comes in regular turns is filled a move ahead of its turn. A VM
+// that another pool holds is taken only for more than the price of moving it back, and
+// from the pool that will need it last.
 package buffer
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
 
 const (
-	learnShare   = 0.3             // weight of the newest duration in a level's mean
-	learnSamples = 1               // durations that are needed before the mean is used
-	moveTime     = 1 * time.Second // from a decision to a VM's first request in its new pool
-	maxMoves     = 4               // moves of one round
+	learnShare   = 0.3                    // weight of the newest duration in a level's mean
+	learnSamples = 1                      // durations that are needed before the mean is used
+	moveTime     = 1 * time.Second        // from a decision to a VM's first request in its new pool
+	maxMoves     = 4                      // moves of one round
+	turnSamples  = 2                      // durations after which a level may be seen to come in turns
+	turnOff      = 0.1                    // share of its mean by which the duration of a turn may be missed
+	turnLead     = 500 * time.Millisecond // by which the begin of a turn may be missed
 )
 
+// firstMean is for how many seconds a level is taken to stay unneeded and needed until
+// it has been seen to come and go: a burst of some seconds in some minutes.
+var firstMean = [2]float64{120, 20}
+
 // Weights are the costs that the settings give.
 type Weights struct {
 	Move       float64 // one VM changing its pool
@@ -59,9 +67,12 @@
 // level is one VM's worth of a pool's demand.
 type level struct {
 	needed  bool
-	since   time.Time  // when needed last changed
-	cost    float64    // idle while held, or missing while not, since the last change
+	since   time.Time // when needed last changed
+	held    bool
+	cost    float64    // what the other state would have saved since it was last as good
 	lasted  [2]float64 // mean seconds unneeded and needed
+	latest  [2]float64 // the last of these durations
+	before  [2]float64 // the one before it
 	samples [2]int
 }
 
@@ -94,9 +105,21 @@
 
 // round is what the pools of one round give and take, a name for each VM.
 type round struct {
-	in       []string // pools that should gain a VM
+	in       []wanted // VMs that pools should gain
 	out      []string // pools that should lose one
-	unneeded []string // pools that hold one more than they need
+	unneeded []lender // pools that hold one more than they need
+}
+
+// lender is a pool that does not need a VM until a time.
+type lender struct {
+	pool  string
+	until time.Time
+}
+
+// wanted is a VM that a pool should gain.
+type wanted struct {
+	pool     string
+	takeOver bool // also from a pool that may want it back
 }
 
 // match pairs pools that gain with pools that lose.
@@ -107,16 +130,18 @@
 		*from = (*from)[1:]
 		return name
 	}
+	slices.SortStableFunc(r.unneeded, func(a, b lender) int { return b.until.Compare(a.until) })
 	free := spare.Serving - spare.MinServing
 	for _, to := range r.in {
 		switch {
 		case len(r.out) > 0:
-			moves = append(moves, Move{From: take(&r.out), To: to})
+			moves = append(moves, Move{From: take(&r.out), To: to.pool})
 		case free > 0:
 			free--
-			moves = append(moves, Move{From: spare.Name, To: to})
-		case len(r.unneeded) > 0:
-			moves = append(moves, Move{From: take(&r.unneeded), To: to})
+			moves = append(moves, Move{From: spare.Name, To: to.pool})
+		case to.takeOver && len(r.unneeded) > 0:
+			moves = append(moves, Move{From: r.unneeded[0].pool, To: to.pool})
+			r.unneeded = r.unneeded[1:]
 		}
 	}
 	for _, from := range r.out {
@@ -142,27 +167,44 @@
 	for k := pl.MinServing + 1; k <= top; k++ {
 		lv := p.level(now, pl.Name, k)
 		lv.observe(now, pl.Need > float64(k-1))
+		lv.regret(k <= held, dt, p.w)
 		switch {
-		case k > held && lv.needed:
-			lv.cost += dt * p.w.ShortPerS
-			if p.missing(now, lv) {
-				r.in = append(r.in, pl.Name)
+		case k > held && (lv.needed || lv.due(now)):
+			fill, takeOver := p.missing(now, lv)
+			if fill {
+				r.in = append(r.in, wanted{pl.Name, takeOver})
 			}
-		case k <= held && !lv.needed:
-			lv.cost += dt * p.w.IdlePerMin / 60
+		case k <= held && !lv.needed && !lv.due(now):
 			switch {
 			case k > pl.Serving:
 			case p.idle(lv):
 				r.out = append(r.out, pl.Name)
 			default:
-				r.unneeded = append(r.unneeded, pl.Name)
+				r.unneeded = append(r.unneeded, lender{pl.Name, lv.next()})
 			}
-		default:
-			lv.cost = 0
 		}
 	}
 }
 
+// regret adds to what the level would have saved in its other state.
+func (lv *level) regret(held bool, dt float64, w Weights) {
+	if held != lv.held {
+		lv.held, lv.cost = held, 0
+	}
+	short, idle := dt*w.ShortPerS, dt*w.IdlePerMin/60
+	switch {
+	case held && lv.needed:
+		lv.cost -= short
+	case held:
+		lv.cost += idle
+	case lv.needed:
+		lv.cost += short
+	default:
+		lv.cost -= idle
+	}
+	lv.cost = max(lv.cost, 0)
+}
+
 func (p *Planner) level(now time.Time, pool string, k int) *level {
 	key := levelKey{pool, k}
 	lv := p.levels[key]
@@ -183,9 +225,10 @@
 	if lv.samples[i] == 0 {
 		lv.lasted[i] = lasted
 	}
+	lv.latest[i], lv.before[i] = lasted, lv.latest[i]
 	lv.lasted[i] += learnShare * (lasted - lv.lasted[i])
 	lv.samples[i]++
-	lv.needed, lv.since, lv.cost = needed, now, 0
+	lv.needed, lv.since = needed, now
 }
 
 func index(needed bool) int {
@@ -195,22 +238,45 @@
 	return 0
 }
 
-// price is what a VM costs that moves there and back.
-func (p *Planner) price() float64 { return 2 * p.w.Move }
+// missing reports whether a level that is needed and not held should be filled from
+// what no pool holds on to, and whether it is worth to take the VM from another pool,
+// which may want it back.
+func (p *Planner) missing(now time.Time, lv *level) (fill, takeOver bool) {
+	past := 0.0
+	if lv.needed {
+		past = now.Sub(lv.since).Seconds()
+	}
+	gain := (lv.mean(true) - past - moveTime.Seconds()) * p.w.ShortPerS
+	paid := past * p.w.ShortPerS
+	return lv.cost >= p.w.Move || gain > p.w.Move, gain > 2*p.w.Move || paid >= 2*p.w.Move
+}
 
-// missing reports whether a level that is needed and not held should be filled.
-func (p *Planner) missing(now time.Time, lv *level) bool {
-	if lv.cost >= p.price() {
-		return true
+// next returns when an unneeded level is expected to be needed.
+func (lv *level) next() time.Time {
+	return lv.since.Add(time.Duration(lv.mean(false) * float64(time.Second)))
+}
+
+// due reports whether an unneeded level that comes in regular turns is about to be
+// needed, a move ahead of it.
+func (lv *level) due(now time.Time) bool {
+	if lv.needed || lv.samples[0] < turnSamples || math.Abs(lv.latest[0]-lv.before[0]) > turnOff*lv.latest[0] {
+		return false
 	}
-	gain := lv.lasted[1] - now.Sub(lv.since).Seconds() - moveTime.Seconds()
-	return lv.samples[1] >= learnSamples && gain*p.w.ShortPerS > p.price()
+	ahead := lv.since.Add(time.Duration(lv.latest[0] * float64(time.Second))).Sub(now)
+	return ahead <= moveTime+turnLead && ahead > -turnLead
 }
 
-// idle reports whether a level that is held and not needed should be given up.
+// idle reports whether a level that is held and not needed should be given up: a VM
+// that is needed again moves twice.
 func (p *Planner) idle(lv *level) bool {
-	if lv.cost >= p.price() {
-		return true
+	return lv.cost >= 2*p.w.Move || lv.mean(false)*p.w.IdlePerMin/60 > 2*p.w.Move
+}
+
+// mean returns for how many seconds the level stays needed, or unneeded.
+func (lv *level) mean(needed bool) float64 {
+	i := index(needed)
+	if lv.samples[i] < learnSamples {
+		return firstMean[i]
 	}
-	return lv.samples[0] >= learnSamples && lv.lasted[0]*p.w.IdlePerMin/60 > p.price()
+	return lv.lasted[i]
 }
--- a/internal/buffer/plan_test.go
+++ b/internal/buffer/plan_test.go
@@ -96,6 +96,40 @@
 	}
 }
 
+// TestTurnIsMetAhead has a pool that needs two VMs more for 10 s in every 60 s. From the
+// third turn on they are in service when it begins.
+func TestTurnIsMetAhead(t *testing.T) {
+	tr := Trace{StepMs: 250, Pools: []Pool{{Name: "p", Serving: 2, MinServing: 2}, {Name: "spare", Spare: true, Serving: 4}}}
+	for step := range 4 * 60 * 5 {
+		need := 2.0
+		if step/4%60 >= 50 {
+			need = 4
+		}
+		tr.Need = append(tr.Need, []float64{need, 0})
+	}
+	missing := make([]float64, 5) // VM-seconds, by turn
+	p := NewPlanner(zelena)
+	step := 0
+	Replay(tr, zelena, func(now time.Time, pools []Pool) []Move {
+		missing[step/240] += max(0, pools[0].Need-float64(pools[0].Serving)) / 4
+		step++
+		return p.Plan(now, pools)
+	})
+	assert.Assert(t, missing[0] > 0, "the first turn cannot be known")
+	for turn := 2; turn < 5; turn++ {
+		assert.Equal(t, missing[turn], 0.0, "turn %d", turn)
+	}
+}
+
+// TestVMComesFromThePoolThatNeedsItLast has two pools with an idle VM each, one of which
+// has just had its turn.
+func TestVMComesFromThePoolThatNeedsItLast(t *testing.T) {
+	r := round{in: []wanted{{"c", true}}, unneeded: []lender{{"a", time.Unix(10, 0)}, {"b", time.Unix(20, 0)}}}
+	assert.DeepEqual(t, r.match(Pool{Name: "spare", Spare: true}), []Move{{From: "b", To: "c"}})
+	r = round{in: []wanted{{"c", false}}, unneeded: []lender{{"a", time.Unix(10, 0)}}}
+	assert.Equal(t, len(r.match(Pool{Name: "spare", Spare: true})), 0, "a VM that is wanted back soon")
+}
+
 // TestPlanKeepsBudgets lets the planner run on any demand and any budgets.
 func TestPlanKeepsBudgets(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
