An order that had been carried out before holds its machine for a second, not 20

Cause: a new mover repeats the maintenance that the last one has just ordered, the platform says yes and does nothing, and the plan waited 20 s to see it begin. Change: maintenance, or a move to the pool where the machine is, is over if the inventory shows nothing of it for a second. A mover that hands over stores the waves' progress. An owner that takes four times as long for its last append as the claimant for reading the partition is shut out; it was waited for 0.6 s though it was cut from the log. Test: TestOrderCarriedOutBeforeHoldsNothing fails without it.

--- a/internal/drive/claim.go
+++ b/internal/drive/claim.go
@@ -44,11 +44,12 @@
 func (sh *shard) tryClaim(ctx context.Context) error {
 	heard := sh.node.lastOwner(sh.partition)
 	probed := sh.probe(ctx, heard)
+	began := time.Now()
 	table, err := sh.store.JobTable(ctx, sh.partition)
 	if err != nil {
 		return err
 	}
-	yielded, err := sh.takeTail(ctx, table, heard, probed)
+	yielded, err := sh.takeTail(ctx, table, heard, probed, time.Since(began))
 	if err != nil {
 		return err
 	}
--- a/internal/drive/fleet.go
+++ b/internal/drive/fleet.go
@@ -277,16 +277,30 @@
 }
 
 // handOver stores how long ago machines were ordered, so that the next owner need not
-// wait longer than it must.
+// wait longer than it must, and which machines of waves are done.
 func (m *mover) handOver(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.over = true
-	if value, err := m.ordersRecord(now); err == nil {
-		m.shard.extra = append(m.shard.extra, extraRecord{record: site.Record{Key: ordersKey, Value: value}, done: func() {}})
+	value, err := m.ordersRecord(now)
+	if err != nil {
+		logrus.WithError(err).Error("orders cannot be encoded")
+		return
+	}
+	m.shard.extra = append(m.shard.extra, extraRecord{record: site.Record{Key: ordersKey, Value: value}, done: func() {}})
+	for _, s := range m.planner.WaveStates(&m.view) {
+		if r, err := waveRecordOf(s); err == nil && len(s.Done) > m.kept[s.Number] {
+			m.shard.extra = append(m.shard.extra, extraRecord{record: r, done: func() {}})
+		}
 	}
 }
 
+// waveRecordOf returns what the job log keeps of a wave.
+func waveRecordOf(s moves.WaveState) (site.Record, error) {
+	value, err := jobs.Encode(&waveRecord{Number: s.Number, Done: s.Done})
+	return site.Record{Key: fmt.Sprintf("%s%d", waveKey, s.Number), Value: value}, err
+}
+
 // keep stores a record with the next flush and calls done after it.
 func (sh *shard) keep(r site.Record, done func()) {
 	sh.post(func(time.Time) {
@@ -349,13 +363,13 @@
 }
 
 func (m *mover) keep(s moves.WaveState) {
-	value, err := jobs.Encode(&waveRecord{Number: s.Number, Done: s.Done})
+	r, err := waveRecordOf(s)
 	if err != nil {
 		logrus.WithError(err).Error("wave cannot be encoded")
 		return
 	}
 	m.kept[s.Number] = len(s.Done)
-	m.shard.keep(site.Record{Key: fmt.Sprintf("%s%d", waveKey, s.Number), Value: value}, func() {})
+	m.shard.keep(r, func() {})
 }
 
 // report asks the owner of a pool's partition.
--- a/internal/drive/yield.go
+++ b/internal/drive/yield.go
@@ -16,7 +16,9 @@
 	// slowed thirty times takes most of it.
 	yieldWait  = 1200 * time.Millisecond
 	probeWait  = 50 * time.Millisecond  // after the partition is read, for an owner that is slow
-	yieldLimit = 600 * time.Millisecond // for the owner's last append
+	yieldLimit = 600 * time.Millisecond // for the owner's last append, at most
+	yieldReads = 4                      // times as long as the claimant's read of the partition may that append take
+	yieldLeast = 100 * time.Millisecond // even if the read was very short
 )
 
 // yield ends this entry's ownership for an entry that is about to claim the partition.
@@ -54,8 +56,9 @@
 
 // takeTail has the present owner yield, if it answers, and adds what it has stored
 // since the table was read. probed tells whether the owner that was heard of has
-// answered meanwhile. yielded is false where the owner may go on.
-func (sh *shard) takeTail(ctx context.Context, table *site.Table, heard string, probed <-chan bool) (yielded bool, err error) {
+// answered meanwhile, and read is how long the table took: an owner that needs much longer
+// for its last append is cut from the log. yielded is false where the owner may go on.
+func (sh *shard) takeTail(ctx context.Context, table *site.Table, heard string, probed <-chan bool, read time.Duration) (yielded bool, err error) {
 	last, err := ownerOf(table)
 	if err != nil {
 		sh.log.WithError(err).Warn("owner record cannot be read; nobody is asked to yield")
@@ -78,7 +81,7 @@
 	case <-t.C:
 		return false, nil
 	}
-	limit, cancel := context.WithTimeout(ctx, yieldLimit)
+	limit, cancel := context.WithTimeout(ctx, min(max(yieldReads*read, yieldLeast), yieldLimit))
 	defer cancel()
 	r, err := peer.Call[yieldCall, yieldReply](limit, sh.node.peer(owner), yieldKind, &yieldCall{Partition: sh.partition})
 	if err != nil || !r.Yielded {
--- a/internal/moves/moves.go
+++ b/internal/moves/moves.go
@@ -161,13 +161,12 @@
 
 // settle drops intents that are over.
 func (p *Planner) settle(st *state) {
-	const lost = 20 * time.Second // an order that was carried out shows in the inventory long before
 	for name, in := range p.intents {
 		m := st.all[name]
 		switch {
 		case m == nil:
 			delete(p.intents, name)
-		case in.done && m.State == site.Up && (in.away || m.VM != in.fromVM || st.now.Sub(in.doneAt) > lost):
+		case in.done && m.State == site.Up && (in.away || m.VM != in.fromVM || in.idle(st.now, m)):
 			delete(p.intents, name)
 		case !in.sent && (m.State != site.Up || m.VM != in.fromVM):
 			delete(p.intents, name) // the machine failed or left by itself
@@ -177,6 +176,18 @@
 	}
 }
 
+// idle reports whether an accepted order has changed nothing, since it had been carried
+// out before: the inventory, read several times a second, would show it at once. A machine
+// that is still in its old pool may be shown late.
+func (in *intent) idle(now time.Time, m *machine) bool {
+	const shown, lost = time.Second, 20 * time.Second
+	past := now.Sub(in.doneAt)
+	if in.Kind == Maintain || m.Pool == in.Pool {
+		return past > shown
+	}
+	return past > lost
+}
+
 // Cordons returns the VMs of a pool that are to get no new runs.
 func (p *Planner) Cordons(v *View, pool string) []string {
 	var ids []string
--- a/internal/moves/moves_test.go
+++ b/internal/moves/moves_test.go
@@ -315,3 +315,16 @@
 	f.use(r.VMs[2].ID, 1, 0)
 	assert.Equal(t, len(f.plan(p, 1000, 3000)), 0)
 }
+
+// TestOrderCarriedOutBeforeHoldsNothing repeats the maintenance that an earlier mover has
+// ordered. The platform says yes and does nothing; the machine is free at once.
+func TestOrderCarriedOutBeforeHoldsNothing(t *testing.T) {
+	f, p := newFleet(map[string]int{"a": 1, "spare": 1}), newPlanner()
+	f.view.Machines[1].VM = ""
+	p.AddWave(at(0), site.Wave{Number: 1, WithinMS: 20_000, AtOnce: 1, Machines: []string{"spare0"}}, nil)
+	orders := f.plan(p, 0, 0)
+	assert.Equal(t, len(orders), 1)
+	p.Ordered(at(100), orders[0], site.Accepted, nil)
+	f.view.Reports["a"].Rate = 100
+	assert.DeepEqual(t, f.plan(p, 250, 2000), []Order{{Kind: Move, Machine: "spare0", Pool: "a"}})
+}
