job submit: operators hand jobs in by a file of the product's own format

JSON with comments, checked with line or field; the queue's policy is added at the entry, by the same function as for callers' jobs. Exit code 3 where the job may have been taken in; with an id it can be handed in again.

--- a/internal/cmds/job.go
+++ b/internal/cmds/job.go
@@ -4,13 +4,71 @@
 	"context"
 	"flag"
 	"fmt"
+	"os"
+	"strings"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/greengagelane/greengagelane/internal/drive"
+	"github.com/greengagelane/greengagelane/internal/peer"
 	"github.com/greengagelane/greengagelane/internal/verb"
+	"github.com/greengagelane/greengagelane/pkg/jobs"
 	"github.com/greengagelane/greengagelane/pkg/site"
 )
 
+// JobSubmit hands a job in.
+var JobSubmit = verb.Verb{
+	Name:  "job submit",
+	Args:  "FILE",
+	Short: "Hands a job to 'greengagelane schedule' and prints its identifier.",
+	Long: "The file is JSON with comments: queue, spec and steps, each with tasks, cores, memory-mb and\n" +
+		"estimate-ms, and, where they fit, after, checkpoints, lasts, per-vm, may-miss and others. A job\n" +
+		"with an id can be handed in again after exit code 3; it stays one job.",
+	Examples: []verb.Example{{Command: "greengagelane job submit -peer 10.1.0.9:7060 examples/jobs/match.jsonc", Help: "prints 5c0e7a21d94b36f8 once the job is stored"}},
+	New:      newJobSubmit,
+}
+
+func newJobSubmit(fs *flag.FlagSet) verb.Action {
+	address := fs.String("peer", "", "peer address of any entry, IP:port")
+	wait := fs.Duration("timeout", 3*time.Second, "time for the answer")
+	return func(out *verb.IO, args []string) error {
+		if *address == "" || len(args) != 1 {
+			return verb.Usagef("-peer and one file are required")
+		}
+		data, err := os.ReadFile(args[0])
+		if err != nil {
+			return fmt.Errorf("read job: %w", err)
+		}
+		j, err := jobs.ParseFile(args[0], data)
+		if err != nil {
+			return err
+		}
+		if j.ID == "" {
+			const digits = 16
+			j.ID = strings.ReplaceAll(uuid.NewString(), "-", "")[:digits]
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), *wait)
+		defer cancel()
+		a, err := drive.AskJob(ctx, *address, &drive.JobQuestion{ID: j.ID, Submit: j})
+		switch {
+		case peer.NotSent(err):
+			return fmt.Errorf("job %s is not handed in: %w", j.ID, err)
+		case err != nil && ctx.Err() != nil:
+			return &verb.UnknownError{Err: fmt.Errorf("job %s: %w", j.ID, err)}
+		case err != nil:
+			return err
+		case a.Reply.Outcome == site.Undecided:
+			return &verb.UnknownError{Err: fmt.Errorf("job %s: %s", j.ID, a.Reply.Reason)}
+		case a.Reply.Outcome != site.OK:
+			back := site.Millis(int(a.Reply.RetryMS))
+			return fmt.Errorf("job %s is refused: %s; there may be room in %s", j.ID, a.Reply.Reason, back)
+		}
+		_, err = fmt.Fprintln(out.Out, j.ID)
+		return err
+	}
+}
+
 // JobCancel cancels a job on the platform.
 var JobCancel = verb.Verb{
 	Name:     "job cancel",
--- a/internal/drive/admin.go
+++ b/internal/drive/admin.go
@@ -8,6 +8,7 @@
 
 	"github.com/greengagelane/greengagelane/internal/peer"
 	"github.com/greengagelane/greengagelane/internal/sched"
+	"github.com/greengagelane/greengagelane/pkg/jobs"
 	"github.com/greengagelane/greengagelane/pkg/site"
 )
 
@@ -20,6 +21,7 @@
 type JobQuestion struct {
 	ID     string
 	Cancel bool
+	Submit *jobs.Job // its queue's policy is added at the entry
 }
 
 // JobAnswer answers it.
@@ -61,8 +63,32 @@
 	})
 }
 
+// adminSubmit takes a job in as if a caller had sent it.
+func (n *Node) adminSubmit(ctx context.Context, j *jobs.Job) (*JobAnswer, error) {
+	cfg := n.Config()
+	if cfg == nil {
+		return nil, errors.New("the entry has no configuration yet")
+	}
+	for i := range cfg.Routes {
+		r := &cfg.Routes[i]
+		if r.Name != j.Queue {
+			continue
+		}
+		r.Take(j)
+		if err := j.Check(); err != nil {
+			return nil, err
+		}
+		reply := n.Call(ctx, site.SubmitJob, r, j.ID, j)
+		return &JobAnswer{Partition: n.partitionOf(r.Pool), Reply: reply}, nil
+	}
+	return nil, fmt.Errorf("queue %q does not exist in configuration %d", j.Queue, cfg.Version)
+}
+
 // adminJob finds the partition that holds a job.
 func (n *Node) adminJob(ctx context.Context, q *JobQuestion) (*JobAnswer, error) {
+	if q.Submit != nil {
+		return n.adminSubmit(ctx, q.Submit)
+	}
 	for p := range n.set.Log.Partitions {
 		c := &jobCall{Partition: p, Kind: site.ShowJob, ID: q.ID}
 		if q.Cancel {
--- a/internal/drive/node_test.go
+++ b/internal/drive/node_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/greengagelane/greengagelane/internal/stand/emul"
+	"github.com/greengagelane/greengagelane/pkg/jobs"
 	"github.com/greengagelane/greengagelane/pkg/site"
 	"github.com/greengagelane/greengagelane/platform"
 )
@@ -537,3 +538,22 @@
 	work.Wait()
 	assert.Equal(t, c.world.Ledger.Broken(), "")
 }
+
+// TestOperatorHandsAJobIn submits a job file's job at an entry that does not own its
+// partition, twice; it is one job, under the queue's policy.
+func TestOperatorHandsAJobIn(t *testing.T) {
+	c := newCluster(t, 2, map[string]int{"alpha": 1})
+	j, err := jobs.ParseFile("job.jsonc", []byte(`{"queue": "q", "id": "00000000000000a9", "steps": [{"tasks": 2, "cores": 1, "estimate-ms": 300}]}`))
+	assert.NilError(t, err)
+	entry := c.nodes[1-c.owner()].address
+	for range 2 {
+		a, err := AskJob(t.Context(), entry, &JobQuestion{ID: j.ID, Submit: j})
+		assert.NilError(t, err)
+		assert.Equal(t, a.Reply.Outcome, site.OK, a.Reply.Reason)
+	}
+	c.completed(0, j.ID)
+	assert.Equal(t, len(c.world.Ledger.Runs()), 2)
+	j.Queue = "other"
+	_, err = AskJob(t.Context(), entry, &JobQuestion{ID: j.ID, Submit: j})
+	assert.ErrorContains(t, err, `queue "other" does not exist`)
+}
--- a/internal/shell/shell.go
+++ b/internal/shell/shell.go
@@ -21,6 +21,7 @@
 	cmds.Entry,
 	cmds.EntryRetire,
 	cmds.JobCancel,
+	cmds.JobSubmit,
 	cmds.PoolMove,
 	cmds.ReleaseApply,
 	cmds.Schedule,
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -1,6 +1,10 @@
 package site
 
-import "strings"
+import (
+	"strings"
+
+	"github.com/greengagelane/greengagelane/pkg/jobs"
+)
 
 // Config is the operator's configuration in full.
 type Config struct {
@@ -26,6 +30,12 @@
 	Advice      bool    // a placement policy picks the VMs
 }
 
+// Take makes a job one of the route's queue, under its policy.
+func (r *Route) Take(j *jobs.Job) {
+	j.Queue, j.Pool, j.Advice = r.Name, r.Pool, r.Advice
+	j.MaxAttempts, j.Priority, j.Stretch, j.TargetMS = max(r.MaxAttempts, 1), r.Priority, r.Stretch, r.TargetMS
+}
+
 // Pool is a service's set of VMs.
 type Pool struct {
 	Name   string
