--- a/internal/drive/fleet.go
+++ b/internal/drive/fleet.go
@@ -92,11 +92,16 @@
 
 func newMover(sh *shard) *mover {
 	set := sh.node.set
-	return &mover{
+	m := &mover{
 		shard: sh, planner: moves.New(movesPolicy(set)),
 		fleet: platform.NewFleet(set), status: platform.NewLog(set), shown: map[int64]string{}, kept: map[int64]int{},
 		given: map[string]time.Time{}, inventory: &dependency{name: "inventory of machines"},
 	}
+	now := time.Now()
+	for machine, given := range sh.kept.orders {
+		m.given[machine] = now.Add(-given.age(now)) // for the mover after this one
+	}
+	return m
 }
 
 // run plans until the shard ends. Machines that the last owner ordered lately are left
--- a/internal/drive/node_test.go
+++ b/internal/drive/node_test.go
@@ -557,3 +557,20 @@
 	_, err = AskJob(t.Context(), entry, &JobQuestion{ID: j.ID, Submit: j})
 	assert.ErrorContains(t, err, `queue "other" does not exist`)
 }
+
+// TestOrdersOfTheMoverBeforeLastAreKept has a mover take over and leave at once. The next
+// one still learns of what the first one ordered.
+func TestOrdersOfTheMoverBeforeLastAreKept(t *testing.T) {
+	c := newCluster(t, 1, map[string]int{"alpha": 1})
+	now := time.Now()
+	first := givenAt{UnixMS: now.Add(-time.Second).UnixMilli(), AgeMS: 300}
+	sh := &shard{node: c.nodes[0], kept: keptFleet{orders: map[string]givenAt{"m-1": first}}}
+	m := newMover(sh)
+	m.handOver(now)
+	assert.Equal(t, len(sh.extra), 1)
+	r, err := jobs.Decode[ordersRecord](sh.extra[0].record.Value)
+	assert.NilError(t, err)
+	kept, found := r.Given["m-1"]
+	assert.Assert(t, found, "the order is forgotten")
+	assert.Assert(t, kept.AgeMS >= 300 && kept.AgeMS < 5000)
+}
