--- a/internal/drive/node_test.go
+++ b/internal/drive/node_test.go
@@ -566,7 +566,7 @@
 	first := givenAt{UnixMS: now.Add(-time.Second).UnixMilli(), AgeMS: 300}
 	sh := &shard{node: c.nodes[0], kept: keptFleet{orders: map[string]givenAt{"m-1": first}}}
 	m := newMover(sh)
-	m.handOver(now)
+	m.handOver(time.Now())
 	assert.Equal(t, len(sh.extra), 1)
 	r, err := jobs.Decode[ordersRecord](sh.extra[0].record.Value)
 	assert.NilError(t, err)
