A VM where runs stand still is quarantined as one that fails them

Cause: a run without progress was restarted elsewhere, but its VM, which looked empty after that, got the next tasks. A stall counts for two failures and for all jobs. Test: TestVMWhereRunsStandStillRests fails without it.

--- a/internal/sched/kinds_test.go
+++ b/internal/sched/kinds_test.go
@@ -161,3 +161,29 @@
 	limit := int(testPolicy().StallAfter.Milliseconds())
 	assert.Assert(t, stopped > limit && stopped < limit+1000, "stopped after %d ms", stopped)
 }
+
+// TestVMWhereRunsStandStillRests has two runs of two jobs stand still on one VM, which
+// answers all the while. The next jobs' tasks go elsewhere, though it looks empty.
+func TestVMWhereRunsStandStillRests(t *testing.T) {
+	r := newRig(t, testVM("a"), testVM("b"))
+	r.submit(0, testJob("00000000000000b1", jobs.Step{Count: 1, CPU: 1000, EstimateMS: 800}))
+	r.submit(0, testJob("00000000000000b2", jobs.Step{Count: 1, CPU: 1000, EstimateMS: 800}))
+	runs := r.starts(10)
+	assert.Equal(t, runs[0].VM, runs[1].VM, "the fullest VM is filled first")
+	still := site.Look{}
+	for _, s := range runs {
+		still.Running = append(still.Running, site.Run{Task: s.Order.Task, Run: s.Order.Run, Percent: 30})
+	}
+	ms, stopped := 100, 0
+	for ; ms < 6000 && stopped < 2; ms += 100 {
+		r.look(ms, runs[0].VM, still)
+		r.look(ms, map[string]string{"a": "b", "b": "a"}[runs[0].VM], site.Look{})
+		stopped += len(r.stops(ms))
+	}
+	r.submit(ms, testJob("00000000000000b3", jobs.Step{Count: 3, CPU: 1000, EstimateMS: 800}))
+	starts := r.starts(ms + 10)
+	assert.Equal(t, len(starts), 3)
+	for _, s := range starts {
+		assert.Assert(t, s.VM != runs[0].VM, "%s goes to the VM where runs stand still", s.Order.Task)
+	}
+}
--- a/internal/sched/vm.go
+++ b/internal/sched/vm.go
@@ -101,10 +101,23 @@
 		v.failures++
 		v.failMany = v.failMany || (v.failJob != "" && v.failJob != job)
 		v.failJob = job
-		if v.trial || (v.failures >= p.FailuresInRow && v.failMany) {
-			v.sickFor = min(max(2*v.sickFor, p.Quarantine), p.QuarantineMax)
-			v.sick, v.trial = now.Add(v.sickFor), true
-		}
+		v.judge(now, p)
+	}
+}
+
+// stalled takes note that a run stands still on the VM. It counts for two failures, and
+// for all jobs: no job makes its own tasks stand still.
+func (v *vm) stalled(now time.Time, p *Policy) {
+	v.failures += 2
+	v.failMany = true
+	v.judge(now, p)
+}
+
+// judge quarantines the VM after too many failures, longer each time.
+func (v *vm) judge(now time.Time, p *Policy) {
+	if v.trial || (v.failures >= p.FailuresInRow && v.failMany) {
+		v.sickFor = min(max(2*v.sickFor, p.Quarantine), p.QuarantineMax)
+		v.sick, v.trial = now.Add(v.sickFor), true
 	}
 }
 
