--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Targets: build, check, fmt, lint, test, generate, demo.
+# Targets: build, check, fmt, lint, test, generate, docs, demo, soak.
 GO_FILES = $(shell git ls-files '*.go' | grep -v -e '^internal/oas/.*_gen\.go$$' -e '_enumer\.go$$')
 BIN = .bin
 
@@ -42,3 +42,10 @@
 FAULTS ?=
 demo: build
 	SITE=$(SITE) SEED=$(SEED) FAULTS=$(FAULTS) scripts/demo.sh
+	bin/standin soak -calm -length 8s -entries 3
+
+# Entries as processes that schedule jobs, harmed from outside; about 30 s a seed.
+SEEDS ?= 1
+.PHONY: soak
+soak: build
+	bin/standin soak -seed $(SEED) -seeds $(SEEDS)
--- a/internal/stand/soak/soak.go
+++ b/internal/stand/soak/soak.go
@@ -57,8 +57,14 @@
 
 var pools = []string{"alpha", "beta"}
 
-// Play plays one seed. It returns the broken promises; what happened goes to out.
-func Play(cfg Config, out io.Writer) ([]string, error) {
+// Result is what a run has come to.
+type Result struct {
+	Broken  []string // promises
+	Summary string   // one line
+}
+
+// Play plays one seed; what happens goes to out.
+func Play(cfg Config, out io.Writer) (*Result, error) {
 	run := &Run{
 		cfg: cfg, out: out, began: time.Now(), book: &Book{jobs: map[string]*Job{}}, links: map[string]*Link{}, late: map[string]time.Time{},
 		queues: []emul.Queue{{Name: "qa", Pool: "alpha"}, {Name: "qb", Pool: "beta"}},
@@ -92,8 +98,9 @@
 			run.breach("%s", c)
 		}
 	}
-	run.summary()
-	return run.breaches, nil
+	result := &Result{Broken: run.breaches, Summary: run.summary()}
+	run.log("%s", result.Summary)
+	return result, nil
 }
 
 func (run *Run) start() error {
@@ -383,7 +390,7 @@
 	fmt.Fprintf(run.out, "%7.3f %s\n", time.Since(run.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
-func (run *Run) summary() {
+func (run *Run) summary() string {
 	accepted, refused := 0, 0
 	for _, j := range run.book.All() {
 		if !j.accepted.IsZero() {
@@ -393,7 +400,7 @@
 			refused++
 		}
 	}
-	run.log("seed %d: %d faults, %d jobs accepted, %d refused, %d runs, %d orders for machines, %d promises broken",
+	return fmt.Sprintf("seed %d: %d faults, %d jobs accepted, %d refused, %d runs, %d orders for machines, %d promises broken",
 		run.cfg.Seed, run.played, accepted, refused, len(run.world.Ledger.Runs()), len(run.world.Accepted()), len(run.breaches))
 }
 
@@ -412,16 +419,16 @@
 		if err != nil {
 			return broken, err
 		}
-		breaches, err := Play(cfg, events)
+		result, err := Play(cfg, events)
 		events.Close()
 		if err != nil {
 			return broken, err
 		}
-		fmt.Fprintf(out, "seed %d: %d promises broken\n", cfg.Seed, len(breaches))
-		for _, b := range breaches {
+		fmt.Fprintln(out, result.Summary)
+		for _, b := range result.Broken {
 			fmt.Fprintln(out, "  "+b)
 		}
-		if len(breaches) > 0 {
+		if len(result.Broken) > 0 {
 			broken++
 			continue
 		}
--- a/internal/stand/soak/soak_test.go
+++ b/internal/stand/soak/soak_test.go
@@ -38,9 +38,9 @@
 			t.Parallel()
 			var events strings.Builder
 			cfg := Config{Seed: tt.seed, Length: 4 * time.Second, Entries: 3, Callers: 4, Program: program, Dir: t.TempDir(), Calm: tt.calm}
-			breaches, err := Play(cfg, &events)
+			result, err := Play(cfg, &events)
 			assert.NilError(t, err)
-			assert.Equal(t, len(breaches), 0, "%s\n%s", tt.cause, events.String())
+			assert.Equal(t, len(result.Broken), 0, "%s\n%s", tt.cause, events.String())
 		})
 	}
 }
