--- a/internal/stand/soak/fault.go
+++ b/internal/stand/soak/fault.go
@@ -18,8 +18,8 @@
 
 // faults is the table of faults; a new one is one function and one line here.
 var faults = []fault{
-	{"entry killed", 5, killEntry},
-	{"entry told to stop", 5, stopEntry},
+	{"entry killed", 5, endEntry("kill", (*Entry).End)},
+	{"entry told to stop", 5, endEntry("stop", (*Entry).Stop)},
 	{"entries stopped in turn", 2, rollEntries},
 	{"entry paused", 5, pauseEntry},
 	{"settings of an entry changed", 1, hupEntry},
@@ -80,20 +80,15 @@
 	return least + time.Duration(r.Int64N(int64(most)))
 }
 
-func killEntry(run *Run, r *rand.Rand) func() {
-	e, after := run.anyEntry(r), someTime(r, 2*time.Second)
-	run.log("kill %s", e.Name)
-	e.End()
-	run.back(e, after)
-	return nil
-}
-
-func stopEntry(run *Run, r *rand.Rand) func() {
-	e, after := run.anyEntry(r), someTime(r, 2*time.Second)
-	run.log("stop %s", e.Name)
-	e.Stop()
-	run.back(e, after)
-	return nil
+// endEntry ends an entry in a way and starts it again after a while.
+func endEntry(how string, end func(*Entry)) func(*Run, *rand.Rand) func() {
+	return func(run *Run, r *rand.Rand) func() {
+		e, after := run.anyEntry(r), someTime(r, 2*time.Second)
+		run.log("%s %s", how, e.Name)
+		end(e)
+		run.back(e, after)
+		return nil
+	}
 }
 
 func rollEntries(run *Run, r *rand.Rand) func() {
