A wave's time runs on when the mover changes

Cause: a new mover counted a wave's time from when it first saw it. Change: entries remember when they saw a wave first, and the record of a wave in the job log has its begin, by the time of day and as an age; the largest age counts. Test: TestWaveKeepsItsBegin.

--- a/internal/drive/claim.go
+++ b/internal/drive/claim.go
@@ -106,7 +106,7 @@
 // readOwn returns the last owner and takes over what the job log keeps of waves.
 func (sh *shard) readOwn(records []site.Record) ownerRecord {
 	var last ownerRecord
-	sh.kept = keptFleet{waves: map[int64][]string{}}
+	sh.kept = keptFleet{waves: map[int64]waveRecord{}}
 	for _, r := range records {
 		switch {
 		case r.Key == ownerKey:
@@ -119,7 +119,7 @@
 			if w, err := jobs.Decode[waveRecord](r.Value); err != nil {
 				sh.log.WithError(err).Warn("wave record skipped")
 			} else {
-				sh.kept.waves[w.Number] = w.Done
+				sh.kept.waves[w.Number] = *w
 			}
 		case r.Key == ordersKey:
 			if o, err := jobs.Decode[ordersRecord](r.Value); err != nil {
--- a/internal/drive/fleet.go
+++ b/internal/drive/fleet.go
@@ -45,6 +45,18 @@
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // encodes fields by position
 	Number   int64
 	Done     []string // machines whose maintenance has begun
+	UnixMS   int64    // the operator asked for it, as the first owner saw
+	AgeMS    int64    // since then when the record was written, on the owners' steady clocks
+}
+
+// began returns when a wave was asked for. A wave that is taken for older than it is is
+// only hurried, so the larger of all ages counts.
+func (r waveRecord) began(now, seen time.Time, within time.Duration) time.Time {
+	age := max(now.Sub(seen), time.Duration(r.AgeMS)*time.Millisecond)
+	if r.UnixMS > 0 {
+		age = max(age, now.Sub(time.UnixMilli(r.UnixMS)))
+	}
+	return now.Add(-min(age, within))
 }
 
 // ordersRecord is what the job log keeps of orders for machines. It is stored before
@@ -68,7 +80,7 @@
 
 // keptFleet is what a new owner finds of the last one's work.
 type keptFleet struct {
-	waves  map[int64][]string // machines whose maintenance has begun
+	waves  map[int64]waveRecord
 	orders map[string]givenAt // machines ordered lately
 }
 
@@ -79,8 +91,9 @@
 	planner   *moves.Planner
 	fleet     *platform.Fleet
 	status    *platform.Log
-	shown     map[int64]string // wave states as written for the operator
-	kept      map[int64]int    // machines per wave in the job log
+	shown     map[int64]string    // wave states as written for the operator
+	kept      map[int64]int       // machines per wave in the job log
+	began     map[int64]time.Time // the operator asked for the wave
 	readAt    time.Time
 	mu        sync.Mutex
 	view      moves.View
@@ -94,7 +107,7 @@
 	set := sh.node.set
 	m := &mover{
 		shard: sh, planner: moves.New(movesPolicy(set)),
-		fleet: platform.NewFleet(set), status: platform.NewLog(set), shown: map[int64]string{}, kept: map[int64]int{},
+		fleet: platform.NewFleet(set), status: platform.NewLog(set), shown: map[int64]string{}, kept: map[int64]int{}, began: map[int64]time.Time{},
 		given: map[string]time.Time{}, inventory: &dependency{name: "inventory of machines"},
 	}
 	now := time.Now()
@@ -294,15 +307,16 @@
 	}
 	m.shard.extra = append(m.shard.extra, extraRecord{record: site.Record{Key: ordersKey, Value: value}, done: func() {}})
 	for _, s := range m.planner.WaveStates(&m.view) {
-		if r, err := waveRecordOf(s); err == nil && len(s.Done) > m.kept[s.Number] {
+		if r, err := m.waveRecord(now, s); err == nil && len(s.Done) > m.kept[s.Number] {
 			m.shard.extra = append(m.shard.extra, extraRecord{record: r, done: func() {}})
 		}
 	}
 }
 
-// waveRecordOf returns what the job log keeps of a wave.
-func waveRecordOf(s moves.WaveState) (site.Record, error) {
-	value, err := jobs.Encode(&waveRecord{Number: s.Number, Done: s.Done})
+// waveRecord returns what the job log keeps of a wave.
+func (m *mover) waveRecord(now time.Time, s moves.WaveState) (site.Record, error) {
+	began := m.began[s.Number]
+	value, err := jobs.Encode(&waveRecord{Number: s.Number, Done: s.Done, UnixMS: began.UnixMilli(), AgeMS: now.Sub(began).Milliseconds()})
 	return site.Record{Key: fmt.Sprintf("%s%d", waveKey, s.Number), Value: value}, err
 }
 
@@ -343,7 +357,13 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, w := range n.waves {
-		m.planner.AddWave(now, w, m.shard.kept.waves[w.Number])
+		kept := m.shard.kept.waves[w.Number]
+		began := kept.began(now, n.waveSeen[w.Number], site.Millis(int(w.WithinMS)))
+		if _, known := m.began[w.Number]; !known {
+			m.began[w.Number] = began
+			m.kept[w.Number] = -1 // its begin is stored, too
+		}
+		m.planner.AddWave(began, w, kept.Done)
 	}
 }
 
@@ -368,7 +388,7 @@
 }
 
 func (m *mover) keep(s moves.WaveState) {
-	r, err := waveRecordOf(s)
+	r, err := m.waveRecord(time.Now(), s)
 	if err != nil {
 		logrus.WithError(err).Error("wave cannot be encoded")
 		return
--- a/internal/drive/member.go
+++ b/internal/drive/member.go
@@ -224,6 +224,9 @@
 			logrus.WithFields(logrus.Fields{"wave": c.Wave.Number, "machines": len(c.Wave.Machines), "within-ms": c.Wave.WithinMS, "at-once": c.Wave.AtOnce}).Info("maintenance wave")
 		}
 		n.waves[c.Wave.Number] = *c.Wave
+		if n.waveSeen[c.Wave.Number].IsZero() {
+			n.waveSeen[c.Wave.Number] = time.Now()
+		}
 	}
 }
 
--- a/internal/drive/node.go
+++ b/internal/drive/node.go
@@ -51,8 +51,10 @@
 	peers   map[string]*peer.Client
 	servers map[string]site.VM
 	waves   map[int64]site.Wave
-	moved   map[string]time.Time // queues that changed their pool, by name
-	claims  int
+	// waveSeen says when a wave was first seen, by its number.
+	waveSeen map[int64]time.Time
+	moved    map[string]time.Time // queues that changed their pool, by name
+	claims   int
 
 	refresh chan struct{} // asks for the owners to be read anew
 	rejoin  chan struct{} // an entry has left: its partitions are to be shared out
@@ -66,7 +68,7 @@
 	return &Node{
 		set: set, started: time.Now(), address: set.AnnouncedAddress(), self: set.Entry + "-" + uuid.NewString()[:8],
 		policy: schedPolicy(set),
-		shards: map[int]*shard{}, peers: map[string]*peer.Client{}, servers: map[string]site.VM{}, waves: map[int64]site.Wave{}, moved: map[string]time.Time{},
+		shards: map[int]*shard{}, peers: map[string]*peer.Client{}, servers: map[string]site.VM{}, waves: map[int64]site.Wave{}, waveSeen: map[int64]time.Time{}, moved: map[string]time.Time{},
 		refresh: make(chan struct{}, 1), rejoin: make(chan struct{}, 1), aborted: make(chan struct{}),
 	}
 }
--- a/internal/drive/node_test.go
+++ b/internal/drive/node_test.go
@@ -574,3 +574,24 @@
 	assert.Assert(t, found, "the order is forgotten")
 	assert.Assert(t, kept.AgeMS >= 300 && kept.AgeMS < 5000)
 }
+
+// TestWaveKeepsItsBegin has a mover take a wave over in the midst of it. Its time runs
+// from when the operator asked, whatever this entry knows of that.
+func TestWaveKeepsItsBegin(t *testing.T) {
+	now := time.UnixMilli(1_700_000_100_000)
+	const within = 25 * time.Second
+	tests := []struct {
+		name string
+		kept waveRecord
+		seen time.Duration // ago, by this entry
+		want time.Duration // ago
+	}{
+		{"seen from the begin", waveRecord{}, 12 * time.Second, 12 * time.Second},
+		{"started since", waveRecord{UnixMS: now.Add(-14 * time.Second).UnixMilli(), AgeMS: 9000}, time.Second, 14 * time.Second},
+		{"a clock that was set back", waveRecord{UnixMS: now.Add(5 * time.Second).UnixMilli(), AgeMS: 9000}, time.Second, 9 * time.Second},
+		{"a clock that was set forward", waveRecord{UnixMS: now.Add(-time.Hour).UnixMilli(), AgeMS: 9000}, time.Second, within},
+	}
+	for _, tt := range tests {
+		assert.Equal(t, now.Sub(tt.kept.began(now, now.Add(-tt.seen), within)), tt.want, tt.name)
+	}
+}
--- a/internal/moves/moves.go
+++ b/internal/moves/moves.go
@@ -69,7 +69,7 @@
 // wave is a maintenance wave.
 type wave struct {
 	site.Wave
-	from time.Time       // first seen
+	from time.Time       // the operator asked for it
 	done map[string]bool // machines whose maintenance has begun
 }
 
--- a/internal/moves/waves.go
+++ b/internal/moves/waves.go
@@ -7,13 +7,13 @@
 	"github.com/greengagelane/greengagelane/pkg/site"
 )
 
-// AddWave takes a wave over; done are machines whose maintenance has begun under an
-// earlier planner.
-func (p *Planner) AddWave(now time.Time, w site.Wave, done []string) {
+// AddWave takes over a wave that was asked for at a time; done are machines whose
+// maintenance has begun under an earlier planner.
+func (p *Planner) AddWave(began time.Time, w site.Wave, done []string) {
 	if p.waves[w.Number] != nil {
 		return
 	}
-	x := &wave{Wave: w, from: now, done: map[string]bool{}}
+	x := &wave{Wave: w, from: began, done: map[string]bool{}}
 	for _, m := range done {
 		x.done[m] = true
 	}
