An accepted order counts as without effect only by a reading that began after it

A slow inventory could have shown a machine as it was before its maintenance; the next of the wave would have gone beside it. Found in reading; TestOrderCarriedOutBeforeHoldsNothing holds it, too.

--- a/internal/drive/fleet.go
+++ b/internal/drive/fleet.go
@@ -221,7 +221,7 @@
 	}
 	m.readAt = now
 	m.mu.Lock()
-	m.view.Machines = machines
+	m.view.Machines, m.view.Read = machines, now
 	m.mu.Unlock()
 	return nil
 }
@@ -393,7 +393,9 @@
 		logrus.WithError(err).Error("wave cannot be encoded")
 		return
 	}
+	m.mu.Lock()
 	m.kept[s.Number] = len(s.Done)
+	m.mu.Unlock()
 	m.shard.keep(r, func() {})
 }
 
--- a/internal/drive/shard.go
+++ b/internal/drive/shard.go
@@ -39,18 +39,18 @@
 	loaded    chan struct{} // closed once the partition is claimed and read
 	sequence  int64         // of the next append
 	tried     int64         // epoch of the last claim, which may have been stored
-	readLimit time.Duration
+	readLimit time.Duration // of the next reading of the partition, for a claim
 
 	sessions map[string]*session
 	open     atomic.Int64 // sessions
 	waiters  map[string][]*waiter
 	flushing bool
 	flushed  time.Time
-	badSince time.Time // appends have failed since; zero while the log answers
-	retryAt  time.Time // no append before
-	retired  bool      // no more decisions; the next owner is told what is under way
-	handed   chan struct{}
-	leaving  atomic.Bool
+	badSince time.Time     // appends have failed since; zero while the log answers
+	retryAt  time.Time     // no append before
+	retired  bool          // no more decisions; the next owner is told what is under way
+	handed   chan struct{} // closed once the next owner's word is stored
+	leaving  atomic.Bool   // the partition is not of this entry's share any more
 
 	extra    []extraRecord // of the mover, for the next flush
 	kept     keptFleet     // what the job log keeps for the mover; set before loaded is closed
--- a/internal/moves/burst_test.go
+++ b/internal/moves/burst_test.go
@@ -187,6 +187,7 @@
 
 func (p *play) plan() {
 	p.view.Reports = map[string]*sched.Report{}
+	p.view.Read = p.now
 	for pool, s := range p.shards {
 		s.Cordon(pool, p.planner.Cordons(&p.view, pool))
 		s.SetPotential(p.now, pool, p.planner.Potential(&p.view, pool))
--- a/internal/moves/moves.go
+++ b/internal/moves/moves.go
@@ -105,6 +105,7 @@
 // View is what the planner decides on.
 type View struct {
 	Machines []site.Machine
+	Read     time.Time                // when the reading of the machines began
 	Reports  map[string]*sched.Report // by pool; a pool without one is left alone
 	Pools    []site.Pool
 }
@@ -166,7 +167,7 @@
 		switch {
 		case m == nil:
 			delete(p.intents, name)
-		case in.done && m.State == site.Up && (in.away || m.VM != in.fromVM || in.idle(st.now, m)):
+		case in.done && m.State == site.Up && (in.away || m.VM != in.fromVM || in.idle(st.view.Read, m)):
 			delete(p.intents, name)
 		case !in.sent && (m.State != site.Up || m.VM != in.fromVM):
 			delete(p.intents, name) // the machine failed or left by itself
@@ -177,11 +178,11 @@
 }
 
 // idle reports whether an accepted order has changed nothing, since it had been carried
-// out before: the inventory, read several times a second, would show it at once. A machine
-// that is still in its old pool may be shown late.
-func (in *intent) idle(now time.Time, m *machine) bool {
+// out before: a reading of the inventory that began later would show it. A machine that
+// is still in its old pool may be shown late.
+func (in *intent) idle(read time.Time, m *machine) bool {
 	const shown, lost = time.Second, 20 * time.Second
-	past := now.Sub(in.doneAt)
+	past := read.Sub(in.doneAt)
 	if in.Kind == Maintain || m.Pool == in.Pool {
 		return past > shown
 	}
--- a/internal/moves/moves_test.go
+++ b/internal/moves/moves_test.go
@@ -68,6 +68,7 @@
 func (f *fleet) plan(p *Planner, fromMS, toMS int) []Order {
 	var all []Order
 	for ms := fromMS; ms <= toMS; ms += 250 {
+		f.view.Read = at(ms)
 		all = append(all, p.Plan(at(ms), &f.view)...)
 		f.cordon(p)
 	}
@@ -326,5 +327,7 @@
 	assert.Equal(t, len(orders), 1)
 	p.Ordered(at(100), orders[0], site.Accepted, nil)
 	f.view.Reports["a"].Rate = 100
-	assert.DeepEqual(t, f.plan(p, 250, 2000), []Order{{Kind: Move, Machine: "spare0", Pool: "a"}})
+	f.view.Read = at(50)
+	assert.Equal(t, len(p.Plan(at(2000), &f.view)), 0, "the reading is older than the order")
+	assert.DeepEqual(t, f.plan(p, 2250, 3000), []Order{{Kind: Move, Machine: "spare0", Pool: "a"}})
 }
