Reads whose answer never begins are given up after 0.6 s

Change: the begin of an answer has a limit of its own, 0.6 s beside what the call itself waits; a long answer may still take long. Tests: TestAnswerThatNeverBegins, TestConfigurationIsReadAgainSoon (fails without it).

--- a/internal/drive/node_test.go
+++ b/internal/drive/node_test.go
@@ -609,3 +609,20 @@
 	assert.Assert(t, sh.claim(ctx))
 	assert.Equal(t, sh.readLimit, 2*firstRead, "the second attempt has twice the time")
 }
+
+// TestConfigurationIsReadAgainSoon has the log swallow a read of the operator's records. The
+// watch gives it up early enough to have the next one answered within the time in which a
+// configuration must be in force.
+func TestConfigurationIsReadAgainSoon(t *testing.T) {
+	c := newCluster(t, 1, map[string]int{"alpha": 1})
+	const inForce = 2 * time.Second // the users' bound
+	ctx, cancel := context.WithTimeout(t.Context(), inForce)
+	defer cancel()
+	c.world.Store.Set(func(s *emul.Store) { s.SwallowReads = 1 })
+	w := platform.NewWatch(c.nodes[0].set, site.Operator, operatorWait)
+	_, _, err := w.Next(ctx)
+	assert.Assert(t, err != nil && ctx.Err() == nil, "the read is waited for until %v", ctx.Err())
+	changes, _, err := w.Next(t.Context())
+	assert.NilError(t, err)
+	assert.Assert(t, len(changes) > 0)
+}
--- a/internal/httpc/conn.go
+++ b/internal/httpc/conn.go
@@ -42,6 +42,10 @@
 	Path   string // with its query
 	Header map[string]string
 	Body   []byte
+	// First bounds the time until the answer begins, where it is not 0; a long answer may
+	// take longer. A server that comes back from an outage may never answer what was sent
+	// before.
+	First time.Duration
 }
 
 // Answer is a response with its whole body.
@@ -131,6 +135,22 @@
 	}
 }
 
+// awaitFirst waits for the first byte of an answer, then leaves the whole limit for the
+// rest.
+func awaitFirst(conn net.Conn, r *bufio.Reader, first, limit time.Duration) error {
+	if first <= 0 || first >= limit {
+		return nil
+	}
+	now := time.Now()
+	if err := conn.SetReadDeadline(now.Add(first)); err != nil {
+		return err
+	}
+	if _, err := r.Peek(1); err != nil {
+		return err
+	}
+	return conn.SetReadDeadline(now.Add(limit))
+}
+
 func (c *Conn) exchange(call *Call, limit time.Duration) (*Answer, error) {
 	c.mu.Lock()
 	conn, r := c.conn, c.r
@@ -144,6 +164,9 @@
 	if _, err := conn.Write(c.encode(call)); err != nil {
 		return nil, err
 	}
+	if err := awaitFirst(conn, r, call.First, limit); err != nil {
+		return nil, err
+	}
 	res, err := http.ReadResponse(r, nil)
 	if err != nil {
 		return nil, err
--- a/internal/httpc/conn_test.go
+++ b/internal/httpc/conn_test.go
@@ -47,3 +47,29 @@
 		assert.Assert(t, err != nil && !NotSent(err), "%v", err)
 	}
 }
+
+// TestAnswerThatNeverBegins has a server that never answers, and one whose answer begins
+// at once and takes longer than its begin may.
+func TestAnswerThatNeverBegins(t *testing.T) {
+	const first = 50 * time.Millisecond
+	begun := make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/never" {
+			<-begun
+			return
+		}
+		_, _ = w.Write([]byte("a"))
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(3 * second / 2)
+		_, _ = w.Write([]byte("b"))
+	}))
+	defer s.Close()
+	defer close(begun)
+	c := New(strings.TrimPrefix(s.URL, "http://"), 10*second)
+	defer c.Close()
+	a, err := c.Do(t.Context(), &Call{Method: http.MethodGet, Path: "/long", First: second}, 20*second)
+	assert.NilError(t, err)
+	assert.Equal(t, string(a.Body), "ab")
+	_, err = c.Do(t.Context(), &Call{Method: http.MethodGet, Path: "/never", First: first}, time.Hour)
+	assert.ErrorContains(t, err, "timeout")
+}
