Soak: an end acknowledged after its VM's lease has run out does not count as noted

VM i-13 was cut off and ran on; the next owner gave it up once its leases had run out (log at 31.954 s), started the three tasks elsewhere, and acknowledged their ends when the VM was back. The platform's rule leaves such ends out ('unless the worker's lease lapsed between the two'); the emulator did not. Its check is as strict as the rule now. Test: TestAcknowledgementAfterALapseDoesNotCount fails without it.

--- a/internal/stand/emul/worker.go
+++ b/internal/stand/emul/worker.go
@@ -32,6 +32,7 @@
 	mu      sync.Mutex
 	fence   int64
 	lease   time.Time
+	lapsed  time.Time // the lease was last seen to have run out
 	running map[string]*active
 	ends    []endRow
 	highest map[string]int64 // runs stopped or ended, by task
@@ -119,7 +120,8 @@
 			return
 		}
 		w.mu.Lock()
-		if time.Now().After(w.lease) {
+		if now := time.Now(); now.After(w.lease) {
+			w.lapsed = now
 			for name := range w.running {
 				w.finish(name, "lapsed")
 			}
@@ -327,10 +329,12 @@
 	reply(rw, map[string]any{"clockMs": w.clock(), "born": w.born.UnixMilli(), "running": running, "ended": ended})
 }
 
+// note takes an acknowledgement down. As the platform says, it does not count if the
+// lease has run out since the end; w.mu is held.
 func (w *Worker) note(r *Ran) {
 	w.ledger.mu.Lock()
 	defer w.ledger.mu.Unlock()
-	r.Noted = true
+	r.Noted = r.Noted || !w.lapsed.After(r.End)
 }
 
 // Set changes a fault.
--- /dev/null
+++ b/internal/stand/emul/worker_test.go
@@ -0,0 +1,49 @@
+package emul
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestAcknowledgementAfterALapseDoesNotCount has the end of a run acknowledged in time, and
+// that of another one after the lease has run out. A soak (seed 1112) took the second for
+// noted and the task's next run for a breach.
+func TestAcknowledgementAfterALapseDoesNotCount(t *testing.T) {
+	l := &Ledger{}
+	w, err := NewWorker("i-1", "m", "p", l, func(string) Task { return Task{For: time.Millisecond} })
+	assert.NilError(t, err)
+	defer w.Kill("gone")
+	call := func(path, body string) {
+		req, err := http.NewRequest(http.MethodPost, "http://"+w.address+path, strings.NewReader(body))
+		assert.NilError(t, err)
+		req.Header.Set("X-Expect-Instance", "i-1")
+		res, err := http.DefaultClient.Do(req)
+		assert.NilError(t, err)
+		res.Body.Close()
+		assert.Equal(t, res.StatusCode, http.StatusOK)
+	}
+	start := func(task string, lease int64) {
+		call("/v1/run-start", fmt.Sprintf(`{"task":%q,"run":1,"untilMs":%d}`, task, w.clock()+lease))
+		for l.Runs()[len(l.Runs())-1].End.IsZero() {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	start("0000000000000001.0.0.0", 300)
+	lapsed := func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return w.lapsed.After(l.Runs()[0].End)
+	}
+	for !lapsed() {
+		time.Sleep(time.Millisecond)
+	}
+	start("0000000000000002.0.0.0", 60_000)
+	call("/v1/hold", `{"ackCursor":2}`)
+	assert.Equal(t, l.Runs()[0].Noted, false)
+	assert.Equal(t, l.Runs()[1].Noted, true)
+}
--- a/internal/stand/soak/soak_test.go
+++ b/internal/stand/soak/soak_test.go
@@ -30,6 +30,7 @@
 	}{
 		{1, true, "jobs past their objective were no demand: 40 of 98 waited for good behind tasks that last"},
 		{20, false, "an entry lost its port to a connection and ended"},
+		{1112, false, "the check took an end for noted that was acknowledged after its VM's lease had run out"},
 		{7, false, "fresh"},
 	}
 	program := build(t)
