A task that lasts, long at work, ends its VM's trial

Cause: a VM that comes back from quarantine gets one run until one is done. A task that lasts never is, so a VM that got one stayed on trial for good and took nothing else, while its pool counted it as room. Change: a task that has been at work for as long as the first quarantine counts as one that is done. Test: TestTrialEndsByATaskThatLasts fails without it.

--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -67,6 +67,9 @@
 			r.vm.stalled(now, &s.policy)
 			s.stop(now, r, "no progress")
 		}
+		if r.vm.trial && !r.atWork.IsZero() && now.Sub(r.atWork) >= s.policy.Quarantine {
+			r.vm.prove() // a task that lasts does not end as done
+		}
 	}
 }
 
--- a/internal/sched/kinds_test.go
+++ b/internal/sched/kinds_test.go
@@ -187,3 +187,36 @@
 		assert.Assert(t, s.VM != runs[0].VM, "%s goes to the VM where runs stand still", s.Order.Task)
 	}
 }
+
+// TestTrialEndsByATaskThatLasts has a VM come back from quarantine and get a task that
+// lasts as its one run. Once that has been at work for as long as the quarantine, the VM
+// gets others again: such a task never ends as done. A soak (seed 1120) left a task of
+// another job waiting for good.
+func TestTrialEndsByATaskThatLasts(t *testing.T) {
+	r := newRig(t, testVM("a"))
+	var ends []site.End
+	for i, id := range []string{"00000000000000b1", "00000000000000b2", "00000000000000b3"} {
+		r.submit(0, testJob(id, jobs.Step{Count: 1, CPU: 1000, EstimateMS: 800}))
+		ends = append(ends, end(int64(i+1), r.starts(10 + i)[0], site.Failed))
+	}
+	r.look(20, "a", site.Look{Ended: ends})
+	for i := range 3 {
+		r.s.Cancel(at(25), "00000000000000b"+string(rune('1'+i)))
+	}
+	r.submit(30, testJob(jobID, jobs.Step{Count: 1, CPU: 1000, Lasts: true}))
+	assert.Equal(t, len(r.starts(40)), 0, "the VM is in quarantine")
+	ms := 50 + int(testPolicy().Quarantine.Milliseconds())
+	r.look(ms, "a", site.Look{})
+	lasting := r.starts(ms)
+	assert.Equal(t, len(lasting), 1)
+
+	const other = "00000000000000a2"
+	r.submit(ms, testJob(other, jobs.Step{Count: 1, CPU: 1000, Lasts: true}))
+	var got []StartRun
+	for end := ms + 2*int(testPolicy().Quarantine.Milliseconds()); ms < end && len(got) == 0; ms += 100 {
+		r.look(ms, "a", site.Look{Running: []site.Run{{Task: lasting[0].Order.Task, Run: lasting[0].Order.Run, Percent: 100}}})
+		got = r.starts(ms)
+	}
+	assert.Equal(t, len(got), 1, "the VM stays on trial")
+	assert.Equal(t, got[0].Task.Job, other)
+}
--- a/internal/sched/vm.go
+++ b/internal/sched/vm.go
@@ -30,7 +30,7 @@
 	failMany bool      // they are of more than one job
 	sick     time.Time // quarantined until
 	sickFor  time.Duration
-	trial    bool // quarantine has ended, one run at a time until one is done
+	trial    bool // quarantine has ended, one run at a time until one is done or long at work
 }
 
 func newVM(v site.VM) *vm {
@@ -101,7 +101,7 @@
 func (v *vm) note(now time.Time, job string, how site.How, p *Policy) {
 	switch how {
 	case site.Done:
-		v.failures, v.failMany, v.failJob, v.trial, v.sickFor = 0, false, "", false, 0
+		v.prove()
 	case site.Failed:
 		v.failures++
 		v.failMany = v.failMany || (v.failJob != "" && v.failJob != job)
@@ -110,6 +110,11 @@
 	}
 }
 
+// prove ends the VM's trial: it has run a task well.
+func (v *vm) prove() {
+	v.failures, v.failMany, v.failJob, v.trial, v.sickFor = 0, false, "", false, 0
+}
+
 // stalled takes note that a run stands still on the VM. It counts for two failures, and
 // for all jobs: no job makes its own tasks stand still.
 func (v *vm) stalled(now time.Time, p *Policy) {
