What an owner appends ends with it, not with the call that asked it to yield

Cause: the last append of an owner ran on the context of whoever stopped it. Test: TestEndedShardAppendsNothing fails without it.

--- a/internal/drive/flush.go
+++ b/internal/drive/flush.go
@@ -1,7 +1,6 @@
 package drive
 
 import (
-	"context"
 	"errors"
 	"time"
 
@@ -22,7 +21,7 @@
 }
 
 // flush stores what has changed.
-func (sh *shard) flush(ctx context.Context, now time.Time) {
+func (sh *shard) flush(now time.Time) {
 	f, err := sh.core.Flush(now, sh.node.set.Log.CallBytes)
 	if err != nil {
 		sh.log.WithError(err).Error("jobs cannot be encoded")
@@ -44,25 +43,25 @@
 	sh.flushing = true
 	seq := sh.sequence
 	sh.sequence++
-	go sh.append(ctx, f, extra, seq)
+	go sh.append(f, extra, seq)
 }
 
 // append stores a flush. It repeats it under the same sequence number while it may
 // have been stored, and gives it back once the log has certainly refused it for a while.
-func (sh *shard) append(ctx context.Context, f *sched.Flush, extra []extraRecord, seq int64) {
+func (sh *shard) append(f *sched.Flush, extra []extraRecord, seq int64) {
 	a := &site.Append{Partition: sh.partition, Epoch: sh.core.Epoch, Sequence: seq, ExpectEnd: -1, Records: f.Records}
 	for _, x := range extra {
 		a.Records = append(a.Records, x.record)
 	}
 	began, refused := time.Now(), true
-	for ctx.Err() == nil {
-		err := sh.store.AppendJobs(ctx, a)
+	for sh.life.Err() == nil {
+		err := sh.store.AppendJobs(sh.life, a)
 		if err == nil {
 			appendTime.UpdateDuration(began)
 			for _, x := range extra {
 				x.done()
 			}
-			sh.post(func(now time.Time) { sh.stored(ctx, now, f) })
+			sh.post(func(now time.Time) { sh.stored(now, f) })
 			return
 		}
 		if errors.Is(err, site.ErrFenced) || errors.Is(err, site.ErrSequence) {
@@ -77,7 +76,7 @@
 			return
 		}
 		sh.post(func(now time.Time) { sh.appendFailed(now) })
-		sleep(ctx, flushPause)
+		sleep(sh.life, flushPause)
 	}
 }
 
@@ -113,7 +112,7 @@
 	return site.Reply{Outcome: site.Refused, RetryMS: back.Milliseconds(), Reason: "the job log does not answer"}
 }
 
-func (sh *shard) stored(ctx context.Context, now time.Time, f *sched.Flush) {
+func (sh *shard) stored(now time.Time, f *sched.Flush) {
 	if !sh.badSince.IsZero() {
 		sh.log.WithField("after-ms", now.Sub(sh.badSince).Milliseconds()).Info("job log regained")
 	}
@@ -127,5 +126,5 @@
 			delete(sh.waiters, id)
 		}
 	}
-	sh.flush(ctx, now)
+	sh.flush(now)
 }
--- a/internal/drive/node_test.go
+++ b/internal/drive/node_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -626,3 +627,39 @@
 	assert.NilError(t, err)
 	assert.Assert(t, len(changes) > 0)
 }
+
+// appendFailures counts the log lines of failed appends.
+type appendFailures struct{ n atomic.Int64 }
+
+// Levels makes appendFailures a hook.
+func (*appendFailures) Levels() []logrus.Level { return logrus.AllLevels }
+
+// Fire makes appendFailures a hook.
+func (a *appendFailures) Fire(e *logrus.Entry) error {
+	if strings.HasPrefix(e.Message, "append failed") {
+		a.n.Add(1)
+	}
+	return nil
+}
+
+// TestEndedShardAppendsNothing has an owner yield while the log is away. Its last append
+// ends with it, whatever becomes of the call that asked: a soak's entries repeated such
+// appends for a minute, on closed connections.
+func TestEndedShardAppendsNothing(t *testing.T) {
+	c := newCluster(t, 1, map[string]int{"alpha": 1})
+	n := c.nodes[0]
+	partition := n.partitionOf("alpha")
+	c.submit(0, jobIDs(1)[0], twoSteps)
+	sh := n.shardOf(partition)
+	c.world.Store.Set(func(s *emul.Store) { s.Down = true })
+	hook := &appendFailures{}
+	defer logrus.StandardLogger().ReplaceHooks(logrus.StandardLogger().ReplaceHooks(logrus.LevelHooks{}))
+	logrus.AddHook(hook)
+	go n.yield(t.Context(), &yieldCall{Partition: partition})
+	c.await("an append failed", func() bool { return hook.n.Load() > 0 })
+	sh.cancel()
+	<-sh.done
+	before := hook.n.Load()
+	time.Sleep(5 * flushPause)
+	assert.Assert(t, hook.n.Load() <= before+1, "%d appends after the end", hook.n.Load()-before)
+}
--- a/internal/drive/shard.go
+++ b/internal/drive/shard.go
@@ -35,6 +35,7 @@
 	store     *platform.Log
 	events    chan func(now time.Time)
 	done      chan struct{}
+	life      context.Context // ends with the shard, as all that it stores does
 	cancel    context.CancelFunc
 	loaded    chan struct{} // closed once the partition is claimed and read
 	sequence  int64         // of the next append
@@ -78,12 +79,12 @@
 func newShard(ctx context.Context, n *Node, partition int) *shard {
 	ctx, cancel := context.WithCancel(ctx)
 	sh := &shard{
-		node: n, partition: partition, store: platform.NewLog(n.set), cancel: cancel,
+		node: n, partition: partition, store: platform.NewLog(n.set), life: ctx, cancel: cancel,
 		log:    logrus.WithField("partition", partition),
 		events: make(chan func(time.Time), eventBuffer), done: make(chan struct{}), loaded: make(chan struct{}), handed: make(chan struct{}),
 		sessions: map[string]*session{}, waiters: map[string][]*waiter{},
 	}
-	go sh.run(ctx)
+	go sh.run()
 	return sh
 }
 
@@ -95,7 +96,8 @@
 	}
 }
 
-func (sh *shard) run(ctx context.Context) {
+func (sh *shard) run() {
+	ctx := sh.life
 	defer close(sh.done)
 	defer sh.store.Close()
 	defer sh.cancel()
@@ -154,7 +156,7 @@
 	countRuns(sh.stats, stats)
 	sh.stats = stats
 	if !sh.flushing && now.Sub(sh.flushed) >= flushGap && !now.Before(sh.retryAt) {
-		sh.flush(ctx, now)
+		sh.flush(now)
 	}
 }
 
@@ -311,7 +313,7 @@
 
 // retire ends the decisions and stores word of what is under way for the next owner,
 // with all that has changed until then. handed is closed once that is stored.
-func (sh *shard) retire(ctx context.Context, now time.Time) {
+func (sh *shard) retire(now time.Time) {
 	if sh.retired {
 		return
 	}
@@ -322,7 +324,7 @@
 	const keyAndLength = 64 // bytes of a record beside its value, at most
 	sh.core.Retire(sh.node.set.Log.RecordBytes - keyAndLength)
 	if !sh.flushing {
-		sh.flush(ctx, now)
+		sh.flush(now)
 	}
 }
 
@@ -348,7 +350,7 @@
 // stop ends the shard after its last changes are stored, or the context ends. It
 // reports whether they are stored.
 func (sh *shard) stop(ctx context.Context) bool {
-	sh.post(func(now time.Time) { sh.retire(ctx, now) })
+	sh.post(sh.retire)
 	stored := false
 	select {
 	case <-sh.handed:
