Soak: late orders are left out by the time of the start, not of the check

Change: what is left out is what came between a fault's begin or end and 12 s after it, at any time of the check; starts before the fault are no longer left out. Test: TestLateOrdersAreJudgedByTheirTime.

--- a/internal/stand/soak/check.go
+++ b/internal/stand/soak/check.go
@@ -126,8 +126,7 @@
 	if !refused.IsZero() {
 		run.breach("%s runs, its caller was told that it never would", r.Task)
 	}
-	late := run.lateOn(r.VM)
-	if !ended.IsZero() && r.Start.Sub(ended) > cancelTime && !late {
+	if !ended.IsZero() && r.Start.Sub(ended) > cancelTime && !run.lateOn(r.VM, r.Start) {
 		run.breach("%s run %d was started %s after its job's cancel was acknowledged", r.Task, r.Run, r.Start.Sub(ended))
 	}
 	failed := 0
@@ -146,7 +145,7 @@
 			}
 		}
 	}
-	if r.Lasts && !r.End.IsZero() && (r.How == "stopped" || r.How == "ordered away") && r.Sound && !late {
+	if r.Lasts && !r.End.IsZero() && (r.How == "stopped" || r.How == "ordered away") && r.Sound && !run.lateOn(r.VM, r.End) {
 		run.checkAvailability(j, id, r, h)
 	}
 }
--- a/internal/stand/soak/soak.go
+++ b/internal/stand/soak/soak.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -47,8 +48,8 @@
 
 	mu       sync.Mutex
 	breaches []string
-	links    map[string]*Link     // of VMs
-	late     map[string]time.Time // VMs with orders that may come late
+	links    map[string]*Link       // of VMs
+	late     map[string][]time.Time // begins and ends of faults by which orders to a VM may come late
 	ready    []*Entry
 	version  int64
 	waves    int
@@ -66,7 +67,7 @@
 // Play plays one seed; what happens goes to out.
 func Play(cfg Config, out io.Writer) (*Result, error) {
 	run := &Run{
-		cfg: cfg, out: out, began: time.Now(), book: &Book{jobs: map[string]*Job{}}, links: map[string]*Link{}, late: map[string]time.Time{},
+		cfg: cfg, out: out, began: time.Now(), book: &Book{jobs: map[string]*Job{}}, links: map[string]*Link{}, late: map[string][]time.Time{},
 		queues: []emul.Queue{{Name: "qa", Pool: "alpha"}, {Name: "qb", Pool: "beta"}},
 	}
 	defer run.close()
@@ -375,13 +376,16 @@
 func (run *Run) markLate(vm string) {
 	run.mu.Lock()
 	defer run.mu.Unlock()
-	run.late[vm] = time.Now()
+	run.late[vm] = append(run.late[vm], time.Now())
 }
 
-func (run *Run) lateOn(vm string) bool {
+// lateOn reports whether what happened on a VM at a time may be of an order that was late.
+func (run *Run) lateOn(vm string, at time.Time) bool {
 	run.mu.Lock()
 	defer run.mu.Unlock()
-	return time.Since(run.late[vm]) < lateFor
+	return slices.ContainsFunc(run.late[vm], func(mark time.Time) bool {
+		return !at.Before(mark) && at.Sub(mark) < lateFor
+	})
 }
 
 func (run *Run) log(format string, args ...any) {
--- a/internal/stand/soak/soak_test.go
+++ b/internal/stand/soak/soak_test.go
@@ -31,6 +31,8 @@
 		{1, true, "jobs past their objective were no demand: 40 of 98 waited for good behind tasks that last"},
 		{20, false, "an entry lost its port to a connection and ended"},
 		{1112, false, "the check took an end for noted that was acknowledged after its VM's lease had run out"},
+		{1021, false, "the check left late orders out by its own time, not that of the start"},
+		{1120, false, "a VM on trial that held a task that lasts took no other for good"},
 		{7, false, "fresh"},
 	}
 	program := build(t)
@@ -46,6 +48,28 @@
 	}
 }
 
+// TestLateOrdersAreJudgedByTheirTime leaves a start out that came late on a harmed VM, however
+// long ago that was, and none that came before the harm or long after it.
+func TestLateOrdersAreJudgedByTheirTime(t *testing.T) {
+	ago := func(d time.Duration) time.Time { return time.Now().Add(-d) }
+	run := &Run{late: map[string][]time.Time{"i-3": {ago(time.Minute), ago(50 * time.Second)}}}
+	tests := []struct {
+		name string
+		vm   string
+		at   time.Time
+		late bool
+	}{
+		{"before", "i-3", ago(61 * time.Second), false},
+		{"during", "i-3", ago(55 * time.Second), true},
+		{"soon after", "i-3", ago(45 * time.Second), true},
+		{"long after", "i-3", ago(50*time.Second - lateFor), false},
+		{"another VM", "i-4", ago(55 * time.Second), false},
+	}
+	for _, tt := range tests {
+		assert.Equal(t, run.lateOn(tt.vm, tt.at), tt.late, tt.name)
+	}
+}
+
 // echo answers each connection with what it gets.
 func echo(t *testing.T) string {
 	t.Helper()
