Claim: one reading of the tail, one lookup of the last owner, no dead nonce

The claim's nonce was for reading it back, which is gone. What a claimant reads after the owner yields and after it is shut out is one function; the last owner is decoded in one place and looked up by the method that knew its epoch.

--- a/internal/drive/claim.go
+++ b/internal/drive/claim.go
@@ -18,7 +18,6 @@
 type ownerRecord struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // encodes fields by position
 	Epoch    int64
-	Claim    string // unique to one attempt to claim
 	Address  string
 }
 
@@ -49,34 +48,40 @@
 }
 
 func (sh *shard) tryClaim(ctx context.Context) error {
-	heard := sh.node.lastOwner(sh.partition)
-	probed := sh.probe(ctx, heard)
+	heard := sh.node.owners.last(sh.partition)
+	probed := sh.probe(ctx, heard.Address)
 	began := time.Now()
 	table, err := sh.readTable(ctx)
 	if err != nil {
 		return err
 	}
-	yielded, err := sh.takeTail(ctx, table, heard, probed, time.Since(began))
-	if err != nil {
-		return err
-	}
+	read := time.Since(began)
 	last := sh.readOwn(table.Records)
-	epoch := max(last.Epoch, sh.node.owners.epoch(sh.partition), sh.tried) + 1
+	if last.Address != heard.Address {
+		probed = sh.probe(ctx, last.Address)
+	}
+	yielded := sh.askToYield(ctx, last.Address, probed, read)
+	if yielded {
+		if last, err = sh.addTail(ctx, table); err != nil {
+			return err
+		}
+	}
+	epoch := max(last.Epoch, sh.node.owners.last(sh.partition).Epoch, sh.tried) + 1
 	sh.tried = epoch
 	// The log takes the same epoch and number of another claimant for a repeat and
 	// answers it with success. Numbers drawn at random make that one a refusal.
 	sh.sequence = rand.Int64N(maxSequence)
 	if last.Epoch > 0 && !yielded {
-		if err := sh.shutOut(ctx, table, epoch); err != nil {
+		// The last owner may still be at work. A claim whose table is a moment old would be
+		// refused again and again.
+		if err := claimAppend(ctx, sh, epoch, -1, epochKey, &epoch); err != nil {
+			return fmt.Errorf("shut epochs below %d out: %w", epoch, err)
+		}
+		if last, err = sh.addTail(ctx, table); err != nil {
 			return err
 		}
-		last = sh.readOwn(table.Records)
-	}
-	value, err := jobs.Encode(&ownerRecord{Epoch: epoch, Claim: sh.node.nonce(), Address: sh.node.address})
-	if err != nil {
-		return err
 	}
-	if err := sh.claimAppend(ctx, epoch, table.End, site.Record{Key: ownerKey, Value: value}); err != nil {
+	if err := claimAppend(ctx, sh, epoch, table.End, ownerKey, &ownerRecord{Epoch: epoch, Address: sh.node.address}); err != nil {
 		return fmt.Errorf("claim epoch %d: %w", epoch, err)
 	}
 	sh.core = sched.New(epoch, sh.node.policy, sh.log)
@@ -100,27 +105,27 @@
 	return table, err
 }
 
-// shutOut keeps the last owner, which may still be at work, from storing more, and
-// adds what it has stored meanwhile. Without it a claim whose table is a moment old
-// would be refused again and again.
-func (sh *shard) shutOut(ctx context.Context, table *site.Table, epoch int64) error {
-	value, err := jobs.Encode(&epoch)
-	if err != nil {
-		return err
-	}
-	if err := sh.claimAppend(ctx, epoch, -1, site.Record{Key: epochKey, Value: value}); err != nil {
-		return fmt.Errorf("shut epochs below %d out: %w", epoch, err)
-	}
+// addTail adds what the last owner has stored since the table was read, and returns that
+// owner.
+func (sh *shard) addTail(ctx context.Context, table *site.Table) (ownerRecord, error) {
 	tail, err := sh.store.JobTail(ctx, sh.partition, table.End)
 	if err != nil {
-		return fmt.Errorf("read what the last owner stored at the end: %w", err)
+		return ownerRecord{}, fmt.Errorf("read what the last owner stored at the end: %w", err)
 	}
 	table.Add(tail)
-	return nil
+	return sh.readOwn(table.Records), nil
 }
 
-func (sh *shard) claimAppend(ctx context.Context, epoch, expectEnd int64, r site.Record) error {
-	a := &site.Append{Partition: sh.partition, Epoch: epoch, Sequence: sh.sequence, ExpectEnd: expectEnd, Records: []site.Record{r}}
+// claimAppend appends a record under a new epoch, which shuts out all lower ones.
+func claimAppend[T any](ctx context.Context, sh *shard, epoch, expectEnd int64, key string, value *T) error {
+	data, err := jobs.Encode(value)
+	if err != nil {
+		return err
+	}
+	a := &site.Append{
+		Partition: sh.partition, Epoch: epoch, Sequence: sh.sequence, ExpectEnd: expectEnd,
+		Records: []site.Record{{Key: key, Value: data}},
+	}
 	sh.sequence++
 	return sh.store.AppendJobs(ctx, a)
 }
--- a/internal/drive/node.go
+++ b/internal/drive/node.go
@@ -54,7 +54,6 @@
 	// waveSeen says when a wave was first seen, by its number.
 	waveSeen map[int64]time.Time
 	moved    map[string]time.Time // queues that changed their pool, by name
-	claims   int
 
 	refresh chan struct{} // asks for the owners to be read anew
 	rejoin  chan struct{} // an entry has left: its partitions are to be shared out
@@ -164,13 +163,6 @@
 	return !n.stopping.Load() && n.config.Load() != nil && n.joined.Load()
 }
 
-func (n *Node) nonce() string {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.claims++
-	return fmt.Sprintf("%s-%d", n.self, n.claims)
-}
-
 // partitionOf returns the partition that a pool's jobs are in.
 func (n *Node) partitionOf(pool string) int {
 	return int(xxhash.Sum64String(pool) % uint64(n.set.Log.Partitions))
--- a/internal/drive/owners.go
+++ b/internal/drive/owners.go
@@ -68,11 +68,11 @@
 	return list
 }
 
-// epoch returns the highest known epoch of a partition.
-func (o *owners) epoch(partition int) int64 {
+// last returns the owner with the highest known epoch of a partition.
+func (o *owners) last(partition int) ownerInfo {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.claimed[partition].Epoch
+	return o.claimed[partition]
 }
 
 // all returns the claims.
--- a/internal/drive/yield.go
+++ b/internal/drive/yield.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/greengagelane/greengagelane/internal/peer"
-	"github.com/greengagelane/greengagelane/pkg/jobs"
-	"github.com/greengagelane/greengagelane/pkg/site"
 )
 
 const (
@@ -54,46 +51,29 @@
 	sh.log.Info("partition released")
 }
 
-// takeTail has the present owner yield, if it answers, and adds what it has stored
-// since the table was read. probed tells whether the owner that was heard of has
-// answered meanwhile, and read is how long the table took: an owner that needs much longer
-// for its last append is cut from the log. yielded is false where the owner may go on.
-func (sh *shard) takeTail(ctx context.Context, table *site.Table, heard string, probed <-chan bool, read time.Duration) (yielded bool, err error) {
-	last, err := ownerOf(table)
-	if err != nil {
-		sh.log.WithError(err).Warn("owner record cannot be read; nobody is asked to yield")
-		return false, nil
-	}
-	owner := last.Address
-	if owner == "" || owner == sh.node.address {
-		return false, nil
-	}
-	if owner != heard {
-		probed = sh.probe(ctx, owner)
-	}
+// askToYield has the present owner yield, if it answers. probed tells whether it has
+// answered while the table was read, and read is how long that took: an owner that needs
+// much longer for its last append is cut from the log. Where it is false the owner may go
+// on.
+func (sh *shard) askToYield(ctx context.Context, owner string, probed <-chan bool, read time.Duration) bool {
 	t := time.NewTimer(probeWait)
 	defer t.Stop()
 	select {
 	case there := <-probed:
 		if !there {
-			return false, nil
+			return false
 		}
 	case <-t.C:
-		return false, nil
+		return false
 	}
 	limit, cancel := context.WithTimeout(ctx, min(max(yieldReads*read, yieldLeast), yieldLimit))
 	defer cancel()
 	r, err := peer.Call[yieldCall, yieldReply](limit, sh.node.peer(owner), yieldKind, &yieldCall{Partition: sh.partition})
 	if err != nil || !r.Yielded {
 		sh.log.WithError(err).WithField("owner", owner).Info("owner did not yield; the partition is claimed all the same")
-		return false, nil
-	}
-	tail, err := sh.store.JobTail(ctx, sh.partition, table.End)
-	if err != nil {
-		return false, fmt.Errorf("read what the last owner stored at the end: %w", err)
+		return false
 	}
-	table.Add(tail)
-	return true, nil
+	return true
 }
 
 // probe asks in the background whether an entry owns the shard's partition.
@@ -111,25 +91,3 @@
 	}()
 	return answer
 }
-
-// lastOwner returns where the last owner of a partition was, as far as this entry has
-// heard.
-func (n *Node) lastOwner(partition int) string {
-	n.owners.mu.Lock()
-	defer n.owners.mu.Unlock()
-	return n.owners.claimed[partition].Address
-}
-
-// ownerOf returns the owner that a table names.
-func ownerOf(table *site.Table) (ownerRecord, error) {
-	for _, r := range table.Records {
-		if r.Key == ownerKey {
-			o, err := jobs.Decode[ownerRecord](r.Value)
-			if err != nil {
-				return ownerRecord{}, err
-			}
-			return *o, nil
-		}
-	}
-	return ownerRecord{}, nil
-}
