--- a/internal/drive/admin.go
+++ b/internal/drive/admin.go
@@ -132,12 +132,7 @@
 
 // askShard runs a function on a shard's goroutine and returns its result.
 func askShard[T any](ctx context.Context, sh *shard, f func(sh *shard, now time.Time) *T) (*T, error) {
-	if sh == nil {
-		return nil, errNotOwner
-	}
-	select {
-	case <-sh.loaded:
-	default:
+	if sh == nil || !sh.isLoaded() {
 		return nil, errNotOwner
 	}
 	ch := make(chan *T, 1)
--- a/internal/drive/fleet.go
+++ b/internal/drive/fleet.go
@@ -305,10 +305,10 @@
 		logrus.WithError(err).Error("orders cannot be encoded")
 		return
 	}
-	m.shard.extra = append(m.shard.extra, extraRecord{record: site.Record{Key: ordersKey, Value: value}, done: func() {}})
+	m.shard.extra = append(m.shard.extra, extraRecord{record: site.Record{Key: ordersKey, Value: value}})
 	for _, s := range m.planner.WaveStates(&m.view) {
 		if r, err := m.waveRecord(now, s); err == nil && len(s.Done) > m.kept[s.Number] {
-			m.shard.extra = append(m.shard.extra, extraRecord{record: r, done: func() {}})
+			m.shard.extra = append(m.shard.extra, extraRecord{record: r})
 		}
 	}
 }
@@ -320,7 +320,7 @@
 	return site.Record{Key: fmt.Sprintf("%s%d", waveKey, s.Number), Value: value}, err
 }
 
-// keep stores a record with the next flush and calls done after it.
+// keep stores a record with the next flush and calls done, if not nil, after it.
 func (sh *shard) keep(r site.Record, done func()) {
 	sh.post(func(time.Time) {
 		sh.extra = append(sh.extra, extraRecord{record: r, done: done})
@@ -357,13 +357,13 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, w := range n.waves {
-		kept := m.shard.kept.waves[w.Number]
-		began := kept.began(now, n.waveSeen[w.Number], site.Millis(int(w.WithinMS)))
-		if _, known := m.began[w.Number]; !known {
-			m.began[w.Number] = began
-			m.kept[w.Number] = -1 // its begin is stored, too
+		if _, known := m.began[w.Number]; known {
+			continue
 		}
-		m.planner.AddWave(began, w, kept.Done)
+		kept := m.shard.kept.waves[w.Number]
+		m.began[w.Number] = kept.began(now, w.at, site.Millis(int(w.WithinMS)))
+		m.kept[w.Number] = -1 // its begin is stored, too
+		m.planner.AddWave(m.began[w.Number], w.Wave, kept.Done)
 	}
 }
 
@@ -396,7 +396,7 @@
 	m.mu.Lock()
 	m.kept[s.Number] = len(s.Done)
 	m.mu.Unlock()
-	m.shard.keep(r, func() {})
+	m.shard.keep(r, nil)
 }
 
 // report asks the owner of a pool's partition.
--- a/internal/drive/flush.go
+++ b/internal/drive/flush.go
@@ -14,10 +14,10 @@
 	shortOutage   = time.Second            // callers come back after a second at first, later after two
 )
 
-// extraRecord is a record beside the jobs. done is called once it is stored.
+// extraRecord is a record beside the jobs.
 type extraRecord struct {
 	record site.Record
-	done   func()
+	done   func() // called once it is stored; may be nil
 }
 
 // flush stores what has changed.
@@ -59,7 +59,9 @@
 		if err == nil {
 			appendTime.UpdateDuration(began)
 			for _, x := range extra {
-				x.done()
+				if x.done != nil {
+					x.done()
+				}
 			}
 			sh.post(func(now time.Time) { sh.stored(now, f) })
 			return
--- a/internal/drive/member.go
+++ b/internal/drive/member.go
@@ -78,7 +78,7 @@
 	if err := log.Leave(end, m); err != nil {
 		logrus.WithError(err).Warn("entry could not leave the group; its partitions are free once it is silent")
 	}
-	n.tellLeft()
+	tell(n, leftKind, &none{})
 	n.release(nil)
 	n.awaitReleased()
 }
@@ -94,19 +94,6 @@
 	}
 }
 
-// tellLeft tells the other entries that this one has left the group.
-func (n *Node) tellLeft() {
-	for _, address := range n.owners.peers(n.address) {
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), pushDeadline)
-			defer cancel()
-			if _, err := peer.Call[none, none](ctx, n.peer(address), leftKind, &none{}); err != nil {
-				logrus.WithError(err).WithField("peer", address).Debug("entry was not told of the leave")
-			}
-		}()
-	}
-}
-
 // joinPause returns the time to the next join: short while entries that started
 // together are still coming, so that partitions soon rest where they stay.
 func (n *Node) joinPause(now time.Time) time.Duration {
@@ -163,8 +150,13 @@
 
 // askOwners asks for the owners to be read soon.
 func (n *Node) askOwners() {
+	wake(n.refresh)
+}
+
+// wake sends to a channel that holds one wake-up, unless it holds one already.
+func wake(c chan<- struct{}) {
 	select {
-	case n.refresh <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -220,13 +212,12 @@
 	case c.Wave != nil:
 		n.mu.Lock()
 		defer n.mu.Unlock()
-		if _, known := n.waves[c.Wave.Number]; !known {
+		seen, known := n.waves[c.Wave.Number]
+		if !known {
+			seen.at = time.Now()
 			logrus.WithFields(logrus.Fields{"wave": c.Wave.Number, "machines": len(c.Wave.Machines), "within-ms": c.Wave.WithinMS, "at-once": c.Wave.AtOnce}).Info("maintenance wave")
 		}
-		n.waves[c.Wave.Number] = *c.Wave
-		if n.waveSeen[c.Wave.Number].IsZero() {
-			n.waveSeen[c.Wave.Number] = time.Now()
-		}
+		n.waves[c.Wave.Number] = seenWave{Wave: *c.Wave, at: seen.at}
 	}
 }
 
@@ -275,11 +266,9 @@
 	}
 	n.mu.Unlock()
 	for _, sh := range shards {
-		select {
-		case <-sh.loaded:
+		if sh.isLoaded() {
 			list := n.vmsOf(sh.partition)
 			sh.post(func(now time.Time) { sh.core.SetVMs(now, list) })
-		default:
 		}
 	}
 }
--- a/internal/drive/node.go
+++ b/internal/drive/node.go
@@ -50,10 +50,8 @@
 	shards  map[int]*shard
 	peers   map[string]*peer.Client
 	servers map[string]site.VM
-	waves   map[int64]site.Wave
-	// waveSeen says when a wave was first seen, by its number.
-	waveSeen map[int64]time.Time
-	moved    map[string]time.Time // queues that changed their pool, by name
+	waves   map[int64]seenWave   // by number
+	moved   map[string]time.Time // queues that changed their pool, by name
 
 	refresh chan struct{} // asks for the owners to be read anew
 	rejoin  chan struct{} // an entry has left: its partitions are to be shared out
@@ -62,12 +60,18 @@
 	adviceConn *httpc.Conn
 }
 
+// seenWave is a maintenance wave with the time at which this entry first saw it.
+type seenWave struct {
+	site.Wave
+	at time.Time
+}
+
 // New returns a node that is not running yet.
 func New(set *site.Settings) *Node {
 	return &Node{
 		set: set, started: time.Now(), address: set.AnnouncedAddress(), self: set.Entry + "-" + uuid.NewString()[:8],
 		policy: schedPolicy(set),
-		shards: map[int]*shard{}, peers: map[string]*peer.Client{}, servers: map[string]site.VM{}, waves: map[int64]site.Wave{}, waveSeen: map[int64]time.Time{}, moved: map[string]time.Time{},
+		shards: map[int]*shard{}, peers: map[string]*peer.Client{}, servers: map[string]site.VM{}, waves: map[int64]seenWave{}, moved: map[string]time.Time{},
 		refresh: make(chan struct{}, 1), rejoin: make(chan struct{}, 1), aborted: make(chan struct{}),
 	}
 }
@@ -208,13 +212,18 @@
 func (n *Node) claimed(partition int, epoch int64) {
 	info := ownerInfo{Epoch: epoch, Address: n.address}
 	n.owners.claim(partition, info)
+	tell(n, announceKind, &announcement{Partition: partition, Owner: info})
+}
+
+// tell sends a message to all known entries. One that does not get it learns of the
+// matter later, from the log or by a sync.
+func tell[T any](n *Node, kind string, message *T) {
 	for _, address := range n.owners.peers(n.address) {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), pushDeadline)
 			defer cancel()
-			_, err := peer.Call[announcement, none](ctx, n.peer(address), announceKind, &announcement{Partition: partition, Owner: info})
-			if err != nil {
-				logrus.WithError(err).WithField("peer", address).Debug("announcement of a claim failed")
+			if _, err := peer.Call[T, none](ctx, n.peer(address), kind, message); err != nil {
+				logrus.WithError(err).WithFields(logrus.Fields{"peer": address, "kind": kind}).Debug("entry was not told")
 			}
 		}()
 	}
@@ -258,10 +267,7 @@
 		return n.reportLocal(ctx, c)
 	})
 	peer.Handle(s, leftKind, func(context.Context, string, *none) (*none, error) {
-		select {
-		case n.rejoin <- struct{}{}:
-		default:
-		}
+		wake(n.rejoin)
 		return &none{}, nil
 	})
 	peer.Handle(s, yieldKind, func(ctx context.Context, _ string, c *yieldCall) (*yieldReply, error) {
--- a/internal/drive/node_test.go
+++ b/internal/drive/node_test.go
@@ -502,7 +502,7 @@
 	sh := c.nodes[first].shardOf(c.nodes[first].partitionOf("alpha"))
 	c.cancels[first]()
 	<-sh.done
-	assert.Assert(t, sh.retired, "the owner ended without word for the next one")
+	assert.Assert(t, sh.core.Retired(), "the owner ended without word for the next one")
 	c.completed(1-first, ids...)
 }
 
--- a/internal/drive/shard.go
+++ b/internal/drive/shard.go
@@ -49,7 +49,6 @@
 	flushed  time.Time
 	badSince time.Time     // appends have failed since; zero while the log answers
 	retryAt  time.Time     // no append before
-	retired  bool          // no more decisions; the next owner is told what is under way
 	handed   chan struct{} // closed once the next owner's word is stored
 	leaving  atomic.Bool   // the partition is not of this entry's share any more
 
@@ -215,9 +214,7 @@
 
 // call handles a caller's request.
 func (sh *shard) call(ctx context.Context, c *jobCall) site.Reply {
-	select {
-	case <-sh.loaded:
-	default:
+	if !sh.isLoaded() {
 		return site.Reply{Outcome: site.NotOwner, Reason: "partition is being taken over"}
 	}
 	w := &waiter{id: c.ID, cancel: c.Kind == site.CancelJob, reply: make(chan site.Reply, 1)}
@@ -251,7 +248,7 @@
 }
 
 func (sh *shard) handle(now time.Time, c *jobCall, w *waiter) {
-	if sh.retired && (c.Kind == site.SubmitJob || c.Kind == site.CancelJob) {
+	if sh.core.Retired() && (c.Kind == site.SubmitJob || c.Kind == site.CancelJob) {
 		w.answer(site.Reply{Outcome: site.NotOwner, Reason: "partition is being handed over"})
 		return
 	}
@@ -314,10 +311,9 @@
 // retire ends the decisions and stores word of what is under way for the next owner,
 // with all that has changed until then. handed is closed once that is stored.
 func (sh *shard) retire(now time.Time) {
-	if sh.retired {
+	if sh.core.Retired() {
 		return
 	}
-	sh.retired = true
 	if sh.mover != nil {
 		sh.mover.handOver(now)
 	}
--- a/internal/sched/handover.go
+++ b/internal/sched/handover.go
@@ -33,6 +33,9 @@
 	s.retired, s.handoverBytes = true, mostBytes
 }
 
+// Retired reports whether the owner has ended its decisions.
+func (s *Shard) Retired() bool { return s.retired }
+
 // HandedOver reports whether all that the next owner needs is stored.
 func (s *Shard) HandedOver() bool { return s.handedOver }
 
