--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -64,7 +64,7 @@
 		if now.Sub(r.moved) > s.stallLimit(r) && now.Sub(r.vm.heard) < s.policy.SilentAfter && (r.percent < 100 || !r.step().Lasts) {
 			s.stats.Stalled++
 			r.task.avoid = r.vm.ID
-			r.vm.stalled(now, &s.policy)
+			s.stalled(now, r.vm)
 			s.stop(now, r, "no progress")
 		}
 		if r.vm.trial && !r.atWork.IsZero() && now.Sub(r.atWork) >= s.policy.Quarantine {
--- a/internal/sched/handover.go
+++ b/internal/sched/handover.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 
 	"github.com/greengagelane/greengagelane/pkg/jobs"
 	"github.com/greengagelane/greengagelane/pkg/site"
@@ -71,10 +73,13 @@
 // mayRun reports whether a task in doubt may be running on a VM that has not been
 // looked at.
 func (s *Shard) mayRun(t *task) bool {
-	if s.doubts != nil && len(s.notLookedAt(s.doubts.on[t.id.String()])) > 0 {
+	switch {
+	case len(s.suspect) == 0:
+		return false // so for nearly all of a partition's time
+	case s.doubts == nil:
 		return true
 	}
-	return len(s.unknownVMs()) > 0
+	return len(s.notLookedAt(s.doubts.on[t.id.String()])) > 0 || len(s.notLookedAt(s.doubts.unknown)) > 0
 }
 
 // unknownVMs returns the VMs that have not been looked at and on which any task may be.
@@ -82,11 +87,7 @@
 	if s.doubts != nil {
 		return s.notLookedAt(s.doubts.unknown)
 	}
-	var list []string
-	for vm := range s.suspect {
-		list = append(list, vm)
-	}
-	return list
+	return slices.Collect(maps.Keys(s.suspect))
 }
 
 func (s *Shard) notLookedAt(vms []string) []string {
--- a/internal/sched/observe.go
+++ b/internal/sched/observe.go
@@ -301,7 +301,7 @@
 	if e.Checkpoint != "" {
 		t.checkpoint = e.Checkpoint
 	}
-	v.note(now, id.Job, e.How, &s.policy)
+	s.note(now, v, id.Job, e.How)
 	s.begin(j)
 	switch e.How {
 	case site.Done:
--- a/internal/sched/offers.go
+++ b/internal/sched/offers.go
@@ -57,7 +57,7 @@
 func (o *offers) over(now time.Time, slots int64) (rate, off float64) {
 	var sum, squares float64
 	for k := o.last - slots + 1; k <= o.last; k++ {
-		s := &o.slots[(k+offerSlots)%offerSlots]
+		s := &o.slots[k%offerSlots]
 		sum += s.sum
 		squares += s.squares
 	}
--- a/internal/sched/outcome.go
+++ b/internal/sched/outcome.go
@@ -9,14 +9,10 @@
 
 // Started takes over the outcome of a start order.
 func (s *Shard) Started(now time.Time, a *StartRun, refusal site.Refusal, err error) {
-	v := s.vms[a.VM]
+	v := s.answering(a.VM, err)
 	if v == nil {
 		return
 	}
-	if errors.Is(err, site.ErrOtherLife) {
-		s.Gone(a.VM)
-		return
-	}
 	r := v.runs[a.Order.Task]
 	if r == nil || r.number != a.Order.Run {
 		return
@@ -56,14 +52,10 @@
 
 // StopDone takes over the outcome of a stop order.
 func (s *Shard) StopDone(now time.Time, a *StopRun, refusal site.Refusal, err error) {
-	v := s.vms[a.VM]
+	v := s.answering(a.VM, err)
 	if v == nil {
 		return
 	}
-	if errors.Is(err, site.ErrOtherLife) {
-		s.Gone(a.VM)
-		return
-	}
 	if err == nil && refusal == site.RefusedFence {
 		s.fenced = true
 		return
@@ -82,15 +74,19 @@
 
 // LookFailed takes over a look that was not answered.
 func (s *Shard) LookFailed(id string, err error) {
-	v := s.vms[id]
+	v := s.answering(id, err)
 	if v == nil {
 		return
 	}
 	v.failing = true
-	switch {
-	case errors.Is(err, site.ErrOtherLife):
+	s.fenced = s.fenced || errors.Is(err, site.ErrFenced)
+}
+
+// answering returns the VM that a call went to. It returns nil if the VM is not known,
+// or if its answer says that its life is over, which it takes note of.
+func (s *Shard) answering(id string, err error) *vm {
+	if errors.Is(err, site.ErrOtherLife) {
 		s.Gone(id)
-	case errors.Is(err, site.ErrFenced):
-		s.fenced = true
 	}
+	return s.vms[id]
 }
--- a/internal/sched/vm.go
+++ b/internal/sched/vm.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/greengagelane/greengagelane/pkg/site"
 )
 
@@ -97,8 +99,13 @@
 	return v.clock(now) + p.Lease.Milliseconds()
 }
 
-// note counts the end of a run for the VM's quarantine.
-func (v *vm) note(now time.Time, job string, how site.How, p *Policy) {
+// prove ends a VM's trial: it has run a task well.
+func (v *vm) prove() {
+	v.failures, v.failMany, v.failJob, v.trial, v.sickFor = 0, false, "", false, 0
+}
+
+// note counts the end of a run for its VM's quarantine.
+func (s *Shard) note(now time.Time, v *vm, job string, how site.How) {
 	switch how {
 	case site.Done:
 		v.prove()
@@ -106,29 +113,26 @@
 		v.failures++
 		v.failMany = v.failMany || (v.failJob != "" && v.failJob != job)
 		v.failJob = job
-		v.judge(now, p)
+		s.judge(now, v)
 	}
 }
 
-// prove ends the VM's trial: it has run a task well.
-func (v *vm) prove() {
-	v.failures, v.failMany, v.failJob, v.trial, v.sickFor = 0, false, "", false, 0
-}
-
-// stalled takes note that a run stands still on the VM. It counts for two failures, and
+// stalled takes note that a run stands still on a VM. It counts for two failures, and
 // for all jobs: no job makes its own tasks stand still.
-func (v *vm) stalled(now time.Time, p *Policy) {
+func (s *Shard) stalled(now time.Time, v *vm) {
 	v.failures += 2
 	v.failMany = true
-	v.judge(now, p)
+	s.judge(now, v)
 }
 
-// judge quarantines the VM after too many failures, longer each time.
-func (v *vm) judge(now time.Time, p *Policy) {
-	if v.trial || (v.failures >= p.FailuresInRow && v.failMany) {
-		v.sickFor = min(max(2*v.sickFor, p.Quarantine), p.QuarantineMax)
-		v.sick, v.trial = now.Add(v.sickFor), true
+// judge quarantines a VM after too many failures, longer each time.
+func (s *Shard) judge(now time.Time, v *vm) {
+	if !v.trial && (v.failures < s.policy.FailuresInRow || !v.failMany) {
+		return
 	}
+	v.sickFor = min(max(2*v.sickFor, s.policy.Quarantine), s.policy.QuarantineMax)
+	v.sick, v.trial = now.Add(v.sickFor), true
+	s.log.WithFields(logrus.Fields{"vm": v.ID, "pool": v.Pool, "failures": v.failures, "for-ms": v.sickFor.Milliseconds()}).Info("VM quarantined")
 }
 
 // sortedVMs returns the VMs in the order of their identifiers, so that decisions
