--- a/internal/cmds/job.go
+++ b/internal/cmds/job.go
@@ -36,39 +36,52 @@
 		if *address == "" || len(args) != 1 {
 			return verb.Usagef("-peer and one file are required")
 		}
-		data, err := os.ReadFile(args[0])
-		if err != nil {
-			return fmt.Errorf("read job: %w", err)
-		}
-		j, err := jobs.ParseFile(args[0], data)
+		j, err := readJob(args[0])
 		if err != nil {
 			return err
 		}
-		if j.ID == "" {
-			const digits = 16
-			j.ID = strings.ReplaceAll(uuid.NewString(), "-", "")[:digits]
-		}
 		ctx, cancel := context.WithTimeout(context.Background(), *wait)
 		defer cancel()
 		a, err := drive.AskJob(ctx, *address, &drive.JobQuestion{ID: j.ID, Submit: j})
-		switch {
-		case peer.NotSent(err):
-			return fmt.Errorf("job %s is not handed in: %w", j.ID, err)
-		case err != nil && ctx.Err() != nil:
-			return &verb.UnknownError{Err: fmt.Errorf("job %s: %w", j.ID, err)}
-		case err != nil:
+		if err := submitError(ctx, j.ID, a, err); err != nil {
 			return err
-		case a.Reply.Outcome == site.Undecided:
-			return &verb.UnknownError{Err: fmt.Errorf("job %s: %s", j.ID, a.Reply.Reason)}
-		case a.Reply.Outcome != site.OK:
-			back := site.Millis(int(a.Reply.RetryMS))
-			return fmt.Errorf("job %s is refused: %s; there may be room in %s", j.ID, a.Reply.Reason, back)
 		}
 		_, err = fmt.Fprintln(out.Out, j.ID)
 		return err
 	}
 }
 
+// readJob reads a job file and draws an identifier if it has none.
+func readJob(file string) (*jobs.Job, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("read job: %w", err)
+	}
+	j, err := jobs.ParseFile(file, data)
+	if err == nil && j.ID == "" {
+		const digits = 16
+		j.ID = strings.ReplaceAll(uuid.NewString(), "-", "")[:digits]
+	}
+	return j, err
+}
+
+// submitError returns nil if a job was taken in, and else whether that is certain.
+func submitError(ctx context.Context, id string, a *drive.JobAnswer, err error) error {
+	switch {
+	case peer.NotSent(err):
+		return fmt.Errorf("job %s is not handed in: %w", id, err)
+	case err != nil && ctx.Err() != nil:
+		return &verb.UnknownError{Err: fmt.Errorf("job %s: %w", id, err)}
+	case err != nil:
+		return err
+	case a.Reply.Outcome == site.Undecided:
+		return &verb.UnknownError{Err: fmt.Errorf("job %s: %s", id, a.Reply.Reason)}
+	case a.Reply.Outcome != site.OK:
+		return fmt.Errorf("job %s is refused: %s; there may be room in %s", id, a.Reply.Reason, site.Millis(int(a.Reply.RetryMS)))
+	}
+	return nil
+}
+
 // JobCancel cancels a job on the platform.
 var JobCancel = verb.Verb{
 	Name:     "job cancel",
--- a/internal/stand/soak/entry.go
+++ b/internal/stand/soak/entry.go
@@ -43,11 +43,9 @@
 	}
 	local := func(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
 	e.ready = local(ports[3])
-	for _, x := range []struct {
-		link   **Link
-		target string
-	}{{&e.Callers, local(ports[2])}, {&e.Peers, local(ports[0])}, {&e.Log, logAddress}, {&e.Fleet, fleetAddress}} {
-		if *x.link, err = NewLink(x.target); err != nil {
+	targets := []string{local(ports[2]), local(ports[0]), logAddress, fleetAddress}
+	for i, link := range e.links() {
+		if *link, err = NewLink(targets[i]); err != nil {
 			return nil, err
 		}
 	}
@@ -107,13 +105,20 @@
 	_ = e.cmd.Process.Signal(s) // it may have ended by now
 }
 
+// running returns the channel that is closed when the process has ended, nil if none
+// runs.
+func (e *Entry) running() chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cmd == nil {
+		return nil
+	}
+	return e.ended
+}
+
 // End kills the process and waits until it is gone.
 func (e *Entry) End() {
-	e.mu.Lock()
-	ended := e.ended
-	running := e.cmd != nil
-	e.mu.Unlock()
-	if running {
+	if ended := e.running(); ended != nil {
 		e.Signal(syscall.SIGKILL)
 		<-ended
 	}
@@ -121,11 +126,8 @@
 
 // Stop tells the process to end and kills it after its grace.
 func (e *Entry) Stop() {
-	e.mu.Lock()
-	ended := e.ended
-	running := e.cmd != nil
-	e.mu.Unlock()
-	if !running {
+	ended := e.running()
+	if ended == nil {
 		return
 	}
 	e.Signal(syscall.SIGTERM)
@@ -147,17 +149,21 @@
 	return r.StatusCode == http.StatusOK
 }
 
+// links returns the entry's links: from callers, from other entries, to the log and to
+// the inventory.
+func (e *Entry) links() []**Link { return []**Link{&e.Callers, &e.Peers, &e.Log, &e.Fleet} }
+
 // heal ends all harm to the entry's links.
 func (e *Entry) heal() {
-	for _, l := range []*Link{e.Callers, e.Peers, e.Log, e.Fleet} {
-		l.Heal()
+	for _, l := range e.links() {
+		(*l).Heal()
 	}
 }
 
 func (e *Entry) close() {
 	e.End()
-	for _, l := range []*Link{e.Callers, e.Peers, e.Log, e.Fleet} {
-		l.Close()
+	for _, l := range e.links() {
+		(*l).Close()
 	}
 	e.output.Close()
 }
