--- a/internal/drive/claim.go
+++ b/internal/drive/claim.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -14,13 +13,6 @@
 	"github.com/greengagelane/greengagelane/pkg/site"
 )
 
-// ownerRecord is the record by which an entry claims a partition.
-type ownerRecord struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // encodes fields by position
-	Epoch    int64
-	Address  string
-}
-
 // maxSequence bounds the first sequence number of an epoch; two claimants draw the same
 // one in a million million.
 const maxSequence = 1 << 40
@@ -129,32 +121,3 @@
 	sh.sequence++
 	return sh.store.AppendJobs(ctx, a)
 }
-
-// readOwn returns the last owner and takes over what the job log keeps of waves.
-func (sh *shard) readOwn(records []site.Record) ownerRecord {
-	var last ownerRecord
-	sh.kept = keptFleet{waves: map[int64]waveRecord{}}
-	for _, r := range records {
-		switch {
-		case r.Key == ownerKey:
-			if o, err := jobs.Decode[ownerRecord](r.Value); err != nil {
-				sh.log.WithError(err).Warn("owner record skipped")
-			} else {
-				last = *o
-			}
-		case strings.HasPrefix(r.Key, waveKey):
-			if w, err := jobs.Decode[waveRecord](r.Value); err != nil {
-				sh.log.WithError(err).Warn("wave record skipped")
-			} else {
-				sh.kept.waves[w.Number] = *w
-			}
-		case r.Key == ordersKey:
-			if o, err := jobs.Decode[ordersRecord](r.Value); err != nil {
-				sh.log.WithError(err).Warn("record of orders skipped")
-			} else {
-				sh.kept.orders = o.Given
-			}
-		}
-	}
-	return last
-}
--- a/internal/drive/fleet.go
+++ b/internal/drive/fleet.go
@@ -23,11 +23,8 @@
 	reportLimit    = 250 * time.Millisecond // for the report of a pool; an entry that is slowed five times still gives it
 	inventoryEvery = 300 * time.Millisecond // between two reads of the inventory without orders
 	cordonFor      = 3 * time.Second        // a cordon that is not renewed ends
-	waveKey        = "wave/"
-	ordersKey      = "orders"
 	keepOrders     = 10 * time.Second       // orders stay in the record; longer than a turn with its skew
 	settleTime     = 800 * time.Millisecond // after a process starts; others that start with it still join
-	clockSkew      = 2 * time.Second        // by which two entries' times of day may differ
 )
 
 // reportCall asks for a pool's report and sets its cordons.
@@ -40,50 +37,6 @@
 	ReadOnly  bool     // cordons and potential stay as they are
 }
 
-// waveRecord is what the job log keeps of a wave.
-type waveRecord struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // encodes fields by position
-	Number   int64
-	Done     []string // machines whose maintenance has begun
-	UnixMS   int64    // the operator asked for it, as the first owner saw
-	AgeMS    int64    // since then when the record was written, on the owners' steady clocks
-}
-
-// began returns when a wave was asked for. A wave that is taken for older than it is is
-// only hurried, so the larger of all ages counts.
-func (r waveRecord) began(now, seen time.Time, within time.Duration) time.Time {
-	age := max(now.Sub(seen), time.Duration(r.AgeMS)*time.Millisecond)
-	if r.UnixMS > 0 {
-		age = max(age, now.Sub(time.UnixMilli(r.UnixMS)))
-	}
-	return now.Add(-min(age, within))
-}
-
-// ordersRecord is what the job log keeps of orders for machines. It is stored before
-// they are given, so that the next owner leaves these machines alone for a while.
-type ordersRecord struct {
-	_msgpack struct{}           `msgpack:",as_array"` //nolint:unused // encodes fields by position
-	Given    map[string]givenAt // by machine
-}
-
-// givenAt says when an order was given.
-type givenAt struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // encodes fields by position
-	UnixMS   int64
-	AgeMS    int64 // when the record was written, on the owner's steady clock
-}
-
-// age returns a time that has certainly passed since the order.
-func (g givenAt) age(now time.Time) time.Duration {
-	return max(now.Sub(time.UnixMilli(g.UnixMS))-clockSkew, time.Duration(g.AgeMS)*time.Millisecond)
-}
-
-// keptFleet is what a new owner finds of the last one's work.
-type keptFleet struct {
-	waves  map[int64]waveRecord
-	orders map[string]givenAt // machines ordered lately
-}
-
 // mover plans and orders moves and maintenance while this entry owns the fleet's
 // partition.
 type mover struct {
--- a/internal/drive/shard.go
+++ b/internal/drive/shard.go
@@ -22,8 +22,6 @@
 	claimPause  = 50 * time.Millisecond  // before a failed claim is tried again
 	flushPause  = 100 * time.Millisecond // before a failed append is tried again
 	eventBuffer = 1024
-	ownerKey    = "owner"
-	epochKey    = "epoch" // of the latest claimant that did not wait for the last owner
 )
 
 // shard owns one partition of the job log: it runs the scheduler on one goroutine.
--- /dev/null
+++ b/internal/sched/simvm_test.go
@@ -0,0 +1,46 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/greengagelane/greengagelane/pkg/site"
+)
+
+// simVM is a VM of the model: it obeys orders as the platform says and knows nothing
+// else.
+type simVM struct {
+	id      string
+	born    int64
+	bornAt  time.Time
+	slow    float64 // of its clock
+	fence   int64
+	lease   time.Time // in true time
+	running map[string]int64
+	highest map[string]int64
+	ends    []site.End
+	n       int64
+	up      bool
+}
+
+func (v *simVM) clock(now time.Time) int64 {
+	return 1000 + int64(float64(now.Sub(v.bornAt).Milliseconds())*(1-v.slow))
+}
+
+// renew takes a lease's end on the VM's clock.
+func (v *simVM) renew(now time.Time, until int64) {
+	left := float64(until-v.clock(now)) / (1 - v.slow)
+	if end := now.Add(time.Duration(left * float64(time.Millisecond))); until > 0 && end.After(v.lease) {
+		v.lease = end
+	}
+}
+
+func (v *simVM) finish(task string, how site.How) {
+	run, ok := v.running[task]
+	if !ok {
+		return
+	}
+	delete(v.running, task)
+	v.highest[task] = max(v.highest[task], run)
+	v.n++
+	v.ends = append(v.ends, site.End{N: v.n, Task: task, Run: run, How: how})
+}
