httpd: a planned stop cuts off no request on an open connection

Cause: a server of net/http closes its idle connections at once when keep-alive is switched off, which an entry did at the begin of its stop, and again when it is shut down.

Change: the new package httpd ends a connection with the response to its next request. What is idle until the end is closed only after one more read found nothing, and connections in the accept queue are served before the listener closes. Both kinds of entry use it; the platform's ingress no longer has to know that the process stops.

--- a/internal/drive/node.go
+++ b/internal/drive/node.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/greengagelane/greengagelane/internal/httpc"
+	"github.com/greengagelane/greengagelane/internal/httpd"
 	"github.com/greengagelane/greengagelane/internal/peer"
 	"github.com/greengagelane/greengagelane/internal/sched"
 	"github.com/greengagelane/greengagelane/pkg/site"
@@ -93,10 +94,11 @@
 	}
 	defer ln.Close()
 	go func() { failed <- ps.Serve(workCtx, ln) }()
-	callers := &http.Server{Addr: n.settings.Callers, Handler: platform.Ingress(n), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	callers := httpd.New(&http.Server{Addr: n.settings.Callers, Handler: platform.Ingress(n), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes})
 	ready := &http.Server{Addr: n.settings.Ready, Handler: platform.ReadyHandler(n), ReadHeaderTimeout: headerTimeout}
 	metricsSrv := &http.Server{Addr: n.settings.MetricsAddress(), Handler: http.HandlerFunc(serveMetrics), ReadHeaderTimeout: headerTimeout}
-	for _, s := range []*http.Server{callers, ready, metricsSrv} {
+	servers := []httpServer{callers, ready, metricsSrv}
+	for _, s := range servers {
 		go func() { failed <- s.ListenAndServe() }()
 	}
 	go n.watchOperator(workCtx)
@@ -113,13 +115,14 @@
 		return err
 	case <-n.aborted:
 		n.dropPartitions()
-		for _, s := range []*http.Server{callers, ready, metricsSrv} {
+		for _, s := range servers {
 			s.Close()
 		}
 		ps.Close()
 		return errAborted
 	}
 	n.stopping.Store(true)
+	callers.BeginStop()
 	stopStart := time.Now()
 	logrus.Info("entry is stopping; handing its partitions over")
 	leave()
@@ -134,6 +137,12 @@
 	return nil
 }
 
+// httpServer is a server of one of the entry's HTTP interfaces.
+type httpServer interface {
+	ListenAndServe() error
+	Close() error
+}
+
 // errAborted is returned by Run after abort.
 var errAborted = errors.New("entry aborted")
 
@@ -164,9 +173,6 @@
 // Config returns the configuration in force, or nil if none has been received yet.
 func (n *Node) Config() *site.Config { return n.config.Load() }
 
-// Stopping reports whether the entry is shutting down.
-func (n *Node) Stopping() bool { return n.stopping.Load() }
-
 // Ready reports whether the entry accepts new connections: it has a configuration and a
 // partition assignment and is not stopping.
 func (n *Node) Ready() bool {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/greengagelane/greengagelane/internal/buffer"
 	"github.com/greengagelane/greengagelane/internal/ctrl"
 	"github.com/greengagelane/greengagelane/internal/event"
+	"github.com/greengagelane/greengagelane/internal/httpd"
 	"github.com/greengagelane/greengagelane/internal/mesh"
 	"github.com/greengagelane/greengagelane/internal/peer"
 	"github.com/greengagelane/greengagelane/internal/proxy"
@@ -131,9 +132,9 @@
 	defer peers.Close()
 	defer peerServer.Close()
 	e.startBackground(workCtx)
-	callerServer := &http.Server{
+	callerServer := httpd.New(&http.Server{
 		Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
+	})
 	operatorServer, err := e.operatorServer()
 	if err != nil {
 		return err
@@ -156,7 +157,7 @@
 	go e.runSnapshots(ctx)
 }
 
-func serve(s *http.Server, ln net.Listener) {
+func serve(s interface{ Serve(net.Listener) error }, ln net.Listener) {
 	if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 		logrus.WithError(err).Error("HTTP server stopped unexpectedly")
 	}
@@ -164,14 +165,15 @@
 
 // stop keeps serving for the grace period, so that the load balancer can notice that the entry is
 // not ready, and then until no request has been in flight for idleBeforeStop, but not beyond the
-// stop limit. Then it shuts down the caller server, which waits for requests in flight until
-// shutdownTimeout after the stop limit, and leaves the mesh, which hands over claims.
-func (e *Entry) stop(callers *http.Server) {
+// stop limit. Each response ends its connection. Then it shuts down the caller server, which waits
+// for requests in flight until shutdownTimeout after the stop limit, and leaves the mesh, which
+// hands over claims.
+func (e *Entry) stop(callers *httpd.Server) {
 	began := time.Now()
 	e.mu.Lock()
 	e.stopping = true
 	e.mu.Unlock()
-	callers.SetKeepAlivesEnabled(false)
+	callers.BeginStop()
 	e.events.Add(began, e.store.Next(), event.Process, e.self.Name, "stopping")
 	limit := began.Add(conf.Ms(e.settings.StopLimitMs))
 	idleSince := began
