proxy: a response that has begun is delivered past the deadline

Change: the deadline ends an attempt only until the start of the body has been read; after that the stall timeouts of both sides bound it.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -70,19 +70,22 @@
 }
 
 // attempt sends the request to one worker, and reads the header and the start of the body of the
-// response. The timeout covers sending and reading these, not the rest of the body. On failure the problem's verdict says whether
-// the request may have run; if the backend server itself refused the request, the closed response
-// is returned with the problem.
+// response. The timeout and the context cover sending and reading these, not the rest of the body:
+// a response that has begun is delivered to its end, also past the request's deadline. On failure
+// the problem's verdict says whether the request may have run; if the backend server itself refused
+// the request, the closed response is returned with the problem.
 func (h *Handler) attempt(ctx context.Context, r *request, w *route.Worker, maxConns int64, timeout time.Duration) (*response, *result.Problem) {
-	ctx, cancel := context.WithCancel(ctx)
+	attemptCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stopFollowing := context.AfterFunc(ctx, cancel)
+	defer stopFollowing()
 	timer := time.AfterFunc(timeout, cancel)
 	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+	attemptCtx = httptrace.WithClientTrace(attemptCtx, &httptrace.ClientTrace{
 		GotConn:          func(httptrace.GotConnInfo) { connected.Store(true) },
 		WroteHeaderField: func(string, []string) { connected.Store(true) },
 	})
 	transport := h.transports.get(w, maxConns)
-	res, err := transport.RoundTrip(h.newAttemptRequest(ctx, r, w))
+	res, err := transport.RoundTrip(h.newAttemptRequest(attemptCtx, r, w))
 	if err != nil {
 		cancel()
 		timer.Stop()
--- a/internal/proxy/slow_test.go
+++ b/internal/proxy/slow_test.go
@@ -109,3 +109,30 @@
 	_, err = io.ReadAll(res.Body)
 	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
 }
+
+// A response whose start has arrived in time is ready for the caller, so its rest has to be
+// delivered although the deadline passes meanwhile. The connection used to be cut at the deadline.
+func TestLongResponseIsDeliveredPastTheDeadline(t *testing.T) {
+	const timeoutMs, length = 150, 3 * bufferedResponseBytes
+	addr := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Length", fmt.Sprint(length))
+		_, _ = io.WriteString(w, strings.Repeat("x", 2*bufferedResponseBytes))
+		w.(http.Flusher).Flush()
+		time.Sleep(2 * timeoutMs * time.Millisecond)
+		_, _ = io.WriteString(w, strings.Repeat("x", bufferedResponseBytes))
+	})
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		entryServer := httptest.NewServer(newTestHandler(t, &grantAll{}, timeoutMs, addr))
+		req, err := http.NewRequest(method, entryServer.URL, strings.NewReader("body"))
+		assert.NilError(t, err)
+		req.Host = "svc"
+		res, err := http.DefaultClient.Do(req)
+		assert.NilError(t, err)
+		body, err := io.ReadAll(res.Body)
+		assert.NilError(t, err, method)
+		assert.Equal(t, len(body), length, method)
+		res.Body.Close()
+		entryServer.Close()
+	}
+}
