proxy: no refusal as not-run while another copy may run

Cause: the claim of a refused request was released before its response was sent, so that another copy could run before the caller got not-run; and three refusals (no worker, unknown service, incomplete body) were given as not-run without the claim, which alone shows whether another copy has run.

Change: release after the response is flushed; the check for workers follows the claim; the other two say may-have-run for a request that may have copies.

--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -126,6 +126,10 @@
 		return
 	}
 	h.writeProblem(w, in, p)
+	if r != nil && r.releaseClaim != nil {
+		_ = http.NewResponseController(w).Flush() // without it the response would be sent after the release
+		r.releaseClaim()
+	}
 }
 
 // writeProblem answers the request with a problem, and records it in the metrics, the events and
@@ -146,16 +150,12 @@
 // serve dispatches a valid request and writes its response. If it returns a problem, nothing has
 // been written yet.
 func (h *Handler) serve(w http.ResponseWriter, r *request) *result.Problem {
-	pool := h.Table().PoolOf(r.svc.Name)
-	if pool == nil || len(pool.Workers) == 0 {
-		return result.Refuse(http.StatusServiceUnavailable, time.Second, "service %q has no serving worker", r.svc.Name)
-	}
 	ctx, cancel := h.requestContext(r)
 	defer cancel()
 	if r.idempotent {
-		return h.admitAndServe(ctx, w, r, pool, nil)
+		return h.admitAndServe(ctx, w, r, nil)
 	}
-	return h.claimAndServe(ctx, w, r, pool)
+	return h.claimAndServe(ctx, w, r)
 }
 
 // requestContext returns a context that ends at the request's deadline. A non-idempotent request
@@ -170,10 +170,12 @@
 }
 
 // claimAndServe serves a non-idempotent request. If the caller sent an idempotency key, copies
-// may arrive at other entries, so the request id is claimed before the request is dispatched.
-func (h *Handler) claimAndServe(ctx context.Context, w http.ResponseWriter, r *request, pool *route.Pool) *result.Problem {
+// may arrive at other entries, so the request id is claimed before the request is dispatched or
+// refused: only the holder of the claim knows that no other copy has run. The claim of a refused
+// request is released after the response, since another copy may run from then on.
+func (h *Handler) claimAndServe(ctx context.Context, w http.ResponseWriter, r *request) *result.Problem {
 	if !r.keyFromCaller {
-		return h.admitAndServe(ctx, w, r, pool, nil)
+		return h.admitAndServe(ctx, w, r, nil)
 	}
 	grant, saved, p := h.claimer.Claim(ctx, r.svc.Name+"/"+r.key)
 	switch {
@@ -183,9 +185,9 @@
 		h.writeSavedResponse(w, saved)
 		return nil
 	}
-	p = h.admitAndServe(ctx, w, r, pool, grant)
+	p = h.admitAndServe(ctx, w, r, grant)
 	if p != nil && p.Verdict == result.NotRun {
-		grant.Release()
+		r.releaseClaim = grant.Release
 	} else if p != nil {
 		grant.Finish(nil)
 	}
@@ -195,7 +197,11 @@
 // admitAndServe waits for a slot, sends the request to workers, and writes the response. A
 // buffered response is written after the slot has been released, so a slow caller does not
 // occupy it.
-func (h *Handler) admitAndServe(ctx context.Context, w http.ResponseWriter, r *request, pool *route.Pool, grant *Grant) *result.Problem {
+func (h *Handler) admitAndServe(ctx context.Context, w http.ResponseWriter, r *request, grant *Grant) *result.Problem {
+	pool := h.Table().PoolOf(r.svc.Name)
+	if pool == nil || len(pool.Workers) == 0 {
+		return result.Refuse(http.StatusServiceUnavailable, time.Second, "service %q has no serving worker", r.svc.Name)
+	}
 	gate := h.Gate(pool)
 	if p := gate.Enter(ctx, time.Now(), r.priority, r.deadline); p != nil {
 		return p
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -41,6 +41,7 @@
 	bodyPrefix    []byte    // buffered start of the body
 	bodyRest      io.Reader // body after bodyPrefix; nil if bodyPrefix is the whole body
 	bodyRestUsed  bool      // part of bodyRest may have been sent to a worker
+	releaseClaim  func()    // to be called after the response; nil if the request holds no claim or may have run
 }
 
 // parse validates the request's headers and reads the start of its body.
@@ -51,7 +52,7 @@
 	name := serviceName(in)
 	svc := h.Table().Services[name]
 	if svc == nil {
-		return nil, result.Refuse(http.StatusNotFound, time.Second, "service %q does not exist", name)
+		return nil, result.Refuse(http.StatusNotFound, time.Second, "service %q does not exist", name).WithEarlier(verdictOfOtherCopies(in))
 	}
 	r := &request{in: in, svc: svc, priority: svc.Priority, began: now, idempotent: isIdempotent(in.Method)}
 	if p := r.parseHeaders(); p != nil {
@@ -66,14 +67,19 @@
 // notFreshTitle is the title of the problem for a request at an entry whose state is not fresh.
 const notFreshTitle = "the entry cannot prove that its configuration is current"
 
-// notFreshProblem returns the problem for a request at an entry whose state is not fresh. For a
-// non-idempotent request with an idempotency key the verdict is may-have-run, since the entry
-// cannot tell whether another copy of the request has run.
+// notFreshProblem returns the problem for a request at an entry whose state is not fresh.
 func notFreshProblem(in *http.Request) *result.Problem {
+	return result.Refuse(http.StatusServiceUnavailable, notFreshRetryAfter, notFreshTitle).WithEarlier(verdictOfOtherCopies(in))
+}
+
+// verdictOfOtherCopies returns the verdict of the copies of a request that is refused before its id
+// is claimed. The entry cannot tell whether another copy of a non-idempotent request with an
+// idempotency key has run.
+func verdictOfOtherCopies(in *http.Request) result.Verdict {
 	if !isIdempotent(in.Method) && in.Header.Get(result.IdempotencyKeyHeader) != "" {
-		return result.Unknown(http.StatusServiceUnavailable, notFreshTitle)
+		return result.MayHaveRun
 	}
-	return result.Refuse(http.StatusServiceUnavailable, notFreshRetryAfter, notFreshTitle)
+	return result.NotRun
 }
 
 // serviceName returns the name of the requested service: the service header or else the first
@@ -148,9 +154,10 @@
 	case err == io.EOF:
 		return nil
 	}
-	return bodyProblem(err)
+	return bodyProblem(err).WithEarlier(verdictOfOtherCopies(r.in))
 }
 
+// bodyProblem returns the problem of a body that could not be read.
 func bodyProblem(err error) *result.Problem {
 	if tooLarge, ok := err.(*http.MaxBytesError); ok {
 		return result.Refuse(http.StatusRequestEntityTooLarge, time.Second, "the body is larger than %d bytes", tooLarge.Limit)
