drive: operators' calls find the owner while a partition changes hands

Cause: an entry that was claiming a partition, or had just lost it, took itself for the owner: it answered an operator's call with "another entry owns the partition" and asked no other entry.

--- a/internal/drive/admin.go
+++ b/internal/drive/admin.go
@@ -58,7 +58,9 @@
 		return n.handleJobRequest(ctx, req)
 	})
 	peer.Handle(s, operatorPoolKind, func(ctx context.Context, _ string, req *PoolRequest) (*sched.Report, error) {
-		return n.report(ctx, &reportCall{Partition: n.partitionOf(req.Pool), Pool: req.Pool, ReadOnly: true})
+		return retryOwner(ctx, func() (*sched.Report, error) {
+			return n.report(ctx, &reportCall{Partition: n.partitionOf(req.Pool), Pool: req.Pool, ReadOnly: true})
+		})
 	})
 	peer.Handle(s, explainKind, func(ctx context.Context, _ string, c *jobCall) (*sched.JobView, error) {
 		return n.explainLocal(ctx, c)
@@ -103,7 +105,7 @@
 		}
 		resp := &JobResponse{Partition: p, Reply: r}
 		if r.Outcome == site.OK && !req.Cancel {
-			view, err := n.explain(ctx, c)
+			view, err := retryOwner(ctx, func() (*sched.JobView, error) { return n.explain(ctx, c) })
 			if err != nil {
 				return nil, fmt.Errorf("explain job %s: %w", req.ID, err)
 			}
@@ -116,20 +118,46 @@
 
 // explain returns the state of a job and its tasks from the owner of its partition.
 func (n *Node) explain(ctx context.Context, c *jobCall) (*sched.JobView, error) {
-	if n.lookupPartition(c.Partition) != nil {
-		return n.explainLocal(ctx, c)
+	return askOwner(ctx, n, c.Partition, explainKind, c, n.explainLocal)
+}
+
+// askOwner returns the reply of a partition's owner to a call that changes nothing there. An entry
+// that is still claiming the partition, or has just handed it over, is not its owner: it asks the
+// other entries that may be.
+func askOwner[C, R any](ctx context.Context, n *Node, partition int, kind string, c *C, local func(context.Context, *C) (*R, error)) (*R, error) {
+	r, lastErr := local(ctx, c)
+	if lastErr == nil {
+		return r, nil
+	}
+	if n.lookupPartition(partition) == nil {
+		lastErr = errNoOwner
 	}
-	lastErr := errNoOwner
-	for _, address := range n.owners.addresses(c.Partition) {
-		v, err := peer.Call[jobCall, sched.JobView](ctx, n.peer(address), explainKind, c)
+	for _, address := range n.owners.addresses(partition) {
+		if address == n.address {
+			continue
+		}
+		r, err := peer.Call[C, R](ctx, n.peer(address), kind, c)
 		if err == nil {
-			return v, nil
+			return r, nil
 		}
 		lastErr = err
 	}
 	return nil, lastErr
 }
 
+// retryOwner repeats a call to a partition's owner while the partition changes hands, at most for
+// maxOwnerWait.
+func retryOwner[R any](ctx context.Context, call func() (*R, error)) (*R, error) {
+	began := time.Now()
+	for {
+		r, err := call()
+		if err == nil || ctx.Err() != nil || time.Since(began) > maxOwnerWait {
+			return r, err
+		}
+		sleep(ctx, ownerRetryInterval)
+	}
+}
+
 // explainLocal returns the state of a job in a partition that this entry owns.
 func (n *Node) explainLocal(ctx context.Context, c *jobCall) (*sched.JobView, error) {
 	return runOnPartition(ctx, n.lookupPartition(c.Partition), func(part *ownedPartition, now time.Time) *sched.JobView { return part.scheduler.Explain(now, c.ID) })
--- a/internal/drive/fleet.go
+++ b/internal/drive/fleet.go
@@ -10,7 +10,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/greengagelane/greengagelane/internal/moves"
-	"github.com/greengagelane/greengagelane/internal/peer"
 	"github.com/greengagelane/greengagelane/internal/sched"
 	"github.com/greengagelane/greengagelane/pkg/jobs"
 	"github.com/greengagelane/greengagelane/pkg/site"
@@ -362,30 +361,20 @@
 
 // report returns a pool's report from the owner of its partition.
 func (n *Node) report(ctx context.Context, c *reportCall) (*sched.Report, error) {
-	if n.lookupPartition(c.Partition) != nil {
-		return n.reportLocal(ctx, c)
-	}
 	callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	lastErr := errNoOwner
-	for _, address := range n.owners.addresses(c.Partition) {
-		r, err := peer.Call[reportCall, sched.Report](callCtx, n.peer(address), reportKind, c)
-		if err == nil {
-			return r, nil
-		}
-		lastErr = err
-	}
-	return nil, lastErr
+	return askOwner(callCtx, n, c.Partition, reportKind, c, n.reportLocal)
 }
 
 // errNotOwner is returned by an entry that does not own the partition, or is still claiming it.
 var errNotOwner = errors.New("another entry owns the partition")
 
 func (n *Node) reportLocal(ctx context.Context, c *reportCall) (*sched.Report, error) {
-	if c.Coming {
+	part := n.lookupPartition(c.Partition)
+	if c.Coming && part != nil {
 		n.incomingUntil.Store(time.Now().Add(2 * reportTimeout).UnixNano())
 	}
-	return runOnPartition(ctx, n.lookupPartition(c.Partition), func(part *ownedPartition, now time.Time) *sched.Report {
+	return runOnPartition(ctx, part, func(part *ownedPartition, now time.Time) *sched.Report {
 		if !c.ReadOnly {
 			part.scheduler.Cordon(c.Pool, c.Cordons)
 			part.scheduler.SetPotentialCapacity(now, c.Pool, c.Potential)
--- a/internal/drive/node_test.go
+++ b/internal/drive/node_test.go
@@ -437,6 +437,42 @@
 	assert.ErrorContains(t, err, "no partition holds the job")
 }
 
+// TestOperatorCallsDuringAChangeOfOwner guards against an operator's call that fails because the
+// entry that takes it is still claiming the partition, or has just lost it. It has to ask the
+// owner.
+func TestOperatorCallsDuringAChangeOfOwner(t *testing.T) {
+	c := newCluster(t, 2, map[string]int{"alpha": 1})
+	const id = "00000000000000f3"
+	c.submit(0, id, `{"steps":[{"count":1,"cpu":1000,"longRunning":true}]}`)
+	other := c.nodes[1-c.owner()]
+	lost, ended := make(chan struct{}), make(chan struct{})
+	close(lost)
+	close(ended)
+	tests := []struct {
+		name string
+		part *ownedPartition
+	}{
+		{"claiming", &ownedPartition{loaded: make(chan struct{}), done: make(chan struct{}), cancel: func() {}}},
+		{"ended", &ownedPartition{loaded: lost, done: ended, cancel: func() {}}},
+	}
+	p := other.partitionOf("alpha")
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tt.part.releasing.Store(true) // keeps the membership from releasing it
+			other.mu.Lock()
+			other.partitions[p] = tt.part
+			other.mu.Unlock()
+			defer other.removePartition(tt.part)
+			r, err := FetchPoolReport(t.Context(), other.address, "alpha")
+			assert.NilError(t, err)
+			assert.Equal(t, r.Pool, "alpha")
+			a, err := SendJobRequest(t.Context(), other.address, &JobRequest{ID: id})
+			assert.NilError(t, err)
+			assert.Equal(t, a.View.Pool, "alpha")
+		})
+	}
+}
+
 // TestOperatorSubmitsJob guards against a job that runs twice when an operator submits its job
 // file twice, to an entry that does not own the job's partition. The job has to run under its
 // queue's policy.
