drive: a read is not undecided when its partition ends

Cause: a call that only reads got Undecided from a partition that had just ended, so the entry repeated it locally, without a bound if the call had none. Change: such a read goes to the other possible owners; an operator's request has 5 s.

--- a/internal/drive/admin.go
+++ b/internal/drive/admin.go
@@ -18,6 +18,9 @@
 	operatorPoolKind = "operator-pool"
 )
 
+// operatorTimeout bounds an operator's request about a job, which may ask all partitions.
+const operatorTimeout = 5 * time.Second
+
 // JobRequest is an operator's request to show, cancel or submit a job. Any entry accepts
 // it. Without Cancel and Submit, it shows the job.
 type JobRequest struct {
@@ -55,6 +58,8 @@
 
 func (n *Node) handleOperatorCalls(s *peer.Server) {
 	peer.Handle(s, operatorJobKind, func(ctx context.Context, _ string, req *JobRequest) (*JobResponse, error) {
+		ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+		defer cancel()
 		return n.handleJobRequest(ctx, req)
 	})
 	peer.Handle(s, operatorPoolKind, func(ctx context.Context, _ string, req *PoolRequest) (*sched.Report, error) {
--- a/internal/drive/partition.go
+++ b/internal/drive/partition.go
@@ -229,7 +229,7 @@
 	case r := <-w.reply:
 		return r
 	case <-part.done:
-		return part.replyAfterEnd(w)
+		return replyAfterEnd(c.Kind, w)
 	case <-ctx.Done():
 	}
 	part.post(func(time.Time) { part.withdraw(w) })
@@ -244,14 +244,19 @@
 	return site.Reply{Outcome: site.Undecided}
 }
 
-// replyAfterEnd returns the reply to a request whose partition has ended.
-func (part *ownedPartition) replyAfterEnd(w *waiter) site.Reply {
+// replyAfterEnd returns the reply to a request whose partition has ended. A request that changes
+// nothing can be sent to the next owner as if this entry had never been asked.
+func replyAfterEnd(kind site.CallKind, w *waiter) site.Reply {
 	select {
 	case r := <-w.reply:
 		return r
 	default:
-		return site.Reply{Outcome: site.Undecided, Reason: "the partition has changed its owner"}
 	}
+	outcome := site.Undecided
+	if kind == site.ShowJob || kind == site.CountWaiting {
+		outcome = site.NotOwner
+	}
+	return site.Reply{Outcome: outcome, Reason: "the partition has changed its owner"}
 }
 
 // handle executes a caller's request on the partition's goroutine. It replies at once or adds
