moves: machines follow a turn of demand at the rate that the platform accepts

Cause: each planning round added at most 32 moves, a figure that suits a fleet of a few dozen machines; on 1,100 machines the pool of a turn of 5 s had its machines after 7 s, and they idled as long after it.

Change: the planner orders as many as the platform accepts per second (setting fleet.orders-per-s, from the platform's dutyPerS), the most urgent first, on up to 32 kept connections instead of one connection an order. Counts of machines out of service and of spare machines are made once a round.

--- a/internal/drive/fleet.go
+++ b/internal/drive/fleet.go
@@ -23,6 +23,7 @@
 	inventoryInterval = 300 * time.Millisecond // between two reads of the inventory
 	cordonTTL         = 3 * time.Second        // a cordon that is not renewed expires after this
 	orderRetention    = 10 * time.Second       // how long orders stay in the stored record; longer than the platform's minimum time between orders of two movers (turn-ms) plus clock skew
+	maxOrderConns     = 32                     // orders sent at the same time; enough for the platform's limit of orders per second at its usual response time of a few milliseconds
 	startupDelay      = 800 * time.Millisecond // from the process start to the first plan, while other entries still join
 )
 
@@ -43,7 +44,8 @@
 type mover struct {
 	part                *ownedPartition
 	planner             *moves.Planner
-	fleet               *platform.Fleet
+	fleet               *platform.Fleet      // for reading the inventory
+	orderConns          chan *platform.Fleet // idle connections for orders
 	statusLog           *platform.Log
 	writtenStates       map[int64]string    // wave states written to the status topic, "true" once completed, else "false"; by wave number
 	storedStarted       map[int64]int       // number of started machines in the stored wave record, -1 before the first; by wave number
@@ -62,7 +64,11 @@
 	m := &mover{
 		part: part, planner: moves.New(movesPolicy(settings)),
 		fleet: platform.NewFleet(settings), statusLog: platform.NewLog(settings), writtenStates: map[int64]string{}, storedStarted: map[int64]int{}, waveStart: map[int64]time.Time{},
-		orderedAt: map[string]time.Time{}, inventoryDependency: &dependency{name: "machine inventory"},
+		orderConns: make(chan *platform.Fleet, maxOrderConns),
+		orderedAt:  map[string]time.Time{}, inventoryDependency: &dependency{name: "machine inventory"},
+	}
+	for range maxOrderConns {
+		m.orderConns <- platform.NewFleet(settings)
 	}
 	now := time.Now()
 	for machine, ordered := range part.restored.orderTimes {
@@ -75,8 +81,7 @@
 // order at first: the platform requires a minimum time between orders of two movers for the same
 // machine.
 func (m *mover) run(ctx context.Context) {
-	defer m.fleet.Close()
-	defer m.statusLog.Close()
+	defer m.closeConns()
 	now, minOrderGap := time.Now(), site.Millis(m.part.node.settings.Bounds.TurnMS)
 	for machine, ordered := range m.part.restored.orderTimes {
 		m.planner.Freeze(machine, now.Add(minOrderGap-ordered.age(now)))
@@ -89,6 +94,15 @@
 	}
 }
 
+// closeConns closes the mover's connections. An order that is being sent closes its own.
+func (m *mover) closeConns() {
+	m.fleet.Close()
+	m.statusLog.Close()
+	for range len(m.orderConns) {
+		(<-m.orderConns).Close()
+	}
+}
+
 // round reads the inventory and the pools' reports, plans, and sends the new orders.
 func (m *mover) round(ctx context.Context, now time.Time) {
 	cfg := m.part.node.Config()
@@ -286,10 +300,20 @@
 	})
 }
 
-// send sends an order on a connection of its own, since several are sent concurrently.
+// send sends an order on one of the connections for orders. It waits until one is idle.
 func (m *mover) send(ctx context.Context, o moves.Order) {
-	fleet := platform.NewFleet(m.part.node.settings)
-	defer fleet.Close()
+	var fleet *platform.Fleet
+	select {
+	case fleet = <-m.orderConns:
+	case <-ctx.Done():
+		return
+	}
+	defer func() {
+		if ctx.Err() != nil {
+			fleet.Close()
+		}
+		m.orderConns <- fleet
+	}()
 	var refusal site.Refusal
 	var err error
 	epoch := m.part.scheduler.Epoch
--- a/internal/drive/node_test.go
+++ b/internal/drive/node_test.go
@@ -70,7 +70,7 @@
 		Entry: fmt.Sprintf("entry-%d", i), IP: "127.0.0.1", Ports: ports[:2],
 		Callers: fmt.Sprintf("127.0.0.1:%d", ports[2]), Ready: fmt.Sprintf("127.0.0.1:%d", ports[3]),
 		Log:   site.LogSettings{Address: c.emulator.LogAddr, Partitions: 4, RecordBytes: 1 << 18, CallBytes: 1 << 21, MinTTLMS: 1000},
-		Fleet: site.ServiceAddress{Address: c.emulator.FleetAddr}, Cores: 1,
+		Fleet: site.FleetSettings{Address: c.emulator.FleetAddr}, Cores: 1,
 		Bounds: site.Bounds{HoldMS: 10000, StopGraceMS: 400, ShutdownGraceS: 6, KeepFinalS: 120, MoveS: 0.2, TurnMS: 300},
 	}
 	n := New(set)
--- a/internal/drive/policy.go
+++ b/internal/drive/policy.go
@@ -31,7 +31,7 @@
 
 // movesPolicy returns the planner's policy for an entry's settings.
 func movesPolicy(s *site.Settings) moves.Policy {
-	p := moves.DefaultPolicy(time.Duration(s.Bounds.MoveS * float64(time.Second)))
+	p := moves.DefaultPolicy(time.Duration(s.Bounds.MoveS*float64(time.Second)), s.Fleet.OrdersPerS)
 	override(&p.IdleTimeout, site.Millis(s.Policy.ParkMS))
 	override(&p.Horizon, site.Millis(s.Policy.HorizonMS))
 	return p
--- a/internal/moves/burst_test.go
+++ b/internal/moves/burst_test.go
@@ -58,7 +58,7 @@
 	l.SetOutput(io.Discard)
 	sim := &simulation{now: start, schedulers: map[string]*sched.Scheduler{}, vms: map[string]*simVM{}, returnAt: map[string]time.Time{}, deadlines: map[string]time.Time{}}
 	if withMoves {
-		sim.planner = New(DefaultPolicy(moveDuration))
+		sim.planner = New(DefaultPolicy(moveDuration, 0))
 	}
 	policy := sched.DefaultPolicy(10*time.Second, 400*time.Millisecond, time.Minute)
 	for _, pool := range []string{"a", "b", "c", "spare"} {
--- a/internal/moves/demand.go
+++ b/internal/moves/demand.go
@@ -51,13 +51,14 @@
 func (p *Planner) planMoves(st *state) {
 	spare := sparePool(st)
 	all := p.balances(st)
-	remaining := p.policy.MaxPerRound
+	spares := p.availableSpares(st, spare)
+	remaining := p.moveBudget(st)
 	for remaining > 0 {
 		b := smallestCapacityRatio(all)
 		if b == nil {
 			break
 		}
-		m := p.pick(st, spare, b, all)
+		m := p.pick(st, &spares, b, all)
 		if m == nil {
 			break
 		}
@@ -71,6 +72,32 @@
 	}
 }
 
+// moveBudget returns how many moves to plan: as many as can be ordered within a second after
+// the planned ones whose machines are empty.
+func (p *Planner) moveBudget(st *state) int {
+	if p.policy.OrdersPerS <= 0 {
+		return len(st.byName)
+	}
+	budget := int(p.policy.OrdersPerS)
+	for name, in := range p.intents {
+		if !in.sent && p.isDue(st, name, in) {
+			budget--
+		}
+	}
+	return budget
+}
+
+// availableSpares returns the machines of the spare pool that may be moved.
+func (p *Planner) availableSpares(st *state, spare string) []*machine {
+	var list []*machine
+	for _, m := range st.byPool[spare] {
+		if m.Pool == spare && p.available(st, m) {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
 // smallestCapacityRatio returns the pool with the smallest ratio of capacity to demand, or nil if
 // every pool's demand is met.
 func smallestCapacityRatio(all []*balance) *balance {
@@ -203,12 +230,11 @@
 
 // pick returns a machine for a pool that lacks capacity: a spare machine, else an idle
 // one that its pool can spare, else a busy one that its pool can spare even at its
-// recent peak demand.
-func (p *Planner) pick(st *state, spare string, target *balance, all []*balance) *machine {
-	for _, m := range st.byPool[spare] {
-		if m.Pool == spare && p.available(st, m) {
-			return m
-		}
+// recent peak demand. It removes a spare machine from spares.
+func (p *Planner) pick(st *state, spares *[]*machine, target *balance, all []*balance) *machine {
+	if list := *spares; len(list) > 0 {
+		*spares = list[1:]
+		return list[0]
 	}
 	if m := p.pickFrom(st, target, all, func(b *balance) ([]*machine, float64) { return b.idle, b.demand }); m != nil {
 		return m
@@ -244,6 +270,7 @@
 // addMove plans the move of a machine to a pool.
 func (p *Planner) addMove(st *state, m *machine, pool string) {
 	p.intents[m.Name] = &intent{Order: Order{Kind: Move, Machine: m.Name, Pool: pool}, plannedAt: st.now, fromVM: m.VM}
+	st.countOut(m)
 	delete(p.unneededSince, m.Name)
 }
 
--- a/internal/moves/moves.go
+++ b/internal/moves/moves.go
@@ -13,6 +13,7 @@
 package moves
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -29,18 +30,20 @@
 	MinPerPool       int           // minimum number of machines of each pool except the spare pool
 	MaintenanceShare float64       // largest share of a pool's machines that maintenance may take out of service at once, rounded down; one machine is always allowed
 	RetryDelay       time.Duration // delay before a failed order is sent again
-	MaxPerRound      int           // maximum number of moves that one call to Plan adds
+	OrdersPerS       float64       // number of orders that the platform accepts per second from all entries; 0 if it sets no limit
 	WaveReserve      float64       // share of a wave's time that the plan keeps in reserve, as some machines empty slowly
 }
 
-// DefaultPolicy returns the policy for a site whose moves take the given time.
-func DefaultPolicy(move time.Duration) Policy {
+// DefaultPolicy returns the policy for a site whose moves take the given time and whose platform
+// accepts the given number of orders per second.
+func DefaultPolicy(move time.Duration, ordersPerS float64) Policy {
 	return Policy{
 		MoveTime:     move,
+		OrdersPerS:   ordersPerS,
 		Horizon:      1500 * time.Millisecond,
 		IdleTimeout:  1200 * time.Millisecond, // keeping a machine idle for this long costs as much as moving it
 		DemandWindow: 1200 * time.Millisecond,
-		MinPerPool:   1, MaintenanceShare: 0.34, RetryDelay: 500 * time.Millisecond, MaxPerRound: 32, WaveReserve: 0.5,
+		MinPerPool:   1, MaintenanceShare: 0.34, RetryDelay: 500 * time.Millisecond, WaveReserve: 0.5,
 	}
 }
 
@@ -89,6 +92,7 @@
 	unneededSince map[string]time.Time      // by machine: since when its pool has not needed it
 	demandHistory map[string][]demandSample // by pool, oldest sample first
 	frozen        map[string]time.Time      // by machine: no order is sent before this time
+	sentOrders    []time.Time               // times of the orders within orderWindow, oldest first
 }
 
 // New returns a planner without intents or waves.
@@ -133,11 +137,13 @@
 	pools  map[string]site.Pool
 	byPool map[string][]*machine // by pool: its machines, with planned moves applied, sorted by name
 	byName map[string]*machine
+	// service counts each pool's machines, as the inventory lists them.
+	service map[string]serviceCount
 }
 
 // indexView returns the view with its indexes, which take the planned moves into account.
 func (p *Planner) indexView(now time.Time, v *View) *state {
-	st := &state{now: now, view: v, pools: map[string]site.Pool{}, byPool: map[string][]*machine{}, byName: map[string]*machine{}}
+	st := &state{now: now, view: v, pools: map[string]site.Pool{}, byPool: map[string][]*machine{}, byName: map[string]*machine{}, service: map[string]serviceCount{}}
 	for _, pool := range v.Pools {
 		st.pools[pool.Name] = pool
 	}
@@ -159,9 +165,37 @@
 	for _, list := range st.byPool {
 		sort.Slice(list, func(i, k int) bool { return list[i].Name < list[k].Name })
 	}
+	for _, m := range st.byName {
+		if m.State != site.Moving {
+			st.countInService(m, p.intents[m.Name] != nil)
+		}
+	}
 	return st
 }
 
+// countInService counts a machine for poolAllowsMaintenance.
+func (st *state) countInService(m *machine, planned bool) {
+	c := st.service[m.Pool]
+	c.total++
+	if m.State != site.Up || planned {
+		c.out++
+	}
+	st.service[m.Pool] = c
+}
+
+// countOut counts a machine that was up and without an intent as about to be ordered.
+func (st *state) countOut(m *machine) {
+	c := st.service[m.Pool]
+	c.out++
+	st.service[m.Pool] = c
+}
+
+// serviceCount counts the machines of a pool, without those that are moving into it.
+type serviceCount struct {
+	total int
+	out   int // not up, or about to be ordered
+}
+
 // Plan returns the orders to send now: it drops finished intents, plans maintenance, then
 // moves, and selects the intents whose orders are due.
 func (p *Planner) Plan(now time.Time, v *View) []Order {
@@ -220,24 +254,72 @@
 }
 
 // dueOrders returns the orders to send now and marks them as sent: new ones whose
-// machine is empty, and failed ones whose retry is due.
+// machine is empty, and failed ones whose retry is due, the most urgent ones up to the
+// platform's limit.
 func (p *Planner) dueOrders(st *state) []Order {
-	var list []Order
+	var due []*intent
 	for name, in := range p.intents {
-		m := st.byName[name]
-		if in.accepted || in.awaitingReply || st.now.Before(in.retryAt) || st.now.Before(p.frozen[name]) || (!in.sent && !p.isEmpty(st, m)) {
-			continue
+		if p.isDue(st, name, in) {
+			due = append(due, in)
+		}
+	}
+	sort.Slice(due, func(i, k int) bool {
+		if x, y := st.urgency(due[i]), st.urgency(due[k]); x != y {
+			return x < y
+		}
+		return due[i].Machine < due[k].Machine
+	})
+	var list []Order
+	budget := p.orderBudget(st.now)
+	for _, in := range due {
+		if len(list) == budget {
+			break
 		}
 		if in.Kind == Maintain && !in.sent && !p.mayMaintain(st, in.Wave) {
 			continue
 		}
 		in.sent, in.awaitingReply = true, true
 		list = append(list, in.Order)
+		p.sentOrders = append(p.sentOrders, st.now)
 	}
-	sort.Slice(list, func(i, k int) bool { return list[i].Machine < list[k].Machine })
 	return list
 }
 
+// isDue reports whether an intent's order may be sent now.
+func (p *Planner) isDue(st *state, name string, in *intent) bool {
+	if in.accepted || in.awaitingReply || st.now.Before(in.retryAt) || st.now.Before(p.frozen[name]) {
+		return false
+	}
+	return in.sent || p.isEmpty(st, st.byName[name])
+}
+
+// urgency ranks an intent's order when not all may be sent at once, the most urgent first: a
+// move to a pool that lacks capacity, a maintenance, a move to the spare pool.
+func (st *state) urgency(in *intent) int {
+	switch {
+	case in.Kind == Maintain:
+		return 1
+	case st.pools[in.Pool].Spare:
+		return 2
+	}
+	return 0
+}
+
+// orderWindow is the time within which Policy.OrdersPerS orders are sent at most. It exceeds a
+// second, since orders take different times to reach the platform.
+const orderWindow = 1100 * time.Millisecond
+
+// orderBudget returns how many orders may be sent now.
+func (p *Planner) orderBudget(now time.Time) int {
+	if p.policy.OrdersPerS <= 0 {
+		return math.MaxInt
+	}
+	for len(p.sentOrders) > 0 && now.Sub(p.sentOrders[0]) > orderWindow {
+		p.sentOrders = p.sentOrders[1:]
+	}
+	return max(int(p.policy.OrdersPerS)-len(p.sentOrders), 0)
+}
+
 // isEmpty reports whether nothing runs on a machine and no run can start there. This holds
 // for machines of the spare pool, which get no runs, and for those that are not up.
 func (p *Planner) isEmpty(st *state, m *machine) bool {
--- a/internal/moves/moves_test.go
+++ b/internal/moves/moves_test.go
@@ -89,7 +89,7 @@
 	}
 }
 
-func newPlanner() *Planner { return New(DefaultPolicy(1500 * time.Millisecond)) }
+func newPlanner() *Planner { return New(DefaultPolicy(1500*time.Millisecond, 0)) }
 
 // TestSpareMachinesMoveFirst guards against taking machines from another pool while there
 // are spare ones.
--- a/internal/moves/waves.go
+++ b/internal/moves/waves.go
@@ -107,6 +107,7 @@
 			continue
 		}
 		p.intents[m.Name] = &intent{Order: Order{Kind: Maintain, Machine: m.Name, Wave: w.Number}, plannedAt: st.now, fromVM: m.VM}
+		st.countOut(m)
 		planned++
 	}
 }
@@ -166,16 +167,6 @@
 	if m.report == nil {
 		return false
 	}
-	total, outOfService := 0, 0
-	for i := range st.view.Machines {
-		x := &st.view.Machines[i]
-		if x.Pool != m.Pool || x.State == site.Moving {
-			continue
-		}
-		total++
-		if x.State != site.Up || p.intents[x.Name] != nil {
-			outOfService++
-		}
-	}
-	return late || outOfService < max(1, int(p.policy.MaintenanceShare*float64(total)))
+	c := st.service[m.Pool]
+	return late || c.out < max(1, int(p.policy.MaintenanceShare*float64(c.total)))
 }
--- a/internal/stand/soak/entry.go
+++ b/internal/stand/soak/entry.go
@@ -56,7 +56,7 @@
 	settings := site.Settings{
 		Entry: name, DataCentre: "z", IP: "127.0.0.1", Ports: ports[:2], Callers: loopback(ports[2]), Ready: e.readyAddress, Announce: e.Peers.Address,
 		Log:   site.LogSettings{Address: e.Log.Address, Partitions: 4, RecordBytes: 1 << 18, CallBytes: 1 << 21, MinTTLMS: 1000},
-		Fleet: site.ServiceAddress{Address: e.Fleet.Address}, Cores: 0.4,
+		Fleet: site.FleetSettings{Address: e.Fleet.Address}, Cores: 0.4,
 		Bounds: site.Bounds{HoldMS: maxLeaseMS, StopGraceMS: 400, ShutdownGraceS: shutdownGrace.Seconds(), KeepFinalS: 120, MoveS: moveTime.Seconds(), TurnMS: 1000},
 	}
 	data, err := json.Marshal(&settings)
--- a/pkg/site/settings.go
+++ b/pkg/site/settings.go
@@ -28,7 +28,7 @@
 	// and first port, for example behind port forwarding.
 	Announce string         `json:"announce"`
 	Log      LogSettings    `json:"log"`
-	Fleet    ServiceAddress `json:"fleet"`  // fleet inventory, which lists and moves machines
+	Fleet    FleetSettings  `json:"fleet"`  // fleet inventory, which lists and moves machines
 	Advice   ServiceAddress `json:"advice"` // placement policy
 	Cores    float64        `json:"cores"`  // CPU that the process gets, in cores; may be a fraction
 	Bounds   Bounds         `json:"bounds"`
@@ -41,6 +41,12 @@
 	Address string `json:"address"`
 }
 
+// FleetSettings are the address and the limit of the fleet inventory.
+type FleetSettings struct {
+	Address    string  `json:"address"`
+	OrdersPerS float64 `json:"orders-per-s"` // orders for machines per second from all entries; 0 for no limit
+}
+
 // LogSettings are the address and the limits of the platform's log.
 type LogSettings struct {
 	Address     string `json:"address"`
@@ -92,6 +98,9 @@
 	if s.Log.Partitions < 1 || s.Log.RecordBytes < 1 || s.Log.CallBytes < 1 {
 		return fmt.Errorf("log: partitions %d, record-bytes %d and call-bytes %d must be at least 1", s.Log.Partitions, s.Log.RecordBytes, s.Log.CallBytes)
 	}
+	if s.Fleet.OrdersPerS < 0 {
+		return fmt.Errorf("fleet: orders-per-s %v must not be negative", s.Fleet.OrdersPerS)
+	}
 	if s.Bounds.HoldMS < 1 || s.Bounds.ShutdownGraceS <= 0 || s.Bounds.KeepFinalS < 1 {
 		return fmt.Errorf("bounds: hold-ms %d, shutdown-grace-s %v and keep-final-s %d must be positive", s.Bounds.HoldMS, s.Bounds.ShutdownGraceS, s.Bounds.KeepFinalS)
 	}
