shed: a pool serves in time what it can, and refuses the rest at once

Cause: a job was refused only if the pool needed longer for its backlog than the job's whole objective, with the cores that moves may bring counted as if they were there, and jobs began by their due times.

Change: package shed, pure, answers bursts of several times the mean. Jobs that can no longer meet their objective begin last. A returning job is known by its first submission. Refused callers get times to return at that are spread by what the pool can do. Objectives and chains are corrected by the run times of the queue's latest steps. The line "job ended" says how long the job took, of which objective.

--- a/internal/drive/fleet.go
+++ b/internal/drive/fleet.go
@@ -11,6 +11,7 @@
 
 	"github.com/greengagelane/greengagelane/internal/moves"
 	"github.com/greengagelane/greengagelane/internal/sched"
+	"github.com/greengagelane/greengagelane/internal/shed"
 	"github.com/greengagelane/greengagelane/pkg/jobs"
 	"github.com/greengagelane/greengagelane/pkg/site"
 	"github.com/greengagelane/greengagelane/platform"
@@ -28,14 +29,14 @@
 )
 
 // reportCall asks for a pool's report and, unless ReadOnly, sets the pool's cordons and
-// potential capacity.
+// expected arrivals.
 type reportCall struct {
 	Partition int
 	Pool      string
-	Cordons   []string // identifiers of VMs that get no new runs
-	Potential float64  // cores that the pool could reach by moves
-	Coming    bool     // machines are moving to the pool
-	ReadOnly  bool     // leaves cordons and potential capacity unchanged
+	Cordons   []string       // identifiers of VMs that get no new runs
+	Arrivals  []shed.Arrival // capacity that is expected to join the pool by moves
+	Coming    bool           // machines are moving to the pool
+	ReadOnly  bool           // leaves cordons and arrivals unchanged
 }
 
 // mover plans moves and maintenance of machines and sends the orders for them to the platform,
@@ -120,7 +121,7 @@
 		if !p.Spare {
 			calls = append(calls, &reportCall{
 				Partition: m.part.node.partitionOf(p.Name), Pool: p.Name,
-				Cordons: m.planner.Cordons(&m.view, p.Name), Potential: m.planner.Potential(&m.view, p.Name),
+				Cordons: m.planner.Cordons(&m.view, p.Name), Arrivals: m.planner.Arrivals(now, &m.view, p.Name),
 				Coming: m.planner.HasIncoming(&m.view, p.Name),
 			})
 		}
@@ -401,7 +402,7 @@
 	return runOnPartition(ctx, part, func(part *ownedPartition, now time.Time) *sched.Report {
 		if !c.ReadOnly {
 			part.scheduler.Cordon(c.Pool, c.Cordons)
-			part.scheduler.SetPotentialCapacity(now, c.Pool, c.Potential)
+			part.scheduler.SetArrivals(now, c.Pool, c.Arrivals)
 			part.cordonedAt = now
 		}
 		return part.scheduler.Report(now, c.Pool)
--- a/internal/moves/burst_test.go
+++ b/internal/moves/burst_test.go
@@ -191,7 +191,7 @@
 	sim.view.ReadStart = sim.now
 	for pool, s := range sim.schedulers {
 		s.Cordon(pool, sim.planner.Cordons(&sim.view, pool))
-		s.SetPotentialCapacity(sim.now, pool, sim.planner.Potential(&sim.view, pool))
+		s.SetArrivals(sim.now, pool, sim.planner.Arrivals(sim.now, &sim.view, pool))
 		sim.view.Reports[pool] = s.Report(sim.now, pool)
 	}
 	for _, o := range sim.planner.Plan(sim.now, &sim.view) {
--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -4,81 +4,224 @@
 	"fmt"
 	"time"
 
+	"github.com/greengagelane/greengagelane/internal/shed"
 	"github.com/greengagelane/greengagelane/pkg/jobs"
 )
 
-// admit decides whether to accept a job. A job is refused if its pool needs longer for the
-// backlog than QueueFactor times the job's latency objective, since it would then miss its
-// objective and be worth little. Long-running and periodic jobs are always accepted.
+const (
+	arrivalsTTL = 3 * time.Second       // for which a pool's expected VMs are valid; the planner renews them several times a second
+	loadTTL     = 20 * time.Millisecond // for which a pool's measured load and supply are valid; jobs accepted meanwhile are added
+)
+
+// admit decides whether to accept a job. Long-running and periodic jobs are always accepted.
 func (s *Scheduler) admit(now time.Time, j *jobs.Job) Admission {
 	if j.LongRunning() || j.Repeat > 0 {
 		return Admission{Accepted: true}
 	}
-	capacity := s.capacity(j.Pool)
-	if p := s.pool(j.Pool); now.Sub(p.potentialCoresAt) < potentialTTL {
-		capacity = max(capacity, p.potentialCores)
-	}
-	if capacity == 0 {
+	p := s.pool(j.Pool)
+	s.measureLoad(now, j.Pool)
+	if p.supply.Cores <= 0 && len(p.supply.Arrivals) == 0 {
 		return Admission{Accepted: true} // no VMs are known yet, or all are out of service briefly
 	}
-	wait := time.Duration(s.backlog(now, j.Pool) / capacity * float64(time.Second))
-	maxWait := time.Duration(s.policy.QueueFactor * float64(j.Objective()))
-	if wait <= maxWait {
-		return Admission{Accepted: true}
+	work := s.equivalentWork(j) * p.workRatio
+	r := &shed.Request{
+		Timing:   s.timing(newJob(j)),
+		Work:     work,
+		TaskTime: j.CriticalPath() / time.Duration(len(j.Steps)),
+	}
+	d := p.gate.Decide(now, r, p.load, &p.supply, s.policy.QueueFactor)
+	if !d.Accepted {
+		return Admission{Reason: fmt.Sprintf("pool %s cannot begin the job for %s", j.Pool, d.Wait.Round(time.Millisecond)), RetryAfter: d.RetryAfter}
 	}
-	return Admission{Reason: fmt.Sprintf("pool %s has work for %s queued", j.Pool, wait.Round(time.Millisecond)), RetryAfter: wait - maxWait}
+	p.load.Ready += work
+	p.load.Total += work
+	if r.Classify(now) == shed.InTime {
+		p.load.InTime += work
+	}
+	return Admission{Accepted: true}
 }
 
-// potentialTTL is how long a pool's potential capacity is valid. The planner renews it
-// several times a second.
-const potentialTTL = 3 * time.Second
+// SetArrivals sets the capacity that is expected to join a pool by VM moves.
+func (s *Scheduler) SetArrivals(now time.Time, pool string, arrivals []shed.Arrival) {
+	p := s.pool(pool)
+	p.arrivals, p.arrivalsAt = arrivals, now
+}
 
-// SetPotentialCapacity sets the cores that a pool could reach by VM moves.
-func (s *Scheduler) SetPotentialCapacity(now time.Time, pool string, cores float64) {
+// measureLoad updates a pool's load and supply unless they are recent.
+func (s *Scheduler) measureLoad(now time.Time, pool string) {
 	p := s.pool(pool)
-	p.potentialCores, p.potentialCoresAt = cores, now
+	if !p.loadAt.IsZero() && now.Sub(p.loadAt) < loadTTL {
+		return
+	}
+	p.loadAt, p.load, p.supply = now, s.waitingLoad(now, pool), s.supply(now, pool)
 }
 
-// capacity returns the cores of a pool's VMs that are listed and not draining.
-func (s *Scheduler) capacity(pool string) float64 {
-	var cores float64
+// supply returns the capacity of a pool's usable VMs without long-running tasks, and the expected
+// arrivals.
+func (s *Scheduler) supply(now time.Time, pool string) shed.Supply {
+	var sup shed.Supply
+	largest := s.largestVM(pool)
 	for _, v := range s.vms {
-		if v.Pool == pool && v.listed && !v.Draining {
-			cores += float64(v.CPU) / 1000
+		if v.Pool != pool || !v.usable(now, &s.policy) {
+			continue
 		}
+		cores := float64(v.CPU) / 1000
+		free := cores
+		for _, r := range v.runs {
+			used := largest.equivalentCores(r.step())
+			free -= used
+			if r.step().Lasts {
+				cores -= used
+			}
+		}
+		sup.Cores += max(cores, 0)
+		sup.Free += max(free, 0)
+	}
+	p := s.pool(pool)
+	elapsed := now.Sub(p.arrivalsAt)
+	if elapsed >= arrivalsTTL {
+		return sup
 	}
-	return cores
+	for _, a := range p.arrivals {
+		sup.Arrivals = append(sup.Arrivals, shed.Arrival{After: max(a.After-elapsed, 0), Cores: a.Cores})
+	}
+	return sup
 }
 
-// backlog returns the declared core-seconds of a pool's tasks that are not done. It
-// leaves out long-running jobs, and jobs past their objective unless they are periodic.
-func (s *Scheduler) backlog(now time.Time, pool string) float64 {
-	var sum float64
+// waitingLoad returns the work of a pool's tasks that have not started, without long-running ones.
+func (s *Scheduler) waitingLoad(now time.Time, pool string) shed.Load {
+	var l shed.Load
+	largest, ratio := s.largestVM(pool), s.pool(pool).workRatio
 	for _, j := range s.jobs {
 		if j.Pool != pool || j.state.Final() || j.LongRunning() {
 			continue
 		}
-		if j.Repeat == 0 && now.After(j.deadline) {
-			continue // placed after all jobs that can still meet their objective
+		work, ready := j.unstartedWork(largest)
+		work, ready = work*ratio, ready*ratio
+		l.Ready += ready
+		l.Total += work
+		if s.class(now, j) == shed.InTime {
+			l.InTime += work
 		}
-		sum += j.remainingWork()
 	}
-	return sum
+	return l
 }
 
-// remainingWork returns the declared core-seconds of the tasks that are not done in open
-// occurrences. Before the first occurrence is created, it returns those of one occurrence.
-func (j *job) remainingWork() float64 {
+// unstartedWork returns the declared work, in core-seconds of equivalent cores on a VM with the given
+// capacity, of the tasks without a run in open occurrences, and the part of it in steps that are ready.
+// Before the first occurrence is created, it returns that of one occurrence.
+func (j *job) unstartedWork(largest resources) (all, ready float64) {
+	work := func(st *jobs.Step, n int) float64 {
+		return float64(n) * largest.equivalentCores(st) * float64(st.EstimateMS) / 1000
+	}
 	if len(j.occurrences) == 0 && j.createdOccs == 0 {
-		return j.CoreSeconds()
+		for i := range j.Steps {
+			w := work(&j.Steps[i], j.Steps[i].Count)
+			all += w
+			if len(j.Steps[i].After) == 0 {
+				ready += w
+			}
+		}
 	}
-	var sum float64
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
-			sum += float64(st.Count-st.done) * float64(st.CPU) / 1000 * float64(st.EstimateMS) / 1000
+			w := work(st.Step, st.withoutRun)
+			all += w
+			if o.stepReady(st) {
+				ready += w
+			}
+		}
+	}
+	return all, ready
+}
+
+// class returns the urgency of a job. Periodic jobs always count as within their objective.
+func (s *Scheduler) class(now time.Time, j *job) shed.Class {
+	if j.Repeat > 0 {
+		return shed.InTime
+	}
+	t := s.timing(j)
+	return t.Classify(now)
+}
+
+// timing returns what the order of a job depends on, with its declared run times corrected by those
+// of the queue's latest jobs.
+func (s *Scheduler) timing(j *job) shed.Timing {
+	ratio := s.queue(j.Queue).chainRatio()
+	scale := func(d time.Duration) time.Duration { return time.Duration(ratio * float64(d)) }
+	target := time.Duration(j.TargetMS) * time.Millisecond
+	return shed.Timing{
+		Submitted: time.UnixMilli(j.SubmittedMS), Objective: target + scale(j.objective-target),
+		Chain: scale(j.remainingChain()), Begun: j.began,
+	}
+}
+
+// queueStats are the run times of a queue's latest jobs.
+type queueStats struct {
+	actual   float64 // decaying sum over finished steps of the longest run of their tasks, in seconds
+	declared float64 // decaying sum over the same steps, in seconds
+}
+
+// chainRatio returns the ratio of actual to declared run time of a step. A step lasts as long as
+// the longest of its tasks, so the ratio exceeds 1 also if the declared times are right on average.
+func (q *queueStats) chainRatio() float64 {
+	if q.declared == 0 {
+		return 1
+	}
+	return min(max(q.actual/q.declared, minChainRatio), maxChainRatio)
+}
+
+// Bounds of queueStats.chainRatio, for queues with few finished steps, and of each step's part in it,
+// for steps that ran on slow VMs.
+const (
+	minChainRatio = 0.5
+	maxChainRatio = 2.0
+)
+
+// recordStep updates a queue's run times with a finished step.
+func (q *queueStats) recordStep(st *step) {
+	if st.Lasts || st.EstimateMS <= 0 || st.longestRun == 0 {
+		return
+	}
+	const decay = 0.98 // per step; about the last fifty count
+	declared := float64(st.EstimateMS) / 1000
+	q.actual = decay*q.actual + min(st.longestRun.Seconds(), maxChainRatio*declared)
+	q.declared = decay*q.declared + declared
+}
+
+// queue returns the run times of a queue's jobs, which it creates if necessary.
+func (s *Scheduler) queue(name string) *queueStats {
+	q := s.queues[name]
+	if q == nil {
+		q = &queueStats{}
+		s.queues[name] = q
+	}
+	return q
+}
+
+// remainingChain returns the declared run time of the longest chain of steps that are not done, of the
+// occurrence that has the longest.
+func (j *job) remainingChain() time.Duration {
+	if len(j.occurrences) == 0 {
+		return j.CriticalPath()
+	}
+	var longest int64
+	var buf [8]int64  // avoids an allocation for jobs with few steps
+	finish := buf[:0] // earliest end of each step, in ms from now
+	for _, o := range j.occurrences {
+		finish = append(finish[:0], make([]int64, len(o.steps))...)
+		for i, st := range o.steps {
+			if st.done == st.Count {
+				continue
+			}
+			for _, a := range st.After {
+				finish[i] = max(finish[i], finish[a])
+			}
+			finish[i] += st.EstimateMS
+			longest = max(longest, finish[i])
 		}
 	}
-	return sum
+	return time.Duration(longest) * time.Millisecond
 }
 
 // updateWorkRatio updates a pool's ratio of actual to declared work with a finished run.
--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -246,7 +246,7 @@
 	}
 	t.runs = append(t.runs, r)
 	v.runs[t.id.String()] = r
-	s.markBegan(t.job)
+	s.markBegan(now, t.job)
 	s.stats.Started++
 	s.emit(StartRun{VM: v.ID, Task: t.id, Order: site.Start{
 		Task: t.id.String(), Run: number, Spec: t.job.Spec, UntilMS: v.grantLease(now, &s.policy), Fence: s.Epoch,
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"github.com/greengagelane/greengagelane/internal/shed"
 	"github.com/greengagelane/greengagelane/pkg/jobs"
 )
 
@@ -13,6 +14,8 @@
 	*jobs.Job
 	state       jobs.State
 	began       bool                // a task has started
+	beganAt     time.Time           // when this owner saw the first start; zero if an earlier one did
+	beganClass  shed.Class          // class of the job at beganAt
 	stored      bool                // the job log holds the job
 	flushing    bool                // the job is in a flush whose outcome is not known yet
 	dirty       bool                // has progress that is not in a flush yet
@@ -24,7 +27,8 @@
 	// recovered is set on jobs of an earlier owner, whose tasks may be running on
 	// unverified VMs.
 	recovered bool
-	deadline  time.Time // submission time plus latency objective
+	objective time.Duration // latency objective by the declared run times
+	order     orderKey      // as of the last call of sortJobs
 }
 
 // occurrence is one execution of a job's steps.
@@ -41,6 +45,7 @@
 	tasks         []*task
 	done          int               // number of tasks that are done
 	withoutRun    int               // number of tasks that are neither running nor done
+	longestRun    time.Duration     // of the runs that ended as done, as seen by this owner
 	tickets       map[string]string // of the placement policy, by VM ID
 	advicePending bool              // a request to the placement policy is under way
 	adviceRetryAt time.Time         // no request to the placement policy before
@@ -95,8 +100,7 @@
 func (r *run) step() *jobs.Step { return r.task.step.Step }
 
 func newJob(j *jobs.Job) *job {
-	deadline := time.UnixMilli(j.SubmittedMS).Add(j.Objective())
-	return &job{Job: j, occurrences: map[int]*occurrence{}, deadline: deadline}
+	return &job{Job: j, occurrences: map[int]*occurrence{}, objective: j.Objective()}
 }
 
 // createDueOccurrences creates the occurrences that are due.
--- a/internal/sched/observe.go
+++ b/internal/sched/observe.go
@@ -227,14 +227,15 @@
 	t.runs = append(t.runs, r)
 	t.step.withoutRun--
 	v.runs[x.Task] = r
-	s.markBegan(j)
+	s.markBegan(now, j)
 	s.updateProgress(now, r, x)
 	s.log.WithField("task", x.Task).WithField("run", x.Run).WithField("vm", v.ID).Info("run of an earlier owner adopted")
 	return ""
 }
 
-func (s *Scheduler) markBegan(j *job) {
+func (s *Scheduler) markBegan(now time.Time, j *job) {
 	if !j.began {
+		j.beganAt, j.beganClass = now, s.class(now, j)
 		j.began, j.dirty = true, true
 	}
 }
@@ -292,6 +293,7 @@
 	if r != nil && r.number == e.Run {
 		if e.How == site.Done {
 			s.updateWorkRatio(now, r)
+			r.task.step.longestRun = max(r.task.step.longestRun, now.Sub(r.startedAt))
 		}
 		s.releaseRun(r, e.How.String())
 	}
@@ -308,7 +310,7 @@
 		t.checkpoint = e.Checkpoint
 	}
 	s.recordOutcome(now, v, id.Job, e.How)
-	s.markBegan(j)
+	s.markBegan(now, j)
 	switch e.How {
 	case site.Done:
 		s.taskDone(now, j, t)
@@ -335,6 +337,9 @@
 		}
 		j.finishTask(x)
 	}
+	if t.step.done == t.step.Count {
+		s.queue(j.Queue).recordStep(t.step)
+	}
 	if j.doneOccs == j.Occurrences() {
 		s.finalize(now, j, jobs.Completed)
 	}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -92,33 +92,37 @@
 	return cands
 }
 
-// sortJobs orders jobs for placement: long-running ones, then those that can still meet
-// their latency objective, then the rest; within each by priority and deadline.
+// sortJobs orders jobs for placement: long-running ones, then by class, priority and the latest
+// time at which they can be started to meet their objective.
 func (s *Scheduler) sortJobs(now time.Time, list []*job) {
-	rank := func(j *job) int {
-		switch {
-		case j.LongRunning():
-			return 0
-		case now.Before(j.deadline):
-			return 1
+	for _, j := range list {
+		j.order = orderKey{rank: -1, latestStart: time.UnixMilli(j.SubmittedMS)}
+		if !j.LongRunning() {
+			t := s.timing(j)
+			j.order = orderKey{rank: int(s.class(now, j)), latestStart: t.LatestStart()}
 		}
-		return 2
 	}
 	sort.Slice(list, func(i, k int) bool {
 		a, b := list[i], list[k]
-		if ra, rb := rank(a), rank(b); ra != rb {
-			return ra < rb
+		if a.order.rank != b.order.rank {
+			return a.order.rank < b.order.rank
 		}
 		if a.Priority != b.Priority {
 			return a.Priority < b.Priority
 		}
-		if !a.deadline.Equal(b.deadline) {
-			return a.deadline.Before(b.deadline)
+		if !a.order.latestStart.Equal(b.order.latestStart) {
+			return a.order.latestStart.Before(b.order.latestStart)
 		}
 		return a.ID < b.ID
 	})
 }
 
+// orderKey holds what sortJobs orders a job by, besides its priority.
+type orderKey struct {
+	rank        int // -1 for a long-running job, else its class
+	latestStart time.Time
+}
+
 func (s *Scheduler) placeStep(now time.Time, j *job, st *step, cands []*candidate, unplaced *unplacedSizes) {
 	if j.Advice && !s.hasAdvice(now, st, cands) {
 		return
--- a/internal/sched/policy.go
+++ b/internal/sched/policy.go
@@ -27,7 +27,7 @@
 	ConsecutiveFailures int           // failed runs in a row, of at least two jobs, that quarantine a VM
 	TailHigh            float64       // share of Step.TailMS above which best-effort tasks are slowed down
 	TailLow             float64       // share of Step.TailMS below which best-effort tasks are sped up
-	QueueFactor         float64       // longest time that a pool may need for its backlog, as a multiple of the submitted job's latency objective
+	QueueFactor         float64       // longest time that a new job may have to wait, as a multiple of the longest with which it meets its latency objective
 }
 
 // localDuration returns the longest time on the local clock that d on a VM's clock takes.
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"github.com/greengagelane/greengagelane/internal/shed"
 	"github.com/greengagelane/greengagelane/pkg/jobs"
 )
 
@@ -59,7 +60,7 @@
 				r.Lasting += float64(st.Count) * largest.equivalentCores(st)
 			}
 		}
-		s.addDemand(j, largest, r, j.Repeat > 0 || !now.After(j.deadline))
+		s.addDemand(j, largest, r, s.class(now, j) == shed.InTime)
 	}
 	r.MinVMs = largest.packCount(longRunning)
 	return r
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/greengagelane/greengagelane/internal/shed"
 	"github.com/greengagelane/greengagelane/pkg/jobs"
 	"github.com/greengagelane/greengagelane/pkg/site"
 )
@@ -26,11 +27,12 @@
 	jobs             map[string]*job
 	vms              map[string]*vm
 	pools            map[string]*pool
+	queues           map[string]*queueStats
 	listReceivedAt   time.Time            // when the last VM list was received; zero before the first
 	unverified       map[string]time.Time // VMs that may hold runs of an earlier owner, with the end of those runs' leases
 	recordedVMs      map[string]bool      // VMs that the record under vmsKey has to name
 	recordedVMsDirty bool                 // recordedVMs has changed since it was last flushed
-	offeredAt        map[string]time.Time // when a job was last counted as offered load, by job ID
+	offeredAt        map[string]time.Time // when a job was first submitted, by job ID
 	actions          []Action
 	fenced           bool
 	retired          bool           // makes no more scheduling decisions; see Retire
@@ -57,17 +59,19 @@
 	declaredWork float64   // decaying sum over the same runs, in core-milliseconds
 	largestVM    resources // maximum of each resource over all VMs so far
 	offeredLoad  offeredLoad
-	// potentialCores is the capacity that the pool could reach by VM moves, as last
-	// reported by the planner.
-	potentialCores   float64
-	potentialCoresAt time.Time
+	gate         shed.Gate
+	load         shed.Load   // as of loadAt, with the jobs accepted since
+	supply       shed.Supply // as of loadAt
+	loadAt       time.Time
+	arrivals     []shed.Arrival // expected by VM moves, as reported by the planner at arrivalsAt
+	arrivalsAt   time.Time
 }
 
 // New returns a scheduler without jobs.
 func New(epoch int64, p Policy, log *logrus.Entry) *Scheduler {
 	return &Scheduler{
 		Epoch: epoch, policy: p, log: log,
-		jobs: map[string]*job{}, vms: map[string]*vm{}, pools: map[string]*pool{},
+		jobs: map[string]*job{}, vms: map[string]*vm{}, pools: map[string]*pool{}, queues: map[string]*queueStats{},
 		unverified: map[string]time.Time{}, recordedVMs: map[string]bool{}, offeredAt: map[string]time.Time{},
 	}
 }
--- a/internal/sched/submit.go
+++ b/internal/sched/submit.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/greengagelane/greengagelane/pkg/jobs"
 )
 
@@ -18,7 +20,10 @@
 	if s.jobs[j.ID] != nil {
 		return Admission{Accepted: true}
 	}
-	if !j.LongRunning() && !s.offeredBefore(now, j.ID) {
+	firstOffered, again := s.firstOffered(now, j.ID)
+	if again {
+		j.SubmittedMS = min(j.SubmittedMS, firstOffered.UnixMilli()) // its caller has waited since then
+	} else if !j.LongRunning() {
 		s.pool(j.Pool).offeredLoad.add(now, s.equivalentWork(j)*s.pool(j.Pool).workRatio)
 	}
 	if a := s.admit(now, j); !a.Accepted {
@@ -44,18 +49,19 @@
 	return sum
 }
 
-// offeredBefore reports whether a job was submitted recently, and records its submission
-// otherwise. The retry of a refused job is not counted as offered load again.
-func (s *Scheduler) offeredBefore(now time.Time, id string) bool {
+// firstOffered returns when a job was first submitted. again reports whether that was recently;
+// otherwise the present submission counts as the first one. The retry of a refused job is not counted
+// as offered load again.
+func (s *Scheduler) firstOffered(now time.Time, id string) (at time.Time, again bool) {
 	const retryWindow = 10 * time.Second // longer than callers retry a refused job
 	if at, known := s.offeredAt[id]; known && now.Sub(at) < retryWindow {
-		return true
+		return at, true
 	}
 	if len(s.offeredAt) > maxOfferedJobs {
 		s.offeredAt = map[string]time.Time{}
 	}
 	s.offeredAt[id] = now
-	return false
+	return now, false
 }
 
 // maxOfferedJobs bounds the memory for recently submitted jobs. Above it, all of them are
@@ -104,7 +110,11 @@
 // finalize sets a final state and stops the job's runs.
 func (s *Scheduler) finalize(now time.Time, j *job, state jobs.State) {
 	j.state, j.finalMS, j.dirty = state, now.UnixMilli(), true
-	s.log.WithField("job", j.ID).WithField("state", state).Info("job ended")
+	submitted := time.UnixMilli(j.SubmittedMS)
+	s.log.WithFields(logrus.Fields{
+		"job": j.ID, "state": state, "queue": j.Queue, "took-ms": now.Sub(submitted).Milliseconds(),
+		"began-after-ms": j.beganAt.Sub(submitted).Milliseconds(), "objective-ms": s.timing(j).Objective.Milliseconds(), "class": j.beganClass,
+	}).Info("job ended")
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
 			for _, t := range st.tasks {
--- a/pkg/site/policy.go
+++ b/pkg/site/policy.go
@@ -8,7 +8,7 @@
 	LeaseMS      int     `json:"lease-ms"`      // lease of the runs on a VM
 	StallMS      int     `json:"stall-ms"`      // a run without progress for this long is restarted
 	QuarantineMS int     `json:"quarantine-ms"` // first quarantine of a VM after repeated failures
-	QueueFactor  float64 `json:"queue-factor"`  // a job is refused if its expected wait exceeds its latency objective times this factor
+	QueueFactor  float64 `json:"queue-factor"`  // a job is refused if its expected wait exceeds the longest with which it meets its latency objective, times this factor
 	TailHigh     float64 `json:"tail-high"`     // fraction of a task's tail latency limit above which best-effort tasks are throttled
 	TailLow      float64 `json:"tail-low"`      // fraction of that limit below which the throttling is relaxed
 	ParkMS       int     `json:"park-ms"`       // a machine that its pool has not needed for this long moves to the spare pool
