drive: partitions go to the entries that have the cores, whatever their size

Change: an entry's name in the group tells its cores. An entry joins if no owner has more cores, or if it has more cores for one partition than an owner of several has for each; a weaker one waits until stronger ones have started.

--- a/internal/drive/member.go
+++ b/internal/drive/member.go
@@ -13,7 +13,6 @@
 )
 
 const (
-	minOwnerCores          = 0.3                     // an entry with fewer cores does not join the group while other entries are assigned all partitions
 	joinInterval           = 300 * time.Millisecond  // three joins fit into memberTTL
 	startupPhase           = 3 * time.Second         // after the process starts; other entries may be starting too
 	memberTTL              = 1000 * time.Millisecond // a silent entry loses its partitions after this; the shortest time that the log allows
@@ -51,10 +50,11 @@
 	defer close(done)
 	log := platform.NewLog(n.settings)
 	defer log.Close()
-	m := &site.Member{Name: memberName(n.settings.Entry, n.address), TTLMS: max(int(memberTTL.Milliseconds()), n.settings.Log.MinTTLMS)}
+	m := &site.Member{Name: memberName(n.settings.Entry, n.address, n.settings.Cores), TTLMS: max(int(memberTTL.Milliseconds()), n.settings.Log.MinTTLMS)}
 	dep := &dependency{name: "entry group"}
 	for ctx.Err() == nil {
-		if n.settings.Cores < minOwnerCores && !n.ownsAny() && n.owners.allAssigned(n.settings.Log.Partitions) {
+		starting := time.Since(n.startedAt) < startupPhase
+		if !n.ownsAny() && !n.owners.shouldJoin(n.settings.Cores, n.settings.Log.Partitions, starting) {
 			n.assignmentKnown.Store(true)
 			sleep(ctx, joinInterval)
 			continue
--- a/internal/drive/owners.go
+++ b/internal/drive/owners.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"strconv"
 	"strings"
 	"sync"
 )
@@ -11,26 +12,41 @@
 // owns it.
 type ownerTable struct {
 	mu       sync.Mutex
-	assigned map[int]string    // peer addresses, by partition
+	assigned map[int]member    // by partition
 	claimed  map[int]ownerInfo // by partition
 }
 
-// memberName returns an entry's name in the platform's group: its own name and its peer
-// address.
-func memberName(entry, address string) string { return entry + "@" + address }
+// member is an entry in the platform's group, as its name there describes it.
+type member struct {
+	address string  // of the peer interface
+	cores   float64 // CPU that the entry gets
+}
 
-func memberAddress(member string) string {
-	_, address, _ := strings.Cut(member, "@")
-	return address
+// memberName returns an entry's name in the platform's group: its own name, its peer address and
+// its cores.
+func memberName(entry, address string, cores float64) string {
+	return entry + "@" + address + "@" + strconv.FormatFloat(cores, 'g', 4, 64)
+}
+
+// parseMember returns the entry with the given name in the group. Its cores are 0 if the name does
+// not tell them.
+func parseMember(name string) member {
+	_, rest, _ := strings.Cut(name, "@")
+	address, text, _ := strings.Cut(rest, "@")
+	cores, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		cores = 0
+	}
+	return member{address: address, cores: cores}
 }
 
 // setAssignment replaces the platform's assignment of partitions to members.
 func (o *ownerTable) setAssignment(members map[int]string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	assigned := map[int]string{}
-	for partition, member := range members {
-		assigned[partition] = memberAddress(member)
+	assigned := map[int]member{}
+	for partition, name := range members {
+		assigned[partition] = parseMember(name)
 	}
 	o.assigned = assigned
 }
@@ -49,11 +65,31 @@
 	return true
 }
 
-// allAssigned reports whether every partition is assigned.
-func (o *ownerTable) allAssigned(partitions int) bool {
+// shouldJoin reports whether an entry with the given cores, which owns no partition, should be in
+// the group. It should if a partition is not assigned, or if no owner has more cores: then it can
+// take over from any of them. A weaker entry should only if it has more cores for one partition than
+// an owner has for each of its several ones, and not while stronger entries may still be starting.
+func (o *ownerTable) shouldJoin(cores float64, partitions int, starting bool) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return len(o.assigned) >= partitions
+	if len(o.assigned) < partitions {
+		return true
+	}
+	owned := map[member]int{}
+	mostCores := 0.0
+	for _, m := range o.assigned {
+		owned[m]++
+		mostCores = max(mostCores, m.cores)
+	}
+	if cores >= mostCores {
+		return true
+	}
+	for m, n := range owned {
+		if n > 1 && m.cores/float64(n) < cores && !starting {
+			return true
+		}
+	}
+	return false
 }
 
 // addresses returns the peer addresses at which a partition's owner may be: that of the
@@ -62,7 +98,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	var list []string
-	if a := o.assigned[partition]; a != "" {
+	if a := o.assigned[partition].address; a != "" {
 		list = append(list, a)
 	}
 	if c := o.claimed[partition]; c.Address != "" && (len(list) == 0 || list[0] != c.Address) {
@@ -98,8 +134,8 @@
 			list = append(list, a)
 		}
 	}
-	for _, a := range o.assigned {
-		add(a)
+	for _, m := range o.assigned {
+		add(m.address)
 	}
 	for _, c := range o.claimed {
 		add(c.Address)
