sched: VMs that are briefly out of use count as capacity for admission

Cause: a VM that gets no runs for a moment (a refused start, a failed poll, not recorded yet) was left out of the pool's capacity, and jobs were refused. Change: only its idle cores are left out. TestBriefBackoffRefusesNoJob fails before.

--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -56,13 +56,14 @@
 	p.loadAt, p.load, p.supply = now, s.waitingLoad(now, pool), s.supply(now, pool)
 }
 
-// supply returns the capacity of a pool's usable VMs without long-running tasks, and the expected
-// arrivals.
+// supply returns the capacity of a pool's VMs without long-running tasks, and the expected arrivals. VMs
+// that may get no runs for a moment, as after a failed status poll, count too, but their cores are not
+// idle.
 func (s *Scheduler) supply(now time.Time, pool string) shed.Supply {
 	var sup shed.Supply
 	largest := s.largestVM(pool)
 	for _, v := range s.vms {
-		if v.Pool != pool || !v.usable(now, &s.policy) {
+		if v.Pool != pool || !v.listed || v.Draining || v.cordoned {
 			continue
 		}
 		cores := float64(v.CPU) / 1000
@@ -75,7 +76,9 @@
 			}
 		}
 		sup.Cores += max(cores, 0)
-		sup.Free += max(free, 0)
+		if v.usable(now, &s.policy) {
+			sup.Free += max(free, 0)
+		}
 	}
 	p := s.pool(pool)
 	elapsed := now.Sub(p.arrivalsAt)
--- a/internal/sched/overload_test.go
+++ b/internal/sched/overload_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/greengagelane/greengagelane/internal/shed"
 	"github.com/greengagelane/greengagelane/pkg/jobs"
 	"github.com/greengagelane/greengagelane/pkg/site"
 )
@@ -202,3 +203,19 @@
 		})
 	}
 }
+
+// TestBriefBackoffRefusesNoJob guards against refusals while all VMs of a pool are only briefly out of
+// use, as after a refused start or a failed poll, and others are still on their way.
+func TestBriefBackoffRefusesNoJob(t *testing.T) {
+	r := newFixture(t, testVM("vm1"), testVM("vm2"))
+	r.submit(0, testJob(jobID, jobs.Step{Count: 2, CPU: 5000, EstimateMS: 1000}))
+	for _, a := range r.s.Decide(at(10)) {
+		if x, ok := a.(StartRun); ok {
+			r.s.HandleStart(at(20), &x, site.RefusedRoom, nil)
+		}
+	}
+	r.s.HandlePollFailure("vm2", site.ErrNotDone)
+	r.s.SetArrivals(at(25), "pool", []shed.Arrival{{After: 5 * time.Second, Cores: 8}})
+	j := testJob("00000000000000a2", jobs.Step{Count: 1, CPU: 1000, EstimateMS: 1000})
+	assert.Assert(t, r.s.Submit(at(30), j).Accepted)
+}
