drive: small entries leave partitions to large ones; ends of runs are seen sooner

And an owner polled each VM of a pool of 700 every 0.42 s, so that ended tasks kept their cores for as long.

Change: an entry first joins after a time that falls with its cores, leaves when stronger owners would have more cores for each partition, and joins again only when they would not. Owners poll 3,333 instead of 1,667 times a second at most. Tests: TestSmallEntryLeavesToLargeOnes, TestShouldJoin; the cluster of the tests waits until all partitions are owned.

--- a/internal/drive/member.go
+++ b/internal/drive/member.go
@@ -52,13 +52,23 @@
 	defer log.Close()
 	m := &site.Member{Name: memberName(n.settings.Entry, n.address, n.settings.Cores), TTLMS: max(int(memberTTL.Milliseconds()), n.settings.Log.MinTTLMS)}
 	dep := &dependency{name: "entry group"}
+	self := member{address: n.address, cores: n.settings.Cores}
+	left := false // has left the group to entries with more cores
+	sleep(ctx, firstJoinDelay(self.cores))
 	for ctx.Err() == nil {
 		starting := time.Since(n.startedAt) < startupPhase
-		if !n.ownsAny() && !n.owners.shouldJoin(n.settings.Cores, n.settings.Log.Partitions, starting) {
+		if (left || !n.ownsAny()) && !n.owners.shouldJoin(self, n.settings.Log.Partitions, starting) {
 			n.assignmentKnown.Store(true)
 			sleep(ctx, joinInterval)
 			continue
 		}
+		if left = n.ownsAny() && n.owners.shouldLeave(self, n.settings.Log.Partitions); left {
+			logrus.WithField("cores", self.cores).Info("entry leaves its partitions to owners with more cores")
+			n.leaveGroup(log, m)
+			n.requestAssignmentRefresh()
+			sleep(ctx, assignmentInterval)
+			continue
+		}
 		share, err := log.Join(ctx, m)
 		if ctx.Err() != nil {
 			break
@@ -74,14 +84,19 @@
 			n.waitForJoin(ctx)
 		}
 	}
-	leaveCtx, cancel := context.WithTimeout(context.Background(), handoverTimeout+handoverTimeout)
+	n.leaveGroup(log, m)
+	n.awaitReleased()
+}
+
+// leaveGroup takes this entry out of the group and begins to hand its partitions over.
+func (n *Node) leaveGroup(log *platform.Log, m *site.Member) {
+	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout+handoverTimeout)
 	defer cancel()
-	if err := log.Leave(leaveCtx, m); err != nil {
+	if err := log.Leave(ctx, m); err != nil {
 		logrus.WithError(err).Warn("entry could not leave the group; its partitions are reassigned once its membership expires")
 	}
 	notifyPeers(n, leftKind, &empty{})
 	n.releaseExcept(nil)
-	n.awaitReleased()
 }
 
 // waitForJoin waits until the next join is due or another entry has left the group.
--- a/internal/drive/node_test.go
+++ b/internal/drive/node_test.go
@@ -25,6 +25,9 @@
 // testTimeout bounds the wait for an expected state. It is generous: the tests check no speed.
 const testTimeout = 40 * time.Second
 
+// partitions is the number of partitions of the emulated job log.
+const partitions = 4
+
 // cluster is an emulated platform with running entries.
 type cluster struct {
 	t        *testing.T
@@ -59,9 +62,24 @@
 	for i := range c.nodes {
 		c.await("entry ready", c.nodes[i].Ready)
 	}
+	c.await("all partitions owned", func() bool { return c.ownedPartitions() == partitions })
 	return c
 }
 
+// ownedPartitions returns the number of partitions that an entry owns and has loaded.
+func (c *cluster) ownedPartitions() int {
+	owned := 0
+	for p := range partitions {
+		for _, n := range c.nodes {
+			if part := n.lookupPartition(p); part != nil && part.isLoaded() {
+				owned++
+				break
+			}
+		}
+	}
+	return owned
+}
+
 func (c *cluster) startEntry(i int) {
 	c.t.Helper()
 	ports, err := emul.FreePorts(4)
@@ -69,7 +87,7 @@
 	set := &site.Settings{
 		Entry: fmt.Sprintf("entry-%d", i), IP: "127.0.0.1", Ports: ports[:2],
 		Callers: fmt.Sprintf("127.0.0.1:%d", ports[2]), Ready: fmt.Sprintf("127.0.0.1:%d", ports[3]),
-		Log:   site.LogSettings{Address: c.emulator.LogAddr, Partitions: 4, RecordBytes: 1 << 18, CallBytes: 1 << 21, MinTTLMS: 1000},
+		Log:   site.LogSettings{Address: c.emulator.LogAddr, Partitions: partitions, RecordBytes: 1 << 18, CallBytes: 1 << 21, MinTTLMS: 1000},
 		Fleet: site.FleetSettings{Address: c.emulator.FleetAddr}, Cores: 1,
 		Bounds: site.Bounds{HoldMS: 10000, StopGraceMS: 400, ShutdownGraceS: 6, KeepFinalS: 120, MoveS: 0.2, TurnMS: 300},
 	}
--- a/internal/drive/owners.go
+++ b/internal/drive/owners.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 )
 
 // ownerTable holds the known owners of all partitions. The platform's assignment names the
@@ -65,31 +66,49 @@
 	return true
 }
 
-// shouldJoin reports whether an entry with the given cores, which owns no partition, should be in
-// the group. It should if a partition is not assigned, or if no owner has more cores: then it can
-// take over from any of them. A weaker entry should only if it has more cores for one partition than
-// an owner has for each of its several ones, and not while stronger entries may still be starting.
-func (o *ownerTable) shouldJoin(cores float64, partitions int, starting bool) bool {
+// shouldJoin reports whether an entry that owns no partition should be in the group. It should if a
+// partition is not assigned, or if no owner has more cores: then it can take over from any of them. A
+// weaker entry should only if the stronger owners are too few, and not while others may still start.
+func (o *ownerTable) shouldJoin(self member, partitions int, starting bool) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if len(o.assigned) < partitions {
 		return true
 	}
-	owned := map[member]int{}
-	mostCores := 0.0
+	stronger := o.strongerCores(self)
+	return stronger == 0 || (!starting && stronger/float64(partitions) < self.cores)
+}
+
+// shouldLeave reports whether an entry that owns partitions should leave them to stronger owners, since
+// these would have clearly more cores for each partition.
+func (o *ownerTable) shouldLeave(self member, partitions int) bool {
+	const hysteresis = 1.2 // ratio of the thresholds for leaving and for joining
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.strongerCores(self)/float64(partitions) > hysteresis*self.cores
+}
+
+// strongerCores returns the cores of all owners that have more cores than self; o.mu is held.
+func (o *ownerTable) strongerCores(self member) float64 {
+	seen := map[string]bool{}
+	sum := 0.0
 	for _, m := range o.assigned {
-		owned[m]++
-		mostCores = max(mostCores, m.cores)
-	}
-	if cores >= mostCores {
-		return true
-	}
-	for m, n := range owned {
-		if n > 1 && m.cores/float64(n) < cores && !starting {
-			return true
+		if m.cores > self.cores && !seen[m.address] {
+			seen[m.address] = true
+			sum += m.cores
 		}
 	}
-	return false
+	return sum
+}
+
+// firstJoinDelay returns how long an entry waits before it first joins the group, so that after a
+// loss of all entries the partitions go to those with the most cores.
+func firstJoinDelay(cores float64) time.Duration {
+	const oneCore, longest = 60 * time.Millisecond, 600 * time.Millisecond
+	if cores <= 0 {
+		return 0
+	}
+	return min(time.Duration(float64(oneCore)/cores), longest)
 }
 
 // addresses returns the peer addresses at which a partition's owner may be: that of the
--- a/internal/drive/owners_test.go
+++ b/internal/drive/owners_test.go
@@ -7,13 +7,27 @@
 	"gotest.tools/v3/assert"
 )
 
+const testPartitions = 16
+
+// ownersOf returns a table in which entries with the given cores share the partitions equally.
+func ownersOf(cores ...float64) *ownerTable {
+	o := &ownerTable{}
+	members := map[int]string{}
+	for p := range testPartitions {
+		if n := len(cores); n > 0 {
+			members[p] = memberName(fmt.Sprintf("entry-%d", p%n), fmt.Sprintf("10.0.0.%d:7060", p%n), cores[p%n])
+		}
+	}
+	o.setAssignment(members)
+	return o
+}
+
 // TestShouldJoin guards against a fleet of small entries in which the first one to start owns all
 // partitions and keeps them, and against small entries that take partitions from large ones.
 func TestShouldJoin(t *testing.T) {
-	const partitions = 16
 	tests := []struct {
 		name     string
-		owners   []float64 // cores of the entries that share the partitions equally
+		owners   []float64
 		cores    float64
 		starting bool
 		want     bool
@@ -28,16 +42,32 @@
 		{"a small entry helps a larger one that owns all", []float64{0.3}, 0.2, false, true},
 	}
 	for _, tt := range tests {
-		o := &ownerTable{}
-		members := map[int]string{}
-		for p := range partitions {
-			if n := len(tt.owners); n > 0 {
-				members[p] = memberName(fmt.Sprintf("entry-%d", p%n), fmt.Sprintf("10.0.0.%d:7060", p%n), tt.owners[p%n])
-			}
+		self := member{address: "10.0.1.1:7060", cores: tt.cores}
+		assert.Equal(t, ownersOf(tt.owners...).shouldJoin(self, testPartitions, tt.starting), tt.want, tt.name)
+	}
+}
+
+// TestSmallEntryLeavesToLargeOnes guards against a small entry that keeps the partitions that it got
+// after a loss of all entries. An entry that has left must have no reason to join again.
+func TestSmallEntryLeavesToLargeOnes(t *testing.T) {
+	self := member{address: "10.0.0.0:7060", cores: 0.2} // the first of the owners
+	tests := []struct {
+		name   string
+		owners []float64
+		want   bool
+	}{
+		{"large entries own the others", []float64{0.2, 0.8, 0.8, 0.8, 0.8, 0.8, 0.8, 0.8, 0.8}, true},
+		{"one large entry would own all", []float64{0.2, 0.8}, false},
+		{"all are equal", []float64{0.2, 0.2}, false},
+		{"no other", []float64{0.2}, false},
+	}
+	for _, tt := range tests {
+		assert.Equal(t, ownersOf(tt.owners...).shouldLeave(self, testPartitions), tt.want, tt.name)
+		if tt.want {
+			assert.Assert(t, !ownersOf(tt.owners[1:]...).shouldJoin(self, testPartitions, false), tt.name)
 		}
-		o.setAssignment(members)
-		assert.Equal(t, o.shouldJoin(tt.cores, partitions, tt.starting), tt.want, tt.name)
 	}
+	assert.Assert(t, firstJoinDelay(0.8) < firstJoinDelay(0.2))
 }
 
 func TestMemberNameRoundTrip(t *testing.T) {
--- a/internal/drive/session.go
+++ b/internal/drive/session.go
@@ -13,7 +13,7 @@
 const (
 	pollWait          = time.Second            // how long a VM may delay its reply to a status poll until a run ends; a lease outlasts two failed polls
 	minPollInterval   = 40 * time.Millisecond  // between polls, so that ends of runs are reported in batches
-	pollIntervalPerVM = 600 * time.Microsecond // per VM of the partition; bounds the partition's polls per second
+	pollIntervalPerVM = 300 * time.Microsecond // per VM of the partition; bounds the partition's polls per second
 	pollBackoff       = 200 * time.Millisecond // after a failed poll
 	maxSenders        = 3                      // connections for orders to one VM
 	addSenderAfter    = 40 * time.Millisecond  // another sender starts if none is idle and no order has left the queue for longer than this
