drive: small entries wait for large ones after an outage of the log

Cause: an outage of the log ends all memberships. When it is over, entries that were no members see partitions without an owner and join before the members do; the count of stronger owners then left out those that had got none, so that the small ones stayed.

Change: an entry that lately knew stronger owners joins for an unassigned partition only after 3 s, and stronger entries count for 10 s after their last assignment. TestSmallEntriesWaitForLargeOnesAfterAnOutage.

--- a/internal/drive/member.go
+++ b/internal/drive/member.go
@@ -57,7 +57,7 @@
 	sleep(ctx, firstJoinDelay(self.cores))
 	for ctx.Err() == nil {
 		starting := time.Since(n.startedAt) < startupPhase
-		if (left || !n.ownsAny()) && !n.owners.shouldJoin(self, n.settings.Log.Partitions, starting) {
+		if (left || !n.ownsAny()) && !n.owners.shouldJoin(time.Now(), self, n.settings.Log.Partitions, starting) {
 			n.assignmentKnown.Store(true)
 			sleep(ctx, joinInterval)
 			continue
@@ -195,7 +195,7 @@
 		members, err := log.Owners(ctx)
 		dep.recordResult(err)
 		if err == nil {
-			n.owners.setAssignment(members)
+			n.owners.setAssignment(time.Now(), members, n.settings.Log.Partitions)
 		}
 		sleep(ctx, minAssignmentInterval)
 		timer.Reset(assignmentInterval)
--- a/internal/drive/owners.go
+++ b/internal/drive/owners.go
@@ -12,11 +12,18 @@
 // entry that should own a partition. The claim with the highest epoch names the entry that
 // owns it.
 type ownerTable struct {
-	mu       sync.Mutex
-	assigned map[int]member    // by partition
-	claimed  map[int]ownerInfo // by partition
+	mu              sync.Mutex
+	assigned        map[int]member       // by partition
+	seen            map[member]time.Time // when partitions were last assigned to an entry
+	unassignedSince time.Time            // since when a partition has not been assigned; zero while all are
+	claimed         map[int]ownerInfo    // by partition
 }
 
+const (
+	memberMemory  = 10 * time.Second // for which an entry without partitions still counts as one that may own some
+	strongerGrace = 3 * time.Second  // for entries with more cores to join the group again, as after an outage of the log, in which all memberships end
+)
+
 // member is an entry in the platform's group, as its name there describes it.
 type member struct {
 	address string  // of the peer interface
@@ -42,7 +49,7 @@
 }
 
 // setAssignment replaces the platform's assignment of partitions to members.
-func (o *ownerTable) setAssignment(members map[int]string) {
+func (o *ownerTable) setAssignment(now time.Time, members map[int]string, partitions int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	assigned := map[int]member{}
@@ -50,6 +57,19 @@
 		assigned[partition] = parseMember(name)
 	}
 	o.assigned = assigned
+	if o.seen == nil {
+		o.seen = map[member]time.Time{}
+	}
+	for _, m := range assigned {
+		o.seen[m] = now
+	}
+	maps.DeleteFunc(o.seen, func(_ member, at time.Time) bool { return now.Sub(at) > memberMemory })
+	switch {
+	case len(assigned) >= partitions:
+		o.unassignedSince = time.Time{}
+	case o.unassignedSince.IsZero():
+		o.unassignedSince = now
+	}
 }
 
 // recordClaim records a claim. It reports whether its epoch is higher than the known one.
@@ -66,17 +86,20 @@
 	return true
 }
 
-// shouldJoin reports whether an entry that owns no partition should be in the group. It should if a
-// partition is not assigned, or if no owner has more cores: then it can take over from any of them. A
-// weaker entry should only if the stronger owners are too few, and not while others may still start.
-func (o *ownerTable) shouldJoin(self member, partitions int, starting bool) bool {
+// shouldJoin reports whether an entry that owns no partition should be in the group. It should if no
+// entry with more cores is known: then it can take over from any owner. A weaker entry should if a
+// partition stays unassigned, or if the stronger ones are too few, but not while others may still start.
+func (o *ownerTable) shouldJoin(now time.Time, self member, partitions int, starting bool) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if len(o.assigned) < partitions {
+	stronger := o.strongerCores(self)
+	switch {
+	case stronger == 0:
 		return true
+	case !o.unassignedSince.IsZero():
+		return now.Sub(o.unassignedSince) > strongerGrace
 	}
-	stronger := o.strongerCores(self)
-	return stronger == 0 || (!starting && stronger/float64(partitions) < self.cores)
+	return !starting && stronger/float64(partitions) < self.cores
 }
 
 // shouldLeave reports whether an entry that owns partitions should leave them to stronger owners, since
@@ -88,13 +111,12 @@
 	return o.strongerCores(self)/float64(partitions) > hysteresis*self.cores
 }
 
-// strongerCores returns the cores of all owners that have more cores than self; o.mu is held.
+// strongerCores returns the cores of all entries that own or lately owned partitions and have more cores
+// than self; o.mu is held.
 func (o *ownerTable) strongerCores(self member) float64 {
-	seen := map[string]bool{}
 	sum := 0.0
-	for _, m := range o.assigned {
-		if m.cores > self.cores && !seen[m.address] {
-			seen[m.address] = true
+	for m := range o.seen {
+		if m.cores > self.cores {
 			sum += m.cores
 		}
 	}
--- a/internal/drive/owners_test.go
+++ b/internal/drive/owners_test.go
@@ -3,12 +3,15 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
 
 const testPartitions = 16
 
+var testStart = time.UnixMilli(1_700_000_000_000)
+
 // ownersOf returns a table in which entries with the given cores share the partitions equally.
 func ownersOf(cores ...float64) *ownerTable {
 	o := &ownerTable{}
@@ -18,7 +21,7 @@
 			members[p] = memberName(fmt.Sprintf("entry-%d", p%n), fmt.Sprintf("10.0.0.%d:7060", p%n), cores[p%n])
 		}
 	}
-	o.setAssignment(members)
+	o.setAssignment(testStart, members, testPartitions)
 	return o
 }
 
@@ -43,7 +46,7 @@
 	}
 	for _, tt := range tests {
 		self := member{address: "10.0.1.1:7060", cores: tt.cores}
-		assert.Equal(t, ownersOf(tt.owners...).shouldJoin(self, testPartitions, tt.starting), tt.want, tt.name)
+		assert.Equal(t, ownersOf(tt.owners...).shouldJoin(testStart, self, testPartitions, tt.starting), tt.want, tt.name)
 	}
 }
 
@@ -64,12 +67,24 @@
 	for _, tt := range tests {
 		assert.Equal(t, ownersOf(tt.owners...).shouldLeave(self, testPartitions), tt.want, tt.name)
 		if tt.want {
-			assert.Assert(t, !ownersOf(tt.owners[1:]...).shouldJoin(self, testPartitions, false), tt.name)
+			assert.Assert(t, !ownersOf(tt.owners[1:]...).shouldJoin(testStart, self, testPartitions, false), tt.name)
 		}
 	}
 	assert.Assert(t, firstJoinDelay(0.8) < firstJoinDelay(0.2))
 }
 
+// TestSmallEntriesWaitForLargeOnesAfterAnOutage guards against small entries that take partitions when
+// an outage of the log has ended all memberships. They take them only if no large one does.
+func TestSmallEntriesWaitForLargeOnesAfterAnOutage(t *testing.T) {
+	small, large := member{address: "10.0.1.1:7060", cores: 0.2}, member{address: "10.0.0.1:7060", cores: 0.8}
+	o := ownersOf(0.8, 0.8, 0.8, 0.8, 0.8, 0.8, 0.8, 0.8)
+	back := testStart.Add(5 * time.Second)
+	o.setAssignment(back, map[int]string{0: memberName("large", large.address, large.cores)}, testPartitions)
+	assert.Assert(t, !o.shouldJoin(back.Add(time.Second), small, testPartitions, false))
+	assert.Assert(t, o.shouldJoin(back.Add(time.Second), large, testPartitions, false))
+	assert.Assert(t, o.shouldJoin(back.Add(strongerGrace+time.Second), small, testPartitions, false))
+}
+
 func TestMemberNameRoundTrip(t *testing.T) {
 	assert.Equal(t, parseMember(memberName("edge-1", "10.1.0.9:7060", 0.192)), member{address: "10.1.0.9:7060", cores: 0.192})
 	assert.Equal(t, parseMember("edge-1@10.1.0.9:7060"), member{address: "10.1.0.9:7060"})
