--- a/internal/moves/turn_test.go
+++ b/internal/moves/follow_test.go
@@ -11,9 +11,9 @@
 	"github.com/greengagelane/greengagelane/pkg/site"
 )
 
-// turnFleet is a fleet of which one pool's demand rises to more than half of all machines and
+// burstFleet is a fleet of which one pool's demand rises to more than half of all machines and
 // falls again.
-type turnFleet struct {
+type burstFleet struct {
 	view     View
 	planner  *Planner
 	upAt     map[string]time.Time // by moving machine
@@ -21,8 +21,8 @@
 	machines int
 }
 
-func newTurnFleet(machines int, ordersPerS float64) *turnFleet {
-	f := &turnFleet{machines: machines, planner: New(DefaultPolicy(moveDuration, ordersPerS)), upAt: map[string]time.Time{}}
+func newBurstFleet(machines int, ordersPerS float64) *burstFleet {
+	f := &burstFleet{machines: machines, planner: New(DefaultPolicy(moveDuration, ordersPerS)), upAt: map[string]time.Time{}}
 	f.view.Pools = []site.Pool{{Name: "a"}, {Name: "spare", Spare: true}}
 	for i := range machines {
 		pool := "spare"
@@ -35,7 +35,7 @@
 }
 
 // step plans once, with a demand in machines, and carries out the orders.
-func (f *turnFleet) step(now time.Time, demand int) {
+func (f *burstFleet) step(now time.Time, demand int) {
 	report := &sched.Report{Pool: "a", Rate: float64(demand) * 8, Used: float64(demand) * 8}
 	cordoned := map[string]bool{}
 	for _, id := range f.planner.Cordons(&f.view, "a") {
@@ -68,7 +68,7 @@
 	}
 }
 
-func (f *turnFleet) inPool(pool string) int {
+func (f *burstFleet) inPool(pool string) int {
 	n := 0
 	for i := range f.view.Machines {
 		if m := &f.view.Machines[i]; m.Pool == pool && m.State == site.Up {
@@ -78,10 +78,10 @@
 	return n
 }
 
-// TestMachinesFollowATurnAtTheRateOfThePlatform guards against a fixed number of moves per round,
-// with which a large fleet took 7 s to follow a turn of demand that lasts 5 s, and its machines
+// TestMachinesFollowABurstAtThePlatformsRate guards against a fixed number of moves per round,
+// with which a large fleet took 7 s to follow a burst of 5 s, and its machines
 // idled as long after it. The planner orders as many as the platform accepts, and no more.
-func TestMachinesFollowATurnAtTheRateOfThePlatform(t *testing.T) {
+func TestMachinesFollowABurstAtThePlatformsRate(t *testing.T) {
 	const interval = 200 * time.Millisecond // between plans
 	tests := []struct {
 		machines   int
@@ -94,7 +94,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(fmt.Sprintf("%d machines, %v orders a second", tt.machines, tt.ordersPerS), func(t *testing.T) {
-			f := newTurnFleet(tt.machines, tt.ordersPerS)
+			f := newBurstFleet(tt.machines, tt.ordersPerS)
 			demand := tt.machines * 6 / 10
 			ordering := time.Duration(0) // how long the platform takes to accept the orders
 			if tt.ordersPerS > 0 {
