moves, sched: counts and timings are made once, where they are used

The counts of machines out of service were made in each index of the view, also for the log of pending machines, before finished intents were dropped, and kept up by moves that no wave reads any more; now a round with waves makes them once, after that, as the loop before them did. An order of jobs computes each job's timing once instead of twice, and an admission builds the job once. The constant of the order connections stands beside its use. No decision changes but the wave's limit, which no longer counts intents that have just finished.

--- a/internal/drive/fleet.go
+++ b/internal/drive/fleet.go
@@ -24,7 +24,6 @@
 	inventoryInterval = 300 * time.Millisecond // between two reads of the inventory
 	cordonTTL         = 3 * time.Second        // a cordon that is not renewed expires after this
 	orderRetention    = 10 * time.Second       // how long orders stay in the stored record; longer than the platform's minimum time between orders of two movers (turn-ms) plus clock skew
-	maxOrderConns     = 32                     // orders sent at the same time; enough for the platform's limit of orders per second at its usual response time of a few milliseconds
 	startupDelay      = 800 * time.Millisecond // from the process start to the first plan, while other entries still join
 )
 
--- a/internal/drive/orders.go
+++ b/internal/drive/orders.go
@@ -12,6 +12,10 @@
 	"github.com/greengagelane/greengagelane/platform"
 )
 
+// maxOrderConns is the number of orders sent at the same time: enough for the platform's limit of
+// orders per second at its usual response time of a few milliseconds.
+const maxOrderConns = 32
+
 // recordOrders records the time of orders and returns the encoded record that has to be
 // stored before they are sent, nil if it cannot be encoded.
 func (m *mover) recordOrders(orders []moves.Order) []byte {
--- a/internal/moves/demand.go
+++ b/internal/moves/demand.go
@@ -304,7 +304,6 @@
 // addMove plans the move of a machine to a pool.
 func (p *Planner) addMove(st *state, m *machine, pool string) {
 	p.intents[m.Name] = &intent{Order: Order{Kind: Move, Machine: m.Name, Pool: pool}, plannedAt: st.now, fromVM: m.VM}
-	st.countOut(m)
 	delete(p.unneededSince, m.Name)
 }
 
--- a/internal/moves/moves.go
+++ b/internal/moves/moves.go
@@ -137,13 +137,13 @@
 	pools  map[string]site.Pool
 	byPool map[string][]*machine // by pool: its machines, with planned moves applied, sorted by name
 	byName map[string]*machine
-	// service counts each pool's machines, as the inventory lists them.
+	// service counts each pool's machines, as the inventory lists them; set by planWaves.
 	service map[string]serviceCount
 }
 
 // indexView returns the view with its indexes, which take the planned moves into account.
 func (p *Planner) indexView(now time.Time, v *View) *state {
-	st := &state{now: now, view: v, pools: map[string]site.Pool{}, byPool: map[string][]*machine{}, byName: map[string]*machine{}, service: map[string]serviceCount{}}
+	st := &state{now: now, view: v, pools: map[string]site.Pool{}, byPool: map[string][]*machine{}, byName: map[string]*machine{}}
 	for _, pool := range v.Pools {
 		st.pools[pool.Name] = pool
 	}
@@ -165,37 +165,9 @@
 	for _, list := range st.byPool {
 		sort.Slice(list, func(i, k int) bool { return list[i].Name < list[k].Name })
 	}
-	for _, m := range st.byName {
-		if m.State != site.Moving {
-			st.countInService(m, p.intents[m.Name] != nil)
-		}
-	}
 	return st
 }
 
-// countInService counts a machine for poolAllowsMaintenance.
-func (st *state) countInService(m *machine, planned bool) {
-	c := st.service[m.Pool]
-	c.total++
-	if m.State != site.Up || planned {
-		c.out++
-	}
-	st.service[m.Pool] = c
-}
-
-// countOut counts a machine that was up and without an intent as about to be ordered.
-func (st *state) countOut(m *machine) {
-	c := st.service[m.Pool]
-	c.out++
-	st.service[m.Pool] = c
-}
-
-// serviceCount counts the machines of a pool, without those that are moving into it.
-type serviceCount struct {
-	total int
-	out   int // not up, or about to be ordered
-}
-
 // Plan returns the orders to send now: it drops finished intents, plans maintenance, then
 // moves, and selects the intents whose orders are due.
 func (p *Planner) Plan(now time.Time, v *View) []Order {
--- a/internal/moves/waves.go
+++ b/internal/moves/waves.go
@@ -77,11 +77,38 @@
 // immediately, of busy machines as fast as the remaining time requires. A planned machine is
 // cordoned.
 func (p *Planner) planWaves(st *state) {
+	if len(p.waves) == 0 {
+		return
+	}
+	st.service = p.countService(st)
 	for _, w := range p.waves {
 		p.planWave(st, w)
 	}
 }
 
+// serviceCount counts the machines of a pool, without those that are moving into it.
+type serviceCount struct {
+	total int
+	out   int // not up, or about to be ordered
+}
+
+// countService counts the machines of all pools for poolAllowsMaintenance.
+func (p *Planner) countService(st *state) map[string]serviceCount {
+	counts := map[string]serviceCount{}
+	for _, m := range st.byName {
+		if m.State == site.Moving {
+			continue
+		}
+		c := counts[m.Pool]
+		c.total++
+		if m.State != site.Up || p.intents[m.Name] != nil {
+			c.out++
+		}
+		counts[m.Pool] = c
+	}
+	return counts
+}
+
 // planWave plans the maintenance of the next machines of one wave.
 func (p *Planner) planWave(st *state, w *wave) {
 	var pending []*machine
@@ -107,7 +134,9 @@
 			continue
 		}
 		p.intents[m.Name] = &intent{Order: Order{Kind: Maintain, Machine: m.Name, Wave: w.Number}, plannedAt: st.now, fromVM: m.VM}
-		st.countOut(m)
+		c := st.service[m.Pool]
+		c.out++
+		st.service[m.Pool] = c
 		planned++
 	}
 }
--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -14,7 +14,7 @@
 )
 
 // admit decides whether to accept a job. Long-running and periodic jobs are always accepted.
-func (s *Scheduler) admit(now time.Time, j *jobs.Job) Admission {
+func (s *Scheduler) admit(now time.Time, j *job) Admission {
 	if j.LongRunning() || j.Repeat > 0 {
 		return Admission{Accepted: true}
 	}
@@ -23,9 +23,9 @@
 	if p.supply.Cores <= 0 && len(p.supply.Arrivals) == 0 {
 		return Admission{Accepted: true} // no VMs are known yet, or all are out of service briefly
 	}
-	work := s.equivalentWork(j) * p.workRatio
+	work := s.equivalentWork(j.Job) * p.workRatio
 	r := &shed.Request{
-		Timing:   s.timing(newJob(j)),
+		Timing:   s.timing(j),
 		Work:     work,
 		TaskTime: j.CriticalPath() / time.Duration(len(j.Steps)),
 	}
@@ -138,12 +138,18 @@
 	return all, ready
 }
 
-// class returns the urgency of a job. Periodic jobs always count as within their objective.
+// class returns the urgency of a job.
 func (s *Scheduler) class(now time.Time, j *job) shed.Class {
+	t := s.timing(j)
+	return j.classAt(now, &t)
+}
+
+// classAt returns the urgency of a job with the given timing. Periodic jobs always count as within
+// their objective.
+func (j *job) classAt(now time.Time, t *shed.Timing) shed.Class {
 	if j.Repeat > 0 {
 		return shed.InTime
 	}
-	t := s.timing(j)
 	return t.Classify(now)
 }
 
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -99,7 +99,7 @@
 		j.order = orderKey{rank: -1, latestStart: time.UnixMilli(j.SubmittedMS)}
 		if !j.LongRunning() {
 			t := s.timing(j)
-			j.order = orderKey{rank: int(s.class(now, j)), latestStart: t.LatestStart()}
+			j.order = orderKey{rank: int(j.classAt(now, &t)), latestStart: t.LatestStart()}
 		}
 	}
 	sort.Slice(list, func(i, k int) bool {
--- a/internal/sched/submit.go
+++ b/internal/sched/submit.go
@@ -26,11 +26,11 @@
 	} else if !j.LongRunning() {
 		s.pool(j.Pool).offeredLoad.add(now, s.equivalentWork(j)*s.pool(j.Pool).workRatio)
 	}
-	if a := s.admit(now, j); !a.Accepted {
+	added := newJob(j)
+	if a := s.admit(now, added); !a.Accepted {
 		s.stats.Refused++
 		return a
 	}
-	added := newJob(j)
 	added.dirty = true
 	s.jobs[j.ID] = added
 	return Admission{Accepted: true}
