httpd: a late accept still takes the connections in the queue

Cause: an Accept that begins after its deadline fails without looking for connections; an accept loop that a busy processor scheduled 50 ms late closed the listener over a connection in its queue, which was reset. Change: a timed-out Accept is repeated with a deadline of its own.

--- a/internal/httpd/server.go
+++ b/internal/httpd/server.go
@@ -143,9 +143,13 @@
 }
 
 // Accept returns the next connection. After end it returns net.ErrClosed once none has been
-// opened for lastAcceptWait.
+// opened for lastAcceptWait. An Accept that begins after its deadline fails without looking for
+// connections, so a timed-out one is repeated with a deadline of its own.
 func (l *listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
+	if err != nil && l.ending.Load() && l.extendDeadline() {
+		c, err = l.Listener.Accept()
+	}
 	if err == nil {
 		return &conn{Conn: c}, nil
 	}
@@ -160,11 +164,17 @@
 // end makes the pending Accept return after lastAcceptWait.
 func (l *listener) end() {
 	l.ending.Store(true)
-	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok && d.SetDeadline(time.Now().Add(lastAcceptWait)) == nil {
-		return
+	if !l.extendDeadline() {
+		l.Listener.Close()
+		l.closed.Store(true)
 	}
-	l.Listener.Close()
-	l.closed.Store(true)
+}
+
+// extendDeadline lets Accept wait for lastAcceptWait from now, and reports whether the listener has
+// deadlines.
+func (l *listener) extendDeadline() bool {
+	d, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
+	return ok && d.SetDeadline(time.Now().Add(lastAcceptWait)) == nil
 }
 
 // conn is a connection whose pending read can be ended without losing a request.
--- a/internal/httpd/server_test.go
+++ b/internal/httpd/server_test.go
@@ -165,3 +165,22 @@
 	_, err = net.DialTimeout("tcp", addr, time.Second)
 	assert.Assert(t, err != nil, "the listener is still open")
 }
+
+// TestLateAcceptTakesQueuedConnection guards against a connection that is reset because the accept loop
+// is scheduled only after the deadline that end has set.
+func TestLateAcceptTakesQueuedConnection(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	assert.NilError(t, err)
+	defer c.Close()
+	l := &listener{Listener: ln}
+	l.end()
+	time.Sleep(2 * lastAcceptWait)
+	accepted, err := l.Accept()
+	assert.NilError(t, err)
+	accepted.Close()
+	_, err = l.Accept()
+	assert.ErrorIs(t, err, net.ErrClosed)
+}
