site, platform, drive: calls carry the key of a client account

Cause: nobody knew whose a job was.

Jobs carry their account; calls for a job of another account find no such job. Entries know for how long their configuration has been unconfirmed and, with revoke-strict, refuse keyed calls after revoke-ms. Reports have the load of each account. A configuration without accounts checks nothing.

--- a/internal/drive/admin.go
+++ b/internal/drive/admin.go
@@ -87,7 +87,7 @@
 		if err := j.Check(); err != nil {
 			return nil, err
 		}
-		reply := n.Call(ctx, site.SubmitJob, r, j.ID, j)
+		reply := n.call(ctx, &site.Call{Kind: site.SubmitJob, Route: r, ID: j.ID, Job: j}, &site.Access{Queue: r.Name, Operator: true})
 		return &JobResponse{Partition: n.partitionOf(r.Pool), Reply: reply}, nil
 	}
 	return nil, fmt.Errorf("queue %q does not exist in configuration %d", j.Queue, cfg.Version)
@@ -100,7 +100,7 @@
 		return n.submitForOperator(ctx, req.Submit)
 	}
 	for p := range n.settings.Log.Partitions {
-		c := &jobCall{Partition: p, Kind: site.ShowJob, ID: req.ID}
+		c := &jobCall{Partition: p, Kind: site.ShowJob, ID: req.ID, Access: site.Access{Operator: true}}
 		if req.Cancel {
 			c.Kind = site.CancelJob
 		}
--- /dev/null
+++ b/internal/drive/confirm.go
@@ -0,0 +1,58 @@
+package drive
+
+import (
+	"sync"
+	"time"
+
+	"github.com/greengagelane/greengagelane/pkg/site"
+)
+
+// confirmation is the latest time at which this entry is known to have had the newest
+// configuration. Its zero value is ready for use.
+type confirmation struct {
+	mu sync.Mutex
+	at time.Time // zero before the first confirmation
+}
+
+// record records a confirmation. An earlier one than the latest has no effect.
+func (c *confirmation) record(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at.After(c.at) {
+		c.at = at
+	}
+}
+
+// age returns the time since the latest confirmation; known is false before the first. It is
+// the larger of the times by the monotonic clock, which does not count the time for which a
+// machine is suspended, and by the time of day, which may be set back.
+func (c *confirmation) age(now time.Time) (age time.Duration, known bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.at.IsZero() {
+		return 0, false
+	}
+	return max(now.Sub(c.at), now.Round(0).Sub(c.at.Round(0)), 0), true
+}
+
+// ageMS returns the age in milliseconds, -1 before the first confirmation.
+func (c *confirmation) ageMS(now time.Time) int64 {
+	age, known := c.age(now)
+	if !known {
+		return -1
+	}
+	return age.Milliseconds()
+}
+
+// refuseUnconfirmed refuses a call that needs a key if the site requires confirmed keys and the
+// configuration has not been confirmed for too long: the key may have been revoked since. It
+// returns nil if the call may proceed.
+func (n *Node) refuseUnconfirmed(route *site.Route, access *site.Access, now time.Time) *site.Reply {
+	if !n.settings.Bounds.RevokeStrict || route.Public || access.Operator || access.Account == "" {
+		return nil
+	}
+	if age, known := n.confirmed.age(now); known && age <= site.Millis(n.settings.Bounds.RevokeMS) {
+		return nil
+	}
+	return &site.Reply{Outcome: site.Refused, RetryMS: 1000, Reason: "the keys in force cannot be confirmed"}
+}
--- a/internal/drive/member.go
+++ b/internal/drive/member.go
@@ -208,6 +208,7 @@
 	w := platform.NewWatch(n.settings, site.Operator, operatorReadWait)
 	dep := &dependency{name: "operator records"}
 	for ctx.Err() == nil {
+		began := time.Now()
 		changes, _, err := w.Next(ctx)
 		if ctx.Err() != nil {
 			return
@@ -220,6 +221,7 @@
 		for _, c := range changes {
 			n.applyOperatorChange(&c)
 		}
+		n.confirmed.record(began)
 	}
 }
 
@@ -316,6 +318,7 @@
 	if cfg := n.config.Load(); cfg != nil {
 		call.ConfigVersion = cfg.Version
 	}
+	began := time.Now()
 	callCtx, cancel := context.WithTimeout(ctx, syncInterval)
 	defer cancel()
 	r, err := peer.Call[syncCall, syncReply](callCtx, n.peer(address), syncKind, call)
@@ -325,6 +328,9 @@
 	if r.Config != nil {
 		n.setConfig(r.Config, address)
 	}
+	if r.ConfigAgeMS >= 0 {
+		n.confirmed.record(began.Add(-time.Duration(r.ConfigAgeMS) * time.Millisecond))
+	}
 	for p, info := range r.Owners {
 		n.handleClaim(p, info, address)
 	}
--- a/internal/drive/node.go
+++ b/internal/drive/node.go
@@ -42,6 +42,7 @@
 	startedAt       time.Time
 	incarnation     string
 	config          atomic.Pointer[site.Config]
+	confirmed       confirmation // of the configuration
 	owners          ownerTable
 	stopping        atomic.Bool
 	aborted         chan struct{} // closed to exit without a handover, as after SIGKILL
@@ -199,6 +200,12 @@
 
 // setConfig puts a configuration in force if it is newer than the current one.
 func (n *Node) setConfig(c *site.Config, from string) {
+	if old := n.config.Load(); old != nil && old.Version >= c.Version {
+		return
+	}
+	for _, problem := range c.IndexAccounts() {
+		logrus.WithFields(logrus.Fields{"version": c.Version, "problem": problem}).Warn("configuration has an invalid account")
+	}
 	for {
 		old := n.config.Load()
 		if old != nil && old.Version >= c.Version {
@@ -206,7 +213,7 @@
 		}
 		if n.config.CompareAndSwap(old, c) {
 			n.recordQueueMoves(old, c, time.Now())
-			logrus.WithFields(logrus.Fields{"version": c.Version, "from": from, "routes": len(c.Routes)}).Info("configuration in force")
+			logrus.WithFields(logrus.Fields{"version": c.Version, "from": from, "routes": len(c.Routes), "accounts": len(c.Accounts)}).Info("configuration in force")
 			return
 		}
 	}
@@ -275,6 +282,7 @@
 		if cfg := n.config.Load(); cfg != nil && cfg.Version > c.ConfigVersion {
 			r.Config = cfg
 		}
+		r.ConfigAgeMS = n.confirmed.ageMS(time.Now())
 		return r, nil
 	})
 	peer.Handle(s, reportKind, func(ctx context.Context, _ string, c *reportCall) (*sched.Report, error) {
--- a/internal/drive/partition.go
+++ b/internal/drive/partition.go
@@ -58,6 +58,7 @@
 	roundTime      time.Duration   // duration of the last round, capped
 	lastStats      sched.Stats     // already added to the metrics
 	cordonedAt     time.Time       // when cordons were last renewed
+	config         *site.Config    // whose accounts the scheduler has; nil before the first
 }
 
 // waiter is a request whose reply waits for an append to the job log.
@@ -148,6 +149,7 @@
 
 // round makes the scheduler's decisions, executes them and flushes changes to the job log.
 func (part *ownedPartition) round(ctx context.Context, now time.Time) {
+	part.applyAccounts()
 	if now.Sub(part.cordonedAt) > cordonTTL {
 		part.scheduler.Uncordon()
 	}
@@ -163,6 +165,16 @@
 	}
 }
 
+// applyAccounts passes the accounts of a new configuration to the scheduler.
+func (part *ownedPartition) applyAccounts() {
+	cfg := part.node.Config()
+	if cfg == nil || cfg == part.config {
+		return
+	}
+	part.config = cfg
+	part.scheduler.SetAccounts(cfg.Accounts)
+}
+
 func (part *ownedPartition) execute(ctx context.Context, now time.Time, a sched.Action) {
 	switch a := a.(type) {
 	case sched.StartRun:
@@ -266,6 +278,10 @@
 		w.answer(site.Reply{Outcome: site.NotOwner, Reason: "the partition is being handed over"})
 		return
 	}
+	if account, queue, known := part.scheduler.AccountOf(c.ID); known && !c.Allows(account, queue) {
+		w.answer(replyForbidden(c.Kind))
+		return
+	}
 	switch c.Kind {
 	case site.SubmitJob:
 		part.submit(now, c.Job, w)
@@ -287,6 +303,15 @@
 	}
 }
 
+// replyForbidden returns the reply to a request for a job of another client account. It does not
+// say that the job exists; a submission is refused without a reason.
+func replyForbidden(kind site.CallKind) site.Reply {
+	if kind == site.SubmitJob {
+		return site.Reply{Outcome: site.Refused, RetryMS: 1000, Reason: "the job was not accepted"}
+	}
+	return site.Reply{Outcome: site.NoSuchJob}
+}
+
 // submit passes a job to the scheduler. An accepted request waits until the job is stored; during
 // a log outage new jobs are refused at once.
 func (part *ownedPartition) submit(now time.Time, j *jobs.Job, w *waiter) {
--- a/internal/drive/proto.go
+++ b/internal/drive/proto.go
@@ -34,10 +34,10 @@
 type jobCall struct {
 	Partition int
 	Kind      site.CallKind
-	Queue     string
-	ID        string
-	Job       *jobs.Job
-	WaitMS    int64 // time left for the reply
+	site.Access
+	ID     string
+	Job    *jobs.Job
+	WaitMS int64 // time left for the reply
 }
 
 // syncCall asks another entry for its configuration, if newer, and its known owners.
@@ -47,8 +47,9 @@
 
 // syncReply is the reply to a syncCall.
 type syncReply struct {
-	Config *site.Config      // nil unless newer than the requesting entry's
-	Owners map[int]ownerInfo // by partition
+	ConfigAgeMS int64             // time since the replying entry last knew that it had the newest configuration, -1 if it never did
+	Config      *site.Config      // nil unless newer than the requesting entry's
+	Owners      map[int]ownerInfo // by partition
 }
 
 // announcement notifies other entries that an entry has become a partition's owner.
--- a/internal/drive/route.go
+++ b/internal/drive/route.go
@@ -7,7 +7,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/greengagelane/greengagelane/internal/peer"
-	"github.com/greengagelane/greengagelane/pkg/jobs"
 	"github.com/greengagelane/greengagelane/pkg/site"
 )
 
@@ -17,23 +16,36 @@
 	replyMargin        = 60 * time.Millisecond   // of the caller's time, reserved to return the reply
 )
 
-// Call executes a caller's request on a queue. job is set for SubmitJob only.
-func (n *Node) Call(ctx context.Context, kind site.CallKind, route *site.Route, id string, job *jobs.Job) site.Reply {
+// Call executes a caller's request on a queue.
+func (n *Node) Call(ctx context.Context, req *site.Call) site.Reply {
+	return n.call(ctx, req, &site.Access{Account: req.Account, Queue: req.Route.Name})
+}
+
+// call executes a request on a queue with the given access.
+func (n *Node) call(ctx context.Context, req *site.Call, access *site.Access) site.Reply {
 	began := time.Now()
-	if job != nil {
-		job.SubmittedMS = began.UnixMilli()
+	if req.Job != nil {
+		req.Job.SubmittedMS = began.UnixMilli()
+	}
+	c := &jobCall{Partition: n.partitionOf(req.Route.Pool), Kind: req.Kind, Access: *access, ID: req.ID, Job: req.Job}
+	r := n.refuseUnconfirmed(req.Route, access, began)
+	if r == nil {
+		reply := n.dispatch(ctx, c, began)
+		r = &reply
 	}
-	c := &jobCall{Partition: n.partitionOf(route.Pool), Kind: kind, Queue: route.Name, ID: id, Job: job}
-	r := n.dispatch(ctx, c, began)
 	requestDuration.UpdateDuration(began)
-	countRequest(kind.String(), r.Outcome.String())
-	if kind == site.SubmitJob || kind == site.CancelJob || r.Outcome != site.OK {
-		logrus.WithFields(logrus.Fields{
-			"job": id, "queue": route.Name, "kind": kind.String(), "outcome": r.Outcome.String(), "reason": r.Reason,
+	countRequest(req.Kind.String(), r.Outcome.String())
+	if req.Kind == site.SubmitJob || req.Kind == site.CancelJob || r.Outcome != site.OK {
+		fields := logrus.Fields{
+			"job": req.ID, "queue": c.Queue, "kind": req.Kind.String(), "outcome": r.Outcome.String(), "reason": r.Reason,
 			"retry-ms": r.RetryMS, "took-ms": time.Since(began).Milliseconds(), "partition": c.Partition,
-		}).Info("request answered")
+		}
+		if c.Account != "" {
+			fields["account"] = c.Account
+		}
+		logrus.WithFields(fields).Info("request answered")
 	}
-	return r
+	return *r
 }
 
 // dispatch sends a request to the owner of its partition and, if the job is not known there,
--- /dev/null
+++ b/internal/sched/accounts.go
@@ -0,0 +1,80 @@
+package sched
+
+import "github.com/greengagelane/greengagelane/pkg/site"
+
+// SetAccounts sets the client accounts of the configuration in force. Without any, all jobs
+// share the pools without limits.
+func (s *Scheduler) SetAccounts(accounts []site.Account) {
+	s.accounts = make(map[string]*site.Account, len(accounts))
+	for i := range accounts {
+		s.accounts[accounts[i].Name] = &accounts[i]
+	}
+}
+
+// AccountOf returns the client account and the queue of a job; known is false if the job is not
+// known.
+func (s *Scheduler) AccountOf(id string) (account, queue string, known bool) {
+	j := s.jobs[id]
+	if j == nil {
+		return "", "", false
+	}
+	return j.Account, j.Queue, true
+}
+
+// AccountReport is the load of a client account in a pool.
+type AccountReport struct {
+	Waiting int            // jobs of which no task has started
+	Running int            // other jobs that are not final
+	Refused int            // jobs that were refused since the partition was taken over
+	Used    site.Resources // reserved by runs, including those that are being stopped
+}
+
+// accountReports returns the load of each account with jobs in a pool.
+func (s *Scheduler) accountReports(pool string) map[string]AccountReport {
+	if len(s.accounts) == 0 {
+		return nil
+	}
+	reports := map[string]AccountReport{}
+	for _, j := range s.jobs {
+		if j.Pool != pool || j.Account == "" || j.state.Final() {
+			continue
+		}
+		r := reports[j.Account]
+		if j.began {
+			r.Running++
+		} else {
+			r.Waiting++
+		}
+		reports[j.Account] = r
+	}
+	for account, n := range s.pool(pool).refused {
+		r := reports[account]
+		r.Refused = n
+		reports[account] = r
+	}
+	for _, v := range s.vms {
+		for _, x := range v.runs {
+			j := x.task.job
+			if j.Pool != pool || j.Account == "" {
+				continue
+			}
+			r := reports[j.Account]
+			r.Used.CPU += x.step().CPU
+			r.Used.MemMB += x.step().MemMB
+			r.Used.GPU += x.step().GPU
+			reports[j.Account] = r
+		}
+	}
+	return reports
+}
+
+// countRefusal counts a refused job of an account.
+func (p *pool) countRefusal(account string) {
+	if account == "" {
+		return
+	}
+	if p.refused == nil {
+		p.refused = map[string]int{}
+	}
+	p.refused[account]++
+}
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -21,6 +21,9 @@
 	Late    float64 // core-seconds of waiting tasks that could start, of jobs past their objective
 	Rate    float64 // offered load in core-seconds per second, including refused jobs
 	VMs     []VMReport
+	// Accounts is the load of each client account with jobs in the pool; nil on sites without
+	// accounts.
+	Accounts map[string]AccountReport
 }
 
 // VMReport is the load of one VM.
@@ -35,7 +38,7 @@
 
 // Report returns the load of a pool.
 func (s *Scheduler) Report(now time.Time, pool string) *Report {
-	r := &Report{Pool: pool, Rate: s.pool(pool).offeredLoad.rate(now)}
+	r := &Report{Pool: pool, Rate: s.pool(pool).offeredLoad.rate(now), Accounts: s.accountReports(pool)}
 	largest := s.largestVM(pool)
 	for _, v := range s.sortedVMs(pool) {
 		u := VMReport{ID: v.ID, Runs: len(v.runs), Cordoned: v.cordoned, Known: v.polled}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -28,11 +28,12 @@
 	vms              map[string]*vm
 	pools            map[string]*pool
 	queues           map[string]*queueStats
-	listReceivedAt   time.Time            // when the last VM list was received; zero before the first
-	unverified       map[string]time.Time // VMs that may hold runs of an earlier owner, with the end of those runs' leases
-	recordedVMs      map[string]bool      // VMs that the record under vmsKey has to name
-	recordedVMsDirty bool                 // recordedVMs has changed since it was last flushed
-	offeredAt        map[string]time.Time // when a job was first submitted, by job ID
+	listReceivedAt   time.Time                // when the last VM list was received; zero before the first
+	unverified       map[string]time.Time     // VMs that may hold runs of an earlier owner, with the end of those runs' leases
+	recordedVMs      map[string]bool          // VMs that the record under vmsKey has to name
+	recordedVMsDirty bool                     // recordedVMs has changed since it was last flushed
+	accounts         map[string]*site.Account // of the configuration, by name
+	offeredAt        map[string]time.Time     // when a job was first submitted, by job ID
 	actions          []Action
 	fenced           bool
 	retired          bool           // makes no more scheduling decisions; see Retire
@@ -65,6 +66,7 @@
 	loadAt       time.Time
 	arrivals     []shed.Arrival // expected by VM moves, as reported by the planner at arrivalsAt
 	arrivalsAt   time.Time
+	refused      map[string]int // refused jobs by client account
 }
 
 // New returns a scheduler without jobs.
--- a/pkg/jobs/job.go
+++ b/pkg/jobs/job.go
@@ -26,6 +26,7 @@
 // Job is an accepted job. It is immutable.
 type Job struct {
 	ID          string  // 16 hexadecimal digits, chosen by the caller
+	Account     string  // client account of its caller; empty if the queue needs no key
 	Queue       string  // name of the route that the job was submitted to
 	Pool        string  // pool whose VMs run it
 	Spec        string  // passed to each task
--- a/pkg/site/call.go
+++ b/pkg/site/call.go
@@ -1,5 +1,7 @@
 package site
 
+import "github.com/greengagelane/greengagelane/pkg/jobs"
+
 //go:generate ../../.bin/enumer -type=Outcome -transform=kebab -output=outcome_enumer.go
 
 // Outcome is the result of a caller's job request.
@@ -13,7 +15,8 @@
 	NoSuchJob
 	NoSuchQueue
 	BadRequest
-	NotOwner // another entry owns the partition; nothing was done
+	NotOwner     // another entry owns the partition; nothing was done
+	Unauthorized // the request carries no key of a client account
 )
 
 //go:generate ../../.bin/enumer -type=CallKind -transform=kebab -output=callkind_enumer.go
@@ -29,6 +32,15 @@
 	CountWaiting
 )
 
+// Call is a caller's job request.
+type Call struct {
+	Kind    CallKind
+	Route   *Route
+	Account string    // of the caller's key; empty if the route is public or the site has no accounts
+	ID      string    // of the job; empty for CountWaiting
+	Job     *jobs.Job // set for SubmitJob only
+}
+
 // Reply is the answer to a caller's job request.
 type Reply struct {
 	Outcome Outcome
--- a/pkg/site/outcome_enumer.go
+++ b/pkg/site/outcome_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _OutcomeName = "undecidedokrefusedno-such-jobno-such-queuebad-requestnot-owner"
+const _OutcomeName = "undecidedokrefusedno-such-jobno-such-queuebad-requestnot-ownerunauthorized"
 
-var _OutcomeIndex = [...]uint8{0, 9, 11, 18, 29, 42, 53, 62}
+var _OutcomeIndex = [...]uint8{0, 9, 11, 18, 29, 42, 53, 62, 74}
 
-const _OutcomeLowerName = "undecidedokrefusedno-such-jobno-such-queuebad-requestnot-owner"
+const _OutcomeLowerName = "undecidedokrefusedno-such-jobno-such-queuebad-requestnot-ownerunauthorized"
 
 func (i Outcome) String() string {
 	if i < 0 || i >= Outcome(len(_OutcomeIndex)-1) {
@@ -31,9 +31,10 @@
 	_ = x[NoSuchQueue-(4)]
 	_ = x[BadRequest-(5)]
 	_ = x[NotOwner-(6)]
+	_ = x[Unauthorized-(7)]
 }
 
-var _OutcomeValues = []Outcome{Undecided, OK, Refused, NoSuchJob, NoSuchQueue, BadRequest, NotOwner}
+var _OutcomeValues = []Outcome{Undecided, OK, Refused, NoSuchJob, NoSuchQueue, BadRequest, NotOwner, Unauthorized}
 
 var _OutcomeNameToValueMap = map[string]Outcome{
 	_OutcomeName[0:9]:   Undecided,
@@ -43,6 +44,7 @@
 	_OutcomeName[29:42]: NoSuchQueue,
 	_OutcomeName[42:53]: BadRequest,
 	_OutcomeName[53:62]: NotOwner,
+	_OutcomeName[62:74]: Unauthorized,
 }
 
 var _OutcomeLowerNameToValueMap = map[string]Outcome{
@@ -53,6 +55,7 @@
 	_OutcomeLowerName[29:42]: NoSuchQueue,
 	_OutcomeLowerName[42:53]: BadRequest,
 	_OutcomeLowerName[53:62]: NotOwner,
+	_OutcomeLowerName[62:74]: Unauthorized,
 }
 
 var _OutcomeNames = []string{
@@ -63,6 +66,7 @@
 	_OutcomeName[29:42],
 	_OutcomeName[42:53],
 	_OutcomeName[53:62],
+	_OutcomeName[62:74],
 }
 
 // OutcomeString retrieves an enum value from the enum constants string name.
--- a/pkg/site/settings.go
+++ b/pkg/site/settings.go
@@ -65,6 +65,9 @@
 	KeepFinalS     int     `json:"keep-final-s"`     // how long a job in a final state can be queried
 	MoveS          float64 `json:"move-s"`           // how long a VM is out of service during a move
 	TurnMS         int     `json:"turn-ms"`          // minimum time between orders for the same machine from two entries
+	RevokeStrict   bool    `json:"revoke-strict"`    // without news of the configuration for RevokeMS, calls that need a key are refused
+	RevokeMS       int     `json:"revoke-ms"`        // see RevokeStrict
+	QuotaOverage   float64 `json:"quota-overage"`    // share of an account's limit by which races between entries may exceed it
 }
 
 // LoadSettings reads a settings file, JSON with comments. Unknown keys are errors.
@@ -104,6 +107,9 @@
 	if s.Bounds.HoldMS < 1 || s.Bounds.ShutdownGraceS <= 0 || s.Bounds.KeepFinalS < 1 {
 		return fmt.Errorf("bounds: hold-ms %d, shutdown-grace-s %v and keep-final-s %d must be positive", s.Bounds.HoldMS, s.Bounds.ShutdownGraceS, s.Bounds.KeepFinalS)
 	}
+	if s.Bounds.RevokeMS < 0 || (s.Bounds.RevokeStrict && s.Bounds.RevokeMS == 0) || s.Bounds.QuotaOverage < 0 {
+		return fmt.Errorf("bounds: revoke-ms %d must be positive with revoke-strict, and it and quota-overage %v must not be negative", s.Bounds.RevokeMS, s.Bounds.QuotaOverage)
+	}
 	return s.Policy.check()
 }
 
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -14,6 +14,14 @@
 	MaxBody  int64 // largest request body, in bytes
 	HeaderMS int   // time limit for reading a request's header
 	IdleMS   int   // idle timeout of a caller's connection
+	// Accounts are the client accounts. Their keys are checked if HasAccounts is set, also if
+	// the list is empty.
+	Accounts    []Account
+	HasAccounts bool
+
+	// AccountsByKey holds the names of the accounts by key. IndexAccounts sets it; entries do not
+	// exchange it.
+	AccountsByKey map[string]string `msgpack:"-"`
 }
 
 // Route maps the job requests that match its host and path prefix to a queue, which has
@@ -29,6 +37,7 @@
 	MaxAttempts int     // number of failed runs of one task after which its job fails
 	Stretch     float64 // factor on a job's run time in its latency objective
 	Advice      bool    // tasks start only on VMs that the placement policy allows
+	Public      bool    // callers need no key
 }
 
 // ApplyTo assigns a job to the route's queue and sets the fields that the route
