retry: repeats of appends follow the log's response times

Cause: a lost answer held a partition's appends up for 1.5 s, the timeout of the slowest answer, with three in a row for over 4 s. Joins of the group had the same timeout, above the member TTL of 1 s, so that entries lost their partitions too.

Change: the timeout of appends, claims and joins follows the response times of the log, from 200 ms to 1.5 s, doubled by each attempt without an answer (RFC 6298). Repeats carry the same sequence number.

Conclusion: lost answers cost 0.2 s instead of 1.5 s. Orders for machines still wait for their record.

--- a/internal/drive/claim.go
+++ b/internal/drive/claim.go
@@ -126,5 +126,14 @@
 		Records: []site.Record{{Key: key, Value: data}},
 	}
 	part.nextSequence++
-	return part.store.AppendJobs(ctx, a)
+	for n := 0; ; n++ {
+		err := part.tryAppend(ctx, a, n > 0)
+		if !site.IsUnanswered(err) || n == maxClaimRepeats || ctx.Err() != nil {
+			return err
+		}
+	}
 }
+
+// maxClaimRepeats is how often a claim's append is repeated without an answer before the claim
+// starts anew: enough for a log that loses a third of its answers.
+const maxClaimRepeats = 3
--- a/internal/drive/flush.go
+++ b/internal/drive/flush.go
@@ -1,9 +1,11 @@
 package drive
 
 import (
+	"context"
 	"errors"
 	"time"
 
+	"github.com/greengagelane/greengagelane/internal/retry"
 	"github.com/greengagelane/greengagelane/internal/sched"
 	"github.com/greengagelane/greengagelane/pkg/site"
 )
@@ -56,8 +58,8 @@
 		a.Records = append(a.Records, x.record)
 	}
 	began, nothingStored := time.Now(), true
-	for part.ctx.Err() == nil {
-		err := part.store.AppendJobs(part.ctx, a)
+	for n := 0; part.ctx.Err() == nil; n++ {
+		err := part.tryAppend(part.ctx, a, n > 0)
 		if err == nil {
 			appendDuration.UpdateDuration(began)
 			for _, x := range control {
@@ -80,8 +82,30 @@
 			return
 		}
 		part.post(func(now time.Time) { part.markLogDown(now) })
-		sleep(part.ctx, appendBackoff)
+		if errors.Is(err, site.ErrNotDone) {
+			sleep(part.ctx, appendBackoff)
+		}
+	}
+}
+
+// tryAppend makes one attempt at an append, with a timeout that follows the log's response times.
+// repeated is set if an earlier attempt may have been carried out.
+func (part *ownedPartition) tryAppend(ctx context.Context, a *site.Append, repeated bool) error {
+	began := time.Now()
+	err := part.store.AppendJobs(ctx, a, part.appendTimeout.Timeout())
+	switch {
+	case err == nil:
+		part.appendTimeout.RecordAnswer(time.Since(began), repeated)
+	case site.IsUnanswered(err):
+		part.appendTimeout.RecordTimeout()
 	}
+	return err
+}
+
+// newTimeout returns the estimator of timeouts for requests to the log that may be repeated. An
+// answer takes about 10 ms, and some 300 ms if the log is slowed down by a factor of 60.
+func newTimeout() *retry.Estimator {
+	return &retry.Estimator{Min: 200 * time.Millisecond, Max: 1500 * time.Millisecond}
 }
 
 // markLogDown records and logs the start of a series of failed appends.
--- a/internal/drive/member.go
+++ b/internal/drive/member.go
@@ -53,6 +53,7 @@
 	m := &site.Member{Name: memberName(n.settings.Entry, n.address, n.settings.Cores), TTLMS: max(int(memberTTL.Milliseconds()), n.settings.Log.MinTTLMS)}
 	dep := &dependency{name: "entry group"}
 	self := member{address: n.address, cores: n.settings.Cores}
+	timeout := newTimeout()
 	left := false // has left the group to entries with more cores
 	sleep(ctx, firstJoinDelay(self.cores))
 	for ctx.Err() == nil {
@@ -69,10 +70,16 @@
 			sleep(ctx, assignmentInterval)
 			continue
 		}
-		share, err := log.Join(ctx, m)
+		began := time.Now()
+		share, err := log.Join(ctx, m, timeout.Timeout())
 		if ctx.Err() != nil {
 			break
 		}
+		if site.IsUnanswered(err) {
+			timeout.RecordTimeout()
+		} else {
+			timeout.RecordAnswer(time.Since(began), false)
+		}
 		dep.recordResult(err)
 		releaseBegan := false
 		if err == nil {
--- a/internal/drive/node_test.go
+++ b/internal/drive/node_test.go
@@ -308,6 +308,21 @@
 	c.awaitCompleted(0, ids...)
 }
 
+// TestLostRepliesDelayNoCaller guards against submissions that wait for as long as the slowest
+// answer may take, and against entries that lose their partitions, while the log carries out all
+// appends but loses the answers to a third of them.
+func TestLostRepliesDelayNoCaller(t *testing.T) {
+	c := newCluster(t, 3, map[string]int{"alpha": 2})
+	c.emulator.Store.SetFaults(func(s *emul.Store) { s.LosePercent, s.LoseSilently = 35, true })
+	const jobs, limit = 40, 20 * time.Second // with a fixed timeout of 1.5 s, 14 lost answers alone take 21 s
+	began := time.Now()
+	for i := range jobs {
+		c.submit(i%3, fmt.Sprintf("%016x", 0xabc000+i), `{"spec":"s","steps":[{"count":1,"cpu":100,"memMb":10,"estimateMs":50}]}`)
+	}
+	took := time.Since(began)
+	assert.Assert(t, took < limit, "%d submissions took %s", jobs, took)
+}
+
 // TestRebalanceWhileJobsRun guards against jobs that are lost or violate an invariant when all
 // partitions move to other owners while jobs run.
 func TestRebalanceWhileJobsRun(t *testing.T) {
--- a/internal/drive/partition.go
+++ b/internal/drive/partition.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/greengagelane/greengagelane/internal/retry"
 	"github.com/greengagelane/greengagelane/internal/sched"
 	"github.com/greengagelane/greengagelane/pkg/jobs"
 	"github.com/greengagelane/greengagelane/pkg/site"
@@ -37,10 +38,11 @@
 	done           chan struct{}
 	ctx            context.Context // cancelled when ownership ends; appends end with it
 	cancel         context.CancelFunc
-	loaded         chan struct{} // closed once the partition is claimed and its records are read
-	nextSequence   int64         // sequence number of the next append
-	lastTriedEpoch int64         // epoch of the last claim attempt; its records may be stored although it failed
-	readTimeout    time.Duration // for the next attempt to read the partition in a claim
+	loaded         chan struct{}    // closed once the partition is claimed and its records are read
+	nextSequence   int64            // sequence number of the next append
+	lastTriedEpoch int64            // epoch of the last claim attempt; its records may be stored although it failed
+	appendTimeout  *retry.Estimator // used by the claim, then by the append in progress
+	readTimeout    time.Duration    // for the next attempt to read the partition in a claim
 
 	sessions     map[string]*vmSession
 	sessionCount atomic.Int64         // len(sessions), for other goroutines
@@ -80,8 +82,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	part := &ownedPartition{
 		node: n, number: partition, store: platform.NewLog(n.settings), ctx: ctx, cancel: cancel,
-		log:    logrus.WithField("partition", partition),
-		events: make(chan func(time.Time), eventBuffer), done: make(chan struct{}), loaded: make(chan struct{}), handedOver: make(chan struct{}),
+		log:           logrus.WithField("partition", partition),
+		appendTimeout: newTimeout(), events: make(chan func(time.Time), eventBuffer), done: make(chan struct{}), loaded: make(chan struct{}), handedOver: make(chan struct{}),
 		sessions: map[string]*vmSession{}, waiters: map[string][]*waiter{},
 	}
 	go part.run()
--- a/internal/stand/emul/store.go
+++ b/internal/stand/emul/store.go
@@ -32,6 +32,7 @@
 	Down           bool           // answers all calls with 503
 	LoseNextReply  bool           // the next append takes effect without a reply
 	LosePercent    int            // percentage of appends that take effect without a reply
+	LoseSilently   bool           // lost replies leave their connection open
 	Delay          time.Duration  // delay before each call takes effect
 	// HangNewestReads is a number n: the next n calls of /v1/log-newest get no reply.
 	HangNewestReads int
@@ -165,7 +166,12 @@
 	if loseReply {
 		s.LoseNextReply = false
 	}
+	silently := s.LoseSilently
 	s.mu.Unlock()
+	if loseReply && silently {
+		<-r.Context().Done()
+		return
+	}
 	if loseReply {
 		panic(http.ErrAbortHandler)
 	}
--- a/pkg/site/log.go
+++ b/pkg/site/log.go
@@ -80,3 +80,16 @@
 	VM        *VM
 	RemovedVM string // identifier of a VM whose record was removed
 }
+
+// IsUnanswered reports whether an error leaves open if the call was carried out.
+func IsUnanswered(err error) bool {
+	if err == nil {
+		return false
+	}
+	for _, answer := range []error{ErrFenced, ErrConflict, ErrSequence, ErrNotDone} {
+		if errors.Is(err, answer) {
+			return false
+		}
+	}
+	return true
+}
