--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -5,7 +5,7 @@
 # EXTRA overrides settings of every entry.
 # Faults: entry-kill entry-freeze entry-stop log-outage log-lost-answer
 #   silent-connections backend-kill backend-fails-all operator-race centre-loss
-# KEEP=1 keeps the working directory, ONLY=n sends through n entries only, TRACE=file and
+# A run that breaks a promise keeps its working directory with the logs. KEEP=1 keeps it always, ONLY=n sends through n entries only, TRACE=file and
 # TIMELINE=file write a trace and a timeline.
 set -u
 cd "$(dirname "$0")/.."
@@ -17,7 +17,7 @@
 finish() {
   for p in $(cat "$dir"/*.pid); do kill -CONT "$p" 2>/dev/null; kill -KILL "$p" 2>/dev/null; done
   wait 2>/dev/null
-  [ -n "${KEEP:-}" ] && echo "kept $dir" || rm -rf "$dir"
+  if [ -n "${KEEP:-}" ] || [ "${code:-1}" -ne 0 ]; then echo "kept $dir"; else rm -rf "$dir"; fi
 }
 trap finish EXIT
 trap 'exit 130' INT TERM PIPE
