--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -5,8 +5,8 @@
 # EXTRA overrides settings of every entry.
 # Faults: entry-kill entry-freeze entry-stop log-outage log-lost-answer
 #   silent-connections backend-kill backend-fails-all operator-race centre-loss
-# A run that breaks a promise keeps its working directory with the logs. KEEP=1 keeps it always, ONLY=n sends through n entries only, TRACE=file and
-# TIMELINE=file write a trace and a timeline.
+# A run that breaks a promise keeps its working directory with the logs; KEEP=1 keeps it always.
+# ONLY=n sends through n entries only. TRACE=file and TIMELINE=file write a trace and a timeline.
 set -u
 cd "$(dirname "$0")/.."
 site=${SITE:-institute} seed=${SEED:-1} faults=",${FAULTS:-}," load=${SECONDS_LOAD:-30} extra=${EXTRA:-}
