sched, shed: fair shares of client accounts in admission and in the order of starts

Admission judges an account within its share by its own waiting work and one beyond its share or its rate behind all others. A job whose first tasks fit into VMs that the last round left idle is accepted: admission compared waiting work with what idle cores do in the declared task time of the new job, and refused 132 jobs of 831 while cores were idle in the load of TestNoRefusalWhileCoresAreIdle where declared times are wrong or the job log is slow.

--- a/internal/sched/accounts.go
+++ b/internal/sched/accounts.go
@@ -6,8 +6,15 @@
 // share the pools without limits.
 func (s *Scheduler) SetAccounts(accounts []site.Account) {
 	s.accounts = make(map[string]*site.Account, len(accounts))
+	s.meanWeight = 0
 	for i := range accounts {
 		s.accounts[accounts[i].Name] = &accounts[i]
+		s.meanWeight += accounts[i].Weight / float64(len(accounts))
+	}
+	for name := range s.buckets {
+		if s.accounts[name] == nil {
+			delete(s.buckets, name)
+		}
 	}
 }
 
@@ -27,6 +34,7 @@
 	Running int            // other jobs that are not final
 	Refused int            // jobs that were refused since the partition was taken over
 	Used    site.Resources // reserved by runs, including those that are being stopped
+	Share   float64        // cores that it may use before its jobs start behind those of others; all of the pool's without overload
 }
 
 // accountReports returns the load of each account with jobs in a pool.
@@ -65,6 +73,10 @@
 			reports[j.Account] = r
 		}
 	}
+	for account, r := range reports {
+		r.Share = s.shareInForce(s.pool(pool), account)
+		reports[account] = r
+	}
 	return reports
 }
 
--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -27,20 +27,59 @@
 	r := &shed.Request{
 		Timing:   s.timing(j),
 		Work:     work,
-		TaskTime: j.CriticalPath() / time.Duration(len(j.Steps)),
+		TaskTime: s.taskTime(j.Job),
+		Fits:     p.fitsIdle(j),
+	}
+	var d shed.Decision
+	var beyond, detail string
+	if len(s.accounts) == 0 {
+		d = p.gate.Decide(now, r, p.load, &p.supply, s.policy.QueueFactor)
+	} else {
+		p.recordRequest(r)
+		d, beyond, detail = s.admitFair(now, j, r)
 	}
-	d := p.gate.Decide(now, r, p.load, &p.supply, s.policy.QueueFactor)
 	if !d.Accepted {
-		return Admission{Reason: fmt.Sprintf("pool %s cannot begin the job for %s", j.Pool, d.Wait.Round(time.Millisecond)), RetryAfter: d.RetryAfter}
+		reason := fmt.Sprintf("pool %s cannot begin the job for %s%s", j.Pool, d.Wait.Round(time.Millisecond), detail)
+		return Admission{Reason: reason, RetryAfter: d.RetryAfter, Beyond: beyond}
+	}
+	if !r.Fits {
+		p.takeIdle(j)
 	}
-	p.load.Ready += work
-	p.load.Total += work
-	if r.Classify(now) == shed.InTime {
-		p.load.InTime += work
+	inTime := r.Classify(now) == shed.InTime
+	p.load.Add(work, inTime)
+	if len(s.accounts) > 0 {
+		s.accept(j, work, inTime)
 	}
 	return Admission{Accepted: true}
 }
 
+// taskTime returns the expected run time of a job's tasks, as a mean over the cores that they occupy.
+func (s *Scheduler) taskTime(j *jobs.Job) time.Duration {
+	largest := s.largestVM(j.Pool)
+	var work, cores float64
+	for i := range j.Steps {
+		st := &j.Steps[i]
+		c := float64(st.Count) * largest.equivalentCores(st)
+		work += c * float64(st.EstimateMS)
+		cores += c
+	}
+	if cores == 0 {
+		return 0
+	}
+	return time.Duration(s.pool(j.Pool).workRatio * work / cores * float64(time.Millisecond))
+}
+
+// recordRequest updates the means over the jobs submitted to a pool.
+func (p *pool) recordRequest(r *shed.Request) {
+	const weight = 0.02 // of one job; about the last fifty count
+	if p.slack == 0 {
+		p.slack, p.taskTime = r.Objective-r.Chain, r.TaskTime
+		return
+	}
+	p.slack += time.Duration(weight * float64(r.Objective-r.Chain-p.slack))
+	p.taskTime += time.Duration(weight * float64(r.TaskTime-p.taskTime))
+}
+
 // SetArrivals sets the capacity that is expected to join a pool by VM moves.
 func (s *Scheduler) SetArrivals(now time.Time, pool string, arrivals []shed.Arrival) {
 	p := s.pool(pool)
@@ -54,6 +93,10 @@
 		return
 	}
 	p.loadAt, p.load, p.supply = now, s.waitingLoad(now, pool), s.supply(now, pool)
+	s.measureIdle(now, pool)
+	if len(s.accounts) > 0 {
+		s.measureAccounts(now, pool)
+	}
 }
 
 // supply returns the capacity of a pool's VMs without long-running tasks, and the expected arrivals. VMs
@@ -99,43 +142,31 @@
 		if j.Pool != pool || j.state.Final() || j.LongRunning() {
 			continue
 		}
-		work, ready := j.unstartedWork(largest)
-		work, ready = work*ratio, ready*ratio
-		l.Ready += ready
-		l.Total += work
-		if s.class(now, j) == shed.InTime {
-			l.InTime += work
-		}
+		work, _ := j.unstartedWork(largest)
+		l.Add(work*ratio, s.class(now, j) == shed.InTime)
 	}
 	return l
 }
 
 // unstartedWork returns the declared work, in core-seconds of equivalent cores on a VM with the given
-// capacity, of the tasks without a run in open occurrences, and the part of it in steps that are ready.
-// Before the first occurrence is created, it returns that of one occurrence.
-func (j *job) unstartedWork(largest resources) (all, ready float64) {
+// capacity, of the tasks without a run in open occurrences, and the cores of the runs of the others.
+// Before the first occurrence is created, it returns the work of one occurrence.
+func (j *job) unstartedWork(largest resources) (all, running float64) {
 	work := func(st *jobs.Step, n int) float64 {
 		return float64(n) * largest.equivalentCores(st) * float64(st.EstimateMS) / 1000
 	}
 	if len(j.occurrences) == 0 && j.createdOccs == 0 {
 		for i := range j.Steps {
-			w := work(&j.Steps[i], j.Steps[i].Count)
-			all += w
-			if len(j.Steps[i].After) == 0 {
-				ready += w
-			}
+			all += work(&j.Steps[i], j.Steps[i].Count)
 		}
 	}
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
-			w := work(st.Step, st.withoutRun)
-			all += w
-			if o.stepReady(st) {
-				ready += w
-			}
+			all += work(st.Step, st.withoutRun)
+			running += float64(st.Count-st.done-st.withoutRun) * largest.equivalentCores(st.Step)
 		}
 	}
-	return all, ready
+	return all, running
 }
 
 // class returns the urgency of a job.
--- /dev/null
+++ b/internal/sched/fairness.go
@@ -0,0 +1,293 @@
+package sched
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/greengagelane/greengagelane/internal/fair"
+	"github.com/greengagelane/greengagelane/internal/shed"
+)
+
+// accountLoad is the load of a client account in a pool. Jobs beyond the rate of the account count
+// only in pool.beyondRate: what is not owed takes no part of the account's share.
+type accountLoad struct {
+	weight   float64
+	offered  offeredLoad // by jobs within the account's rate
+	seenAt   time.Time   // of its last submission
+	gate     shed.Gate
+	load     shed.Load // as of pool.loadAt, with the jobs accepted since
+	running  float64   // cores of its runs without long-running ones, as of pool.loadAt
+	rate     float64   // of offered, in cores, as of pool.loadAt
+	used     float64   // cores of its runs, in the last round
+	wanted   float64   // cores of its tasks that could start, in the last round
+	assigned float64   // used, and cores of its jobs that sortByShares has passed
+}
+
+// fairLoad is what admission to a pool needs to know about all accounts.
+type fairLoad struct {
+	level    float64   // cores per unit of weight up to which accounts get what they ask for; infinite without overload
+	cores    float64   // that the pool has, as a mean over the slack of its jobs
+	owed     float64   // cores that the accounts are expected to ask for within their shares
+	beyond   shed.Load // waiting work of jobs beyond the rates of their accounts
+	accepted float64   // work accepted since level was computed
+}
+
+// Kinds of refusals.
+const (
+	refusedByLoad  = ""      // by all that goes before the job
+	refusedByShare = "share" // the account's work exceeds its share
+	refusedByRate  = "rate"  // the job is beyond the rate of its account
+)
+
+// weightOf returns the weight of an account. Jobs without an account, of public routes, have the mean
+// weight together; those of an account that is no longer configured have the smallest weight.
+func (s *Scheduler) weightOf(account string) float64 {
+	if a := s.accounts[account]; a != nil {
+		return a.Weight
+	}
+	if account == "" {
+		return s.meanWeight
+	}
+	return 1
+}
+
+// beyondRate takes a token of a job's account and reports whether there was none.
+func (s *Scheduler) beyondRate(now time.Time, account string) bool {
+	a := s.accounts[account]
+	if a == nil {
+		return false
+	}
+	b := s.buckets[account]
+	if b == nil {
+		b = &fair.Bucket{}
+		s.buckets[account] = b
+	}
+	return !b.Take(now, a.Weight)
+}
+
+// accountLoad returns the load of an account in a pool, which it creates if necessary.
+func (s *Scheduler) accountLoad(p *pool, account string) *accountLoad {
+	a := p.accounts[account]
+	if a == nil {
+		a = &accountLoad{}
+		if p.accounts == nil {
+			p.accounts = map[string]*accountLoad{}
+		}
+		p.accounts[account] = a
+	}
+	a.weight = s.weightOf(account)
+	return a
+}
+
+// offer adds a job that is submitted for the first time to the load of its account.
+func (s *Scheduler) offer(now time.Time, j *job, work float64) {
+	if len(s.accounts) == 0 || j.LongRunning() {
+		return
+	}
+	a := s.accountLoad(s.pool(j.Pool), j.Account)
+	a.seenAt = now
+	if !j.beyondRate {
+		a.offered.add(now, work)
+	}
+}
+
+// measureAccounts updates the load of each account in a pool, of which it forgets those without any.
+func (s *Scheduler) measureAccounts(now time.Time, name string) {
+	const keep = time.Minute // longer than a refused caller is told to wait
+	p := s.pool(name)
+	p.fair.beyond = shed.Load{}
+	for _, a := range p.accounts {
+		a.load, a.running = shed.Load{}, 0
+	}
+	largest := s.largestVM(name)
+	for _, j := range s.jobs {
+		if j.Pool != name || j.state.Final() || j.LongRunning() {
+			continue
+		}
+		work, running := j.unstartedWork(largest)
+		inTime := s.class(now, j) == shed.InTime
+		if j.beyondRate {
+			p.fair.beyond.Add(work*p.workRatio, inTime)
+			continue
+		}
+		a := s.accountLoad(p, j.Account)
+		a.load.Add(work*p.workRatio, inTime)
+		a.running += running
+	}
+	for account, a := range p.accounts {
+		a.rate = a.offered.rate(now)
+		if a.load.Total == 0 && a.running == 0 && now.Sub(a.seenAt) > keep {
+			delete(p.accounts, account)
+		}
+	}
+	p.measureLevel()
+}
+
+// measureLevel divides what the pool can begin within the slack of its jobs among the accounts, by their
+// waiting work and what they are expected to send in that time.
+func (p *pool) measureLevel() {
+	horizon := max(p.slack, minHorizon)
+	f := &p.fair
+	f.cores, f.accepted = p.supply.Begun(horizon, p.taskTime)/horizon.Seconds(), 0
+	p.claims = p.claims[:0]
+	for _, a := range p.accounts {
+		p.claims = append(p.claims, fair.Claim{Weight: a.weight, Demand: a.rate + a.load.InTime/horizon.Seconds()})
+	}
+	f.level = fair.Level(f.cores, p.claims)
+	f.owed = 0
+	for _, a := range p.accounts {
+		f.owed += min(a.rate, f.level*a.weight)
+	}
+}
+
+// minHorizon is a lower bound of the time over which shares of admission are computed, for jobs without
+// slack. Rates are measured over hardly less.
+const minHorizon = 300 * time.Millisecond
+
+// admitFair decides on a job of a site with accounts. In an overload, a job is judged as if its account
+// had its share of the pool alone. A job that would be too late this way, or is beyond the rate of its
+// account, is judged behind all that waits, at the rate that the offered load of the other accounts
+// within their shares leaves.
+func (s *Scheduler) admitFair(now time.Time, j *job, r *shed.Request) (d shed.Decision, kind, detail string) {
+	p := s.pool(j.Pool)
+	f := &p.fair
+	if f.accepted > levelTolerance*f.cores*max(p.slack, minHorizon).Seconds() {
+		p.measureLevel()
+	}
+	a := s.accountLoad(p, j.Account)
+	overloaded := !math.IsInf(f.level, 1)
+	load, supply := shed.Load{InTime: p.load.InTime - f.beyond.InTime, Total: p.load.Total - f.beyond.Total}, &p.supply
+	share := min(f.level*a.weight, f.cores)
+	if overloaded {
+		overused := max(a.running-share, 0) * r.TaskTime.Seconds()
+		load = shed.Load{InTime: a.load.InTime + overused, Total: a.load.Total + overused}
+		supply = p.supply.Scaled(share / max(f.cores, 1))
+	}
+	if overloaded || j.beyondRate {
+		own := 0.0
+		if !j.beyondRate {
+			own = min(a.rate, share)
+		}
+		behind := p.supply.Scaled(max(1-(f.owed-own)/max(f.cores, 1), 0))
+		if j.beyondRate || r.WaitBehind(now, behind, p.load) < r.WaitBehind(now, supply, load) {
+			load, supply = p.load, behind
+			kind = refusedByShare
+		}
+	}
+	d = a.gate.Decide(now, r, load, supply, s.policy.QueueFactor)
+	if d.Accepted {
+		return d, "", ""
+	}
+	switch {
+	case j.beyondRate:
+		return d, refusedByRate, fmt.Sprintf("; the job is beyond the rate of account %q", j.Account)
+	case overloaded:
+		return d, refusedByShare, fmt.Sprintf("; account %q has a share of %.1f cores and asks for more", j.Account, share)
+	}
+	return d, refusedByLoad, ""
+}
+
+// levelTolerance is the part of the pool's capacity that may be accepted before the level is computed
+// again.
+const levelTolerance = 0.01
+
+// accept adds an accepted job to the load of its account.
+func (s *Scheduler) accept(j *job, work float64, inTime bool) {
+	p := s.pool(j.Pool)
+	if j.beyondRate {
+		p.fair.beyond.Add(work, inTime)
+		return
+	}
+	s.accountLoad(p, j.Account).load.Add(work, inTime)
+	p.fair.accepted += work
+}
+
+// sortByShares moves the excess jobs of each class behind the others of the class. The list is sorted by
+// urgency. An account's job is within its share if the account's runs and more urgent jobs take fewer
+// cores than that, so that a job larger than the share can be within it.
+func (s *Scheduler) sortByShares(list []*job) {
+	if len(list) == 0 {
+		return
+	}
+	name := list[0].Pool
+	p, largest := s.pool(name), s.largestVM(name)
+	for _, a := range p.accounts {
+		a.used, a.wanted = 0, 0
+	}
+	anyBeyondRate := false
+	for _, j := range list {
+		used, wanted := j.cores(largest)
+		j.order.wanted, j.order.excess, j.order.account = wanted, j.beyondRate, nil
+		if j.beyondRate {
+			anyBeyondRate = true
+			continue
+		}
+		a := s.accountLoad(p, j.Account)
+		a.used += used
+		a.wanted += wanted
+		j.order.account = a
+	}
+	p.claims = p.claims[:0]
+	for _, a := range p.accounts {
+		p.claims = append(p.claims, fair.Claim{Weight: a.weight, Demand: a.used + a.wanted})
+		a.assigned = a.used
+	}
+	p.startLevel = fair.Level(p.placeCores, p.claims)
+	if math.IsInf(p.startLevel, 1) && !anyBeyondRate {
+		return
+	}
+	for _, j := range list {
+		if a := j.order.account; a != nil {
+			j.order.excess = a.assigned >= p.startLevel*a.weight
+			a.assigned += j.order.wanted
+		}
+	}
+	p.moveExcessBack(list)
+}
+
+// moveExcessBack moves the excess jobs of each class behind the others and keeps the order otherwise.
+func (p *pool) moveExcessBack(list []*job) {
+	for from := 0; from < len(list); {
+		end, kept := from, from
+		excess := p.excess[:0]
+		for ; end < len(list) && list[end].order.rank == list[from].order.rank; end++ {
+			if list[end].order.excess {
+				excess = append(excess, list[end])
+				continue
+			}
+			list[kept] = list[end]
+			kept++
+		}
+		copy(list[kept:end], excess)
+		p.excess, from = excess, end
+	}
+	clear(p.excess[:cap(p.excess)]) // keeps no finished jobs in memory
+}
+
+// cores returns the cores of a job's runs and of its tasks that could start, in equivalent cores of a VM
+// with the given capacity.
+func (j *job) cores(largest resources) (used, wanted float64) {
+	for _, o := range j.occurrences {
+		for _, st := range o.steps {
+			if st.done == st.Count {
+				continue
+			}
+			one := largest.equivalentCores(st.Step)
+			used += one * float64(st.Count-st.done-st.withoutRun)
+			if st.withoutRun > 0 && o.stepReady(st) {
+				wanted += one * float64(st.withoutRun)
+			}
+		}
+	}
+	return used, wanted
+}
+
+// shareInForce returns the cores of a pool that an account may use before its jobs are excess, as of the
+// last round.
+func (s *Scheduler) shareInForce(p *pool, account string) float64 {
+	if p.startLevel == 0 {
+		return p.placeCores // no round yet
+	}
+	return min(p.startLevel*s.weightOf(account), p.placeCores)
+}
--- /dev/null
+++ b/internal/sched/idle.go
@@ -0,0 +1,86 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/greengagelane/greengagelane/pkg/jobs"
+)
+
+// idleVM is what admission regards as idle on a VM.
+type idleVM struct {
+	vm   *vm
+	free resources
+}
+
+// recordIdle records what a round left idle. No task that waited in the round could use it.
+func (p *pool) recordIdle(round int64, cands []*candidate) {
+	p.leftIdle, p.placedRound = p.leftIdle[:0], round
+	for _, c := range cands {
+		if !c.reserved {
+			p.leftIdle = append(p.leftIdle, idleVM{c.vm, c.free})
+		}
+	}
+}
+
+// measureIdle sets pool.idle to what the last round left idle, less the tasks of the jobs that no round
+// has considered yet. Resources that came free since are not idle: the next round gives them to the
+// tasks that wait.
+func (s *Scheduler) measureIdle(now time.Time, name string) {
+	p := s.pool(name)
+	p.idle = p.idle[:0]
+	if p.placedRound == s.round {
+		p.idle = append(p.idle, p.leftIdle...)
+	} else { // the last round found no jobs in the pool
+		for _, v := range s.vms {
+			if v.Pool == name && v.usable(now, &s.policy) {
+				p.idle = append(p.idle, idleVM{v, v.freeResources()})
+			}
+		}
+	}
+	for _, j := range s.jobs {
+		if j.Pool == name && !j.state.Final() && (j.consideredIn != s.round || s.round == 0) {
+			p.takeIdle(j)
+		}
+	}
+}
+
+// takeIdle deducts a job's first tasks from the idle VMs and reports whether all of them fit. It ignores
+// that a gang may need VMs of one rack, and placement advice.
+func (p *pool) takeIdle(j *job) bool {
+	all := true
+	for i := range j.Steps {
+		if st := &j.Steps[i]; len(st.After) == 0 {
+			all = takeIdleStep(p.idle, st) && all
+		}
+	}
+	return all
+}
+
+// fitsIdle reports whether a job's first tasks fit into the idle VMs, and deducts them only if so.
+func (p *pool) fitsIdle(j *job) bool {
+	p.idleBefore = append(p.idleBefore[:0], p.idle...)
+	if p.takeIdle(j) {
+		return true
+	}
+	p.idle, p.idleBefore = p.idleBefore, p.idle
+	return false
+}
+
+// takeIdleStep deducts as many of a step's tasks as fit from the idle VMs and reports whether all do.
+func takeIdleStep(idle []idleVM, st *jobs.Step) bool {
+	left := st.Count
+	for i := range idle {
+		x := &idle[i]
+		if left == 0 {
+			break
+		}
+		if st.Label != "" && !x.vm.Has(st.Label) {
+			continue
+		}
+		for n := 0; left > 0 && (st.PerVM == 0 || n < st.PerVM) && x.free.fits(st); n++ {
+			x.free.allocate(st)
+			left--
+		}
+	}
+	return left == 0
+}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -23,6 +23,7 @@
 
 // place starts the tasks that are ready, pool by pool.
 func (s *Scheduler) place(now time.Time) {
+	s.round++
 	byPool := map[string][]*job{}
 	for _, j := range s.jobs {
 		if !j.state.Final() && j.stored && len(j.occurrences) > 0 {
@@ -36,9 +37,18 @@
 
 func (s *Scheduler) placePool(now time.Time, name string, list []*job) {
 	cands := s.candidates(now, name)
+	for _, j := range list {
+		j.consideredIn = s.round
+	}
+	p := s.pool(name)
+	defer func() { p.recordIdle(s.round, cands) }()
 	if len(cands) == 0 {
 		return
 	}
+	p.placeCores = 0
+	for _, c := range cands {
+		p.placeCores += float64(c.vm.CPU) / 1000
+	}
 	s.sortJobs(now, list)
 	unplaced := &unplacedSizes{}
 	for _, j := range list {
@@ -92,8 +102,9 @@
 	return cands
 }
 
-// sortJobs orders jobs for placement: long-running ones, then by class, priority and the latest
-// time at which they can be started to meet their objective.
+// sortJobs orders jobs of a pool for placement: long-running ones, then by class, priority and the
+// latest time at which they can be started to meet their objective. On a site with accounts, jobs
+// beyond the shares of their accounts go behind the others of their class.
 func (s *Scheduler) sortJobs(now time.Time, list []*job) {
 	for _, j := range list {
 		j.order = orderKey{rank: -1, latestStart: time.UnixMilli(j.SubmittedMS)}
@@ -115,12 +126,18 @@
 		}
 		return a.ID < b.ID
 	})
+	if len(s.accounts) > 0 {
+		s.sortByShares(list)
+	}
 }
 
 // orderKey holds what sortJobs orders a job by, besides its priority.
 type orderKey struct {
 	rank        int // -1 for a long-running job, else its class
 	latestStart time.Time
+	excess      bool         // beyond the share or the rate of its account; always false on sites without accounts
+	wanted      float64      // cores of its tasks that could start; set only on sites with accounts
+	account     *accountLoad // nil if it is beyond the rate; set only on sites with accounts
 }
 
 func (s *Scheduler) placeStep(now time.Time, j *job, st *step, cands []*candidate, unplaced *unplacedSizes) {
@@ -137,7 +154,7 @@
 		}
 		c := s.bestCandidate(now, t, cands)
 		if c == nil {
-			if st.Lasts {
+			if st.Lasts && !j.order.excess {
 				s.reserve(t, cands)
 			}
 			unplaced.add(j, st.Step)
@@ -182,16 +199,24 @@
 }
 
 func (c *candidate) allocate(st *jobs.Step) {
+	c.free.allocate(st)
+	c.usedCPU += st.CPU
+}
+
+func (c *candidate) fits(st *jobs.Step) bool { return c.free.fits(st) }
+
+// allocate deducts what a task reserves.
+func (r *resources) allocate(st *jobs.Step) {
 	if !st.Fills {
-		c.free.cpu -= st.CPU
+		r.cpu -= st.CPU
 	}
-	c.free.mem -= st.MemMB
-	c.free.gpu -= st.GPU
-	c.usedCPU += st.CPU
+	r.mem -= st.MemMB
+	r.gpu -= st.GPU
 }
 
-func (c *candidate) fits(st *jobs.Step) bool {
-	return (st.Fills || c.free.cpu >= st.CPU) && c.free.mem >= st.MemMB && c.free.gpu >= st.GPU
+// fits reports whether a task can reserve what it needs.
+func (r *resources) fits(st *jobs.Step) bool {
+	return (st.Fills || r.cpu >= st.CPU) && r.mem >= st.MemMB && r.gpu >= st.GPU
 }
 
 // bestCandidate returns the allowed candidate with the highest score, nil if there is none.
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/greengagelane/greengagelane/internal/fair"
 	"github.com/greengagelane/greengagelane/internal/shed"
 	"github.com/greengagelane/greengagelane/pkg/jobs"
 	"github.com/greengagelane/greengagelane/pkg/site"
@@ -33,7 +34,10 @@
 	recordedVMs      map[string]bool          // VMs that the record under vmsKey has to name
 	recordedVMsDirty bool                     // recordedVMs has changed since it was last flushed
 	accounts         map[string]*site.Account // of the configuration, by name
-	offeredAt        map[string]time.Time     // when a job was first submitted, by job ID
+	meanWeight       float64                  // of the accounts
+	buckets          map[string]*fair.Bucket  // of the accounts that have submitted jobs
+	offeredAt        map[string]offer         // first submissions, by job ID
+	round            int64                    // number of the last scheduling round
 	actions          []Action
 	fenced           bool
 	retired          bool           // makes no more scheduling decisions; see Retire
@@ -51,6 +55,8 @@
 // counts runs that were released without a report of their end.
 type Stats struct {
 	Started, Done, Failed, Stopped, Lost, Refused, Stalled int
+	RefusedByShare                                         int // of Refused: the account's work exceeds its share
+	RefusedByRate                                          int // of Refused: the job is beyond the rate of its account
 }
 
 // pool is the scheduler's state of one pool.
@@ -67,6 +73,20 @@
 	arrivals     []shed.Arrival // expected by VM moves, as reported by the planner at arrivalsAt
 	arrivalsAt   time.Time
 	refused      map[string]int // refused jobs by client account
+	slack        time.Duration  // decaying mean over the jobs submitted: time that a job can wait and still meet its objective
+	taskTime     time.Duration  // decaying mean over the same jobs of Request.TaskTime
+	idle         []idleVM       // as of loadAt, less the first tasks of jobs accepted since
+	idleBefore   []idleVM       // buffer of fitsIdle
+	leftIdle     []idleVM       // as of placedRound
+	placedRound  int64          // number of the last round that had jobs in the pool
+
+	// The rest is used only on sites with accounts.
+	accounts   map[string]*accountLoad
+	fair       fairLoad
+	placeCores float64      // cores of the VMs that may get runs, as of the last round
+	startLevel float64      // cores per unit of weight within shares, in the last round; infinite without overload, 0 before the first round
+	claims     []fair.Claim // buffer
+	excess     []*job       // buffer
 }
 
 // New returns a scheduler without jobs.
@@ -74,7 +94,8 @@
 	return &Scheduler{
 		Epoch: epoch, policy: p, log: log,
 		jobs: map[string]*job{}, vms: map[string]*vm{}, pools: map[string]*pool{}, queues: map[string]*queueStats{},
-		unverified: map[string]time.Time{}, recordedVMs: map[string]bool{}, offeredAt: map[string]time.Time{},
+		unverified: map[string]time.Time{}, recordedVMs: map[string]bool{}, offeredAt: map[string]offer{},
+		buckets: map[string]*fair.Bucket{},
 	}
 }
 
--- a/internal/sched/submit.go
+++ b/internal/sched/submit.go
@@ -12,6 +12,7 @@
 type Admission struct {
 	Accepted   bool          // durable once Stored reports so
 	Reason     string        // why the job was refused
+	Beyond     string        // "share" or "rate" of its account, if the job was refused for that
 	RetryAfter time.Duration // time until the job is expected to be accepted
 }
 
@@ -20,15 +21,19 @@
 	if s.jobs[j.ID] != nil {
 		return Admission{Accepted: true}
 	}
-	firstOffered, again := s.firstOffered(now, j.ID)
+	first, again := s.firstOffered(now, j)
 	if again {
-		j.SubmittedMS = min(j.SubmittedMS, firstOffered.UnixMilli()) // its caller has waited since then
-	} else if !j.LongRunning() {
-		s.pool(j.Pool).offeredLoad.add(now, s.equivalentWork(j)*s.pool(j.Pool).workRatio)
+		j.SubmittedMS = min(j.SubmittedMS, first.at.UnixMilli()) // its caller has waited since then
 	}
 	added := newJob(j)
+	added.beyondRate = first.beyondRate
+	if !again && !j.LongRunning() {
+		work := s.equivalentWork(j) * s.pool(j.Pool).workRatio
+		s.pool(j.Pool).offeredLoad.add(now, work)
+		s.offer(now, added, work)
+	}
 	if a := s.admit(now, added); !a.Accepted {
-		s.stats.Refused++
+		s.countRefusal(a.Beyond)
 		s.pool(j.Pool).countRefusal(j.Account)
 		return a
 	}
@@ -37,6 +42,17 @@
 	return Admission{Accepted: true}
 }
 
+// countRefusal counts a refused job by its Admission.Beyond.
+func (s *Scheduler) countRefusal(beyond string) {
+	s.stats.Refused++
+	switch beyond {
+	case refusedByShare:
+		s.stats.RefusedByShare++
+	case refusedByRate:
+		s.stats.RefusedByRate++
+	}
+}
+
 // equivalentWork returns the work of a job in core-seconds: the sum over its tasks of the
 // declared run time times the equivalent cores on the pool's largest VM. Multiplied by
 // pool.workRatio, it is corrected for run times that differ from the declared ones.
@@ -50,19 +66,26 @@
 	return sum
 }
 
-// firstOffered returns when a job was first submitted. again reports whether that was recently;
+// offer is the first submission of a job.
+type offer struct {
+	at         time.Time
+	beyondRate bool // beyond the rate of its account
+}
+
+// firstOffered returns the first submission of a job. again reports whether that was recently;
 // otherwise the present submission counts as the first one. The retry of a refused job is not counted
 // as offered load again.
-func (s *Scheduler) firstOffered(now time.Time, id string) (at time.Time, again bool) {
+func (s *Scheduler) firstOffered(now time.Time, j *jobs.Job) (first offer, again bool) {
 	const retryWindow = 10 * time.Second // longer than callers retry a refused job
-	if at, known := s.offeredAt[id]; known && now.Sub(at) < retryWindow {
-		return at, true
+	if first, known := s.offeredAt[j.ID]; known && now.Sub(first.at) < retryWindow {
+		return first, true
 	}
 	if len(s.offeredAt) > maxOfferedJobs {
-		s.offeredAt = map[string]time.Time{}
+		s.offeredAt = map[string]offer{}
 	}
-	s.offeredAt[id] = now
-	return now, false
+	first = offer{at: now, beyondRate: len(s.accounts) > 0 && s.beyondRate(now, j.Account)}
+	s.offeredAt[j.ID] = first
+	return first, false
 }
 
 // maxOfferedJobs bounds the memory for recently submitted jobs. Above it, all of them are
--- a/internal/shed/shed.go
+++ b/internal/shed/shed.go
@@ -65,16 +65,32 @@
 
 // Load is the work that waits in a pool, in core-seconds of tasks that have not started.
 type Load struct {
-	Ready  float64 // of tasks that could start now, of all jobs
 	InTime float64 // of jobs that can still meet their objective, with their later steps
 	Total  float64 // of all jobs, with their later steps
 }
 
+// Add adds the waiting work of a job.
+func (l *Load) Add(work float64, inTime bool) {
+	l.Total += work
+	if inTime {
+		l.InTime += work
+	}
+}
+
 // Request is a job that a caller submits.
 type Request struct {
 	Timing
 	Work     float64       // core-seconds
 	TaskTime time.Duration // mean run time of its tasks
+	Fits     bool          // its first tasks fit at once into idle VMs, beside the tasks that wait for them
+}
+
+// WaitBehind returns the time until a request can begin with the given supply behind the given load.
+func (r *Request) WaitBehind(now time.Time, s *Supply, l Load) time.Duration {
+	if r.Classify(now) == InTime {
+		return s.Wait(l.InTime, r.TaskTime)
+	}
+	return s.Wait(l.Total, r.TaskTime)
 }
 
 // Decision is the decision on a request.
@@ -98,16 +114,19 @@
 // Decide accepts a request if it can begin early enough to meet its objective behind the work that
 // goes before it. A request that returns after its objective can no longer be met is accepted if a
 // new one of its kind would be, behind all waiting work. waitFactor scales the longest accepted wait;
-// 1 accepts all that can just meet their objective.
+// 1 accepts all that can just meet their objective. A request that can begin at once is accepted in any
+// case, since its later steps wait for runs that will have made room for them.
 func (g *Gate) Decide(now time.Time, r *Request, l Load, s *Supply, waitFactor float64) Decision {
 	slack := time.Duration(waitFactor * float64(r.Objective-r.Chain))
 	left := slack - now.Sub(r.Submitted)
-	wait := s.Wait(l.InTime, r.TaskTime)
+	work := l.InTime
 	if left < 0 {
-		left, wait = slack, s.Wait(l.Total, r.TaskTime)
-	} else if l.Ready+r.Work <= s.Free*r.TaskTime.Seconds() {
-		wait = 0 // later steps wait for runs that will have made room for them
+		left, work = slack, l.Total
+	}
+	if r.Fits {
+		return Decision{Accepted: true}
 	}
+	wait := s.Wait(work, r.TaskTime)
 	if wait <= left {
 		return Decision{Accepted: true, Wait: wait}
 	}
--- a/internal/shed/supply.go
+++ b/internal/shed/supply.go
@@ -44,3 +44,23 @@
 	}
 	return min(at+time.Duration(work/cores*float64(time.Second)), longestWait)
 }
+
+// Scaled returns a part of the supply, such as the share of an account.
+func (s *Supply) Scaled(part float64) *Supply {
+	scaled := &Supply{Cores: part * s.Cores, Free: part * s.Free}
+	for _, a := range s.Arrivals {
+		scaled.Arrivals = append(scaled.Arrivals, Arrival{After: a.After, Cores: part * a.Cores})
+	}
+	return scaled
+}
+
+// Begun returns the work that the pool can begin in a time, in core-seconds of tasks that take taskTime.
+func (s *Supply) Begun(d, taskTime time.Duration) float64 {
+	work := s.Cores*d.Seconds() + s.Free*taskTime.Seconds()
+	for _, a := range s.Arrivals {
+		if a.After < d {
+			work += a.Cores * (d - a.After + taskTime).Seconds()
+		}
+	}
+	return work
+}
