--- a/internal/sched/overload_test.go
+++ b/internal/sched/overload_test.go
@@ -31,6 +31,8 @@
 	idle     int                                // cores that the last round left idle and no job accepted since needs; all tasks have one core
 	// idleRefusals counts refusals of jobs whose first tasks would have found idle cores.
 	idleRefusals int
+	refusedTimes map[string]int     // by job
+	tookMS       map[string]float64 // from the first submission of a completed job
 	// overdue holds the jobs that were accepted after their objective could no longer be met.
 	overdue map[string]bool
 	flushMS int // time between two flushes to the job log; 0 for one in every step
@@ -72,7 +74,7 @@
 func newOverload(t *testing.T) *overload {
 	o := &overload{
 		t: t, s: New(1, testPolicy(), quietLog()), rnd: rand.New(rand.NewPCG(7, 7)), vms: map[string]*overloadVM{}, actualMS: map[string]int{},
-		first: map[string]time.Time{}, objMS: map[string]float64{}, outcome: map[string]string{}, overdue: map[string]bool{}, running: map[string]map[string]overloadTask{},
+		first: map[string]time.Time{}, objMS: map[string]float64{}, outcome: map[string]string{}, overdue: map[string]bool{}, tookMS: map[string]float64{}, refusedTimes: map[string]int{}, running: map[string]map[string]overloadTask{},
 	}
 	var list []site.VM
 	for i := range overloadVMs {
@@ -156,7 +158,8 @@
 		for id, first := range o.first {
 			if state, known := o.s.JobState(id); known && state == jobs.Completed && o.outcome[id] == "" {
 				o.outcome[id] = "late"
-				if float64(now.Sub(first).Milliseconds()) <= o.objMS[id] {
+				o.tookMS[id] = float64(now.Sub(first).Milliseconds())
+				if o.tookMS[id] <= o.objMS[id] {
 					o.outcome[id] = "in-time"
 				}
 			}
@@ -178,6 +181,7 @@
 		o.idleRefusals++
 	}
 	o.refusals = append(o.refusals, a.RetryAfter)
+	o.refusedTimes[j.ID]++
 	if c.try == overloadRetries {
 		o.outcome[j.ID] = "refused"
 		return
