--- a/internal/sched/fairness.go
+++ b/internal/sched/fairness.go
@@ -18,8 +18,9 @@
 	gate     shed.Gate
 	load     shed.Load // as of pool.loadAt, with the jobs accepted since
 	running  float64   // cores of its runs without long-running ones, as of pool.loadAt
-	rate     float64   // of offered, in cores, as of pool.loadAt
+	rate     float64   // mean of offered over the last second, in cores, as of pool.loadAt
 	used     float64   // cores of its runs, in the last round
+	meanUsed float64   // decaying mean of used
 	wanted   float64   // cores of its tasks that could start, in the last round
 	assigned float64   // used, and cores of its jobs that sortByShares has passed
 }
@@ -116,7 +117,8 @@
 		a.running += running
 	}
 	for account, a := range p.accounts {
-		a.rate = a.offered.rate(now)
+		a.offered.advance(now)
+		a.rate, _ = a.offered.rateOver(now, slotCount) // without the detection of bursts, whose bias adds up over the accounts
 		if a.load.Total == 0 && a.running == 0 && now.Sub(a.seenAt) > keep {
 			delete(p.accounts, account)
 		}
@@ -149,7 +151,7 @@
 // had its share of the pool alone. A job that would be too late this way, or is beyond the rate of its
 // account, is judged behind all that waits, at the rate that the offered load of the other accounts
 // within their shares leaves.
-func (s *Scheduler) admitFair(now time.Time, j *job, r *shed.Request) (d shed.Decision, kind, detail string) {
+func (s *Scheduler) admitFair(now time.Time, j *job, r *shed.Request) (d shed.Decision, beyond, detail string) {
 	p := s.pool(j.Pool)
 	f := &p.fair
 	if f.accepted > levelTolerance*f.cores*max(p.slack, minHorizon).Seconds() {
@@ -160,9 +162,11 @@
 	load, supply := shed.Load{InTime: p.load.InTime - f.beyond.InTime, Total: p.load.Total - f.beyond.Total}, &p.supply
 	share := min(f.level*a.weight, f.cores)
 	if overloaded {
-		overused := max(a.running-share, 0) * r.TaskTime.Seconds()
+		unused := share + a.allowance(share, f.cores, len(p.accounts)) - a.running
+		overused := max(-unused, 0) * r.TaskTime.Seconds()
 		load = shed.Load{InTime: a.load.InTime + overused, Total: a.load.Total + overused}
 		supply = p.supply.Scaled(share / max(f.cores, 1))
+		supply.Free = max(unused, 0) // the next cores that come free are the account's
 	}
 	if overloaded || j.beyondRate {
 		own := 0.0
@@ -172,7 +176,6 @@
 		behind := p.supply.Scaled(max(1-(f.owed-own)/max(f.cores, 1), 0))
 		if j.beyondRate || r.WaitBehind(now, behind, p.load) < r.WaitBehind(now, supply, load) {
 			load, supply = p.load, behind
-			kind = refusedByShare
 		}
 	}
 	d = a.gate.Decide(now, r, load, supply, s.policy.QueueFactor)
@@ -188,6 +191,21 @@
 	return d, refusedByLoad, ""
 }
 
+// allowance returns the cores that an account may use for a time beyond a share of a pool, while its mean
+// use is less than the share. Small accounts send single jobs that are larger than their shares; without
+// the allowance, a job that follows another one would wait for its end. All allowances together are at
+// most half of the pool.
+func (a *accountLoad) allowance(share, cores float64, accounts int) float64 {
+	if a.meanUsed >= share {
+		return 0
+	}
+	return cores / float64(2*accounts)
+}
+
+// meanUseTime is the time constant of accountLoad.meanUsed: some run times of tasks, and less than the
+// time for which an account floods a pool.
+const meanUseTime = 2 * time.Second
+
 // levelTolerance is the part of the pool's capacity that may be accepted before the level is computed
 // again.
 const levelTolerance = 0.01
@@ -206,12 +224,17 @@
 // sortByShares moves the excess jobs of each class behind the others of the class. The list is sorted by
 // urgency. An account's job is within its share if the account's runs and more urgent jobs take fewer
 // cores than that, so that a job larger than the share can be within it.
-func (s *Scheduler) sortByShares(list []*job) {
+func (s *Scheduler) sortByShares(now time.Time, list []*job) {
 	if len(list) == 0 {
 		return
 	}
 	name := list[0].Pool
 	p, largest := s.pool(name), s.largestVM(name)
+	decay := 1.0
+	if !p.sharesAt.IsZero() {
+		decay = -math.Expm1(-now.Sub(p.sharesAt).Seconds() / meanUseTime.Seconds())
+	}
+	p.sharesAt = now
 	for _, a := range p.accounts {
 		a.used, a.wanted = 0, 0
 	}
@@ -232,6 +255,7 @@
 	for _, a := range p.accounts {
 		p.claims = append(p.claims, fair.Claim{Weight: a.weight, Demand: a.used + a.wanted})
 		a.assigned = a.used
+		a.meanUsed += decay * (a.used - a.meanUsed)
 	}
 	p.startLevel = fair.Level(p.placeCores, p.claims)
 	if math.IsInf(p.startLevel, 1) && !anyBeyondRate {
@@ -239,7 +263,8 @@
 	}
 	for _, j := range list {
 		if a := j.order.account; a != nil {
-			j.order.excess = a.assigned >= p.startLevel*a.weight
+			share := p.startLevel * a.weight
+			j.order.excess = a.assigned >= share+a.allowance(share, p.placeCores, len(p.accounts))
 			a.assigned += j.order.wanted
 		}
 	}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -27,7 +27,7 @@
 	// recovered is set on jobs of an earlier owner, whose tasks may be running on
 	// unverified VMs.
 	recovered    bool
-	beyondRate   bool          // beyond the rate of its account when it was first submitted, as seen by this owner
+	beyondRate   bool          // beyond the rate of its account when it was accepted, as seen by this owner
 	consideredIn int64         // number of the last scheduling round that considered it
 	objective    time.Duration // latency objective by the declared run times
 	order        orderKey      // as of the last call of sortJobs
--- a/internal/sched/shares_test.go
+++ b/internal/sched/shares_test.go
@@ -24,8 +24,8 @@
 }
 
 const (
-	shareUsual  = 0.6  // usual load as a part of the pool
-	shareWeight = 0.25 // scale of the weights: accounts usually send about half of their rates
+	shareUsual  = 0.6 // usual load as a part of the pool
+	shareWeight = 0.5 // scale of the weights: accounts usually send a third of their rates
 )
 
 func accountName(i int) string { return fmt.Sprintf("account-%02d", i) }
--- a/internal/sched/submit.go
+++ b/internal/sched/submit.go
@@ -69,7 +69,7 @@
 // offer is the first submission of a job.
 type offer struct {
 	at         time.Time
-	beyondRate bool // beyond the rate of its account
+	beyondRate bool // beyond the rate of its account, also when it was submitted again
 }
 
 // firstOffered returns the first submission of a job. again reports whether that was recently;
@@ -78,6 +78,10 @@
 func (s *Scheduler) firstOffered(now time.Time, j *jobs.Job) (first offer, again bool) {
 	const retryWindow = 10 * time.Second // longer than callers retry a refused job
 	if first, known := s.offeredAt[j.ID]; known && now.Sub(first.at) < retryWindow {
+		if first.beyondRate && !s.beyondRate(now, j.Account) {
+			first.beyondRate = false
+			s.offeredAt[j.ID] = first
+		}
 		return first, true
 	}
 	if len(s.offeredAt) > maxOfferedJobs {
