--- a/internal/sched/fairness.go
+++ b/internal/sched/fairness.go
@@ -20,7 +20,6 @@
 	running  float64   // cores of its runs without long-running ones, as of pool.loadAt
 	rate     float64   // mean of offered over the last second, in cores, as of pool.loadAt
 	used     float64   // cores of its runs, in the last round
-	meanUsed float64   // decaying mean of used
 	wanted   float64   // cores of its tasks that could start, in the last round
 	assigned float64   // used, and cores of its jobs that sortByShares has passed
 }
@@ -162,7 +161,7 @@
 	load, supply := shed.Load{InTime: p.load.InTime - f.beyond.InTime, Total: p.load.Total - f.beyond.Total}, &p.supply
 	share := min(f.level*a.weight, f.cores)
 	if overloaded {
-		unused := share + a.allowance(share, f.cores, len(p.accounts)) - a.running
+		unused := share - a.running
 		overused := max(-unused, 0) * r.TaskTime.Seconds()
 		load = shed.Load{InTime: a.load.InTime + overused, Total: a.load.Total + overused}
 		supply = p.supply.Scaled(share / max(f.cores, 1))
@@ -191,21 +190,6 @@
 	return d, refusedByLoad, ""
 }
 
-// allowance returns the cores that an account may use for a time beyond a share of a pool, while its mean
-// use is less than the share. Small accounts send single jobs that are larger than their shares; without
-// the allowance, a job that follows another one would wait for its end. All allowances together are at
-// most half of the pool.
-func (a *accountLoad) allowance(share, cores float64, accounts int) float64 {
-	if a.meanUsed >= share {
-		return 0
-	}
-	return cores / float64(2*accounts)
-}
-
-// meanUseTime is the time constant of accountLoad.meanUsed: some run times of tasks, and less than the
-// time for which an account floods a pool.
-const meanUseTime = 2 * time.Second
-
 // levelTolerance is the part of the pool's capacity that may be accepted before the level is computed
 // again.
 const levelTolerance = 0.01
@@ -224,17 +208,12 @@
 // sortByShares moves the excess jobs of each class behind the others of the class. The list is sorted by
 // urgency. An account's job is within its share if the account's runs and more urgent jobs take fewer
 // cores than that, so that a job larger than the share can be within it.
-func (s *Scheduler) sortByShares(now time.Time, list []*job) {
+func (s *Scheduler) sortByShares(list []*job) {
 	if len(list) == 0 {
 		return
 	}
 	name := list[0].Pool
 	p, largest := s.pool(name), s.largestVM(name)
-	decay := 1.0
-	if !p.sharesAt.IsZero() {
-		decay = -math.Expm1(-now.Sub(p.sharesAt).Seconds() / meanUseTime.Seconds())
-	}
-	p.sharesAt = now
 	for _, a := range p.accounts {
 		a.used, a.wanted = 0, 0
 	}
@@ -255,7 +234,6 @@
 	for _, a := range p.accounts {
 		p.claims = append(p.claims, fair.Claim{Weight: a.weight, Demand: a.used + a.wanted})
 		a.assigned = a.used
-		a.meanUsed += decay * (a.used - a.meanUsed)
 	}
 	p.startLevel = fair.Level(p.placeCores, p.claims)
 	if math.IsInf(p.startLevel, 1) && !anyBeyondRate {
@@ -263,8 +241,7 @@
 	}
 	for _, j := range list {
 		if a := j.order.account; a != nil {
-			share := p.startLevel * a.weight
-			j.order.excess = a.assigned >= share+a.allowance(share, p.placeCores, len(p.accounts))
+			j.order.excess = a.assigned >= p.startLevel*a.weight
 			a.assigned += j.order.wanted
 		}
 	}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -127,7 +127,7 @@
 		return a.ID < b.ID
 	})
 	if len(s.accounts) > 0 {
-		s.sortByShares(now, list)
+		s.sortByShares(list)
 	}
 }
 
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -85,7 +85,6 @@
 	fair       fairLoad
 	placeCores float64      // cores of the VMs that may get runs, as of the last round
 	startLevel float64      // cores per unit of weight within shares, in the last round; infinite without overload, 0 before the first round
-	sharesAt   time.Time    // of the last round
 	claims     []fair.Claim // buffer
 	excess     []*job       // buffer
 }
