--- a/internal/sched/fairness.go
+++ b/internal/sched/fairness.go
@@ -241,8 +241,10 @@
 	}
 	for _, j := range list {
 		if a := j.order.account; a != nil {
-			j.order.excess = a.assigned >= p.startLevel*a.weight
+			share := p.startLevel * a.weight
+			j.order.excess = a.assigned >= share
 			a.assigned += j.order.wanted
+			j.order.crosses = !j.order.excess && a.assigned > share
 		}
 	}
 	p.moveExcessBack(list)
@@ -252,18 +254,24 @@
 func (p *pool) moveExcessBack(list []*job) {
 	for from := 0; from < len(list); {
 		end, kept := from, from
-		excess := p.excess[:0]
+		excess, crossing := p.excess[:0], p.crossing[:0]
 		for ; end < len(list) && list[end].order.rank == list[from].order.rank; end++ {
 			if list[end].order.excess {
 				excess = append(excess, list[end])
 				continue
 			}
+			if list[end].order.crosses {
+				crossing = append(crossing, list[end])
+				continue
+			}
 			list[kept] = list[end]
 			kept++
 		}
-		copy(list[kept:end], excess)
-		p.excess, from = excess, end
+		copy(list[kept:end], crossing)
+		copy(list[kept+len(crossing):end], excess)
+		p.excess, p.crossing, from = excess, crossing, end
 	}
+	clear(p.crossing[:cap(p.crossing)])
 	clear(p.excess[:cap(p.excess)]) // keeps no finished jobs in memory
 }
 
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -136,6 +136,7 @@
 	rank        int // -1 for a long-running job, else its class
 	latestStart time.Time
 	excess      bool         // beyond the share or the rate of its account; always false on sites without accounts
+	crosses     bool         // within the share only in part
 	wanted      float64      // cores of its tasks that could start; set only on sites with accounts
 	account     *accountLoad // nil if it is beyond the rate; set only on sites with accounts
 }
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -86,6 +86,7 @@
 	placeCores float64      // cores of the VMs that may get runs, as of the last round
 	startLevel float64      // cores per unit of weight within shares, in the last round; infinite without overload, 0 before the first round
 	claims     []fair.Claim // buffer
+	crossing   []*job       // buffer
 	excess     []*job       // buffer
 }
 
