--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -1,7 +1,9 @@
 package sched
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/greengagelane/greengagelane/internal/shed"
@@ -101,15 +103,21 @@
 
 // supply returns the capacity of a pool's VMs without long-running tasks, and the expected arrivals. VMs
 // that may get no runs for a moment, as after a failed status poll, count too, but their cores are not
+// idle. A VM that has just joined and was not polled yet counts as an arrival, since all its cores are
 // idle.
 func (s *Scheduler) supply(now time.Time, pool string) shed.Supply {
 	var sup shed.Supply
+	joining := 0.0 // cores
 	largest := s.largestVM(pool)
 	for _, v := range s.vms {
 		if v.Pool != pool || !v.listed || v.Draining || v.cordoned {
 			continue
 		}
 		cores := float64(v.CPU) / 1000
+		if s.joining(v) {
+			joining += cores
+			continue
+		}
 		free := cores
 		for _, r := range v.runs {
 			used := largest.equivalentCores(r.step())
@@ -123,6 +131,9 @@
 			sup.Free += max(free, 0)
 		}
 	}
+	if joining > 0 {
+		sup.Arrivals = append(sup.Arrivals, shed.Arrival{After: joinTime, Cores: joining})
+	}
 	p := s.pool(pool)
 	elapsed := now.Sub(p.arrivalsAt)
 	if elapsed >= arrivalsTTL {
@@ -131,9 +142,21 @@
 	for _, a := range p.arrivals {
 		sup.Arrivals = append(sup.Arrivals, shed.Arrival{After: max(a.After-elapsed, 0), Cores: a.Cores})
 	}
+	slices.SortFunc(sup.Arrivals, func(a, b shed.Arrival) int { return cmp.Compare(a.After, b.After) })
 	return sup
 }
 
+// joinTime is how long a VM that the platform lists newly takes to get its first run: until its first
+// status poll is answered and the job log names it.
+const joinTime = 150 * time.Millisecond
+
+// joining reports whether a VM has joined the pool and was not polled yet. A VM on which an earlier owner
+// may have runs is not joining.
+func (s *Scheduler) joining(v *vm) bool {
+	_, unverified := s.unverified[v.ID]
+	return !unverified && !v.polled && !v.pollFailed && v.lastAnswer.IsZero() && len(v.runs) == 0
+}
+
 // waitingLoad returns the work of a pool's tasks that have not started, without long-running ones.
 func (s *Scheduler) waitingLoad(now time.Time, pool string) shed.Load {
 	var l shed.Load
--- a/internal/sched/fairness.go
+++ b/internal/sched/fairness.go
@@ -149,7 +149,8 @@
 // admitFair decides on a job of a site with accounts. In an overload, a job is judged as if its account
 // had its share of the pool alone. A job that would be too late this way, or is beyond the rate of its
 // account, is judged behind all that waits, at the rate that the offered load of the other accounts
-// within their shares leaves.
+// within their shares leaves. It may return when there is room for it in the share: then the account may
+// have a token for it.
 func (s *Scheduler) admitFair(now time.Time, j *job, r *shed.Request) (d shed.Decision, beyond, detail string) {
 	p := s.pool(j.Pool)
 	f := &p.fair
@@ -167,20 +168,21 @@
 		supply = p.supply.Scaled(share / max(f.cores, 1))
 		supply.Free = max(unused, 0) // the next cores that come free are the account's
 	}
-	if overloaded || j.beyondRate {
+	if !j.beyondRate {
+		d = r.Judge(now, load, supply, s.policy.QueueFactor)
+	}
+	if !d.Accepted && (overloaded || j.beyondRate) {
 		own := 0.0
 		if !j.beyondRate {
 			own = min(a.rate, share)
 		}
 		behind := p.supply.Scaled(max(1-(f.owed-own)/max(f.cores, 1), 0))
-		if j.beyondRate || r.WaitBehind(now, behind, p.load) < r.WaitBehind(now, supply, load) {
-			load, supply = p.load, behind
-		}
+		d = r.Judge(now, p.load, behind, s.policy.QueueFactor)
 	}
-	d = a.gate.Decide(now, r, load, supply, s.policy.QueueFactor)
 	if d.Accepted {
 		return d, "", ""
 	}
+	d.RetryAfter = a.gate.Refuse(now, r, load, supply, s.policy.QueueFactor)
 	switch {
 	case j.beyondRate:
 		return d, refusedByRate, fmt.Sprintf("; the job is beyond the rate of account %q", j.Account)
--- a/internal/shed/shed.go
+++ b/internal/shed/shed.go
@@ -85,14 +85,6 @@
 	Fits     bool          // its first tasks fit at once into idle VMs, beside the tasks that wait for them
 }
 
-// WaitBehind returns the time until a request can begin with the given supply behind the given load.
-func (r *Request) WaitBehind(now time.Time, s *Supply, l Load) time.Duration {
-	if r.Classify(now) == InTime {
-		return s.Wait(l.InTime, r.TaskTime)
-	}
-	return s.Wait(l.Total, r.TaskTime)
-}
-
 // Decision is the decision on a request.
 type Decision struct {
 	Accepted   bool
@@ -111,13 +103,22 @@
 	work float64 // core-seconds
 }
 
-// Decide accepts a request if it can begin early enough to meet its objective behind the work that
+// Decide judges a request and sets Decision.RetryAfter if it is refused.
+func (g *Gate) Decide(now time.Time, r *Request, l Load, s *Supply, waitFactor float64) Decision {
+	d := r.Judge(now, l, s, waitFactor)
+	if !d.Accepted {
+		d.RetryAfter = g.Refuse(now, r, l, s, waitFactor)
+	}
+	return d
+}
+
+// Judge accepts a request if it can begin early enough to meet its objective behind the work that
 // goes before it. A request that returns after its objective can no longer be met is accepted if a
 // new one of its kind would be, behind all waiting work. waitFactor scales the longest accepted wait;
 // 1 accepts all that can just meet their objective. A request that can begin at once is accepted in any
 // case, since its later steps wait for runs that will have made room for them.
-func (g *Gate) Decide(now time.Time, r *Request, l Load, s *Supply, waitFactor float64) Decision {
-	slack := time.Duration(waitFactor * float64(r.Objective-r.Chain))
+func (r *Request) Judge(now time.Time, l Load, s *Supply, waitFactor float64) Decision {
+	slack := r.slack(waitFactor)
 	left := slack - now.Sub(r.Submitted)
 	work := l.InTime
 	if left < 0 {
@@ -127,15 +128,23 @@
 		return Decision{Accepted: true}
 	}
 	wait := s.Wait(work, r.TaskTime)
-	if wait <= left {
-		return Decision{Accepted: true, Wait: wait}
-	}
+	return Decision{Accepted: wait <= left, Wait: wait}
+}
+
+// slack returns the longest time that a new request of the kind may wait.
+func (r *Request) slack(waitFactor float64) time.Duration {
+	return time.Duration(waitFactor * float64(r.Objective-r.Chain))
+}
+
+// Refuse returns the time until there is expected to be room for a refused request behind the waiting
+// work and the requests that return before it.
+func (g *Gate) Refuse(now time.Time, r *Request, l Load, s *Supply, waitFactor float64) time.Duration {
 	ahead := g.returningWork(now)
 	g.returning = append(g.returning, returningJob{work: r.Work})
-	retry := s.Wait(l.Total+ahead, r.TaskTime) - slack
+	retry := s.Wait(l.Total+ahead, r.TaskTime) - r.slack(waitFactor)
 	retry = min(max(retry, minRetryAfter), maxRetryAfter)
 	g.returning[len(g.returning)-1].at = now.Add(retry)
-	return Decision{Wait: wait, RetryAfter: retry}
+	return retry
 }
 
 // Bounds of Decision.RetryAfter.
