--- a/internal/drive/metrics.go
+++ b/internal/drive/metrics.go
@@ -26,6 +26,13 @@
 	add("lost", current.Lost-last.Lost)
 	add("stalled", current.Stalled-last.Stalled)
 	metrics.GetOrCreateCounter(`greengagelane_jobs_refused_total`).Add(current.Refused - last.Refused)
+	refused := func(reason string, n int) {
+		metrics.GetOrCreateCounter(`greengagelane_jobs_refused_by_reason_total{reason="` + reason + `"}`).Add(n)
+	}
+	share, rate := current.RefusedByShare-last.RefusedByShare, current.RefusedByRate-last.RefusedByRate
+	refused("beyond-share", share)
+	refused("beyond-rate", rate)
+	refused("pool", current.Refused-last.Refused-share-rate)
 }
 
 // countRequest counts a caller's request by its outcome.
--- a/internal/sched/fairness.go
+++ b/internal/sched/fairness.go
@@ -1,8 +1,10 @@
 package sched
 
 import (
+	"cmp"
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/greengagelane/greengagelane/internal/fair"
@@ -243,10 +245,10 @@
 	}
 	for _, j := range list {
 		if a := j.order.account; a != nil {
-			share := p.startLevel * a.weight
-			j.order.excess = a.assigned >= share
+			j.order.level = a.assigned / a.weight
+			j.order.excess = j.order.level >= p.startLevel
 			a.assigned += j.order.wanted
-			j.order.crosses = !j.order.excess && a.assigned > share
+			j.order.crosses = !j.order.excess && a.assigned > p.startLevel*a.weight
 		}
 	}
 	p.moveExcessBack(list)
@@ -269,6 +271,7 @@
 			list[kept] = list[end]
 			kept++
 		}
+		slices.SortStableFunc(crossing, func(a, b *job) int { return cmp.Compare(a.order.level, b.order.level) })
 		copy(list[kept:end], crossing)
 		copy(list[kept+len(crossing):end], excess)
 		p.excess, p.crossing, from = excess, crossing, end
--- a/internal/sched/fairness_test.go
+++ b/internal/sched/fairness_test.go
@@ -4,10 +4,12 @@
 	"container/heap"
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/greengagelane/greengagelane/pkg/jobs"
+	"github.com/greengagelane/greengagelane/pkg/site"
 )
 
 // add adds a call at a time, whose tasks run for the given time.
@@ -101,3 +103,138 @@
 	}
 	return n
 }
+
+func testAccounts(weights ...float64) []site.Account {
+	var list []site.Account
+	for i, w := range weights {
+		list = append(list, site.Account{Name: string(rune('a' + i)), Weight: w})
+	}
+	return list
+}
+
+// accountJob returns a job of one account whose tasks have one core and run for a second.
+func accountJob(number int, account string, count int) *jobs.Job {
+	j := testJob(fmt.Sprintf("%016x", number), jobs.Step{Count: count, CPU: 1000, MemMB: 10, EstimateMS: 1000})
+	j.Account, j.Stretch, j.TargetMS = account, 1, 5000
+	return j
+}
+
+// TestOrderOfStarts guards against an account that keeps others waiting with the jobs that it sent
+// before them, and against another order than the one by urgency if no account is beyond its share.
+func TestOrderOfStarts(t *testing.T) {
+	tests := []struct {
+		name     string
+		accounts []site.Account
+		jobs     []*jobs.Job // all submitted at the same time
+		want     map[string]int
+	}{
+		{
+			"excess jobs last", testAccounts(50, 50),
+			[]*jobs.Job{accountJob(1, "a", 4), accountJob(2, "a", 4), accountJob(3, "b", 4)},
+			map[string]int{"a": 4, "b": 4},
+		},
+		{
+			"by weight", testAccounts(30, 10),
+			[]*jobs.Job{accountJob(1, "b", 2), accountJob(2, "b", 6), accountJob(3, "a", 6)},
+			map[string]int{"a": 6, "b": 2},
+		},
+		{
+			"what one leaves goes to the others", testAccounts(90, 10),
+			[]*jobs.Job{accountJob(1, "b", 5), accountJob(2, "b", 5), accountJob(3, "a", 1)},
+			map[string]int{"a": 1, "b": 7},
+		},
+		{
+			"a job beyond the rate last, also if its account is within its share", testAccounts(1, 50),
+			[]*jobs.Job{accountJob(1, "a", 1), accountJob(2, "a", 1), accountJob(3, "b", 7)},
+			map[string]int{"a": 1, "b": 7},
+		},
+		{
+			"by urgency without overload", testAccounts(1, 50),
+			[]*jobs.Job{accountJob(1, "a", 7), accountJob(2, "b", 1)},
+			map[string]int{"a": 7, "b": 1},
+		},
+		{
+			"an account that is not configured has weight 1", testAccounts(7),
+			[]*jobs.Job{accountJob(1, "z", 1), accountJob(2, "z", 3), accountJob(3, "a", 7)},
+			map[string]int{"a": 7, "z": 1},
+		},
+	}
+	for _, tt := range tests {
+		r := newFixture(t, testVM("vm1"))
+		r.s.SetAccounts(tt.accounts)
+		for _, j := range tt.jobs {
+			r.submit(0, j)
+		}
+		got := map[string]int{}
+		for _, a := range r.starts(10) {
+			account, _, _ := r.s.AccountOf(a.Task.Job)
+			got[account]++
+		}
+		assert.DeepEqual(t, got, tt.want)
+		reports := r.s.Report(at(10), "pool").Accounts
+		assert.Assert(t, reports["a"].Share > 0 && reports["a"].Share <= 8, "%s: %v", tt.name, reports["a"])
+	}
+}
+
+// TestRefusalNamesTheAccountsShare guards against refusals that do not say whose fault they are: in a
+// full pool, an account is told that it is beyond its share or its rate, and another one is accepted.
+func TestRefusalNamesTheAccountsShare(t *testing.T) {
+	tests := []struct {
+		weight float64
+		beyond string
+	}{{500, "share"}, {2, "rate"}}
+	for _, tt := range tests {
+		r := newFixture(t, testVM("vm1"))
+		r.s.SetAccounts(testAccounts(tt.weight, tt.weight))
+		var a Admission
+		accepted := 0
+		for n := 1; n < 100; n++ {
+			if a = r.s.Submit(at(0), accountJob(n, "a", 4)); !a.Accepted {
+				break
+			}
+			accepted++
+			r.flush(0)
+		}
+		assert.Equal(t, a.Beyond, tt.beyond)
+		assert.Assert(t, a.RetryAfter > 0 && accepted >= 2, "%v after %d jobs", a, accepted)
+		assert.Assert(t, r.s.Submit(at(1), accountJob(100, "b", 4)).Accepted)
+		stats := r.s.Stats()
+		assert.Equal(t, stats.RefusedByShare+stats.RefusedByRate, 1)
+		assert.Equal(t, stats.RefusedByRate == 1, tt.beyond == "rate")
+	}
+}
+
+// TestExcessReservesNoVM guards against an account that holds VMs back for long-running tasks beyond its
+// share while other accounts have tasks that fit.
+func TestExcessReservesNoVM(t *testing.T) {
+	r := newFixture(t, testVM("vm1"), testVM("vm2"))
+	r.s.SetAccounts(testAccounts(10, 10))
+	lasting := func(n int) *jobs.Job {
+		j := accountJob(n, "a", 1)
+		j.Steps[0].CPU, j.Steps[0].Lasts = 6000, true
+		return j
+	}
+	r.submit(0, lasting(1))
+	r.submit(0, lasting(2))
+	assert.Equal(t, len(r.starts(10)), 2)
+	r.submit(20, lasting(3)) // fits on no VM, and the account has 12 of 16 cores
+	r.submit(20, accountJob(4, "b", 4))
+	assert.Equal(t, len(r.starts(30)), 4)
+}
+
+// TestNewVMsCountAsArrivals guards against refusals while VMs that have just joined wait for their first
+// status poll.
+func TestNewVMsCountAsArrivals(t *testing.T) {
+	r := newFixture(t, testVM("vm1"))
+	r.submit(0, accountJob(1, "", 8))
+	assert.Equal(t, len(r.starts(10)), 8)
+	r.submit(20, accountJob(2, "", 32))
+	r.s.SetVMs(at(30), []site.VM{testVM("vm1"), testVM("vm2"), testVM("vm3"), testVM("vm4")})
+	j := accountJob(3, "", 8)
+	j.TargetMS = 1100 // it can wait for that long; 4 VMs that are busy need 1 s for the work before it
+	j.Steps[0].EstimateMS = 900
+	r.s.pool("pool").loadAt = time.Time{}
+	assert.Assert(t, r.s.Submit(at(40), j).Accepted)
+	wait := r.s.pool("pool").supply.Wait(r.s.pool("pool").load.InTime, time.Second)
+	assert.Assert(t, wait < 700*time.Millisecond, "%v", wait)
+}
