--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -94,10 +94,14 @@
 	if !p.loadAt.IsZero() && now.Sub(p.loadAt) < loadTTL {
 		return
 	}
+	hasAccounts := len(s.accounts) > 0
+	if hasAccounts {
+		s.resetAccounts(p)
+	}
 	p.loadAt, p.load, p.supply = now, s.waitingLoad(now, pool), s.supply(now, pool)
 	s.measureIdle(now, pool)
-	if len(s.accounts) > 0 {
-		s.measureAccounts(now, pool)
+	if hasAccounts {
+		s.measureAccounts(now, p)
 	}
 }
 
@@ -160,13 +164,18 @@
 // waitingLoad returns the work of a pool's tasks that have not started, without long-running ones.
 func (s *Scheduler) waitingLoad(now time.Time, pool string) shed.Load {
 	var l shed.Load
-	largest, ratio := s.largestVM(pool), s.pool(pool).workRatio
+	largest, p, hasAccounts := s.largestVM(pool), s.pool(pool), len(s.accounts) > 0
 	for _, j := range s.jobs {
 		if j.Pool != pool || j.state.Final() || j.LongRunning() {
 			continue
 		}
-		work, _ := j.unstartedWork(largest)
-		l.Add(work*ratio, s.class(now, j) == shed.InTime)
+		work, running := j.unstartedWork(largest)
+		work *= p.workRatio
+		inTime := s.class(now, j) == shed.InTime
+		l.Add(work, inTime)
+		if hasAccounts {
+			s.addToAccount(p, j, work, running, inTime)
+		}
 	}
 	return l
 }
--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -61,3 +61,89 @@
 		s.Flushed(f)
 	}
 }
+
+// accountsFixture returns a scheduler with a full pool of 100 VMs of 64 cores, 2,000 waiting jobs and the
+// given number of accounts.
+func accountsFixture(b *testing.B, accounts int) *Scheduler {
+	b.Helper()
+	s := New(1, testPolicy(), quietLog())
+	var vms []site.VM
+	for i := range 100 {
+		v := testVM(fmt.Sprintf("vm-%05d", i))
+		v.CPU, v.MemMB = 64_000, 1_000_000
+		vms = append(vms, v)
+	}
+	s.SetVMs(at(0), vms)
+	for _, v := range vms {
+		s.HandlePoll(at(0), v.ID, at(0), &site.VMStatus{Born: 1, ClockMS: 1000})
+	}
+	flushAll(b, s)
+	var list []site.Account
+	for i := range accounts {
+		list = append(list, site.Account{Name: fmt.Sprintf("account-%03d", i), Weight: float64(5 + i%50)})
+	}
+	s.SetAccounts(list)
+	for i := range 2100 {
+		j := testJob(fmt.Sprintf("%016x", i), jobs.Step{Count: 64, CPU: 1000, MemMB: 1000, EstimateMS: 1000})
+		j.TargetMS = 60_000
+		if accounts > 0 {
+			j.Account = list[i%accounts].Name
+		}
+		s.Submit(at(0), j)
+	}
+	flushAll(b, s)
+	s.Decide(at(10))
+	return s
+}
+
+func benchAccounts(b *testing.B, bench func(b *testing.B, s *Scheduler, accounts int)) {
+	for _, n := range []int{0, 20, 200, 770} {
+		b.Run(fmt.Sprintf("accounts=%d", n), func(b *testing.B) { bench(b, accountsFixture(b, n), n) })
+	}
+}
+
+// BenchmarkSubmit measures the decision on a job, within one measurement of the pool's load.
+func BenchmarkSubmit(b *testing.B) {
+	benchAccounts(b, func(b *testing.B, s *Scheduler, accounts int) {
+		var list []*jobs.Job
+		for i := range b.N {
+			j := testJob(fmt.Sprintf("%016x", 1_000_000+i), jobs.Step{Count: 8, CPU: 1000, MemMB: 1000, EstimateMS: 1000})
+			if accounts > 0 {
+				j.Account = fmt.Sprintf("account-%03d", i%accounts)
+			}
+			list = append(list, j)
+		}
+		s.Submit(at(20), testJob("fffffffffffffff1", jobs.Step{Count: 8, CPU: 1000, MemMB: 1000, EstimateMS: 1000}))
+		b.ReportAllocs()
+		b.ResetTimer()
+		for _, j := range list {
+			s.Submit(at(20), j)
+		}
+	})
+}
+
+// BenchmarkMeasureLoad measures the load of a pool, once in loadTTL while jobs are submitted.
+func BenchmarkMeasureLoad(b *testing.B) {
+	benchAccounts(b, func(b *testing.B, s *Scheduler, _ int) {
+		b.ReportAllocs()
+		for range b.N {
+			s.pool("pool").loadAt = at(0)
+			s.measureLoad(at(30), "pool")
+		}
+	})
+}
+
+// BenchmarkSortJobs measures the order of 2,100 jobs.
+func BenchmarkSortJobs(b *testing.B) {
+	benchAccounts(b, func(b *testing.B, s *Scheduler, _ int) {
+		var list []*job
+		for _, j := range s.jobs {
+			list = append(list, j)
+		}
+		b.ReportAllocs()
+		b.ResetTimer()
+		for range b.N {
+			s.sortJobs(at(20), list)
+		}
+	})
+}
--- a/internal/sched/fairness.go
+++ b/internal/sched/fairness.go
@@ -76,9 +76,9 @@
 		if p.accounts == nil {
 			p.accounts = map[string]*accountLoad{}
 		}
+		a.weight = s.weightOf(account)
 		p.accounts[account] = a
 	}
-	a.weight = s.weightOf(account)
 	return a
 }
 
@@ -94,29 +94,29 @@
 	}
 }
 
-// measureAccounts updates the load of each account in a pool, of which it forgets those without any.
-func (s *Scheduler) measureAccounts(now time.Time, name string) {
-	const keep = time.Minute // longer than a refused caller is told to wait
-	p := s.pool(name)
+// resetAccounts prepares the measurement of a pool's load.
+func (s *Scheduler) resetAccounts(p *pool) {
 	p.fair.beyond = shed.Load{}
-	for _, a := range p.accounts {
-		a.load, a.running = shed.Load{}, 0
+	for account, a := range p.accounts {
+		a.load, a.running, a.weight = shed.Load{}, 0, s.weightOf(account)
 	}
-	largest := s.largestVM(name)
-	for _, j := range s.jobs {
-		if j.Pool != name || j.state.Final() || j.LongRunning() {
-			continue
-		}
-		work, running := j.unstartedWork(largest)
-		inTime := s.class(now, j) == shed.InTime
-		if j.beyondRate {
-			p.fair.beyond.Add(work*p.workRatio, inTime)
-			continue
-		}
-		a := s.accountLoad(p, j.Account)
-		a.load.Add(work*p.workRatio, inTime)
-		a.running += running
+}
+
+// addToAccount adds the work and the cores of a job's runs to the load of its account.
+func (s *Scheduler) addToAccount(p *pool, j *job, work, running float64, inTime bool) {
+	if j.beyondRate {
+		p.fair.beyond.Add(work, inTime)
+		return
 	}
+	a := s.accountLoad(p, j.Account)
+	a.load.Add(work, inTime)
+	a.running += running
+}
+
+// measureAccounts computes the shares in a pool after its load has been measured. It forgets the
+// accounts without any load.
+func (s *Scheduler) measureAccounts(now time.Time, p *pool) {
+	const keep = time.Minute // longer than a refused caller is told to wait
 	for account, a := range p.accounts {
 		a.offered.advance(now)
 		a.rate, _ = a.offered.rateOver(now, slotCount) // without the detection of bursts, whose bias adds up over the accounts
@@ -218,8 +218,8 @@
 	}
 	name := list[0].Pool
 	p, largest := s.pool(name), s.largestVM(name)
-	for _, a := range p.accounts {
-		a.used, a.wanted = 0, 0
+	for account, a := range p.accounts {
+		a.used, a.wanted, a.weight = 0, 0, s.weightOf(account)
 	}
 	anyBeyondRate := false
 	for _, j := range list {
--- a/internal/sched/fuzz_test.go
+++ b/internal/sched/fuzz_test.go
@@ -50,6 +50,7 @@
 	for i := range 3 {
 		m.boot(fmt.Sprintf("vm-%d", i))
 	}
+	m.s.SetAccounts(testAccounts(1, 3))
 	m.sendVMList()
 	return m
 }
@@ -303,7 +304,7 @@
 	j := m.jobs[id]
 	if j == nil {
 		j = testJob(id, jobs.Step{Count: 2, CPU: 1000, EstimateMS: 500}, jobs.Step{Count: 1, CPU: 1000, EstimateMS: 500, After: []int{0}})
-		j.SubmittedMS = m.now.UnixMilli()
+		j.SubmittedMS, j.Account = m.now.UnixMilli(), rapid.SampledFrom([]string{"", "a", "b", "removed"}).Draw(t, "account")
 		m.jobs[id] = j
 	}
 	m.s.Submit(m.now, j)
@@ -349,6 +350,7 @@
 	m.pending = nil
 	epoch := m.s.Epoch + 1
 	m.s = New(epoch, testPolicy(), quietLog())
+	m.s.SetAccounts(testAccounts(1, 3))
 	var records []site.Record
 	for k, v := range m.jobLog {
 		records = append(records, site.Record{Key: k, Value: v})
--- a/internal/sched/idle.go
+++ b/internal/sched/idle.go
@@ -12,11 +12,12 @@
 	free resources
 }
 
-// recordIdle records what a round left idle. No task that waited in the round could use it.
+// recordIdle records what a round left idle, without VMs whose cores are all in use. No task that waited in
+// the round could use it.
 func (p *pool) recordIdle(round int64, cands []*candidate) {
 	p.leftIdle, p.placedRound = p.leftIdle[:0], round
 	for _, c := range cands {
-		if !c.reserved {
+		if !c.reserved && c.free.cpu > 0 {
 			p.leftIdle = append(p.leftIdle, idleVM{c.vm, c.free})
 		}
 	}
@@ -37,6 +38,9 @@
 			}
 		}
 	}
+	if len(p.idle) == 0 {
+		return
+	}
 	for _, j := range s.jobs {
 		if j.Pool == name && !j.state.Final() && (j.consideredIn != s.round || s.round == 0) {
 			p.takeIdle(j)
