--- a/internal/sched/idle.go
+++ b/internal/sched/idle.go
@@ -42,7 +42,7 @@
 		return
 	}
 	for _, j := range s.jobs {
-		if j.Pool == name && !j.state.Final() && (j.consideredIn != s.round || s.round == 0) {
+		if j.Pool == name && !j.state.Final() && j.consideredIn != s.round {
 			p.takeIdle(j)
 		}
 	}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -37,7 +37,7 @@
 	meanWeight       float64                  // of the accounts
 	buckets          map[string]*fair.Bucket  // of the accounts that have submitted jobs
 	offeredAt        map[string]offer         // first submissions, by job ID
-	round            int64                    // number of the last scheduling round
+	round            int64                    // number of the last scheduling round; 1 before the first, which no pool and job has seen
 	actions          []Action
 	fenced           bool
 	retired          bool           // makes no more scheduling decisions; see Retire
@@ -96,7 +96,7 @@
 		Epoch: epoch, policy: p, log: log,
 		jobs: map[string]*job{}, vms: map[string]*vm{}, pools: map[string]*pool{}, queues: map[string]*queueStats{},
 		unverified: map[string]time.Time{}, recordedVMs: map[string]bool{}, offeredAt: map[string]offer{},
-		buckets: map[string]*fair.Bucket{},
+		buckets: map[string]*fair.Bucket{}, round: 1,
 	}
 }
 
--- a/internal/sched/shares_test.go
+++ b/internal/sched/shares_test.go
@@ -85,8 +85,8 @@
 	work                              float64 // core-seconds of the jobs in time
 }
 
-func (a *served) inTimeShare() float64 { return float64(a.inTime) / float64(max(a.jobs, 1)) }
-func (a *served) meanMS() float64      { return a.tookMS / float64(max(a.completed, 1)) }
+func (r *served) inTimeShare() float64 { return float64(r.inTime) / float64(max(r.jobs, 1)) }
+func (r *served) meanMS() float64      { return r.tookMS / float64(max(r.completed, 1)) }
 
 // get returns what the callers of some jobs get.
 func (o *shares) get(includes func(id string) bool) *served {
