--- a/internal/sched/accounts.go
+++ b/internal/sched/accounts.go
@@ -1,6 +1,10 @@
 package sched
 
-import "github.com/greengagelane/greengagelane/pkg/site"
+import (
+	"time"
+
+	"github.com/greengagelane/greengagelane/pkg/site"
+)
 
 // SetAccounts sets the client accounts of the configuration in force. Without any, all jobs
 // share the pools without limits.
@@ -11,6 +15,9 @@
 		s.accounts[accounts[i].Name] = &accounts[i]
 		s.meanWeight += accounts[i].Weight / float64(len(accounts))
 	}
+	for _, p := range s.pools {
+		p.loadAt = time.Time{} // shares are computed with the load
+	}
 	for name := range s.buckets {
 		if s.accounts[name] == nil {
 			delete(s.buckets, name)
