--- a/internal/sched/fairness.go
+++ b/internal/sched/fairness.go
@@ -210,8 +210,9 @@
 }
 
 // sortByShares moves the excess jobs of each class behind the others of the class. The list is sorted by
-// urgency. An account's job is within its share if the account's runs and more urgent jobs take fewer
-// cores than that, so that a job larger than the share can be within it.
+// urgency. An account's job is within its share if the account's other runs and more urgent jobs take
+// fewer cores than that. A job larger than the share can thus be within it, and its own runs do not hold
+// up the rest of it, which would make wide jobs of small accounts late.
 func (s *Scheduler) sortByShares(list []*job) {
 	if len(list) == 0 {
 		return
@@ -224,7 +225,7 @@
 	anyBeyondRate := false
 	for _, j := range list {
 		used, wanted := j.cores(largest)
-		j.order.wanted, j.order.excess, j.order.account = wanted, j.beyondRate, nil
+		j.order.used, j.order.wanted, j.order.excess, j.order.account = used, wanted, j.beyondRate, nil
 		if j.beyondRate {
 			anyBeyondRate = true
 			continue
@@ -245,7 +246,7 @@
 	}
 	for _, j := range list {
 		if a := j.order.account; a != nil {
-			j.order.level = a.assigned / a.weight
+			j.order.level = (a.assigned - j.order.used) / a.weight
 			j.order.excess = j.order.level >= p.startLevel
 			a.assigned += j.order.wanted
 			j.order.crosses = !j.order.excess && a.assigned > p.startLevel*a.weight
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -137,7 +137,8 @@
 	latestStart time.Time
 	excess      bool         // beyond the share or the rate of its account; always false on sites without accounts
 	crosses     bool         // within the share only in part
-	level       float64      // cores per unit of weight that the account's runs and more urgent jobs take
+	level       float64      // cores per unit of weight that the account's other runs and more urgent jobs take
+	used        float64      // cores of its runs; set only on sites with accounts
 	wanted      float64      // cores of its tasks that could start; set only on sites with accounts
 	account     *accountLoad // nil if it is beyond the rate; set only on sites with accounts
 }
