--- a/internal/shed/shed.go
+++ b/internal/shed/shed.go
@@ -94,15 +94,18 @@
 
 // Gate decides on the requests to one pool.
 type Gate struct {
-	returning []returningJob // refused jobs that are told to return, in the order of refusal
+	returning []returningJobs // refused jobs that are told to return; at most one element for each returnSlot until maxRetryAfter
 }
 
-// returningJob is a refused job.
-type returningJob struct {
-	at   time.Time
-	work float64 // core-seconds
+// returningJobs are the refused jobs that return within one returnSlot.
+type returningJobs struct {
+	until time.Time
+	work  float64 // core-seconds
 }
 
+// returnSlot bounds the memory for refused jobs and the time to add them up, since a flood has thousands.
+const returnSlot = 100 * time.Millisecond
+
 // Decide judges a request and sets Decision.RetryAfter if it is refused.
 func (g *Gate) Decide(now time.Time, r *Request, l Load, s *Supply, waitFactor float64) Decision {
 	d := r.Judge(now, l, s, waitFactor)
@@ -140,10 +143,16 @@
 // work and the requests that return before it.
 func (g *Gate) Refuse(now time.Time, r *Request, l Load, s *Supply, waitFactor float64) time.Duration {
 	ahead := g.returningWork(now)
-	g.returning = append(g.returning, returningJob{work: r.Work})
 	retry := s.Wait(l.Total+ahead, r.TaskTime) - r.slack(waitFactor)
 	retry = min(max(retry, minRetryAfter), maxRetryAfter)
-	g.returning[len(g.returning)-1].at = now.Add(retry)
+	until := now.Add(retry).Truncate(returnSlot).Add(returnSlot)
+	for i := range g.returning {
+		if g.returning[i].until.Equal(until) {
+			g.returning[i].work += r.Work
+			return retry
+		}
+	}
+	g.returning = append(g.returning, returningJobs{until: until, work: r.Work})
 	return retry
 }
 
@@ -158,7 +167,7 @@
 	sum := 0.0
 	kept := g.returning[:0]
 	for _, r := range g.returning {
-		if r.at.After(now) {
+		if r.until.After(now) {
 			kept = append(kept, r)
 			sum += r.work
 		}
