--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -1,7 +1,9 @@
 package sched
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/greengagelane/greengagelane/internal/shed"
@@ -27,20 +29,59 @@
 	r := &shed.Request{
 		Timing:   s.timing(j),
 		Work:     work,
-		TaskTime: j.CriticalPath() / time.Duration(len(j.Steps)),
+		TaskTime: s.taskTime(j.Job),
+		Fits:     p.fitsIdle(j),
+	}
+	var d shed.Decision
+	var beyond, detail string
+	if len(s.accounts) == 0 {
+		d = p.gate.Decide(now, r, p.load, &p.supply, s.policy.QueueFactor)
+	} else {
+		p.recordRequest(r)
+		d, beyond, detail = s.admitFair(now, j, r)
 	}
-	d := p.gate.Decide(now, r, p.load, &p.supply, s.policy.QueueFactor)
 	if !d.Accepted {
-		return Admission{Reason: fmt.Sprintf("pool %s cannot begin the job for %s", j.Pool, d.Wait.Round(time.Millisecond)), RetryAfter: d.RetryAfter}
+		reason := fmt.Sprintf("pool %s cannot begin the job for %s%s", j.Pool, d.Wait.Round(time.Millisecond), detail)
+		return Admission{Reason: reason, RetryAfter: d.RetryAfter, Beyond: beyond}
+	}
+	if !r.Fits {
+		p.takeIdle(j)
 	}
-	p.load.Ready += work
-	p.load.Total += work
-	if r.Classify(now) == shed.InTime {
-		p.load.InTime += work
+	inTime := r.Classify(now) == shed.InTime
+	p.load.Add(work, inTime)
+	if len(s.accounts) > 0 {
+		s.accept(j, work, inTime)
 	}
 	return Admission{Accepted: true}
 }
 
+// taskTime returns the expected run time of a job's tasks, as a mean over the cores that they occupy.
+func (s *Scheduler) taskTime(j *jobs.Job) time.Duration {
+	largest := s.largestVM(j.Pool)
+	var work, cores float64
+	for i := range j.Steps {
+		st := &j.Steps[i]
+		c := float64(st.Count) * largest.equivalentCores(st)
+		work += c * float64(st.EstimateMS)
+		cores += c
+	}
+	if cores == 0 {
+		return 0
+	}
+	return time.Duration(s.pool(j.Pool).workRatio * work / cores * float64(time.Millisecond))
+}
+
+// recordRequest updates the means over the jobs submitted to a pool.
+func (p *pool) recordRequest(r *shed.Request) {
+	const weight = 0.02 // of one job; about the last fifty count
+	if p.slack == 0 {
+		p.slack, p.taskTime = r.Objective-r.Chain, r.TaskTime
+		return
+	}
+	p.slack += time.Duration(weight * float64(r.Objective-r.Chain-p.slack))
+	p.taskTime += time.Duration(weight * float64(r.TaskTime-p.taskTime))
+}
+
 // SetArrivals sets the capacity that is expected to join a pool by VM moves.
 func (s *Scheduler) SetArrivals(now time.Time, pool string, arrivals []shed.Arrival) {
 	p := s.pool(pool)
@@ -53,20 +94,34 @@
 	if !p.loadAt.IsZero() && now.Sub(p.loadAt) < loadTTL {
 		return
 	}
+	hasAccounts := len(s.accounts) > 0
+	if hasAccounts {
+		s.resetAccounts(p)
+	}
 	p.loadAt, p.load, p.supply = now, s.waitingLoad(now, pool), s.supply(now, pool)
+	s.measureIdle(now, pool)
+	if hasAccounts {
+		s.measureAccounts(now, p)
+	}
 }
 
 // supply returns the capacity of a pool's VMs without long-running tasks, and the expected arrivals. VMs
 // that may get no runs for a moment, as after a failed status poll, count too, but their cores are not
+// idle. A VM that has just joined and was not polled yet counts as an arrival, since all its cores are
 // idle.
 func (s *Scheduler) supply(now time.Time, pool string) shed.Supply {
 	var sup shed.Supply
+	joining := 0.0 // cores
 	largest := s.largestVM(pool)
 	for _, v := range s.vms {
 		if v.Pool != pool || !v.listed || v.Draining || v.cordoned {
 			continue
 		}
 		cores := float64(v.CPU) / 1000
+		if s.joining(v) {
+			joining += cores
+			continue
+		}
 		free := cores
 		for _, r := range v.runs {
 			used := largest.equivalentCores(r.step())
@@ -80,6 +135,9 @@
 			sup.Free += max(free, 0)
 		}
 	}
+	if joining > 0 {
+		sup.Arrivals = append(sup.Arrivals, shed.Arrival{After: joinTime, Cores: joining})
+	}
 	p := s.pool(pool)
 	elapsed := now.Sub(p.arrivalsAt)
 	if elapsed >= arrivalsTTL {
@@ -88,54 +146,59 @@
 	for _, a := range p.arrivals {
 		sup.Arrivals = append(sup.Arrivals, shed.Arrival{After: max(a.After-elapsed, 0), Cores: a.Cores})
 	}
+	slices.SortFunc(sup.Arrivals, func(a, b shed.Arrival) int { return cmp.Compare(a.After, b.After) })
 	return sup
 }
 
+// joinTime is how long a VM that the platform lists newly takes to get its first run: until its first
+// status poll is answered and the job log names it.
+const joinTime = 150 * time.Millisecond
+
+// joining reports whether a VM has joined the pool and was not polled yet. A VM on which an earlier owner
+// may have runs is not joining.
+func (s *Scheduler) joining(v *vm) bool {
+	_, unverified := s.unverified[v.ID]
+	return !unverified && !v.polled && !v.pollFailed && v.lastAnswer.IsZero() && len(v.runs) == 0
+}
+
 // waitingLoad returns the work of a pool's tasks that have not started, without long-running ones.
 func (s *Scheduler) waitingLoad(now time.Time, pool string) shed.Load {
 	var l shed.Load
-	largest, ratio := s.largestVM(pool), s.pool(pool).workRatio
+	largest, p, hasAccounts := s.largestVM(pool), s.pool(pool), len(s.accounts) > 0
 	for _, j := range s.jobs {
 		if j.Pool != pool || j.state.Final() || j.LongRunning() {
 			continue
 		}
-		work, ready := j.unstartedWork(largest)
-		work, ready = work*ratio, ready*ratio
-		l.Ready += ready
-		l.Total += work
-		if s.class(now, j) == shed.InTime {
-			l.InTime += work
+		work, running := j.unstartedWork(largest)
+		work *= p.workRatio
+		inTime := s.class(now, j) == shed.InTime
+		l.Add(work, inTime)
+		if hasAccounts {
+			s.addToAccount(p, j, work, running, inTime)
 		}
 	}
 	return l
 }
 
 // unstartedWork returns the declared work, in core-seconds of equivalent cores on a VM with the given
-// capacity, of the tasks without a run in open occurrences, and the part of it in steps that are ready.
-// Before the first occurrence is created, it returns that of one occurrence.
-func (j *job) unstartedWork(largest resources) (all, ready float64) {
+// capacity, of the tasks without a run in open occurrences, and the cores of the runs of the others.
+// Before the first occurrence is created, it returns the work of one occurrence.
+func (j *job) unstartedWork(largest resources) (all, running float64) {
 	work := func(st *jobs.Step, n int) float64 {
 		return float64(n) * largest.equivalentCores(st) * float64(st.EstimateMS) / 1000
 	}
 	if len(j.occurrences) == 0 && j.createdOccs == 0 {
 		for i := range j.Steps {
-			w := work(&j.Steps[i], j.Steps[i].Count)
-			all += w
-			if len(j.Steps[i].After) == 0 {
-				ready += w
-			}
+			all += work(&j.Steps[i], j.Steps[i].Count)
 		}
 	}
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
-			w := work(st.Step, st.withoutRun)
-			all += w
-			if o.stepReady(st) {
-				ready += w
-			}
+			all += work(st.Step, st.withoutRun)
+			running += float64(st.Count-st.done-st.withoutRun) * largest.equivalentCores(st.Step)
 		}
 	}
-	return all, ready
+	return all, running
 }
 
 // class returns the urgency of a job.
--- a/internal/shed/shed.go
+++ b/internal/shed/shed.go
@@ -65,16 +65,24 @@
 
 // Load is the work that waits in a pool, in core-seconds of tasks that have not started.
 type Load struct {
-	Ready  float64 // of tasks that could start now, of all jobs
 	InTime float64 // of jobs that can still meet their objective, with their later steps
 	Total  float64 // of all jobs, with their later steps
 }
 
+// Add adds the waiting work of a job.
+func (l *Load) Add(work float64, inTime bool) {
+	l.Total += work
+	if inTime {
+		l.InTime += work
+	}
+}
+
 // Request is a job that a caller submits.
 type Request struct {
 	Timing
 	Work     float64       // core-seconds
 	TaskTime time.Duration // mean run time of its tasks
+	Fits     bool          // its first tasks fit at once into idle VMs, beside the tasks that wait for them
 }
 
 // Decision is the decision on a request.
@@ -86,37 +94,66 @@
 
 // Gate decides on the requests to one pool.
 type Gate struct {
-	returning []returningJob // refused jobs that are told to return, in the order of refusal
+	returning []returningJobs // refused jobs that are told to return; at most one element for each returnSlot until maxRetryAfter
+}
+
+// returningJobs are the refused jobs that return within one returnSlot.
+type returningJobs struct {
+	until time.Time
+	work  float64 // core-seconds
 }
 
-// returningJob is a refused job.
-type returningJob struct {
-	at   time.Time
-	work float64 // core-seconds
+// returnSlot bounds the memory for refused jobs and the time to add them up, since a flood has thousands.
+const returnSlot = 100 * time.Millisecond
+
+// Decide judges a request and sets Decision.RetryAfter if it is refused.
+func (g *Gate) Decide(now time.Time, r *Request, l Load, s *Supply, waitFactor float64) Decision {
+	d := r.Judge(now, l, s, waitFactor)
+	if !d.Accepted {
+		d.RetryAfter = g.Refuse(now, r, l, s, waitFactor)
+	}
+	return d
 }
 
-// Decide accepts a request if it can begin early enough to meet its objective behind the work that
+// Judge accepts a request if it can begin early enough to meet its objective behind the work that
 // goes before it. A request that returns after its objective can no longer be met is accepted if a
 // new one of its kind would be, behind all waiting work. waitFactor scales the longest accepted wait;
-// 1 accepts all that can just meet their objective.
-func (g *Gate) Decide(now time.Time, r *Request, l Load, s *Supply, waitFactor float64) Decision {
-	slack := time.Duration(waitFactor * float64(r.Objective-r.Chain))
+// 1 accepts all that can just meet their objective. A request that can begin at once is accepted in any
+// case, since its later steps wait for runs that will have made room for them.
+func (r *Request) Judge(now time.Time, l Load, s *Supply, waitFactor float64) Decision {
+	slack := r.slack(waitFactor)
 	left := slack - now.Sub(r.Submitted)
-	wait := s.Wait(l.InTime, r.TaskTime)
+	work := l.InTime
 	if left < 0 {
-		left, wait = slack, s.Wait(l.Total, r.TaskTime)
-	} else if l.Ready+r.Work <= s.Free*r.TaskTime.Seconds() {
-		wait = 0 // later steps wait for runs that will have made room for them
+		left, work = slack, l.Total
 	}
-	if wait <= left {
-		return Decision{Accepted: true, Wait: wait}
+	if r.Fits {
+		return Decision{Accepted: true}
 	}
+	wait := s.Wait(work, r.TaskTime)
+	return Decision{Accepted: wait <= left, Wait: wait}
+}
+
+// slack returns the longest time that a new request of the kind may wait.
+func (r *Request) slack(waitFactor float64) time.Duration {
+	return time.Duration(waitFactor * float64(r.Objective-r.Chain))
+}
+
+// Refuse returns the time until there is expected to be room for a refused request behind the waiting
+// work and the requests that return before it.
+func (g *Gate) Refuse(now time.Time, r *Request, l Load, s *Supply, waitFactor float64) time.Duration {
 	ahead := g.returningWork(now)
-	g.returning = append(g.returning, returningJob{work: r.Work})
-	retry := s.Wait(l.Total+ahead, r.TaskTime) - slack
+	retry := s.Wait(l.Total+ahead, r.TaskTime) - r.slack(waitFactor)
 	retry = min(max(retry, minRetryAfter), maxRetryAfter)
-	g.returning[len(g.returning)-1].at = now.Add(retry)
-	return Decision{Wait: wait, RetryAfter: retry}
+	until := now.Add(retry).Truncate(returnSlot).Add(returnSlot)
+	for i := range g.returning {
+		if g.returning[i].until.Equal(until) {
+			g.returning[i].work += r.Work
+			return retry
+		}
+	}
+	g.returning = append(g.returning, returningJobs{until: until, work: r.Work})
+	return retry
 }
 
 // Bounds of Decision.RetryAfter.
@@ -130,7 +167,7 @@
 	sum := 0.0
 	kept := g.returning[:0]
 	for _, r := range g.returning {
-		if r.at.After(now) {
+		if r.until.After(now) {
 			kept = append(kept, r)
 			sum += r.work
 		}
