--- /dev/null
+++ b/internal/quota/holder.go
@@ -0,0 +1,72 @@
+package quota
+
+import "time"
+
+// Holder holds the fractions of one partition for its owner. The zero value holds nothing.
+type Holder struct {
+	epoch       int64 // highest coordinator epoch seen
+	sequence    int64 // highest sequence number seen in that epoch
+	heardAt     time.Time
+	grantsEpoch int64 // of the coordinator that sent the grants; 0 if they were handed over
+	grants      *Grants
+	byAccount   map[string]float64
+}
+
+// Handle handles a request to the owner with the given epoch. The caller adds the loads to the
+// reply. It ignores a request that a later one has overtaken, and does not adopt fractions for
+// another owner, which a late request may carry.
+func (h *Holder) Handle(now time.Time, partitionEpoch int64, r *Request) *Reply {
+	reply := &Reply{PartitionEpoch: partitionEpoch}
+	if r.Epoch > h.epoch || (r.Epoch == h.epoch && r.Sequence >= h.sequence) {
+		h.epoch, h.sequence, h.heardAt = r.Epoch, r.Sequence, now
+		if r.PartitionEpoch == partitionEpoch {
+			if r.Grants != nil {
+				h.set(r.Grants)
+				h.grantsEpoch = r.Epoch
+			}
+			reply.Adopted = h.grantsEpoch == r.Epoch
+		}
+	}
+	reply.Epoch, reply.Sequence = h.epoch, h.sequence
+	if !reply.Adopted {
+		reply.Held = h.grants
+	}
+	return reply
+}
+
+func (h *Holder) set(g *Grants) {
+	h.grants, h.byAccount = g, make(map[string]float64, len(g.Accounts))
+	for i, name := range g.Accounts {
+		if i < len(g.Fractions) {
+			h.byAccount[name] = g.Fractions[i]
+		}
+	}
+}
+
+// Restore sets the fractions that the previous owner handed over.
+func (h *Holder) Restore(now time.Time, g *Grants) {
+	if g == nil {
+		return
+	}
+	h.set(g)
+	h.heardAt = now
+}
+
+// Held returns the fractions held, nil for none.
+func (h *Holder) Held() *Grants { return h.grants }
+
+// Fraction returns the fraction of an account's limit that the partition may use. Without a request
+// for SilentAfter it is at most the even share, since the coordinator may have failed.
+func (h *Holder) Fraction(now time.Time, account string) float64 {
+	if h.grants == nil {
+		return 0
+	}
+	f, listed := h.byAccount[account]
+	if !listed {
+		f = h.grants.Default
+	}
+	if now.Sub(h.heardAt) >= SilentAfter {
+		f = min(f, 1/float64(max(h.grants.Partitions, 1)))
+	}
+	return f
+}
