--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -43,15 +43,19 @@
 	}
 }
 
-// Restore sets the fractions that the previous owner handed over.
-func (h *Holder) Restore(now time.Time, g *Grants) {
+// Restore sets the fractions that the previous owner handed over, and the time since that owner last
+// had a request.
+func (h *Holder) Restore(now time.Time, g *Grants, age time.Duration) {
 	if g == nil {
 		return
 	}
 	h.set(g)
-	h.heardAt = now
+	h.heardAt = now.Add(-age)
 }
 
+// Age returns the time since the last request.
+func (h *Holder) Age(now time.Time) time.Duration { return now.Sub(h.heardAt) }
+
 // Held returns the fractions held, nil for none.
 func (h *Holder) Held() *Grants { return h.grants }
 
