--- a/internal/sched/accounts.go
+++ b/internal/sched/accounts.go
@@ -1,6 +1,10 @@
 package sched
 
-import "github.com/greengagelane/greengagelane/pkg/site"
+import (
+	"time"
+
+	"github.com/greengagelane/greengagelane/pkg/site"
+)
 
 // SetAccounts sets the client accounts of the configuration in force. Without any, all jobs
 // share the pools without limits.
@@ -9,6 +13,7 @@
 	for i := range accounts {
 		s.accounts[accounts[i].Name] = &accounts[i]
 	}
+	s.quotas.setLimits(accounts)
 }
 
 // AccountOf returns the client account and the queue of a job; known is false if the job is not
@@ -27,10 +32,13 @@
 	Running int            // other jobs that are not final
 	Refused int            // jobs that were refused since the partition was taken over
 	Used    site.Resources // reserved by runs, including those that are being stopped
+	Demand  site.Resources // of ready tasks without a run
+	// Fraction is the part of the account's limit that the partition, with all its pools, may use.
+	Fraction float64
 }
 
 // accountReports returns the load of each account with jobs in a pool.
-func (s *Scheduler) accountReports(pool string) map[string]AccountReport {
+func (s *Scheduler) accountReports(now time.Time, pool string) map[string]AccountReport {
 	if len(s.accounts) == 0 {
 		return nil
 	}
@@ -65,6 +73,15 @@
 			reports[j.Account] = r
 		}
 	}
+	for account, demand := range s.demand(pool) {
+		r := reports[account]
+		r.Demand = demand
+		reports[account] = r
+	}
+	for account, r := range reports {
+		r.Fraction = s.quotas.holder.Fraction(now, account)
+		reports[account] = r
+	}
 	return reports
 }
 
--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -246,6 +246,7 @@
 	}
 	t.runs = append(t.runs, r)
 	v.runs[t.id.String()] = r
+	s.quotas.countRuns(t, 1)
 	s.markBegan(now, t.job)
 	s.stats.Started++
 	s.emit(StartRun{VM: v.ID, Task: t.id, Order: site.Start{
@@ -338,7 +339,7 @@
 		f.cursors = nil // acknowledged only once all progress is stored
 	}
 	if s.retired && deferred == 0 {
-		r, err := s.handoverRecord()
+		r, err := s.handoverRecord(now)
 		if err != nil {
 			s.log.WithError(err).Warn("handover record not written; the next owner waits for all VMs")
 		}
--- a/internal/sched/handover.go
+++ b/internal/sched/handover.go
@@ -1,9 +1,13 @@
 package sched
 
 import (
+	"bytes"
 	"fmt"
 	"maps"
 	"slices"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/greengagelane/greengagelane/pkg/jobs"
 	"github.com/greengagelane/greengagelane/pkg/site"
@@ -45,7 +49,7 @@
 // handoverRecord returns the handover record. If the record cannot be encoded or exceeds
 // the size limit, it returns a tombstone and an error; the next owner then waits for all
 // unverified VMs.
-func (s *Scheduler) handoverRecord() (site.Record, error) {
+func (s *Scheduler) handoverRecord(now time.Time) (site.Record, error) {
 	h := handover{Epoch: s.Epoch, Tasks: map[string][]string{}, Unknown: s.unknownVMs()}
 	for id, v := range s.vms {
 		for name := range v.runs {
@@ -63,6 +67,11 @@
 		}
 	}
 	value, err := jobs.Encode(&h)
+	if q := s.quotas.handOver(now); q != nil && err == nil {
+		var data []byte
+		data, err = jobs.Encode(q)
+		value = append(value, data...)
+	}
 	if err == nil && len(value) > s.maxHandoverBytes {
 		err = fmt.Errorf("%d bytes exceed the job log's limit of %d", len(value), s.maxHandoverBytes)
 	}
@@ -104,11 +113,17 @@
 }
 
 // applyHandover loads a handover record. It ignores a record that was stored by an
-// owner before the previous one, since the previous one may have started other runs.
-func (s *Scheduler) applyHandover(h *handover, lastEpoch int64) {
+// owner before the previous one, since the previous one may have started other runs. A record of an
+// earlier version has no fractions after the handover.
+func (s *Scheduler) applyHandover(now time.Time, h *handover, value []byte, lastEpoch int64) {
 	if h.Epoch != lastEpoch {
 		return
 	}
+	var q handedQuotas
+	dec := msgpack.NewDecoder(bytes.NewReader(value))
+	if err := dec.Skip(); err == nil && dec.Decode(&q) == nil {
+		s.quotas.restore(now, &q)
+	}
 	s.inherited = &inheritedRuns{vmsByTask: map[string][]string{}, unknownVMs: h.Unknown}
 	for vm, names := range h.Tasks {
 		for _, name := range names {
--- a/internal/sched/observe.go
+++ b/internal/sched/observe.go
@@ -88,6 +88,7 @@
 func (s *Scheduler) releaseRun(r *run, why string) {
 	s.log.WithField("task", r.task.id.String()).WithField("run", r.number).WithField("vm", r.vm.ID).WithField("why", why).Debug("run released")
 	delete(r.vm.runs, r.task.id.String())
+	s.quotas.countRuns(r.task, -1)
 	t := r.task
 	for i, x := range t.runs {
 		if x == r {
@@ -227,6 +228,7 @@
 	t.runs = append(t.runs, r)
 	t.step.withoutRun--
 	v.runs[x.Task] = r
+	s.quotas.countRuns(t, 1)
 	s.markBegan(now, j)
 	s.updateProgress(now, r, x)
 	s.log.WithField("task", x.Task).WithField("run", x.Run).WithField("vm", v.ID).Info("run of an earlier owner adopted")
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -24,6 +24,7 @@
 // place starts the tasks that are ready, pool by pool.
 func (s *Scheduler) place(now time.Time) {
 	byPool := map[string][]*job{}
+	s.refreshQuotas(now)
 	for _, j := range s.jobs {
 		if !j.state.Final() && j.stored && len(j.occurrences) > 0 {
 			byPool[j.Pool] = append(byPool[j.Pool], j)
@@ -135,6 +136,9 @@
 		if !s.startable(now, t) {
 			continue
 		}
+		if !s.QuotaAllows(now, t, 1) {
+			return
+		}
 		c := s.bestCandidate(now, t, cands)
 		if c == nil {
 			if st.Lasts {
@@ -285,6 +289,9 @@
 		}
 		number = max(number, s.nextRunNumber(t))
 	}
+	if !s.QuotaAllows(now, st.tasks[0], len(st.tasks)) {
+		return
+	}
 	if st.OneRack || st.Rack != "" {
 		for _, rack := range racks(cands, st.Rack) {
 			if s.startGang(now, st, number, onRack(cands, rack)) {
--- /dev/null
+++ b/internal/sched/quota.go
@@ -0,0 +1,295 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/greengagelane/greengagelane/internal/quota"
+	"github.com/greengagelane/greengagelane/pkg/jobs"
+	"github.com/greengagelane/greengagelane/pkg/site"
+)
+
+// quotas enforces the limits of client accounts in this partition.
+type quotas struct {
+	holder  quota.Holder
+	limited bool                      // an account has a limit; the others cost one branch
+	limits  map[string]site.Resources // by account name; of accounts that were removed, the last one
+	used    map[string]*site.Resources
+	extra   map[string]site.Resources // in addition to used: what may be running without a tracked run, as of the last refresh
+	denied  map[string]time.Time      // when a start that the quota does not allow was last logged
+}
+
+// setLimits sets the limits of the configuration in force. A removed account keeps its last limit,
+// since its jobs continue.
+func (q *quotas) setLimits(accounts []site.Account) {
+	if q.limits == nil {
+		q.limits, q.denied = map[string]site.Resources{}, map[string]time.Time{}
+	}
+	for i := range accounts {
+		q.limits[accounts[i].Name] = accounts[i].Limit
+	}
+	q.limited = false
+	for name, limit := range q.limits {
+		if limit == (site.Resources{}) {
+			delete(q.limits, name)
+		} else {
+			q.limited = true
+		}
+	}
+}
+
+// add adds n tasks of a step to an amount; n may be negative.
+func add(r *site.Resources, st *jobs.Step, n int) {
+	r.CPU, r.MemMB, r.GPU = r.CPU+n*st.CPU, r.MemMB+n*st.MemMB, r.GPU+n*st.GPU
+}
+
+// countRuns adds n runs of a task to the usage of its account. It is called when a run is added or
+// released, so that runs that are being stopped count.
+func (q *quotas) countRuns(t *task, n int) {
+	account := t.job.Account
+	if account == "" {
+		return
+	}
+	u := q.used[account]
+	if u == nil {
+		if q.used == nil {
+			q.used = map[string]*site.Resources{}
+		}
+		u = &site.Resources{}
+		q.used[account] = u
+	}
+	add(u, t.step.Step, n)
+	if *u == (site.Resources{}) {
+		delete(q.used, account)
+	}
+}
+
+// running returns what counts as running for an account, as of the last refresh and with the runs
+// started since.
+func (q *quotas) running(account string) site.Resources {
+	total := q.extra[account]
+	if u := q.used[account]; u != nil {
+		total.CPU, total.MemMB, total.GPU = total.CPU+u.CPU, total.MemMB+u.MemMB, total.GPU+u.GPU
+	}
+	return total
+}
+
+// QuotaAllows reports whether n more runs of a task are within the quota of its account. It is
+// checked before each start, with n the size of the gang, or 1, also for a speculative copy.
+func (s *Scheduler) QuotaAllows(now time.Time, t *task, n int) bool {
+	if !s.quotas.limited || t.job.Account == "" {
+		return true
+	}
+	q := &s.quotas
+	limit, known := q.limits[t.job.Account]
+	if !known {
+		return true
+	}
+	total := q.running(t.job.Account)
+	add(&total, t.step.Step, n)
+	fraction := q.holder.Fraction(now, t.job.Account)
+	if quota.Within(total, limit, fraction) {
+		return true
+	}
+	s.logDenied(now, t.job.Account, total, limit, fraction)
+	return false
+}
+
+// logDenied logs that an account is at its quota, at most once per interval and account.
+func (s *Scheduler) logDenied(now time.Time, account string, total, limit site.Resources, fraction float64) {
+	const interval = 2 * time.Second
+	if now.Sub(s.quotas.denied[account]) < interval {
+		return
+	}
+	s.quotas.denied[account] = now
+	s.log.WithFields(logrus.Fields{
+		"account": account, "cpu-with-task": total.CPU, "cpu-limit": limit.CPU, "mem-with-task": total.MemMB, "mem-limit": limit.MemMB,
+		"gpu-with-task": total.GPU, "gpu-limit": limit.GPU, "fraction": fraction, "age-ms": s.quotas.holder.Age(now).Milliseconds(),
+	}).Info("account is at its quota in the partition; its tasks wait")
+}
+
+// refreshQuotas recounts what may be running without a tracked run: orphan runs, which are being
+// stopped, and after a takeover tasks that may be running on unverified VMs.
+func (s *Scheduler) refreshQuotas(now time.Time) {
+	if !s.quotas.limited {
+		return
+	}
+	s.quotas.extra = map[string]site.Resources{}
+	for _, v := range s.vms {
+		for name := range v.orphans {
+			s.countUntracked(s.quotas.extra, name)
+		}
+	}
+	if len(s.unverified) > 0 {
+		s.countUnverified(now)
+	}
+}
+
+// countUntracked adds a task to the usage of its account by its name.
+func (s *Scheduler) countUntracked(usage map[string]site.Resources, name string) {
+	id, err := jobs.ParseTaskID(name)
+	if err != nil {
+		return
+	}
+	j := s.jobs[id.Job]
+	if j == nil || j.Account == "" || id.Step >= len(j.Steps) {
+		return
+	}
+	r := usage[j.Account]
+	add(&r, &j.Steps[id.Step], 1)
+	usage[j.Account] = r
+}
+
+// countUnverified counts the tasks that may be running on unverified VMs. An account runs no more
+// there than the VMs hold: without this bound a long queue would count in full until the last VM has
+// answered. Best-effort tasks are not bounded by the VM's cores.
+func (s *Scheduler) countUnverified(now time.Time) {
+	usage := map[string]site.Resources{}
+	bestEffortCPU := map[string]int{}
+	vms := s.unknownVMs()
+	if s.inherited != nil {
+		for name, on := range s.inherited.vmsByTask {
+			if on = s.stillUnverified(on); len(on) > 0 && !s.tracked(name) {
+				s.countUntracked(usage, name)
+			}
+		}
+	}
+	if len(vms) > 0 {
+		for _, j := range s.jobs {
+			if j.recovered && j.Account != "" {
+				s.countRecovered(now, j, usage, bestEffortCPU)
+			}
+		}
+		bound := site.Resources{}
+		for id := range s.unverified {
+			if v := s.vms[id]; v != nil {
+				bound.CPU, bound.MemMB, bound.GPU = bound.CPU+v.CPU, bound.MemMB+v.MemMB, bound.GPU+v.GPU
+			}
+		}
+		for account, u := range usage {
+			usage[account] = site.Resources{CPU: min(u.CPU, bound.CPU+bestEffortCPU[account]), MemMB: min(u.MemMB, bound.MemMB), GPU: min(u.GPU, bound.GPU)}
+		}
+	}
+	for account, u := range usage {
+		e := s.quotas.extra[account]
+		s.quotas.extra[account] = site.Resources{CPU: e.CPU + u.CPU, MemMB: e.MemMB + u.MemMB, GPU: e.GPU + u.GPU}
+	}
+}
+
+// tracked reports whether a task has a run of this owner.
+func (s *Scheduler) tracked(name string) bool {
+	id, err := jobs.ParseTaskID(name)
+	if err != nil {
+		return false
+	}
+	j := s.jobs[id.Job]
+	if j == nil || j.state.Final() {
+		return false // a run of a final job that is tracked is found by its VM, which is verified then
+	}
+	t := j.findTask(id)
+	return t != nil && len(t.runs) > 0
+}
+
+// countRecovered counts the tasks of a recovered job that may be running on any unverified VM. The
+// runs of a job that was cancelled or failed shortly before the takeover may still be stopping.
+func (s *Scheduler) countRecovered(now time.Time, j *job, usage map[string]site.Resources, bestEffortCPU map[string]int) {
+	r := usage[j.Account]
+	count := func(st *jobs.Step, n int) {
+		add(&r, st, n)
+		if st.Fills {
+			bestEffortCPU[j.Account] += n * st.CPU
+		}
+	}
+	if j.state.Final() {
+		const clockSkew = 2 * time.Second // between the wall clocks of two owners
+		ended := now.UnixMilli() - j.finalMS
+		if j.state != jobs.Completed && ended < (s.policy.localDuration(s.policy.Lease)+s.policy.StopGrace+clockSkew).Milliseconds() {
+			for i := range j.Steps {
+				count(&j.Steps[i], j.Steps[i].Count)
+			}
+		}
+	}
+	for _, o := range j.occurrences {
+		for _, st := range o.steps {
+			if j.state.Final() || !o.stepReady(st) {
+				continue // no task of a later step was started
+			}
+			n := 0
+			for _, t := range st.tasks {
+				if t.unverified && !t.done && len(t.runs) == 0 {
+					n++
+				}
+			}
+			count(st.Step, n)
+		}
+	}
+	usage[j.Account] = r
+}
+
+// demand returns what an account's ready tasks without a run need, by account, in a pool or in all
+// pools if the name is empty.
+func (s *Scheduler) demand(pool string) map[string]site.Resources {
+	demand := map[string]site.Resources{}
+	for _, j := range s.jobs {
+		if j.Account == "" || !j.stored || j.state.Final() || (pool != "" && j.Pool != pool) {
+			continue
+		}
+		r, before := demand[j.Account], demand[j.Account]
+		for _, o := range j.occurrences {
+			for _, st := range o.steps {
+				if st.withoutRun > 0 && o.stepReady(st) {
+					add(&r, st.Step, st.withoutRun)
+				}
+			}
+		}
+		if r != before {
+			demand[j.Account] = r
+		}
+	}
+	return demand
+}
+
+// HandleQuota handles the quota coordinator's request; latest is the highest epoch of a coordinator
+// that is known. An owner that has retired does not reply: the handover record says what it holds.
+func (s *Scheduler) HandleQuota(now time.Time, latest int64, r *quota.Request) *quota.Reply {
+	if s.retired {
+		return nil
+	}
+	s.quotas.holder.Observe(latest)
+	reply := s.quotas.holder.Handle(now, s.Epoch, r)
+	s.refreshQuotas(now)
+	demand := s.demand("")
+	for account := range s.quotas.limits {
+		l := quota.Load{Account: account, Used: s.quotas.running(account), Demand: demand[account]}
+		if l.Used != (site.Resources{}) || l.Demand != (site.Resources{}) {
+			reply.Loads = append(reply.Loads, l)
+		}
+	}
+	return reply
+}
+
+// handedQuotas is the part of the handover record with the fractions. It follows the handover in the
+// record's value, as a value of its own: a version without quotas decodes the first value only.
+type handedQuotas struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // encodes fields by position
+	Grants   *quota.Grants
+	UnixMS   int64 // when the record was written
+	AgeMS    int64 // time from the last request of a coordinator to then
+}
+
+// handOver returns what the next owner takes over, nil for nothing.
+func (q *quotas) handOver(now time.Time) *handedQuotas {
+	if q.holder.Held() == nil {
+		return nil
+	}
+	return &handedQuotas{Grants: q.holder.Held(), UnixMS: now.UnixMilli(), AgeMS: q.holder.Age(now).Milliseconds()}
+}
+
+// restore takes over the fractions. Their age is overestimated by the largest skew of the clocks, so
+// that the even share is exceeded for too short a time rather than for too long.
+func (q *quotas) restore(now time.Time, h *handedQuotas) {
+	const clockSkew = 2 * time.Second
+	age := max(0, now.UnixMilli()-h.UnixMS) + h.AgeMS
+	q.holder.Restore(now, h.Grants, time.Duration(age)*time.Millisecond+clockSkew)
+}
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"github.com/greengagelane/greengagelane/internal/quota"
 	"github.com/greengagelane/greengagelane/internal/shed"
 	"github.com/greengagelane/greengagelane/pkg/jobs"
 )
@@ -24,6 +25,8 @@
 	// Accounts is the load of each client account with jobs in the pool; nil on sites without
 	// accounts.
 	Accounts map[string]AccountReport
+	// Quota is the partition's reply to the quota coordinator; nil unless the call carried a request.
+	Quota *quota.Reply
 }
 
 // VMReport is the load of one VM.
@@ -38,7 +41,7 @@
 
 // Report returns the load of a pool.
 func (s *Scheduler) Report(now time.Time, pool string) *Report {
-	r := &Report{Pool: pool, Rate: s.pool(pool).offeredLoad.rate(now), Accounts: s.accountReports(pool)}
+	r := &Report{Pool: pool, Rate: s.pool(pool).offeredLoad.rate(now), Accounts: s.accountReports(now, pool)}
 	largest := s.largestVM(pool)
 	for _, v := range s.sortedVMs(pool) {
 		u := VMReport{ID: v.ID, Runs: len(v.runs), Cordoned: v.cordoned, Known: v.polled}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -33,7 +33,8 @@
 	recordedVMs      map[string]bool          // VMs that the record under vmsKey has to name
 	recordedVMsDirty bool                     // recordedVMs has changed since it was last flushed
 	accounts         map[string]*site.Account // of the configuration, by name
-	offeredAt        map[string]time.Time     // when a job was first submitted, by job ID
+	quotas           quotas
+	offeredAt        map[string]time.Time // when a job was first submitted, by job ID
 	actions          []Action
 	fenced           bool
 	retired          bool           // makes no more scheduling decisions; see Retire
@@ -128,7 +129,7 @@
 		if err != nil {
 			return err
 		}
-		s.applyHandover(h, lastEpoch)
+		s.applyHandover(now, h, r.Value, lastEpoch)
 	case r.Key == vmsKey:
 		list, err := jobs.Decode[[]recordedVM](r.Value)
 		if err != nil {
