--- a/internal/drive/fleet.go
+++ b/internal/drive/fleet.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/greengagelane/greengagelane/internal/moves"
+	"github.com/greengagelane/greengagelane/internal/quota"
 	"github.com/greengagelane/greengagelane/internal/sched"
 	"github.com/greengagelane/greengagelane/internal/shed"
 	"github.com/greengagelane/greengagelane/pkg/jobs"
@@ -36,6 +37,7 @@
 	Arrivals  []shed.Arrival // capacity that is expected to join the pool by moves
 	Coming    bool           // machines are moving to the pool
 	ReadOnly  bool           // leaves cordons and arrivals unchanged
+	Quota     *quota.Request // of the quota coordinator; nil on all but one call per partition, and without accounts that have a limit
 }
 
 // mover plans moves and maintenance of machines and sends the orders for them to the platform,
@@ -44,6 +46,7 @@
 type mover struct {
 	part                *ownedPartition
 	planner             *moves.Planner
+	quotas              *quotaRounds
 	fleet               *platform.Fleet      // for reading the inventory
 	orderConns          chan *platform.Fleet // idle connections for orders
 	statusLog           *platform.Log
@@ -62,7 +65,7 @@
 func newMover(part *ownedPartition) *mover {
 	settings := part.node.settings
 	m := &mover{
-		part: part, planner: moves.New(movesPolicy(settings)),
+		part: part, planner: moves.New(movesPolicy(settings)), quotas: newQuotaRounds(part.scheduler.Epoch),
 		fleet: platform.NewFleet(settings), statusLog: platform.NewLog(settings), writtenStates: map[int64]string{}, storedStarted: map[int64]int{}, waveStart: map[int64]time.Time{},
 		orderConns: make(chan *platform.Fleet, maxOrderConns),
 		orderedAt:  map[string]time.Time{}, inventoryDependency: &dependency{name: "machine inventory"},
@@ -110,6 +113,7 @@
 		return
 	}
 	if err := m.readInventory(ctx, now); err != nil {
+		m.allocateQuotas(ctx, cfg)
 		return
 	}
 	m.mu.Lock()
@@ -126,7 +130,9 @@
 		}
 	}
 	m.mu.Unlock()
+	m.quotas.addRequests(time.Now(), cfg, calls)
 	reports := m.fetchReports(ctx, calls)
+	m.quotas.handleReplies(time.Now(), calls, reports)
 	m.mu.Lock()
 	if m.handingOver {
 		m.mu.Unlock()
@@ -324,6 +330,9 @@
 			part.scheduler.SetArrivals(now, c.Pool, c.Arrivals)
 			part.cordonedAt = now
 		}
-		return part.scheduler.Report(now, c.Pool)
+		reply := part.handleQuota(now, c.Quota)
+		r := part.scheduler.Report(now, c.Pool)
+		r.Quota = reply
+		return r
 	})
 }
--- a/internal/sched/explain.go
+++ b/internal/sched/explain.go
@@ -66,7 +66,7 @@
 		return "its last run has just ended"
 	case t.unverified && s.mayBeRunning(t):
 		return "it may be running on a VM that has not answered since the takeover"
-	case !s.QuotaAllows(now, t, 1):
+	case !s.quotaAllows(now, t, startedTogether(t.step)):
 		return "its account is at its quota in this partition"
 	case len(cands) == 0:
 		return "no VM of the pool is in service"
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -24,7 +24,9 @@
 // place starts the tasks that are ready, pool by pool.
 func (s *Scheduler) place(now time.Time) {
 	byPool := map[string][]*job{}
-	s.refreshQuotas(now)
+	if s.quotas.limited {
+		s.refreshQuotas(now)
+	}
 	for _, j := range s.jobs {
 		if !j.state.Final() && j.stored && len(j.occurrences) > 0 {
 			byPool[j.Pool] = append(byPool[j.Pool], j)
@@ -136,7 +138,7 @@
 		if !s.startable(now, t) {
 			continue
 		}
-		if !s.QuotaAllows(now, t, 1) {
+		if !s.quotaAllows(now, t, 1) {
 			return
 		}
 		c := s.bestCandidate(now, t, cands)
@@ -289,7 +291,7 @@
 		}
 		number = max(number, s.nextRunNumber(t))
 	}
-	if !s.QuotaAllows(now, st.tasks[0], len(st.tasks)) {
+	if !s.quotaAllows(now, st.tasks[0], len(st.tasks)) {
 		return
 	}
 	if st.OneRack || st.Rack != "" {
--- a/internal/sched/quota.go
+++ b/internal/sched/quota.go
@@ -21,9 +21,9 @@
 }
 
 // setLimits sets the limits of the configuration in force. A removed account keeps its last limit,
-// since its jobs continue.
+// since its jobs continue; without any accounts there are no limits, since there is no coordinator.
 func (q *quotas) setLimits(accounts []site.Account) {
-	if q.limits == nil {
+	if q.limits == nil || len(accounts) == 0 {
 		q.limits, q.denied = map[string]site.Resources{}, map[string]time.Time{}
 	}
 	for i := range accounts {
@@ -75,9 +75,9 @@
 	return total
 }
 
-// QuotaAllows reports whether n more runs of a task are within the quota of its account. It is
+// quotaAllows reports whether n more runs of a task are within the quota of its account. It is
 // checked before each start, with n the size of the gang, or 1, also for a speculative copy.
-func (s *Scheduler) QuotaAllows(now time.Time, t *task, n int) bool {
+func (s *Scheduler) quotaAllows(now time.Time, t *task, n int) bool {
 	if !s.quotas.limited || t.job.Account == "" {
 		return true
 	}
@@ -96,6 +96,14 @@
 	return false
 }
 
+// startedTogether returns how many tasks of a step start at once.
+func startedTogether(st *step) int {
+	if st.Gang {
+		return len(st.tasks)
+	}
+	return 1
+}
+
 // logDenied logs that an account is at its quota, at most once per interval and account.
 func (s *Scheduler) logDenied(now time.Time, account string, total, limit site.Resources, fraction float64) {
 	const interval = 2 * time.Second
@@ -112,9 +120,6 @@
 // refreshQuotas recounts what may be running without a tracked run: orphan runs, which are being
 // stopped, and after a takeover tasks that may be running on unverified VMs.
 func (s *Scheduler) refreshQuotas(now time.Time) {
-	if !s.quotas.limited {
-		return
-	}
 	s.quotas.extra = map[string]site.Resources{}
 	for _, v := range s.vms {
 		for name := range v.orphans {
@@ -260,11 +265,18 @@
 	reply := s.quotas.holder.Handle(now, s.Epoch, r)
 	s.refreshQuotas(now)
 	demand := s.demand("")
-	for account := range s.quotas.limits {
-		l := quota.Load{Account: account, Used: s.quotas.running(account), Demand: demand[account]}
-		if l.Used != (site.Resources{}) || l.Demand != (site.Resources{}) {
-			reply.Loads = append(reply.Loads, l)
-		}
+	working := map[string]bool{} // by account; also those without a limit here, where the configuration may be older than the coordinator's
+	for account := range s.quotas.used {
+		working[account] = true
+	}
+	for account := range s.quotas.extra {
+		working[account] = true
+	}
+	for account := range demand {
+		working[account] = true
+	}
+	for account := range working {
+		reply.Loads = append(reply.Loads, quota.Load{Account: account, Used: s.quotas.running(account), Demand: demand[account]})
 	}
 	return reply
 }
