--- a/internal/quota/model_test.go
+++ b/internal/quota/model_test.go
@@ -191,9 +191,10 @@
 	return msg
 }
 
-// exchange makes a round of the newest coordinator in which no message is lost.
-func (m *model) exchange() {
-	c := m.coords[len(m.coords)-1]
+func (m *model) newest() *modelCoordinator { return m.coords[len(m.coords)-1] }
+
+// exchange makes a round of a coordinator in which no message is lost.
+func (m *model) exchange(c *modelCoordinator) {
 	before := len(m.network)
 	m.round(c)
 	for len(m.network) > before {
@@ -201,7 +202,7 @@
 	}
 }
 
-// advance passes time. What runs in a partition without an owner ends with its leases. The newest
+// advance passes time. What runs in a partition without an owner ends with its leases. A
 // coordinator reaches each owner before UnknownAfter: the specification lets it assume the even share
 // after that.
 func (m *model) advance(d time.Duration) {
@@ -209,13 +210,14 @@
 	const reached = 4400 * time.Millisecond
 	for end := m.now.Add(d); m.now.Before(end); {
 		m.now = m.now.Add(min(100*time.Millisecond, end.Sub(m.now)))
-		c := m.coords[len(m.coords)-1]
 		for p, o := range m.owners {
 			if !o.owned && m.now.Sub(o.lostAt) >= leases {
 				clear(o.running)
 			}
-			if o.owned && !c.heard[p] && m.now.Sub(c.began) >= reached {
-				m.exchange()
+			for _, c := range m.coords {
+				if o.owned && !c.fenced && !c.heard[p] && m.now.Sub(c.began) >= reached {
+					m.exchange(c)
+				}
 			}
 		}
 	}
@@ -226,9 +228,11 @@
 	if !o.owned {
 		return
 	}
-	const unreached = 600 * time.Millisecond // an owner that is lost later has replied to the newest coordinator, whose UnknownAfter could end before the leases
-	if c := m.coords[len(m.coords)-1]; m.now.Sub(c.began) > unreached {
-		m.exchange()
+	const unreached = 600 * time.Millisecond // an owner that is lost later has replied to the coordinators, whose UnknownAfter could end before the leases
+	for _, c := range m.coords {
+		if !c.fenced && m.now.Sub(c.began) > unreached {
+			m.exchange(c)
+		}
 	}
 	o.owned, o.lostAt, o.record = false, m.now, nil
 	if handover {
@@ -306,7 +310,7 @@
 		t.Repeat(m.actions())
 		m.claimAll()
 		for range 4 { // the newest coordinator gets to know all owners
-			m.exchange()
+			m.exchange(m.newest())
 			m.advance(150 * time.Millisecond)
 		}
 		busy := rapid.IntRange(0, len(m.owners)-1).Draw(t, "busy partition")
@@ -320,7 +324,7 @@
 			m.owners[busy].waiting["a"] = append(m.owners[busy].waiting["a"], 1)
 		}
 		for range 6 { // in 900 ms
-			m.exchange()
+			m.exchange(m.newest())
 			m.start(busy)
 			m.advance(150 * time.Millisecond)
 		}
@@ -331,7 +335,7 @@
 }
 
 func (m *model) describe(account string) string {
-	c := m.coords[len(m.coords)-1]
+	c := m.newest()
 	text := fmt.Sprintf("fenced %v", c.fenced)
 	if a := c.accounts[account]; a != nil {
 		text += fmt.Sprintf(" sent %v ceiling %v used %v need %v", a.sent, a.ceiling, a.used, a.need)
--- a/internal/sched/quota.go
+++ b/internal/sched/quota.go
@@ -215,11 +215,14 @@
 			}
 		}
 	}
+	if !j.state.Final() {
+		j.createDueOccurrences(now)
+	}
 	for _, o := range j.occurrences {
-		for _, st := range o.steps {
-			if j.state.Final() || !o.stepReady(st) {
-				continue // no task of a later step was started
-			}
+		if j.state.Final() {
+			break
+		}
+		for _, st := range o.steps { // also those that wait for others: their ends may not have been stored
 			n := 0
 			for _, t := range st.tasks {
 				if t.unverified && !t.done && len(t.runs) == 0 {
