--- a/internal/sched/quota_test.go
+++ b/internal/sched/quota_test.go
@@ -152,7 +152,9 @@
 	r.grant(40, 1)
 	r.poll(50, "a", site.VMStatus{})
 	r.flush(50)
-	r.submit(60, accountJob("00000000000000a2", "acme", oneCore(6)))
+	next := accountJob("00000000000000a2", "acme", oneCore(6))
+	next.TargetMS = long.TargetMS
+	r.submit(60, next)
 	assert.Equal(t, len(r.starts(70)), 4, "VM b holds at most 8 of the 12 cores")
 }
 
--- a/internal/stand/emul/operator.go
+++ b/internal/stand/emul/operator.go
@@ -22,6 +22,26 @@
 // ConfigureQueues writes a configuration with the given queues and pools, and adds a spare pool
 // named rest.
 func (p *Platform) ConfigureQueues(version int64, queues []Queue, pools []string) error {
+	return p.configure(map[string]any{"version": version}, queues, pools)
+}
+
+// Account is a client account of the configuration.
+type Account struct {
+	Name, Key string
+	CPU       int // limit in thousandths of a core
+}
+
+// ConfigureAccounts writes a configuration as ConfigureQueues does, with client accounts.
+func (p *Platform) ConfigureAccounts(version int64, queues []Queue, pools []string, accounts []Account) error {
+	rows := []map[string]any{}
+	for _, a := range accounts {
+		rows = append(rows, map[string]any{"name": a.Name, "apiKeys": []string{a.Key}, "weight": 1, "maxCount": map[string]int{"cpu": a.CPU}})
+	}
+	return p.configure(map[string]any{"version": version, "tenants": rows}, queues, pools)
+}
+
+// configure adds the queues and pools to a configuration and writes it.
+func (p *Platform) configure(config map[string]any, queues []Queue, pools []string) error {
 	// The configuration calls pools services.
 	poolRows := []map[string]any{{"name": "rest", "spare": true}}
 	for _, name := range pools {
@@ -34,9 +54,8 @@
 			"targetRuntimeMs": 600, "maxAttempts": MaxAttempts, "stretch": 1.6,
 		})
 	}
-	data, err := json.Marshal(map[string]any{
-		"version": version, "routes": routes, "services": poolRows, "limits": map[string]any{"maxBodyBytes": 262144},
-	})
+	config["routes"], config["services"], config["limits"] = routes, poolRows, map[string]any{"maxBodyBytes": 262144}
+	data, err := json.Marshal(config)
 	if err != nil {
 		return err
 	}
