--- a/internal/sched/accounts.go
+++ b/internal/sched/accounts.go
@@ -23,6 +23,7 @@
 			delete(s.buckets, name)
 		}
 	}
+	s.quotas.setLimits(accounts)
 }
 
 // AccountOf returns the client account and the queue of a job; known is false if the job is not
@@ -42,10 +43,13 @@
 	Refused int            // jobs that were refused since the partition was taken over
 	Used    site.Resources // reserved by runs, including those that are being stopped
 	Share   float64        // cores that it may use before its jobs start behind those of others; all of the pool's without overload
+	Demand  site.Resources // of ready tasks without a run
+	// Fraction is the part of the account's limit that the partition, with all its pools, may use.
+	Fraction float64
 }
 
 // accountReports returns the load of each account with jobs in a pool.
-func (s *Scheduler) accountReports(pool string) map[string]AccountReport {
+func (s *Scheduler) accountReports(now time.Time, pool string) map[string]AccountReport {
 	if len(s.accounts) == 0 {
 		return nil
 	}
@@ -80,7 +84,13 @@
 			reports[j.Account] = r
 		}
 	}
+	for account, demand := range s.demand(pool) {
+		r := reports[account]
+		r.Demand = demand
+		reports[account] = r
+	}
 	for account, r := range reports {
+		r.Fraction = s.quotas.holder.Fraction(now, account)
 		r.Share = s.shareInForce(s.pool(pool), account)
 		reports[account] = r
 	}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -25,6 +25,9 @@
 func (s *Scheduler) place(now time.Time) {
 	s.round++
 	byPool := map[string][]*job{}
+	if s.quotas.limited {
+		s.refreshQuotas(now)
+	}
 	for _, j := range s.jobs {
 		if !j.state.Final() && j.stored && len(j.occurrences) > 0 {
 			byPool[j.Pool] = append(byPool[j.Pool], j)
@@ -155,6 +158,9 @@
 		if !s.startable(now, t) {
 			continue
 		}
+		if !s.quotaAllows(now, t, 1) {
+			return
+		}
 		c := s.bestCandidate(now, t, cands)
 		if c == nil {
 			if st.Lasts && !j.order.excess {
@@ -313,6 +319,9 @@
 		}
 		number = max(number, s.nextRunNumber(t))
 	}
+	if !s.quotaAllows(now, st.tasks[0], len(st.tasks)) {
+		return
+	}
 	if st.OneRack || st.Rack != "" {
 		for _, rack := range racks(cands, st.Rack) {
 			if s.startGang(now, st, number, onRack(cands, rack)) {
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -38,6 +38,7 @@
 	buckets          map[string]*fair.Bucket  // of the accounts that have submitted jobs
 	offeredAt        map[string]offer         // first submissions, by job ID
 	round            int64                    // number of the last scheduling round; 1 before the first, which no pool and job has seen
+	quotas           quotas
 	actions          []Action
 	fenced           bool
 	retired          bool           // makes no more scheduling decisions; see Retire
@@ -150,7 +151,7 @@
 		if err != nil {
 			return err
 		}
-		s.applyHandover(h, lastEpoch)
+		s.applyHandover(now, h, r.Value, lastEpoch)
 	case r.Key == vmsKey:
 		list, err := jobs.Decode[[]recordedVM](r.Value)
 		if err != nil {
