--- a/internal/drive/metrics.go
+++ b/internal/drive/metrics.go
@@ -25,6 +25,10 @@
 	add("stopped", current.Stopped-last.Stopped)
 	add("lost", current.Lost-last.Lost)
 	add("stalled", current.Stalled-last.Stalled)
+	add("copy-started", current.Copies-last.Copies)
+	add("copy-won", current.CopiesWon-last.CopiesWon)
+	metrics.GetOrCreateCounter(`greengagelane_copy_core_ms_total`).Add(current.CopyCoreMS - last.CopyCoreMS)
+	metrics.GetOrCreateCounter(`greengagelane_copy_wasted_core_ms_total`).Add(current.CopyWasteCoreMS - last.CopyWasteCoreMS)
 	metrics.GetOrCreateCounter(`greengagelane_jobs_refused_total`).Add(current.Refused - last.Refused)
 }
 
--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -165,12 +165,6 @@
 	}
 }
 
-// queueStats are the run times of a queue's latest jobs.
-type queueStats struct {
-	actual   float64 // decaying sum over finished steps of the longest run of their tasks, in seconds
-	declared float64 // decaying sum over the same steps, in seconds
-}
-
 // chainRatio returns the ratio of actual to declared run time of a step. A step lasts as long as
 // the longest of its tasks, so the ratio exceeds 1 also if the declared times are right on average.
 func (q *queueStats) chainRatio() float64 {
@@ -189,13 +183,14 @@
 
 // recordStep updates a queue's run times with a finished step.
 func (q *queueStats) recordStep(st *step) {
-	if st.Lasts || st.EstimateMS <= 0 || st.longestRun == 0 {
+	if st.Lasts || st.EstimateMS <= 0 || st.longestRun == 0 || st.unknownRun {
 		return
 	}
 	const decay = 0.98 // per step; about the last fifty count
 	declared := float64(st.EstimateMS) / 1000
 	q.actual = decay*q.actual + min(st.longestRun.Seconds(), maxChainRatio*declared)
 	q.declared = decay*q.declared + declared
+	q.recordPeers(st)
 }
 
 // queue returns the run times of a queue's jobs, which it creates if necessary.
--- /dev/null
+++ b/internal/sched/copies.go
@@ -0,0 +1,403 @@
+package sched
+
+import (
+	"math"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/greengagelane/greengagelane/internal/rtime"
+	"github.com/greengagelane/greengagelane/internal/shed"
+	"github.com/greengagelane/greengagelane/pkg/site"
+)
+
+// Limits on copies, see docs/design/speculative-execution.md.
+const (
+	stragglerQuantile  = 0.9                    // of the run times, above which a run is a straggler
+	minPeers           = 2                      // finished tasks of a step from which their median is used
+	minFirstChance     = 0.3                    // of a copy to end first
+	minPrice           = 0.2                    // of a core-second in an idle pool, relative to a full one
+	idleShare          = 0.1                    // of the pool's cores that stay idle for jobs that arrive while the copy runs
+	lateWorth          = 0.2                    // of a job that misses its objective, relative to one that meets it
+	copyDelay          = 150 * time.Millisecond // until a copy makes progress: the start order and half a round of polls
+	copyInterval       = 50 * time.Millisecond  // between two searches for stragglers of a pool; a tenth of a short run
+	quietAfterRefusal  = time.Second            // without copies after a job was refused
+	minProgressPercent = 5                      // from which a run's time is extrapolated
+)
+
+// copyRun is the decision behind a copy.
+type copyRun struct {
+	gain     copyGain
+	age      time.Duration // of the first run at the start of the copy
+	expected float64       // predicted chance to end first, without copyRecord.factor; 0 for a copy of an earlier owner
+	won      bool
+}
+
+// copyTerms are what the decision on a copy depends on, besides the race between the two runs.
+type copyTerms struct {
+	jobWork    float64 // core-seconds of the job; what is in vain if it is late
+	cores      float64 // of the task
+	baseS      float64 // time in seconds that the race uses as its unit
+	lateWindow float64 // time in units for which a late result is of use
+	inUse      float64 // share of the pool's cores in use
+	factor     float64 // of copyRecord
+}
+
+// copyGain is the expected gain of a copy.
+type copyGain struct {
+	FirstChance float64 // chance that the copy ends first
+	OnTime      float64 // rise in the chance that the job meets its objective
+	SavedS      float64 // expected time saved, in seconds
+	Value       float64 // in core-seconds of a job that meets its objective
+	Price       float64 // in core-seconds of a full pool
+}
+
+// weighCopy weighs the expected gain of a copy against its core-seconds.
+func weighCopy(r *rtime.Race, t *copyTerms) copyGain {
+	g := copyGain{
+		FirstChance: t.factor * r.FirstChance,
+		OnTime:      t.factor * (r.EitherIn - r.Within),
+		SavedS:      t.factor * r.Saved * t.baseS,
+	}
+	late := 0.0
+	if t.lateWindow > 0 {
+		late = lateWorth * (1 - r.EitherIn) * min(t.factor*r.Saved/t.lateWindow, 1)
+	}
+	g.Value = (g.OnTime + late) * t.jobWork
+	g.Price = r.SecondTime * t.baseS * t.cores * max(t.inUse, minPrice)
+	return g
+}
+
+// worthwhile reports whether the copy is started if there is capacity.
+func (g *copyGain) worthwhile() bool { return g.FirstChance >= minFirstChance && g.Value > g.Price }
+
+// score orders copies that compete for the share of copies.
+func (g *copyGain) score() float64 { return g.Value / math.Max(g.Price, 1e-6) }
+
+// straggler is a run that a copy is worthwhile for.
+type straggler struct {
+	run  *run
+	copy copyRun
+}
+
+// placeCopies starts copies of stragglers in a pool after the placement of its waiting tasks. It
+// starts none while a task waits or shortly after a job was refused.
+func (s *Scheduler) placeCopies(now time.Time, name string, list []*job, cands []*candidate) {
+	p := s.pool(name)
+	if now.Sub(p.copiesAt) < copyInterval || (!p.refusedAt.IsZero() && now.Sub(p.refusedAt) < quietAfterRefusal) {
+		return
+	}
+	p.copiesAt = now
+	if tasksWait(list) {
+		return
+	}
+	u := s.copyUsage(name)
+	var found []straggler
+	for _, j := range list {
+		if j.copies {
+			found = s.findStragglers(now, j, &u, found)
+		}
+	}
+	if len(found) == 0 {
+		return
+	}
+	sort.SliceStable(found, func(i, k int) bool { return found[i].copy.gain.score() > found[k].copy.gain.score() })
+	targets := s.copyTargets(cands)
+	for i := range found {
+		s.placeCopy(now, &found[i], targets, &u)
+	}
+}
+
+// tasksWait reports whether a task that is ready has no run.
+func tasksWait(list []*job) bool {
+	for _, j := range list {
+		for _, o := range j.occurrences {
+			for _, st := range o.steps {
+				if st.withoutRun > 0 && o.stepReady(st) {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+// copyUsage is the use of a pool, in equivalent cores.
+type copyUsage struct {
+	largest              resources
+	total, used, copying float64
+}
+
+func (s *Scheduler) copyUsage(pool string) copyUsage {
+	u := copyUsage{largest: s.largestVM(pool)}
+	for _, v := range s.vms {
+		if v.Pool != pool || !v.listed {
+			continue
+		}
+		u.total += float64(v.CPU) / 1000
+		for _, r := range v.runs {
+			cores := u.largest.equivalentCores(r.step())
+			u.used += cores
+			if r.usesCopyShare() {
+				u.copying += cores
+			}
+		}
+	}
+	return u
+}
+
+// hasRoom reports whether a copy of the given size keeps the share of copies and leaves the idle share.
+func (u *copyUsage) hasRoom(cores, share float64) bool {
+	return u.copying+cores <= share*u.total && u.used+cores <= (1-idleShare)*u.total
+}
+
+// findStragglers adds a job's stragglers for which a copy is worthwhile.
+func (s *Scheduler) findStragglers(now time.Time, j *job, u *copyUsage, found []straggler) []straggler {
+	timing := s.timing(j)
+	if u.total <= 0 || j.classAt(now, &timing) == shed.Expired {
+		return found
+	}
+	q := s.queue(j.Queue)
+	for _, o := range j.sortedOccurrences() {
+		due := timing.Submitted.Add(timing.Objective)
+		if j.Repeat > 0 {
+			due = due.Add(time.UnixMilli(j.DueMS(o.number)).Sub(timing.Submitted))
+		}
+		for _, st := range o.steps {
+			if !st.copyable() || st.done+st.withoutRun >= st.Count {
+				continue
+			}
+			base, dist := st.runTimeModel(q)
+			limit, samples := dist.Quantile(stragglerQuantile)
+			if samples < minSamples {
+				continue
+			}
+			after := time.Duration(q.chainRatio() * float64(o.chainAfter(st)))
+			for _, t := range st.tasks {
+				r := s.copyableRun(now, t)
+				if r == nil || now.Sub(r.startedAt).Seconds() < limit*base.Seconds() {
+					continue
+				}
+				unit := base.Seconds()
+				race := r.race(now, dist, unit, due.Sub(now)-after)
+				g := weighCopy(&race, &copyTerms{
+					jobWork: s.equivalentWork(j.Job), cores: u.largest.equivalentCores(st.Step), baseS: unit,
+					lateWindow: 2 * timing.Objective.Seconds() / unit, inUse: u.used / u.total, factor: q.factor(),
+				})
+				if g.worthwhile() {
+					found = append(found, straggler{run: r, copy: copyRun{gain: g, age: now.Sub(r.startedAt), expected: race.FirstChance}})
+				}
+			}
+		}
+	}
+	return found
+}
+
+// runTimeModel returns what a fresh run of the step's tasks is expected to take: a distribution and the
+// time of ratio 1. Once half of the tasks are done, their median tells more than the declared time.
+func (st *step) runTimeModel(q *queueStats) (time.Duration, *rtime.Dist) {
+	if n := len(st.runTimes); n >= minPeers && 2*n >= st.Count && q.peers.Samples() >= minSamples {
+		return st.medianRunTime(), &q.peers
+	}
+	return st.declared(), &q.tasks
+}
+
+// chainAfter returns the declared run time of the longest chain of steps that follow a step.
+func (o *occurrence) chainAfter(st *step) time.Duration {
+	finish := make([]int64, len(o.steps)) // of steps that depend on st, in ms from its end
+	var longest int64
+	for i := st.number + 1; i < len(o.steps); i++ {
+		for _, a := range o.steps[i].After {
+			if a == st.number || finish[a] > 0 {
+				finish[i] = max(finish[i], finish[a]+max(o.steps[i].EstimateMS, 1))
+			}
+		}
+		longest = max(longest, finish[i])
+	}
+	return time.Duration(longest) * time.Millisecond
+}
+
+// copyableRun returns the only run of a task that may get a copy, else nil. Both runs may fail, so the
+// task needs as many attempts left. An unverified VM may hold another run of the task.
+func (s *Scheduler) copyableRun(now time.Time, t *task) *run {
+	if t.done || len(t.runs) != 1 || len(t.failedRuns)+2 > t.job.MaxAttempts || (t.unverified && s.mayBeRunning(t)) {
+		return nil
+	}
+	if r := t.runs[0]; r.phase == working && now.Sub(r.vm.lastAnswer) < s.policy.SilentAfter {
+		return r
+	}
+	return nil
+}
+
+// race returns the outlook of a run and a copy of it, in multiples of unit seconds, where left is the
+// time within which the task should end. It trusts the run's progress as long as the run is not past
+// the end that follows from it.
+func (r *run) race(now time.Time, d *rtime.Dist, unit float64, left time.Duration) rtime.Race {
+	delay, within := copyDelay.Seconds()/unit, left.Seconds()/unit
+	if r.percent >= minProgressPercent && r.percent < 100 && !r.adopted {
+		total := r.progressAt.Sub(r.startedAt) * 100 / time.Duration(r.percent)
+		if remaining := r.startedAt.Add(total).Sub(now); remaining > 0 {
+			race, _ := d.OutlookAt(remaining.Seconds()/unit, delay, within)
+			return race
+		}
+	}
+	race, _ := d.Outlook(now.Sub(r.startedAt).Seconds()/unit, delay, within)
+	return race
+}
+
+// copyTargets returns the candidates for copies. A copy on a VM that fails or is slow would be another
+// straggler.
+func (s *Scheduler) copyTargets(cands []*candidate) []*candidate {
+	var list []*candidate
+	for _, c := range cands {
+		if !c.vm.probation && !c.reserved && c.vm.ColdMS == 0 && !s.isSlow(c.vm) {
+			list = append(list, c)
+		}
+	}
+	return list
+}
+
+// placeCopy starts a copy if it keeps the limits and a VM has room for it, preferably in another rack
+// than that of the first run, unless the step's tasks belong together.
+func (s *Scheduler) placeCopy(now time.Time, x *straggler, targets []*candidate, u *copyUsage) {
+	t := x.run.task
+	cores := u.largest.equivalentCores(t.step.Step)
+	if !u.hasRoom(cores, s.policy.CopyShare) {
+		return
+	}
+	var otherVMs, otherRacks []*candidate
+	for _, c := range targets {
+		if c.vm == x.run.vm {
+			continue
+		}
+		otherVMs = append(otherVMs, c)
+		if c.vm.rack() != x.run.vm.rack() {
+			otherRacks = append(otherRacks, c)
+		}
+	}
+	var c *candidate
+	if !t.step.OneRack {
+		c = s.bestCandidate(now, t, otherRacks)
+	}
+	if c == nil {
+		c = s.bestCandidate(now, t, otherVMs)
+	}
+	if c == nil {
+		return
+	}
+	s.startOn(now, t, c, s.nextRunNumber(t))
+	t.runs[len(t.runs)-1].copy = &x.copy
+	u.used += cores
+	u.copying += cores
+	s.stats.Copies++
+}
+
+// mayBeCopy reports whether a run that a VM lists may be one of the two runs that an earlier owner
+// gave the task. Runs of this owner that it does not track any more have ended.
+func (s *Scheduler) mayBeCopy(t *task, x *site.Run) bool {
+	return t.step.copyable() && len(t.runs) < 2 && x.Run < s.firstRunNumber() && !slices.Contains(t.failedRuns, x.Run)
+}
+
+// nextCheckpoint returns the checkpoint that the task's next run starts from. A copy starts where the
+// first run did: runs do not share checkpoints of different progress.
+func (t *task) nextCheckpoint() string {
+	if len(t.runs) > 0 {
+		return t.runs[0].startedFrom
+	}
+	return t.checkpoint
+}
+
+// keepCheckpoint stores a checkpoint of a run, unless another run of the task is further. r is nil if
+// the run is not tracked.
+func (t *task) keepCheckpoint(r *run, checkpoint string) {
+	if checkpoint == "" {
+		return
+	}
+	for _, other := range t.runs {
+		if t.step.copyable() && r != other && (r == nil || other.percent >= r.percent) {
+			return
+		}
+	}
+	t.checkpoint = checkpoint
+}
+
+// bothRuns returns the two runs of a task; the copy has the higher number.
+func (t *task) bothRuns() (first, second *run) {
+	if t.runs[0].number < t.runs[1].number {
+		return t.runs[0], t.runs[1]
+	}
+	return t.runs[1], t.runs[0]
+}
+
+// markCopy marks the later of two adopted runs as the copy.
+func (t *task) markCopy() {
+	if len(t.runs) == 2 {
+		_, second := t.bothRuns()
+		second.copy = &copyRun{}
+	}
+}
+
+// usesCopyShare reports whether a run counts as a copy for the share of copies. A copy whose first run
+// has ended otherwise than as done is the task's only run.
+func (r *run) usesCopyShare() bool {
+	if r.copy == nil {
+		return false
+	}
+	if len(r.task.runs) == 2 {
+		_, second := r.task.bothRuns()
+		return r == second
+	}
+	return r.phase == stopping
+}
+
+// recordRace notes which of a task's two runs ended first, before the first one is released. The
+// straggler's time enters the distributions with the rest that was to be expected: without it,
+// successful copies would erase the stragglers from them.
+func (s *Scheduler) recordRace(now time.Time, winner *run) {
+	t := winner.task
+	if len(t.runs) != 2 || t.done {
+		return
+	}
+	first, second := t.bothRuns()
+	if second.copy == nil {
+		return
+	}
+	second.copy.won = winner == second
+	if second.copy.expected == 0 {
+		return
+	}
+	q := s.queue(t.job.Queue)
+	q.Predicted += second.copy.expected
+	if winner != second {
+		return
+	}
+	q.Won++
+	if first.adopted || first.vm.ColdMS > 0 || s.isSlow(first.vm) {
+		return
+	}
+	age, unit := now.Sub(first.startedAt), t.step.declared().Seconds()
+	if race, ok := q.tasks.Outlook(age.Seconds()/unit, 0, 0); ok {
+		s.recordRunTime(first, age+time.Duration(race.Remaining*unit*float64(time.Second)))
+	}
+}
+
+// logCopy counts and logs the end of a copy. The VM's last answer is when the end was reported, or the
+// latest time at which the copy was known to run.
+func (s *Scheduler) logCopy(r *run, how string) {
+	c := r.copy
+	coreMS := int(max(r.vm.lastAnswer.Sub(r.startedAt), 0).Milliseconds()) * r.step().CPU / 1000
+	s.stats.CopyCoreMS += coreMS
+	if c.won {
+		s.stats.CopiesWon++
+	} else {
+		s.stats.CopyWasteCoreMS += coreMS
+	}
+	round := func(x float64) float64 { return math.Round(1000*x) / 1000 }
+	s.log.WithFields(logrus.Fields{
+		"task": r.task.id.String(), "run": r.number, "vm": r.vm.ID, "first-run-age-ms": c.age.Milliseconds(), "end": how, "won": c.won, "core-ms": coreMS,
+		"first-chance": round(c.gain.FirstChance), "on-time-gain": round(c.gain.OnTime), "saved-ms": int(1000 * c.gain.SavedS),
+		"value": round(c.gain.Value), "price": round(c.gain.Price),
+	}).Info("speculative run ended")
+}
--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -231,14 +231,19 @@
 
 // nextRunNumber returns a run number above all earlier ones of the task under any owner.
 func (s *Scheduler) nextRunNumber(t *task) int64 {
+	return max(t.lastRun+1, s.firstRunNumber())
+}
+
+// firstRunNumber returns the lowest number of this owner's runs; those of earlier owners are lower.
+func (s *Scheduler) firstRunNumber() int64 {
 	const runsPerEpoch = 1 << 12 // assumed to exceed the starts of one task under one owner
-	return max(t.lastRun, (s.Epoch-1)*runsPerEpoch) + 1
+	return (s.Epoch-1)*runsPerEpoch + 1
 }
 
 // start adds a run of a task on a VM and emits its start order. Its callers check that the
 // VM has enough free resources and deduct them from the candidate.
 func (s *Scheduler) start(now time.Time, t *task, v *vm, number int64) {
-	r := &run{task: t, vm: v, number: number, phase: starting, answeredAt: now, startedAt: now, progressAt: now, speedPercent: 100}
+	r := &run{task: t, vm: v, number: number, phase: starting, answeredAt: now, startedAt: now, progressAt: now, speedPercent: 100, startedFrom: t.nextCheckpoint()}
 	t.lastRun = number
 	t.unverified = false
 	if len(t.runs) == 0 {
@@ -250,7 +255,7 @@
 	s.stats.Started++
 	s.emit(StartRun{VM: v.ID, Task: t.id, Order: site.Start{
 		Task: t.id.String(), Run: number, Spec: t.job.Spec, UntilMS: v.grantLease(now, &s.policy), Fence: s.Epoch,
-		Checkpoint: t.checkpoint, Ticket: t.step.tickets[v.ID],
+		Checkpoint: r.startedFrom, Ticket: t.step.tickets[v.ID],
 	}})
 }
 
--- a/internal/sched/explain.go
+++ b/internal/sched/explain.go
@@ -37,6 +37,9 @@
 		for _, st := range o.steps {
 			for _, t := range st.tasks {
 				v.Tasks = append(v.Tasks, s.explainTask(now, o, t, cands))
+				if len(t.runs) > 1 {
+					v.Tasks = append(v.Tasks, explainRun(t.runs[1]))
+				}
 			}
 		}
 	}
@@ -46,14 +49,16 @@
 func (s *Scheduler) explainTask(now time.Time, o *occurrence, t *task, cands []*candidate) TaskView {
 	view := TaskView{Task: t.id.String(), Failures: len(t.failedRuns)}
 	if len(t.runs) > 0 {
-		r := t.runs[0]
-		view.VM, view.Run, view.Percent, view.Why = r.vm.ID, r.number, r.percent, r.stopReason
-		return view
+		return explainRun(t.runs[0])
 	}
 	view.Why = s.whyWaiting(now, o, t, cands)
 	return view
 }
 
+func explainRun(r *run) TaskView {
+	return TaskView{Task: r.task.id.String(), Failures: len(r.task.failedRuns), VM: r.vm.ID, Run: r.number, Percent: r.percent, Why: r.stopReason}
+}
+
 func (s *Scheduler) whyWaiting(now time.Time, o *occurrence, t *task, cands []*candidate) string {
 	switch {
 	case t.done:
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -27,6 +28,7 @@
 	// recovered is set on jobs of an earlier owner, whose tasks may be running on
 	// unverified VMs.
 	recovered bool
+	copies    bool          // has a step whose tasks may have copies
 	objective time.Duration // latency objective by the declared run times
 	order     orderKey      // as of the last call of sortJobs
 }
@@ -45,7 +47,9 @@
 	tasks         []*task
 	done          int               // number of tasks that are done
 	withoutRun    int               // number of tasks that are neither running nor done
-	longestRun    time.Duration     // of the runs that ended as done, as seen by this owner
+	longestRun    time.Duration     // of the tasks that are done, as seen by this owner
+	unknownRun    bool              // the time of a task is not known, or is that of a slow VM
+	runTimes      []time.Duration   // of the tasks that are done; only of steps that allow copies
 	tickets       map[string]string // of the placement policy, by VM ID
 	advicePending bool              // a request to the placement policy is under way
 	adviceRetryAt time.Time         // no request to the placement policy before
@@ -94,13 +98,17 @@
 	availableSince time.Time // since when a long-running task has been available; zero if it is not
 	reportedTailMS int       // tail latency of a task that serves requests, as last reported; of other tasks the CPU in use, which is ignored
 	speedPercent   int       // of full speed, as last ordered; -1 if unknown
+	adopted        bool      // startedAt is the time of its adoption
+	startedFrom    string    // checkpoint that it started from
+	copy           *copyRun  // the decision behind a copy, nil for other runs
 	throttledAt    time.Time // when speedPercent was last changed
 }
 
 func (r *run) step() *jobs.Step { return r.task.step.Step }
 
 func newJob(j *jobs.Job) *job {
-	return &job{Job: j, occurrences: map[int]*occurrence{}, objective: j.Objective()}
+	copies := slices.ContainsFunc(j.Steps, func(st jobs.Step) bool { return copyableStep(&st) })
+	return &job{Job: j, occurrences: map[int]*occurrence{}, objective: j.Objective(), copies: copies}
 }
 
 // createDueOccurrences creates the occurrences that are due.
--- a/internal/sched/observe.go
+++ b/internal/sched/observe.go
@@ -54,7 +54,7 @@
 	if startInFlight {
 		v.leasesEnd = now.Add(s.policy.localDuration(s.policy.MaxLease))
 	}
-	v.quarantinedUntil, v.probation, v.consecutiveFailures, v.quarantineTime = time.Time{}, false, 0, 0
+	v.quarantinedUntil, v.probation, v.consecutiveFailures, v.quarantineTime, v.speed = time.Time{}, false, 0, 0, 0
 }
 
 // RemoveVM drops a VM whose incarnation has certainly ended, and releases its runs.
@@ -88,6 +88,9 @@
 func (s *Scheduler) releaseRun(r *run, why string) {
 	s.log.WithField("task", r.task.id.String()).WithField("run", r.number).WithField("vm", r.vm.ID).WithField("why", why).Debug("run released")
 	delete(r.vm.runs, r.task.id.String())
+	if r.copy != nil {
+		s.logCopy(r, why)
+	}
 	t := r.task
 	for i, x := range t.runs {
 		if x == r {
@@ -217,15 +220,18 @@
 		return "task is not known, or its occurrence is done"
 	case t.done:
 		return "task is done"
-	case len(t.runs) > 0:
+	case len(t.runs) > 0 && !s.mayBeCopy(t, x):
 		return "task runs elsewhere"
-	case x.Run < t.lastRun:
+	case x.Run < t.lastRun && !s.mayBeCopy(t, x):
 		return "a later run has been seen"
 	}
-	r := &run{task: t, vm: v, number: x.Run, phase: working, answeredAt: now, startedAt: now, progressAt: now, speedPercent: 100}
-	t.lastRun = x.Run
+	r := &run{task: t, vm: v, number: x.Run, phase: working, answeredAt: now, startedAt: now, progressAt: now, speedPercent: 100, adopted: true}
+	t.lastRun = max(t.lastRun, x.Run)
+	if len(t.runs) == 0 {
+		t.step.withoutRun--
+	}
 	t.runs = append(t.runs, r)
-	t.step.withoutRun--
+	t.markCopy()
 	v.runs[x.Task] = r
 	s.markBegan(now, j)
 	s.updateProgress(now, r, x)
@@ -276,9 +282,7 @@
 		r.availableSince = now
 	}
 	r.reportedTailMS = x.Load
-	if x.Checkpoint != "" {
-		r.task.checkpoint = x.Checkpoint
-	}
+	r.task.keepCheckpoint(r, x.Checkpoint)
 }
 
 // handleRunEnd processes a run end that a VM reports.
@@ -290,10 +294,13 @@
 	}
 	delete(v.orphans, e.Task)
 	r := v.runs[e.Task]
-	if r != nil && r.number == e.Run {
+	if r != nil && r.number != e.Run {
+		r = nil // the end of an earlier run
+	}
+	if r != nil {
 		if e.How == site.Done {
-			s.updateWorkRatio(now, r)
-			r.task.step.longestRun = max(r.task.step.longestRun, now.Sub(r.startedAt))
+			s.recordRace(now, r)
+			s.recordRun(now, r)
 		}
 		s.releaseRun(r, e.How.String())
 	}
@@ -306,9 +313,7 @@
 		return
 	}
 	t.lastRun = max(t.lastRun, e.Run)
-	if e.Checkpoint != "" {
-		t.checkpoint = e.Checkpoint
-	}
+	t.keepCheckpoint(r, e.Checkpoint)
 	s.recordOutcome(now, v, id.Job, e.How)
 	s.markBegan(now, j)
 	switch e.How {
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -41,7 +41,9 @@
 	}
 	s.sortJobs(now, list)
 	unplaced := &unplacedSizes{}
+	copies := false
 	for _, j := range list {
+		copies = copies || j.copies
 		for _, o := range j.sortedOccurrences() {
 			for _, st := range o.steps {
 				if st.withoutRun > 0 && st.done < st.Count && o.stepReady(st) && !unplaced.covers(st.Step) {
@@ -50,6 +52,9 @@
 			}
 		}
 	}
+	if copies {
+		s.placeCopies(now, name, list, cands)
+	}
 }
 
 // unplacedSizes holds the sizes of tasks that fitted on no VM in this round. Tasks at least
--- a/internal/sched/policy.go
+++ b/internal/sched/policy.go
@@ -27,6 +27,7 @@
 	ConsecutiveFailures int           // failed runs in a row, of at least two jobs, that quarantine a VM
 	TailHigh            float64       // share of Step.TailMS above which best-effort tasks are slowed down
 	TailLow             float64       // share of Step.TailMS below which best-effort tasks are sped up
+	CopyShare           float64       // largest share of a pool's cores in speculative runs; 0 for none
 	QueueFactor         float64       // longest time that a new job may have to wait, as a multiple of the longest with which it meets its latency objective
 }
 
@@ -52,6 +53,7 @@
 		ConsecutiveFailures: 3,
 		TailHigh:            0.8,
 		TailLow:             0.6,
+		CopyShare:           0.05, // 3 stragglers in 100 tasks need 0.03 of the work of the others
 		QueueFactor:         1,
 	}
 }
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -51,6 +51,11 @@
 // counts runs that were released without a report of their end.
 type Stats struct {
 	Started, Done, Failed, Stopped, Lost, Refused, Stalled int
+
+	Copies          int // speculative runs started; Started counts them too
+	CopiesWon       int // that ended as done before the first run
+	CopyCoreMS      int // core-milliseconds of all speculative runs that have ended
+	CopyWasteCoreMS int // core-milliseconds of those that did not win
 }
 
 // pool is the scheduler's state of one pool.
@@ -67,6 +72,9 @@
 	arrivals     []shed.Arrival // expected by VM moves, as reported by the planner at arrivalsAt
 	arrivalsAt   time.Time
 	refused      map[string]int // refused jobs by client account
+	refusedAt    time.Time      // when a job was last refused
+	copiesAt     time.Time      // when stragglers were last searched
+	speed        speedDeviation // of the latest runs of its VMs
 }
 
 // New returns a scheduler without jobs.
--- a/internal/sched/submit.go
+++ b/internal/sched/submit.go
@@ -29,6 +29,7 @@
 	added := newJob(j)
 	if a := s.admit(now, added); !a.Accepted {
 		s.stats.Refused++
+		s.pool(j.Pool).refusedAt = now
 		s.pool(j.Pool).countRefusal(j.Account)
 		return a
 	}
--- a/internal/sched/vm.go
+++ b/internal/sched/vm.go
@@ -31,8 +31,9 @@
 	failedJob           string           // job of the last failure
 	severalJobsFailed   bool             // the failures are of more than one job, or include a stall
 	quarantinedUntil    time.Time
-	quarantineTime      time.Duration // length of the last quarantine; 0 after a success
-	probation           bool          // one run at a time after a quarantine, until one succeeds or is available for long enough
+	quarantineTime      time.Duration  // length of the last quarantine; 0 after a success
+	speed               speedDeviation // of its latest runs
+	probation           bool           // one run at a time after a quarantine, until one succeeds or is available for long enough
 }
 
 func newVM(v site.VM) *vm {
