--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -25,6 +25,8 @@
 	copyInterval       = 50 * time.Millisecond  // between two searches for stragglers of a pool; a tenth of a short run
 	quietAfterRefusal  = time.Second            // without copies after a job was refused
 	minProgressPercent = 5                      // from which a run's time is extrapolated
+	losingFactor       = 1.5                    // on the time of a straggler, after which a copy is one for certain
+	minComparedPercent = 20                     // of a copy, from which its progress decides whether it loses
 )
 
 // copyRun is the decision behind a copy.
@@ -86,14 +88,17 @@
 // starts none while a task waits or shortly after a job was refused.
 func (s *Scheduler) placeCopies(now time.Time, name string, list []*job, cands []*candidate) {
 	p := s.pool(name)
-	if now.Sub(p.copiesAt) < copyInterval || (!p.refusedAt.IsZero() && now.Sub(p.refusedAt) < quietAfterRefusal) {
+	if now.Sub(p.copiesAt) < copyInterval {
 		return
 	}
 	p.copiesAt = now
-	if tasksWait(list) {
+	u := s.copyUsage(name)
+	for _, r := range u.copies {
+		s.stopLosingCopy(now, r)
+	}
+	if tasksWait(list) || (!p.refusedAt.IsZero() && now.Sub(p.refusedAt) < quietAfterRefusal) {
 		return
 	}
-	u := s.copyUsage(name)
 	var found []straggler
 	for _, j := range list {
 		if j.copies {
@@ -128,6 +133,7 @@
 type copyUsage struct {
 	largest              resources
 	total, used, copying float64
+	copies               []*run
 }
 
 func (s *Scheduler) copyUsage(pool string) copyUsage {
@@ -142,6 +148,7 @@
 			u.used += cores
 			if r.usesCopyShare() {
 				u.copying += cores
+				u.copies = append(u.copies, r)
 			}
 		}
 	}
@@ -231,17 +238,53 @@
 	return nil
 }
 
+// stopLosingCopy stops a copy that turns out to be no faster than the first run: it is a straggler
+// itself, or will end later by the progress of both. The cause is then the task, or the VM that was
+// chosen.
+func (s *Scheduler) stopLosingCopy(now time.Time, r *run) {
+	if r.phase != working || len(r.task.runs) != 2 {
+		return
+	}
+	first, _ := r.task.bothRuns()
+	if first.phase != working {
+		return
+	}
+	q := s.queue(r.task.job.Queue)
+	base, dist := r.task.step.runTimeModel(q)
+	limit, _ := dist.Quantile(stragglerQuantile)
+	losing := now.Sub(r.startedAt).Seconds() > losingFactor*limit*base.Seconds()
+	left, known := r.remaining(now)
+	firstLeft, firstKnown := first.remaining(now)
+	if known && firstKnown && r.percent >= minComparedPercent {
+		losing = left >= firstLeft
+	}
+	if !losing {
+		return
+	}
+	q.Predicted += r.copy.expected
+	r.copy.expected = 0
+	s.stop(now, r, "no faster than the first run")
+}
+
+// remaining returns the rest of a run by its reported progress. known is false if there is none, or if
+// the run is past the end that followed from it.
+func (r *run) remaining(now time.Time) (left time.Duration, known bool) {
+	if r.percent < minProgressPercent || r.percent >= 100 || r.adopted {
+		return 0, false
+	}
+	total := r.progressAt.Sub(r.startedAt) * 100 / time.Duration(r.percent)
+	left = r.startedAt.Add(total).Sub(now)
+	return left, left > 0
+}
+
 // race returns the outlook of a run and a copy of it, in multiples of unit seconds, where left is the
 // time within which the task should end. It trusts the run's progress as long as the run is not past
 // the end that follows from it.
 func (r *run) race(now time.Time, d *rtime.Dist, unit float64, left time.Duration) rtime.Race {
 	delay, within := copyDelay.Seconds()/unit, left.Seconds()/unit
-	if r.percent >= minProgressPercent && r.percent < 100 && !r.adopted {
-		total := r.progressAt.Sub(r.startedAt) * 100 / time.Duration(r.percent)
-		if remaining := r.startedAt.Add(total).Sub(now); remaining > 0 {
-			race, _ := d.OutlookAt(remaining.Seconds()/unit, delay, within)
-			return race
-		}
+	if rest, known := r.remaining(now); known {
+		race, _ := d.OutlookAt(rest.Seconds()/unit, delay, within)
+		return race
 	}
 	race, _ := d.Outlook(now.Sub(r.startedAt).Seconds()/unit, delay, within)
 	return race
