--- a/internal/sched/copies_load_test.go
+++ b/internal/sched/copies_load_test.go
@@ -9,7 +9,6 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/greengagelane/greengagelane/internal/shed"
 	"github.com/greengagelane/greengagelane/pkg/jobs"
 	"github.com/greengagelane/greengagelane/pkg/site"
 )
@@ -24,6 +23,8 @@
 	progress  bool    // runs report their true progress; otherwise some change that tells nothing
 }
 
+const unevenMS = 40_000 // for which jobs are submitted
+
 type unevenRun struct {
 	run        int64
 	start, end time.Time
@@ -40,7 +41,8 @@
 	running  map[string]map[string]unevenRun // by VM and task
 	sequence map[string]int64                // of the run ends, by VM
 	outcome  map[string]string
-	runMS    float64 // of all runs
+
+	maxCopying float64 // largest share of the pool's cores in copies at once
 }
 
 func playUneven(t *testing.T, load unevenLoad, copyShare float64, seed uint64) *uneven {
@@ -59,8 +61,8 @@
 		u.running[v.ID] = map[string]unevenRun{}
 	}
 	u.s.SetVMs(at(0), list)
-	u.offer(60_000)
-	for ms := 0; ms < 80_000; ms += 20 {
+	u.offer(unevenMS)
+	for ms := 0; ms < unevenMS+20_000; ms += 20 {
 		u.round(t, at(ms))
 	}
 	return u
@@ -101,7 +103,7 @@
 			if now.Before(x.end) {
 				continue
 			}
-			u.end(id, task, x.end)
+			u.end(id, task)
 			status.Ended = append(status.Ended, site.RunEnd{Sequence: u.sequence[id], Task: task, Run: x.run, How: site.Done})
 		}
 		status.Running = u.listed(now, id)
@@ -114,10 +116,12 @@
 			u.running[x.VM][x.Order.Task] = unevenRun{run: x.Order.Run, start: now, end: now.Add(u.runTime(x))}
 			u.s.HandleStart(now, &x, site.Accepted, nil)
 		case StopRun:
-			u.end(x.VM, x.Task, now)
+			u.end(x.VM, x.Task)
 			u.s.HandlePoll(now, x.VM, now, &site.VMStatus{Born: 1, ClockMS: now.UnixMilli(), Running: u.listed(now, x.VM), Ended: []site.RunEnd{{Sequence: u.sequence[x.VM], Task: x.Task, Run: x.Run, How: site.Stopped}}})
 		}
 	}
+	usage := u.s.copyUsage("pool")
+	u.maxCopying = max(u.maxCopying, usage.copying/usage.total)
 	u.flush(t, now)
 	for _, j := range u.s.jobs {
 		if j.state == jobs.Completed && u.outcome[j.ID] == "" {
@@ -149,8 +153,7 @@
 	return list
 }
 
-func (u *uneven) end(vm, task string, at time.Time) {
-	u.runMS += float64(at.Sub(u.running[vm][task].start).Milliseconds())
+func (u *uneven) end(vm, task string) {
 	delete(u.running[vm], task)
 	u.sequence[vm]++
 }
@@ -171,6 +174,9 @@
 	return time.Duration(ms * float64(time.Millisecond))
 }
 
+// poolShare returns core-milliseconds as a share of the pool's cores over the time of the load.
+func (u *uneven) poolShare(coreMS int) float64 { return float64(coreMS) / (overloadVMs * 8 * unevenMS) }
+
 func (u *uneven) share(outcome string) float64 {
 	n := 0
 	for _, x := range u.outcome {
@@ -181,16 +187,43 @@
 	return float64(n) / float64(len(u.actualMS))
 }
 
-func TestTrialUneven(t *testing.T) {
-	for _, load := range []unevenLoad{{wrongBy: 0.5, use: 0.6, progress: true}, {wrongBy: 0.9, use: 0.6, progress: true}, {wrongBy: 0.5, use: 0.6, slowTasks: true, progress: true}, {wrongBy: 0.5, use: 0.6}, {wrongBy: 0.9, use: 0.6}, {wrongBy: 0.5, use: 0.5, burst: 4}, {wrongBy: 0.9, use: 0.5, burst: 4}, {wrongBy: 0.5, use: 0.8}, {wrongBy: 0.5, use: 0.6, slowTasks: true}} {
-		for _, share := range []float64{0, 0.05} {
-			for seed := range uint64(1) {
-				u := playUneven(t, load, share, seed)
-				st := u.s.Stats()
-				t.Logf("%+v share %v: in time %.3f late %.3f refused %.3f; %d starts, %d copies, %d won, copy core-share %.4f, wasted %.4f", load, share, u.share("in-time"), u.share("late"), u.share("refused"),
-					st.Started, st.Copies, st.CopiesWon, float64(st.CopyCoreMS)/u.runMS, float64(st.CopyWasteCoreMS)/u.runMS)
-			}
-		}
+// TestCopiesServeMoreInTime guards against stragglers that make their jobs late while the pool has idle
+// cores: with them, 3 of 10 jobs are late. Copies have to halve that with declared run times that are off
+// by 0.5 and by 0.9, and in bursts to serve a tenth more in time; the core-seconds in copies have to stay
+// within their share of the pool's cores.
+func TestCopiesServeMoreInTime(t *testing.T) {
+	tests := []struct {
+		name    string
+		load    unevenLoad
+		maxLate float64 // late jobs, relative to those without copies
+		minGain float64 // share of jobs in time, less that without copies
+	}{
+		{"declared times off by 0.5", unevenLoad{wrongBy: 0.5, use: 0.6}, 0.5, 0.15},
+		{"declared times off by 0.9", unevenLoad{wrongBy: 0.9, use: 0.6}, 0.5, 0.15},
+		{"off by 0.9, with progress", unevenLoad{wrongBy: 0.9, use: 0.6, progress: true}, 0.35, 0.2},
+		{"bursts, off by 0.9", unevenLoad{wrongBy: 0.9, use: 0.5, burst: 4}, 0.8, 0.08},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			before, after := playUneven(t, tt.load, 0, 1), playUneven(t, tt.load, testPolicy().CopyShare, 1)
+			u, st := after, after.s.Stats()
+			t.Logf("in time %.3f before, %.3f now; late %.3f, %.3f; refused %.3f, %.3f; %d copies, %d won, %.4f of the pool in copies, %.4f wasted",
+				before.share("in-time"), u.share("in-time"), before.share("late"), u.share("late"), before.share("refused"), u.share("refused"),
+				st.Copies, st.CopiesWon, u.poolShare(st.CopyCoreMS), u.poolShare(st.CopyWasteCoreMS))
+			assert.Equal(t, before.s.Stats().Copies, 0)
+			assert.Assert(t, u.share("late") <= tt.maxLate*before.share("late"))
+			assert.Assert(t, u.share("in-time") >= before.share("in-time")+tt.minGain)
+			assert.Assert(t, u.poolShare(st.CopyCoreMS) <= testPolicy().CopyShare)
+			assert.Assert(t, u.maxCopying <= testPolicy().CopyShare, "%.3f of the cores were in copies at once", u.maxCopying)
+		})
 	}
-	_ = shed.InTime
+}
+
+// TestCopiesOfSlowTasksEnd guards against core-seconds that are spent without end on tasks that take long
+// wherever they run: copies of these never win.
+func TestCopiesOfSlowTasksEnd(t *testing.T) {
+	u := playUneven(t, unevenLoad{wrongBy: 0.5, use: 0.6, slowTasks: true}, testPolicy().CopyShare, 1)
+	st := u.s.Stats()
+	t.Logf("%d copies, %d won, %.4f of the pool wasted", st.Copies, st.CopiesWon, u.poolShare(st.CopyWasteCoreMS))
+	assert.Assert(t, u.poolShare(st.CopyWasteCoreMS) <= 0.02)
 }
