--- a/internal/sched/copies_test.go
+++ b/internal/sched/copies_test.go
@@ -16,7 +16,7 @@
 	straggler := rtime.Race{FirstChance: 0.9, Saved: 4, SecondTime: 1.2, Within: 0.1, EitherIn: 0.9}
 	onTime := rtime.Race{FirstChance: 0.9, Saved: 4, SecondTime: 1.2, Within: 1, EitherIn: 1}
 	late := rtime.Race{FirstChance: 0.9, Saved: 4, SecondTime: 1.2}
-	close := rtime.Race{FirstChance: 0.2, Saved: 0.1, SecondTime: 0.5, Within: 0.1, EitherIn: 0.3}
+	hardlyFirst := rtime.Race{FirstChance: 0.2, Saved: 0.1, SecondTime: 0.5, Within: 0.1, EitherIn: 0.3}
 	terms := copyTerms{jobWork: 8, cores: 1, baseS: 1, lateWindow: 10, inUse: 0.6, factor: 1}
 	with := func(change func(*copyTerms)) copyTerms { c := terms; change(&c); return c }
 	tests := []struct {
@@ -29,7 +29,7 @@
 		{"the job is in time anyway", onTime, terms, false},
 		{"a late job is less late", late, with(func(c *copyTerms) { c.jobWork = 100 }), true},
 		{"a small late job", late, terms, false},
-		{"the copy hardly ever ends first", close, with(func(c *copyTerms) { c.jobWork = 1000 }), false},
+		{"the copy hardly ever ends first", hardlyFirst, with(func(c *copyTerms) { c.jobWork = 1000 }), false},
 		{"large tasks of a small job in a busy pool", straggler, with(func(c *copyTerms) { c.cores, c.inUse = 10, 0.9 }), false},
 		{"copies of the queue have never won", straggler, with(func(c *copyTerms) { c.factor = (&copyRecord{Predicted: 20}).factor() }), false},
 	}
@@ -219,35 +219,37 @@
 	assert.Equal(t, len(task.runs), 1, "the copy goes on")
 }
 
-// TestRunTimesSurviveHandover guards against run times that are lost with a handover, against a record of
-// the former version, which has no run times, and against damaged ones.
+// TestRunTimesSurviveHandover guards against run times that are lost with a handover, change the record
+// that older versions read, make the records too large, or are used although damaged.
 func TestRunTimesSurviveHandover(t *testing.T) {
 	r := newFixture(t, testVM("a"))
 	r.warm()
 	r.retire(10)
+	_, err := jobs.Decode[formerHandover](r.jobLog[handoverKey])
+	assert.NilError(t, err)
 	r.takeover(20, testVM("a"))
 	assert.Equal(t, r.s.queue("q").tasks.Samples(), 100)
+	assert.Equal(t, len(r.s.appendRunTimes(nil, 50)), 0)
 
-	former, err := jobs.Encode(&struct {
-		_msgpack struct{} `msgpack:",as_array"` //nolint:unused // encodes fields by position
-		Epoch    int64
-		Tasks    map[string][]string
-		Unknown  []string
-	}{Epoch: 1, Unknown: []string{"a"}})
+	former, err := jobs.Encode(&formerHandover{Epoch: 1, Unknown: []string{"a"}})
 	assert.NilError(t, err)
-	damaged, err := jobs.Encode(&handover{Epoch: 1, Unknown: []string{"a"}, Queues: []queueRecord{{Name: "q", Tasks: []byte{1, 0xff}, Actual: -1, Declared: 5}}})
+	damaged, err := jobs.Encode(&[]queueRecord{{Name: "q", Tasks: []byte{1, 0xff}, Actual: -1, Declared: 5}})
 	assert.NilError(t, err)
-	for _, value := range [][]byte{former, damaged} {
+	for _, value := range [][]byte{damaged, {0xc1}} {
 		s := New(2, testPolicy(), quietLog())
-		s.Restore(at(0), 1, []site.Record{{Key: handoverKey, Value: value}})
+		s.Restore(at(0), 1, []site.Record{{Key: handoverKey, Value: former}, {Key: runTimesKey, Value: value}})
 		assert.Assert(t, s.inherited != nil)
 		assert.Equal(t, s.queue("q").chainRatio(), 1.0)
 		assert.Equal(t, s.queue("q").tasks.Samples(), 0)
 	}
-	r.s.Retire(100)
-	rec, err := r.s.handoverRecord()
-	assert.NilError(t, err, "the runs are handed over even if the run times do not fit")
-	assert.Assert(t, len(rec.Value) > 0)
+}
+
+// formerHandover is the handover record of the versions before run times were handed over.
+type formerHandover struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // encodes fields by position
+	Epoch    int64
+	Tasks    map[string][]string
+	Unknown  []string
 }
 
 // TestUnusualRunsAreNotCounted guards against run times of slow VMs, and of adopted runs whose start is not
--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -348,6 +348,7 @@
 			s.log.WithError(err).Warn("handover record not written; the next owner waits for all VMs")
 		}
 		f.Records, f.hasHandover = append(f.Records, r), true
+		f.Records = s.appendRunTimes(f.Records, s.maxHandoverBytes-len(r.Value))
 	}
 	if len(f.Records) == 0 && len(f.cursors) == 0 {
 		return nil, nil
--- a/internal/sched/handover.go
+++ b/internal/sched/handover.go
@@ -19,7 +19,6 @@
 	Epoch    int64               // of the owner that stored it; void if another owner has claimed the partition since
 	Tasks    map[string][]string // names of the tasks that may be running, by VM
 	Unknown  []string            // VMs that this owner has neither polled nor inherited a list of runs for; any task may be running there
-	Queues   []queueRecord       // run times; nil in records of versions before speculative execution
 }
 
 // inheritedRuns is the content of the previous owner's handover record, indexed by task.
@@ -63,13 +62,7 @@
 			}
 		}
 	}
-	h.Queues = s.queueRecords()
 	value, err := jobs.Encode(&h)
-	if err == nil && len(value) > s.maxHandoverBytes && len(h.Queues) > 0 {
-		s.log.WithField("bytes", len(value)).Warn("handover record exceeds the job log's limit; it is stored without run times")
-		h.Queues = nil
-		value, err = jobs.Encode(&h)
-	}
 	if err == nil && len(value) > s.maxHandoverBytes {
 		err = fmt.Errorf("%d bytes exceed the job log's limit of %d", len(value), s.maxHandoverBytes)
 	}
@@ -111,10 +104,8 @@
 }
 
 // applyHandover loads a handover record. It ignores a record that was stored by an
-// owner before the previous one, since the previous one may have started other runs, but for the
-// run times, which remain of use.
+// owner before the previous one, since the previous one may have started other runs.
 func (s *Scheduler) applyHandover(h *handover, lastEpoch int64) {
-	s.applyQueueRecords(h.Queues)
 	if h.Epoch != lastEpoch {
 		return
 	}
--- a/internal/sched/runtimes.go
+++ b/internal/sched/runtimes.go
@@ -1,12 +1,14 @@
 package sched
 
 import (
+	"fmt"
 	"math"
 	"slices"
 	"time"
 
 	"github.com/greengagelane/greengagelane/internal/rtime"
 	"github.com/greengagelane/greengagelane/pkg/jobs"
+	"github.com/greengagelane/greengagelane/pkg/site"
 )
 
 // minSamples is the number of run times from which a distribution is used.
@@ -138,7 +140,12 @@
 	return v.speed-s.pool(v.Pool).speed > factor
 }
 
-// queueRecord carries the run times of a queue in the handover record.
+// runTimesKey is the key of the record, beside the handover record, that carries the run times to the
+// next owner. Older versions skip the record. They would not skip a further field in the handover
+// record, whose encoding by position fixes the number of fields.
+const runTimesKey = "run-times"
+
+// queueRecord is the element for a queue in the list under runTimesKey.
 type queueRecord struct {
 	_msgpack         struct{} `msgpack:",as_array"` //nolint:unused // encodes fields by position
 	Name             string
@@ -147,6 +154,24 @@
 	Won, Predicted   float64 // of copyRecord
 }
 
+// appendRunTimes appends the record of the queues' run times. A record that cannot be encoded, or
+// exceeds maxBytes, is left out: the run times are measured again.
+func (s *Scheduler) appendRunTimes(records []site.Record, maxBytes int) []site.Record {
+	list := s.queueRecords()
+	if len(list) == 0 {
+		return records
+	}
+	value, err := jobs.Encode(&list)
+	if err == nil && len(value) > maxBytes {
+		err = fmt.Errorf("%d bytes exceed the rest of the job log's limit, %d", len(value), maxBytes)
+	}
+	if err != nil {
+		s.log.WithError(err).Warn("run times not handed over")
+		return records
+	}
+	return append(records, site.Record{Key: runTimesKey, Value: value})
+}
+
 // queueRecords returns the run times of the queues that have any.
 func (s *Scheduler) queueRecords() []queueRecord {
 	var list []queueRecord
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -10,7 +10,7 @@
 	"github.com/greengagelane/greengagelane/pkg/site"
 )
 
-// Keys and key prefixes of the records in the job log; see also handoverKey.
+// Keys and key prefixes of the records in the job log; see also handoverKey and runTimesKey.
 const (
 	jobKeyPrefix      = "j/"  // followed by the job ID; holds the job, which never changes
 	progressKeyPrefix = "p/"  // followed by the job ID; holds the progress of the job
@@ -137,6 +137,12 @@
 			return err
 		}
 		s.applyHandover(h, lastEpoch)
+	case r.Key == runTimesKey:
+		list, err := jobs.Decode[[]queueRecord](r.Value)
+		if err != nil {
+			return err
+		}
+		s.applyQueueRecords(*list)
 	case r.Key == vmsKey:
 		list, err := jobs.Decode[[]recordedVM](r.Value)
 		if err != nil {
