--- a/internal/sched/copies_load_test.go
+++ b/internal/sched/copies_load_test.go
@@ -3,7 +3,9 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -97,9 +99,10 @@
 			u.outcome[c.job.ID] = "refused"
 		}
 	}
-	for id, runs := range u.running {
+	for _, id := range slices.Sorted(maps.Keys(u.running)) {
 		status := &site.VMStatus{Born: 1, ClockMS: now.UnixMilli()}
-		for task, x := range runs {
+		for _, task := range slices.Sorted(maps.Keys(u.running[id])) {
+			x := u.running[id][task]
 			if now.Before(x.end) {
 				continue
 			}
