--- a/internal/rtime/race.go
+++ b/internal/rtime/race.go
@@ -1,5 +1,10 @@
 package rtime
 
+import (
+	"math"
+	"sort"
+)
+
 // Race is the outlook of a run of a given age and of a second run of the same task that starts now.
 // Times are ratios, as in the distribution, unless the caller scales them.
 type Race struct {
@@ -36,43 +41,48 @@
 
 func (d *Dist) olderThan(age float64) []bin {
 	bins := d.sorted()
-	for i := range bins {
-		if bins[i].ratio > age {
-			return bins[i:]
-		}
-	}
-	return nil
+	return bins[sort.Search(len(bins), func(i int) bool { return bins[i].ratio > age }):]
 }
 
-// race sums over the pairs of run times, less than 100 of each.
+// race sums over the times of the first run, and for each over those of the second one by the sums
+// that the bins hold.
 func (d *Dist) race(first []bin, age, delay, left float64) Race {
+	all, _ := d.below(math.Inf(1))
+	secondIn, _ := d.below(math.Nextafter(left-delay, math.Inf(1)))
 	var r Race
-	var sum float64
+	var weights float64
 	for _, x := range first {
+		weights += x.count
 		remaining := x.ratio - age
-		for _, y := range d.sorted() {
-			second := y.ratio + delay
-			weight := x.count * y.count
-			sum += weight
-			r.Remaining += weight * remaining
-			r.SecondTime += weight * max(min(remaining, second), 0)
-			if second < remaining {
-				r.FirstChance += weight
-				r.Saved += weight * (remaining - second)
-			}
-			if remaining <= left {
-				r.Within += weight
-			}
-			if min(remaining, second) <= left {
-				r.EitherIn += weight
-			}
+		faster, sum := d.below(remaining - delay)
+		faster, sum = faster/all, sum/all
+		r.Remaining += x.count * remaining
+		r.FirstChance += x.count * faster
+		r.Saved += x.count * (faster*(remaining-delay) - sum)
+		r.SecondTime += x.count * (sum + faster*delay + (1-faster)*remaining)
+		if remaining <= left {
+			r.Within += x.count
+			r.EitherIn += x.count
+		} else {
+			r.EitherIn += x.count * secondIn / all
 		}
 	}
-	r.Remaining /= sum
-	r.FirstChance /= sum
-	r.Saved /= sum
-	r.SecondTime /= sum
-	r.Within /= sum
-	r.EitherIn /= sum
+	r.Remaining /= weights
+	r.FirstChance /= weights
+	r.Saved /= weights
+	r.SecondTime /= weights
+	r.Within /= weights
+	r.EitherIn /= weights
 	return r
 }
+
+// below returns the number and the sum of the samples below a ratio.
+func (d *Dist) below(ratio float64) (count, sum float64) {
+	bins := d.sorted()
+	i := sort.Search(len(bins), func(i int) bool { return bins[i].ratio >= ratio })
+	if i < len(bins) {
+		return bins[i].countBelow, bins[i].sumBelow
+	}
+	last := &bins[len(bins)-1]
+	return last.countBelow + last.count, last.sumBelow + last.count*last.ratio
+}
--- a/internal/rtime/rtime.go
+++ b/internal/rtime/rtime.go
@@ -34,7 +34,11 @@
 }
 
 // bin is a bin of the histogram that contains samples.
-type bin struct{ ratio, count float64 }
+type bin struct {
+	ratio, count float64
+	countBelow   float64 // samples of the bins before it
+	sumBelow     float64 // sum of these samples
+}
 
 func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(minValue, maxValue, digits) }
 
@@ -97,10 +101,14 @@
 // sorted returns the bins that contain samples, each with the middle of its range.
 func (d *Dist) sorted() []bin {
 	if d.bins == nil && d.hist != nil {
+		count, sum := 0.0, 0.0
 		for _, b := range d.hist.Distribution() {
-			if b.Count > 0 {
-				d.bins = append(d.bins, bin{ratio: float64(b.From+b.To) / 2 / unit, count: float64(b.Count)})
+			if b.Count == 0 {
+				continue
 			}
+			x := bin{ratio: float64(b.From+b.To) / 2 / unit, count: float64(b.Count), countBelow: count, sumBelow: sum}
+			count, sum = count+x.count, sum+x.count*x.ratio
+			d.bins = append(d.bins, x)
 		}
 	}
 	return d.bins
--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -51,6 +51,44 @@
 	b.ReportMetric(float64(len(started)), "starts-first-round")
 }
 
+// BenchmarkCopies measures the search for stragglers in a pool whose VMs are all in use by steps that
+// allow copies; a round in 50 ms contains it.
+func BenchmarkCopies(b *testing.B) {
+	for _, n := range []int{350, 5000} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			s := New(1, testPolicy(), quietLog())
+			var vms []site.VM
+			for i := range n {
+				vms = append(vms, testVM(fmt.Sprintf("vm-%05d", i)))
+			}
+			s.SetVMs(at(0), vms)
+			for _, v := range vms {
+				s.HandlePoll(at(0), v.ID, at(0), &site.VMStatus{Born: 1, ClockMS: 1000})
+			}
+			flushAll(b, s)
+			for i := range n {
+				j := testJob(fmt.Sprintf("%016x", i), jobs.Step{Count: 7, CPU: 1000, EstimateMS: 1000, Copies: true})
+				j.Stretch = 100
+				s.Submit(at(0), j)
+			}
+			flushAll(b, s)
+			for _, a := range s.Decide(at(10)) {
+				if x, ok := a.(StartRun); ok {
+					s.HandleStart(at(10), &x, site.Accepted, nil)
+				}
+			}
+			for i := range 100 {
+				s.queue("q").tasks.Add([]float64{1, 7}[i/95])
+			}
+			b.ResetTimer()
+			for range b.N {
+				s.pool("pool").copiesAt = at(0)
+				s.Decide(at(1200)) // all runs are older than usual, and all jobs in time
+			}
+		})
+	}
+}
+
 func flushAll(b *testing.B, s *Scheduler) {
 	for {
 		f, err := s.Flush(at(0), 1<<30)
--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -96,7 +96,7 @@
 	for _, r := range u.copies {
 		s.stopLosingCopy(now, r)
 	}
-	if tasksWait(list) || (!p.refusedAt.IsZero() && now.Sub(p.refusedAt) < quietAfterRefusal) {
+	if !u.hasRoom(0, s.policy.CopyShare) || tasksWait(list) || (!p.refusedAt.IsZero() && now.Sub(p.refusedAt) < quietAfterRefusal) {
 		return
 	}
 	var found []straggler
@@ -167,6 +167,7 @@
 		return found
 	}
 	q := s.queue(j.Queue)
+	work := u.largest.equivalentWork(j.Job)
 	for _, o := range j.sortedOccurrences() {
 		due := timing.Submitted.Add(timing.Objective)
 		if j.Repeat > 0 {
@@ -190,7 +191,7 @@
 				unit := base.Seconds()
 				race := r.race(now, dist, unit, due.Sub(now)-after)
 				g := weighCopy(&race, &copyTerms{
-					jobWork: s.equivalentWork(j.Job), cores: u.largest.equivalentCores(st.Step), baseS: unit,
+					jobWork: work, cores: u.largest.equivalentCores(st.Step), baseS: unit,
 					lateWindow: 2 * timing.Objective.Seconds() / unit, inUse: u.used / u.total, factor: q.factor(),
 				})
 				if g.worthwhile() {
--- a/internal/sched/submit.go
+++ b/internal/sched/submit.go
@@ -41,12 +41,14 @@
 // equivalentWork returns the work of a job in core-seconds: the sum over its tasks of the
 // declared run time times the equivalent cores on the pool's largest VM. Multiplied by
 // pool.workRatio, it is corrected for run times that differ from the declared ones.
-func (s *Scheduler) equivalentWork(j *jobs.Job) float64 {
-	largest := s.largestVM(j.Pool)
+func (s *Scheduler) equivalentWork(j *jobs.Job) float64 { return s.largestVM(j.Pool).equivalentWork(j) }
+
+// equivalentWork returns the work of a job on VMs with capacity r.
+func (r resources) equivalentWork(j *jobs.Job) float64 {
 	var sum float64
 	for i := range j.Steps {
 		st := &j.Steps[i]
-		sum += float64(st.Count) * largest.equivalentCores(st) * float64(st.EstimateMS) / 1000
+		sum += float64(st.Count) * r.equivalentCores(st) * float64(st.EstimateMS) / 1000
 	}
 	return sum
 }
