--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -34,7 +34,8 @@
 	gain     copyGain
 	age      time.Duration // of the first run at the start of the copy
 	expected float64       // predicted chance to end first, without copyRecord.factor; 0 for a copy of an earlier owner
-	won      bool
+	won      bool    // it ended as done while the first run was still running
+	counted  bool    // it ended as done before any other run
 }
 
 // copyTerms are what the decision on a copy depends on, besides the race between the two runs.
@@ -396,15 +397,19 @@
 	return r.phase == stopping
 }
 
-// recordRace notes which of a task's two runs ended first, before the first one is released. The
-// straggler's time enters the distributions with the rest that was to be expected: without it,
-// successful copies would erase the stragglers from them.
-func (s *Scheduler) recordRace(now time.Time, winner *run) {
+// recordRace notes which of a task's two runs ended first, before it is released.
+func (s *Scheduler) recordRace(winner *run) {
 	t := winner.task
-	if len(t.runs) != 2 || t.done {
+	if t.done {
 		return
 	}
-	first, second := t.bothRuns()
+	if winner.copy != nil {
+		winner.copy.counted = true
+	}
+	if len(t.runs) != 2 {
+		return
+	}
+	_, second := t.bothRuns()
 	if second.copy == nil {
 		return
 	}
@@ -414,16 +419,8 @@
 	}
 	q := s.queue(t.job.Queue)
 	q.Predicted += second.copy.expected
-	if winner != second {
-		return
-	}
-	q.Won++
-	if first.adopted || first.vm.ColdMS > 0 || s.isSlow(first.vm) {
-		return
-	}
-	age, unit := now.Sub(first.startedAt), t.step.declared().Seconds()
-	if race, ok := q.tasks.Outlook(age.Seconds()/unit, 0, 0); ok {
-		s.recordRunTime(first, age+time.Duration(race.Remaining*unit*float64(time.Second)))
+	if winner == second {
+		q.Won++
 	}
 }
 
@@ -435,7 +432,8 @@
 	s.stats.CopyCoreMS += coreMS
 	if c.won {
 		s.stats.CopiesWon++
-	} else {
+	}
+	if !c.counted {
 		s.stats.CopyWasteCoreMS += coreMS
 	}
 	round := func(x float64) float64 { return math.Round(1000*x) / 1000 }
--- a/internal/sched/copies_test.go
+++ b/internal/sched/copies_test.go
@@ -197,6 +197,18 @@
 	}
 }
 
+// TestOnlyRunsOfEarlierOwnersAreAdoptedBesideAnother guards against a run of this owner that is taken up
+// again after it was released.
+func TestOnlyRunsOfEarlierOwnersAreAdoptedBesideAnother(t *testing.T) {
+	r, x := copyFixture(t, jobs.Step{})
+	c := r.copyOf(x)
+	r.s.releaseRun(r.s.vms[c.VM].runs[c.Order.Task], "lost")
+	r.poll(820, c.VM, site.VMStatus{Running: []site.Run{atOnePercent(c)}})
+	stops := r.stops(820)
+	assert.Equal(t, len(stops), 1)
+	assert.Equal(t, stops[0].Run, c.Order.Run)
+}
+
 // TestCheckpointsOfTwoRuns guards against a copy that starts from the first run's checkpoint, and against
 // a task that goes back to the checkpoint of the run that is behind.
 func TestCheckpointsOfTwoRuns(t *testing.T) {
--- a/internal/sched/observe.go
+++ b/internal/sched/observe.go
@@ -299,7 +299,7 @@
 	}
 	if r != nil {
 		if e.How == site.Done {
-			s.recordRace(now, r)
+			s.recordRace(r)
 			s.recordRun(now, r)
 		}
 		s.releaseRun(r, e.How.String())
--- a/internal/sched/runtimes.go
+++ b/internal/sched/runtimes.go
@@ -63,12 +63,7 @@
 	}
 	s.updateWorkRatio(now, r)
 	st.longestRun = max(st.longestRun, now.Sub(r.task.firstStart()))
-	s.recordRunTime(r, took)
-}
-
-// recordRunTime enters the run time of a task in the distributions of its queue.
-func (s *Scheduler) recordRunTime(r *run, took time.Duration) {
-	q, st := s.queue(r.task.job.Queue), r.task.step
+	q := s.queue(r.task.job.Queue)
 	q.tasks.Add(took.Seconds() / st.declared().Seconds())
 	q.fade()
 	if st.copyable() {
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -55,7 +55,7 @@
 	Copies          int // speculative runs started; Started counts them too
 	CopiesWon       int // that ended as done before the first run
 	CopyCoreMS      int // core-milliseconds of all speculative runs that have ended
-	CopyWasteCoreMS int // core-milliseconds of those that did not win
+	CopyWasteCoreMS int // core-milliseconds of those whose end did not count
 }
 
 // pool is the scheduler's state of one pool.
