--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -34,8 +34,8 @@
 	gain     copyGain
 	age      time.Duration // of the first run at the start of the copy
 	expected float64       // predicted chance to end first, without copyRecord.factor; 0 for a copy of an earlier owner
-	won      bool    // it ended as done while the first run was still running
-	counted  bool    // it ended as done before any other run
+	won      bool          // it ended as done while the first run was still running
+	counted  bool          // it ended as done before any other run
 }
 
 // copyTerms are what the decision on a copy depends on, besides the race between the two runs.
