--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -11,7 +11,7 @@
 	"github.com/greengagelane/greengagelane/pkg/site"
 )
 
-// Keys and key prefixes of the records in the job log; see also handoverKey.
+// Keys and key prefixes of the records in the job log; see also handoverKey and runTimesKey.
 const (
 	jobKeyPrefix      = "j/"  // followed by the job ID; holds the job, which never changes
 	progressKeyPrefix = "p/"  // followed by the job ID; holds the progress of the job
@@ -58,6 +58,11 @@
 	Started, Done, Failed, Stopped, Lost, Refused, Stalled int
 	RefusedByShare                                         int // of Refused: the account's work exceeds its share
 	RefusedByRate                                          int // of Refused: the job is beyond the rate of its account
+
+	Copies          int // speculative runs started; Started counts them too
+	CopiesWon       int // that ended as done before the first run
+	CopyCoreMS      int // core-milliseconds of all speculative runs that have ended
+	CopyWasteCoreMS int // core-milliseconds of those whose end did not count
 }
 
 // pool is the scheduler's state of one pool.
@@ -84,11 +89,14 @@
 	// The rest is used only on sites with accounts.
 	accounts   map[string]*accountLoad
 	fair       fairLoad
-	placeCores float64      // cores of the VMs that may get runs, as of the last round
-	startLevel float64      // cores per unit of weight within shares, in the last round; infinite without overload, 0 before the first round
-	claims     []fair.Claim // buffer
-	crossing   []*job       // buffer
-	excess     []*job       // buffer
+	placeCores float64        // cores of the VMs that may get runs, as of the last round
+	startLevel float64        // cores per unit of weight within shares, in the last round; infinite without overload, 0 before the first round
+	claims     []fair.Claim   // buffer
+	crossing   []*job         // buffer
+	excess     []*job         // buffer
+	refusedAt  time.Time      // when a job was last refused
+	copiesAt   time.Time      // when stragglers were last searched
+	speed      speedDeviation // of the latest runs of its VMs
 }
 
 // New returns a scheduler without jobs.
@@ -152,6 +160,12 @@
 			return err
 		}
 		s.applyHandover(now, h, r.Value, lastEpoch)
+	case r.Key == runTimesKey:
+		list, err := jobs.Decode[[]queueRecord](r.Value)
+		if err != nil {
+			return err
+		}
+		s.applyQueueRecords(*list)
 	case r.Key == vmsKey:
 		list, err := jobs.Decode[[]recordedVM](r.Value)
 		if err != nil {
