--- a/internal/sched/offered_load.go
+++ b/internal/sched/offered_load.go
@@ -10,6 +10,7 @@
 type offeredLoad struct {
 	slots [slotCount]loadSlot // ring, indexed by slot number
 	last  int64               // number of the latest slot, counted from the Unix epoch
+	total loadSlot            // since this owner took over
 }
 
 // loadSlot is the work submitted in one slot.
@@ -44,6 +45,8 @@
 	s := &o.slots[o.last%slotCount]
 	s.sum += work
 	s.sumSquares += work * work
+	o.total.sum += work
+	o.total.sumSquares += work * work
 }
 
 // rate returns the offered load in core-seconds per second. It is the larger of the mean
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -21,6 +21,13 @@
 	Late    float64 // core-seconds of waiting tasks that could start, of jobs past their objective
 	Rate    float64 // offered load in core-seconds per second, including refused jobs
 	VMs     []VMReport
+	// Offered is the work submitted since this owner took over, including refused jobs, in
+	// core-seconds, and OfferedSquares the sum of the squares of the single jobs' work. The planner
+	// derives the arrivals between two reports from them.
+	Offered        float64
+	OfferedSquares float64
+	LateUsed       float64 // the part of Used of jobs past their objective
+	Excess         float64 // core-seconds of waiting tasks of jobs beyond their account's share; part of Waiting
 	// Accounts is the load of each client account with jobs in the pool; nil on sites without
 	// accounts.
 	Accounts map[string]AccountReport
@@ -39,7 +46,10 @@
 // Report returns the load of a pool.
 func (s *Scheduler) Report(now time.Time, pool string) *Report {
 	r := &Report{Pool: pool, Rate: s.pool(pool).offeredLoad.rate(now), Accounts: s.accountReports(pool)}
+	total := s.pool(pool).offeredLoad.total
+	r.Offered, r.OfferedSquares = total.sum, total.sumSquares
 	largest := s.largestVM(pool)
+	late := map[*job]bool{} // by job with runs: whether it is past its objective
 	for _, v := range s.sortedVMs(pool) {
 		u := VMReport{ID: v.ID, Runs: len(v.runs), Cordoned: v.cordoned, Known: v.polled}
 		for _, x := range v.runs {
@@ -47,7 +57,17 @@
 			if x.step().Lasts {
 				u.Lasting++
 			} else {
-				r.Used += largest.equivalentCores(x.step())
+				cores := largest.equivalentCores(x.step())
+				r.Used += cores
+				j := x.task.job
+				isLate, known := late[j]
+				if !known {
+					isLate = s.class(now, j) != shed.InTime
+					late[j] = isLate
+				}
+				if isLate {
+					r.LateUsed += cores
+				}
 			}
 		}
 		r.VMs = append(r.VMs, u)
