moves: predicted loads and costs decide on moves, where the settings give costs

A pool in a peak got its VMs 1.5 s and more after the onset, since the planner acted on reported load only; and VMs of a pool whose peak had ended stayed with it for the 1 s over which the rate is averaged and the 1.2 s of the demand window and the idle timeout.

An order whose record is not stored within 2 s is withdrawn, so that its machine does not stay cordoned while the log is down.

--- a/internal/drive/orders.go
+++ b/internal/drive/orders.go
@@ -31,17 +31,16 @@
 }
 
 // storeAndSend stores the record of the orders, then sends them unless the partition is being
-// handed over by then.
+// handed over by then, or the planner has withdrawn them as storing took too long.
 func (m *mover) storeAndSend(ctx context.Context, orders []moves.Order, record []byte) {
 	if len(orders) == 0 || len(record) == 0 {
 		return
 	}
 	m.part.storeControlRecord(site.Record{Key: ordersKey, Value: record}, func() {
 		m.mu.Lock()
-		handingOver := m.handingOver
-		m.mu.Unlock()
+		defer m.mu.Unlock()
 		for _, o := range orders {
-			if !handingOver {
+			if !m.handingOver && m.planner.Dispatch(o) {
 				go m.send(ctx, o)
 			}
 		}
--- a/internal/drive/policy.go
+++ b/internal/drive/policy.go
@@ -34,5 +34,6 @@
 	p := moves.DefaultPolicy(time.Duration(s.Bounds.MoveS*float64(time.Second)), s.Fleet.OrdersPerS)
 	override(&p.IdleTimeout, site.Millis(s.Policy.ParkMS))
 	override(&p.Horizon, site.Millis(s.Policy.HorizonMS))
+	p.Costs = moves.Costs{VMSecond: s.Policy.VMSecondCost, Move: s.Policy.MoveCost, LateJob: s.Policy.LateJobCost}
 	return p
 }
--- a/internal/moves/demand.go
+++ b/internal/moves/demand.go
@@ -72,12 +72,14 @@
 type balance struct {
 	pool            string
 	demand          float64    // cores
+	need            need       // demand is its firm part, raised for long-running and overdue work
 	recentPeak      float64    // cores; largest demand within Policy.DemandWindow
 	capacity        float64    // cores, including machines that are moving in
 	idle            []*machine // without runs, by name
-	busy            []*machine // with runs but no long-running task, fewest cores in use first
-	machineCount    int        // machines in service or moving in
-	minMachineCount int        // machines that must stay in the pool
+	busy            []*machine // with runs but no long-running task, fewest cores in use first once busySorted
+	busySorted      bool
+	machineCount    int // machines in service or moving in
+	minMachineCount int // machines that must stay in the pool
 }
 
 // planMoves moves machines to pools that lack capacity, from the spare pool and from
@@ -87,12 +89,52 @@
 	all := p.balances(st)
 	spares := p.availableSpares(st, spare)
 	remaining := p.moveBudget(st)
+	stages := []stage{firmStage}
+	if p.policy.Costs.enabled() {
+		stages = append(stages, expectedStage, excessStage)
+	}
+	for _, s := range stages {
+		remaining = p.fill(st, s, &spares, all, remaining)
+	}
+	if spare != "" {
+		p.moveIdleToSpare(st, spare, all, remaining)
+	}
+}
+
+// stage is a part of the pools' needs that is met before the next part. Its function returns
+// the cores that a pool needs.
+type stage struct {
+	cores    func(b *balance) float64
+	keep     func(b *balance) float64 // cores that another pool keeps of its idle machines
+	takeBusy bool                     // machines with runs are taken too
+}
+
+// Stages in their order.
+var (
+	firmStage     = stage{cores: firmCores, keep: likelyCores, takeBusy: true}
+	expectedStage = stage{cores: expectedCores, keep: expectedCores}
+	excessStage   = stage{cores: excessCores, keep: keptCores}
+)
+
+func firmCores(b *balance) float64     { return b.demand }
+func expectedCores(b *balance) float64 { return math.Max(b.demand, b.need.expected) }
+func excessCores(b *balance) float64   { return math.Max(b.demand, b.need.excess) }
+func keptCores(b *balance) float64     { return math.Max(expectedCores(b), b.need.kept) }
+
+// likelyCores returns the expected need of a pool, weighted by its chance: a machine that
+// waits for a load which may not come is taken for one that has come.
+func likelyCores(b *balance) float64 {
+	return b.demand + math.Min(b.need.forecast.Chance, 1)*(expectedCores(b)-b.demand)
+}
+
+// fill plans moves to pools that lack capacity for a stage, and returns the remaining budget.
+func (p *Planner) fill(st *state, s stage, spares *[]*machine, all []*balance, remaining int) int {
 	for remaining > 0 {
-		b := smallestCapacityRatio(all)
+		b := smallestCapacityRatio(all, s)
 		if b == nil {
 			break
 		}
-		m := p.pick(st, &spares, b, all)
+		m := p.pick(st, s, spares, b, all)
 		if m == nil {
 			break
 		}
@@ -101,16 +143,14 @@
 		b.machineCount++
 		remaining--
 	}
-	if spare != "" {
-		p.moveIdleToSpare(st, spare, all, remaining)
-	}
+	return remaining
 }
 
 // moveBudget returns how many moves to plan: as many as can be ordered within a second after
 // the planned ones whose machines are empty.
 func (p *Planner) moveBudget(st *state) int {
 	if p.policy.OrdersPerS <= 0 {
-		return len(st.byName)
+		return len(st.machines)
 	}
 	budget := int(p.policy.OrdersPerS)
 	for name, in := range p.intents {
@@ -124,7 +164,7 @@
 // availableSpares returns the machines of the spare pool that may be moved.
 func (p *Planner) availableSpares(st *state, spare string) []*machine {
 	var list []*machine
-	for _, m := range st.byPool[spare] {
+	for _, m := range p.index.pool(spare).machines {
 		if m.Pool == spare && p.available(st, m) {
 			list = append(list, m)
 		}
@@ -134,11 +174,12 @@
 
 // smallestCapacityRatio returns the pool with the smallest ratio of capacity to demand, or nil if
 // every pool's demand is met.
-func smallestCapacityRatio(all []*balance) *balance {
+func smallestCapacityRatio(all []*balance, s stage) *balance {
 	var worst *balance
+	worstRatio := 1.0
 	for _, b := range all {
-		if b.capacity < b.demand && (worst == nil || b.capacity/b.demand < worst.capacity/worst.demand) {
-			worst = b
+		if ratio := b.capacity / s.cores(b); ratio < worstRatio {
+			worst, worstRatio = b, ratio
 		}
 	}
 	return worst
@@ -149,17 +190,17 @@
 func (p *Planner) moveIdleToSpare(st *state, spare string, all []*balance, limit int) {
 	for _, b := range all {
 		for _, m := range b.idle {
-			if p.intents[m.Name] != nil {
+			if m.intent != nil {
 				continue
 			}
-			if !b.canSpare(m, b.demand) {
+			if !b.canSpare(m, keptCores(b)) {
 				delete(p.unneededSince, m.Name)
 				continue
 			}
 			if p.unneededSince[m.Name].IsZero() {
 				p.unneededSince[m.Name] = st.now
 			}
-			if limit > 0 && st.now.Sub(p.unneededSince[m.Name]) >= p.policy.IdleTimeout {
+			if limit > 0 && p.mayReturn(b, st.now.Sub(p.unneededSince[m.Name])) {
 				p.addMove(st, m, spare)
 				limit--
 			}
@@ -168,6 +209,15 @@
 	}
 }
 
+// mayReturn reports whether a machine that its pool has not needed for the given time moves to the
+// spare pool.
+func (p *Planner) mayReturn(b *balance, idle time.Duration) bool {
+	if p.policy.Costs.enabled() {
+		return p.policy.Costs.worthReturning(idle, b.need.forecast.Quiet)
+	}
+	return idle >= p.policy.IdleTimeout
+}
+
 // canSpare reports whether, without machine m, the pool has at least keep cores and its
 // minimum number of machines.
 func (b *balance) canSpare(m *machine, keep float64) bool {
@@ -229,8 +279,8 @@
 func (p *Planner) balance(st *state, name string, r *sched.Report) *balance {
 	b := &balance{pool: name}
 	incoming := false
-	for _, m := range st.byPool[name] {
-		in := p.intents[m.Name]
+	for _, m := range p.index.pool(name).machines {
+		in := m.intent
 		if m.State == site.Down || (in != nil && in.Kind == Maintain) {
 			continue
 		}
@@ -247,9 +297,12 @@
 		case m.report.Lasting == 0:
 			b.busy = append(b.busy, m)
 		}
-		delete(p.unneededSince, m.Name)
+		if len(p.unneededSince) > 0 {
+			delete(p.unneededSince, m.Name)
+		}
 	}
-	b.demand = p.demand(r)
+	b.need = p.need(st.now, name, r, b.capacity/math.Max(float64(b.machineCount), 1))
+	b.demand = b.need.firm
 	if b.machineCount > 0 && b.machineCount < r.MinVMs {
 		b.demand = math.Max(b.demand, b.capacity/float64(b.machineCount)*float64(r.MinVMs))
 	}
@@ -257,23 +310,33 @@
 		b.demand = math.Max(b.demand, b.capacity+b.capacity/float64(b.machineCount))
 	}
 	b.recentPeak = p.recentPeakDemand(st.now, name, b.demand)
+	if b.need.forecast.Ended {
+		b.recentPeak = b.demand // what the pool needed in the peak it does not need again before the next one
+	}
 	b.minMachineCount = max(r.MinVMs, p.policy.MinPerPool)
-	sort.SliceStable(b.busy, func(i, k int) bool { return b.busy[i].report.CPU < b.busy[k].report.CPU })
 	return b
 }
 
 // pick returns a machine for a pool that lacks capacity: a spare machine, else an idle
 // one that its pool can spare, else a busy one that its pool can spare even at its
 // recent peak demand. It removes a spare machine from spares.
-func (p *Planner) pick(st *state, spares *[]*machine, target *balance, all []*balance) *machine {
+func (p *Planner) pick(st *state, s stage, spares *[]*machine, target *balance, all []*balance) *machine {
 	if list := *spares; len(list) > 0 {
 		*spares = list[1:]
 		return list[0]
 	}
-	if m := p.pickFrom(st, target, all, func(b *balance) ([]*machine, float64) { return b.idle, b.demand }); m != nil {
+	idle := func(b *balance) ([]*machine, float64) { return b.idle, s.keep(b) }
+	if m := p.pickFrom(st, target, all, idle); m != nil || !s.takeBusy {
 		return m
 	}
-	return p.pickFrom(st, target, all, func(b *balance) ([]*machine, float64) { return b.busy, b.recentPeak })
+	busy := func(b *balance) ([]*machine, float64) {
+		if b.capacity > b.recentPeak && !b.busySorted {
+			sort.SliceStable(b.busy, func(i, k int) bool { return b.busy[i].report.CPU < b.busy[k].report.CPU })
+			b.busySorted = true
+		}
+		return b.busy, b.recentPeak
+	}
+	return p.pickFrom(st, target, all, busy)
 }
 
 // pickFrom returns a machine of a pool that has more cores than it must keep, starting
@@ -286,6 +349,9 @@
 			continue
 		}
 		list, keep := candidates(b)
+		if b.capacity <= keep || b.machineCount <= b.minMachineCount {
+			continue
+		}
 		for _, m := range list {
 			if p.available(st, m) && b.canSpare(m, keep) {
 				b.remove(m)
@@ -298,12 +364,13 @@
 
 // available reports whether a machine is up, has no intent and is not frozen.
 func (p *Planner) available(st *state, m *machine) bool {
-	return m.State == site.Up && p.intents[m.Name] == nil && !st.now.Before(p.frozen[m.Name])
+	return m.State == site.Up && m.intent == nil && (len(p.frozen) == 0 || !st.now.Before(p.frozen[m.Name]))
 }
 
 // addMove plans the move of a machine to a pool.
 func (p *Planner) addMove(st *state, m *machine, pool string) {
-	p.intents[m.Name] = &intent{Order: Order{Kind: Move, Machine: m.Name, Pool: pool}, plannedAt: st.now, fromVM: m.VM}
+	m.intent = &intent{Order: Order{Kind: Move, Machine: m.Name, Pool: pool}, plannedAt: st.now, fromVM: m.VM}
+	p.intents[m.Name] = m.intent
 	delete(p.unneededSince, m.Name)
 }
 
--- a/internal/moves/moves.go
+++ b/internal/moves/moves.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/greengagelane/greengagelane/internal/sched"
+	"github.com/greengagelane/greengagelane/internal/surge"
 	"github.com/greengagelane/greengagelane/pkg/site"
 )
 
@@ -31,6 +32,7 @@
 	MaintenanceShare float64       // largest share of a pool's machines that maintenance may take out of service at once, rounded down; one machine is always allowed
 	RetryDelay       time.Duration // delay before a failed order is sent again
 	OrdersPerS       float64       // number of orders that the platform accepts per second from all entries; 0 if it sets no limit
+	Costs            Costs         // with these, loads are predicted and machines moved where that costs least
 	WaveReserve      float64       // share of a wave's time that the plan keeps in reserve, as some machines empty slowly
 }
 
@@ -70,6 +72,9 @@
 	plannedAt     time.Time
 	sent          bool      // sent at least once; whether the platform applied it may be unknown
 	awaitingReply bool      // the last attempt has no reply yet
+	issuedAt      time.Time // when Plan last returned the order
+	dispatched    bool      // Dispatch has allowed to send the last attempt
+	everSent      bool      // Dispatch has allowed to send any attempt
 	retryAt       time.Time // earliest time to send it again
 	accepted      bool      // by the platform
 	acceptedAt    time.Time
@@ -91,13 +96,15 @@
 	waves         map[int64]*wave
 	unneededSince map[string]time.Time      // by machine: since when its pool has not needed it
 	demandHistory map[string][]demandSample // by pool, oldest sample first
-	frozen        map[string]time.Time      // by machine: no order is sent before this time
-	sentOrders    []time.Time               // times of the orders within orderWindow, oldest first
+	histories     map[string]*surge.History // by pool; empty without Policy.Costs
+	index         index
+	frozen        map[string]time.Time // by machine: no order is sent before this time
+	sentOrders    []time.Time          // times of the orders within orderWindow, oldest first
 }
 
 // New returns a planner without intents or waves.
 func New(p Policy) *Planner {
-	return &Planner{policy: p, intents: map[string]*intent{}, waves: map[int64]*wave{}, unneededSince: map[string]time.Time{}, frozen: map[string]time.Time{}, demandHistory: map[string][]demandSample{}}
+	return &Planner{policy: p, intents: map[string]*intent{}, waves: map[int64]*wave{}, unneededSince: map[string]time.Time{}, frozen: map[string]time.Time{}, demandHistory: map[string][]demandSample{}, histories: map[string]*surge.History{}}
 }
 
 // Freeze prevents orders for a machine until the given time. A new owner of the fleet
@@ -124,54 +131,11 @@
 	Pools     []site.Pool
 }
 
-// machine is a machine with the scheduler's report on its VM.
-type machine struct {
-	*site.Machine
-	report *sched.VMReport // nil if the owner of its pool's partition does not report it
-}
-
-// state is a view with indexes for the planning steps.
-type state struct {
-	now    time.Time
-	view   *View
-	pools  map[string]site.Pool
-	byPool map[string][]*machine // by pool: its machines, with planned moves applied, sorted by name
-	byName map[string]*machine
-	// service counts each pool's machines, as the inventory lists them; set by planWaves.
-	service map[string]serviceCount
-}
-
-// indexView returns the view with its indexes, which take the planned moves into account.
-func (p *Planner) indexView(now time.Time, v *View) *state {
-	st := &state{now: now, view: v, pools: map[string]site.Pool{}, byPool: map[string][]*machine{}, byName: map[string]*machine{}}
-	for _, pool := range v.Pools {
-		st.pools[pool.Name] = pool
-	}
-	reportByVM := map[string]*sched.VMReport{}
-	for _, r := range v.Reports {
-		for i := range r.VMs {
-			reportByVM[r.VMs[i].ID] = &r.VMs[i]
-		}
-	}
-	for i := range v.Machines {
-		m := &machine{Machine: &v.Machines[i], report: reportByVM[v.Machines[i].VM]}
-		st.byName[m.Name] = m
-		pool := m.Pool
-		if in := p.intents[m.Name]; in != nil && in.Kind == Move {
-			pool = in.Pool
-		}
-		st.byPool[pool] = append(st.byPool[pool], m)
-	}
-	for _, list := range st.byPool {
-		sort.Slice(list, func(i, k int) bool { return list[i].Name < list[k].Name })
-	}
-	return st
-}
-
 // Plan returns the orders to send now: it drops finished intents, plans maintenance, then
 // moves, and selects the intents whose orders are due.
 func (p *Planner) Plan(now time.Time, v *View) []Order {
 	st := p.indexView(now, v)
+	p.observe(now, v.Reports)
 	p.dropFinished(st)
 	p.planWaves(st)
 	p.planMoves(st)
@@ -182,7 +146,7 @@
 // those whose effect the inventory shows.
 func (p *Planner) dropFinished(st *state) {
 	for name, in := range p.intents {
-		m := st.byName[name]
+		m := st.machine(name)
 		switch {
 		case m == nil:
 			delete(p.intents, name)
@@ -192,10 +156,38 @@
 			delete(p.intents, name) // the machine failed or left before the order was sent
 		case in.accepted && m.State != site.Up:
 			in.observed = true
+		case in.isUndispatched(st.now) && in.everSent:
+			in.awaitingReply = false // an earlier attempt may have been applied, so the same order is issued again
+		case in.isUndispatched(st.now):
+			delete(p.intents, name) // the platform has not seen it, and Dispatch will not allow to send it
+		}
+		if m != nil {
+			m.intent = p.intents[name]
 		}
 	}
 }
 
+// dispatchTimeout is the time within which the record of an order has to be stored. A flush
+// takes a few tens of milliseconds; while the log is down, no order can be sent, and its machine
+// must not stay cordoned for it.
+const dispatchTimeout = 2 * time.Second
+
+// isUndispatched reports whether the last attempt has not been sent in time.
+func (in *intent) isUndispatched(now time.Time) bool {
+	return in.awaitingReply && !in.dispatched && now.Sub(in.issuedAt) > dispatchTimeout
+}
+
+// Dispatch reports whether an order may be sent now that its record is stored, and marks it as sent.
+// It may not if it was withdrawn, or if an equal order has been sent in its place.
+func (p *Planner) Dispatch(o Order) bool {
+	in := p.intents[o.Machine]
+	if in == nil || in.Order != o || !in.awaitingReply || in.dispatched {
+		return false
+	}
+	in.dispatched, in.everSent = true, true
+	return true
+}
+
 // hadNoEffect reports whether an accepted order changed nothing, because an equal earlier
 // order, such as one whose reply was lost, had already been carried out. For maintenance,
 // and for a move of a machine that is listed in its target pool, the inventory shows the
@@ -250,7 +242,7 @@
 		if in.Kind == Maintain && !in.sent && !p.mayMaintain(st, in.Wave) {
 			continue
 		}
-		in.sent, in.awaitingReply = true, true
+		in.sent, in.awaitingReply, in.dispatched, in.issuedAt = true, true, false, st.now
 		list = append(list, in.Order)
 		p.sentOrders = append(p.sentOrders, st.now)
 	}
@@ -262,7 +254,7 @@
 	if in.accepted || in.awaitingReply || st.now.Before(in.retryAt) || st.now.Before(p.frozen[name]) {
 		return false
 	}
-	return in.sent || p.isEmpty(st, st.byName[name])
+	return in.sent || p.isEmpty(st, st.machine(name))
 }
 
 // urgency ranks an intent's order when not all may be sent at once, the most urgent first: a
--- a/internal/moves/summary.go
+++ b/internal/moves/summary.go
@@ -88,7 +88,7 @@
 	st := p.indexView(time.Time{}, v)
 	var list []PendingMachine
 	for _, name := range w.Machines {
-		m := st.byName[name]
+		m := st.machine(name)
 		if m == nil || w.started[name] {
 			continue
 		}
--- a/internal/moves/waves.go
+++ b/internal/moves/waves.go
@@ -56,7 +56,7 @@
 func (p *Planner) countInMaintenance(st *state, w *wave) int {
 	n := 0
 	for _, name := range w.Machines {
-		m, in := st.byName[name], p.intents[name]
+		m, in := st.machine(name), p.intents[name]
 		switch {
 		case in != nil && in.Kind == Maintain && in.Wave == w.Number && in.sent:
 			n++
@@ -95,7 +95,8 @@
 // countService counts the machines of all pools for poolAllowsMaintenance.
 func (p *Planner) countService(st *state) map[string]serviceCount {
 	counts := map[string]serviceCount{}
-	for _, m := range st.byName {
+	for i := range st.machines {
+		m := &st.machines[i]
 		if m.State == site.Moving {
 			continue
 		}
@@ -114,7 +115,7 @@
 	var pending []*machine
 	planned := 0
 	for _, name := range w.Machines {
-		m := st.byName[name]
+		m := st.machine(name)
 		if in := p.intents[name]; in != nil {
 			if in.Kind == Maintain {
 				planned++
@@ -133,7 +134,8 @@
 		if planned >= w.AtOnce || (planned >= limit && !st.isIdle(m)) || !p.poolAllowsMaintenance(st, m, late) {
 			continue
 		}
-		p.intents[m.Name] = &intent{Order: Order{Kind: Maintain, Machine: m.Name, Wave: w.Number}, plannedAt: st.now, fromVM: m.VM}
+		m.intent = &intent{Order: Order{Kind: Maintain, Machine: m.Name, Wave: w.Number}, plannedAt: st.now, fromVM: m.VM}
+		p.intents[m.Name] = m.intent
 		c := st.service[m.Pool]
 		c.out++
 		st.service[m.Pool] = c
--- a/internal/surge/forecast.go
+++ b/internal/surge/forecast.go
@@ -9,6 +9,7 @@
 type Forecast struct {
 	Rate   float64       // predicted rate in core-seconds per second
 	Error  float64       // standard error of Rate
+	Begun  bool          // the peak has begun
 	Chance float64       // that the load has risen to Rate by the end of the horizon
 	Wait   time.Duration // expected time from the end of the horizon to the rise, if it is later
 	// Quiet is the time from the end of the horizon for which no peak is expected, 0 if
@@ -38,7 +39,7 @@
 		rate, stdErr := h.sinceEnd.rate(now.Sub(h.endFrom))
 		f.Ended, f.EndRate = now.Sub(h.endFrom) < recentTime, rate+2*stdErr
 	}
-	if len(h.peaks) < 2 {
+	if len(h.peaks) < 1 {
 		return f
 	}
 	height, relErr := h.heightForecast()
@@ -83,7 +84,7 @@
 	predicted := (prior*height + data*observed) / (prior + data)
 	f.Rate = observed + weight*(predicted-observed)
 	f.Error = 1 / math.Sqrt(prior+data)
-	f.Chance = 1
+	f.Chance, f.Begun = 1, true
 }
 
 // rising reports whether the current peak is within the time in which the past ones rose.
--- a/internal/surge/history.go
+++ b/internal/surge/history.go
@@ -16,15 +16,15 @@
 )
 
 const (
-	maxSamples   = 256                    // intervals kept for the rate outside of peaks; 38 s of the planner's rounds
-	baseEvery    = 8                      // intervals between two computations of that rate, which sorts the samples
-	maxPeaks     = 8                      // kept for predictions; a changed rhythm has replaced an old one after as many
+	maxSamples   = 256                     // intervals kept for the rate outside of peaks; 38 s of the planner's rounds
+	baseEvery    = 8                       // intervals between two computations of that rate, which sorts the samples
+	maxPeaks     = 8                       // kept for predictions; a changed rhythm has replaced an old one after as many
 	recentTime   = 2400 * time.Millisecond // intervals kept for finding a first peak; single large jobs need a longer time to show a rate
-	maxGap       = 2 * time.Second        // longest interval between two observations in which an onset can be dated
-	resolution   = 150 * time.Millisecond // of the observations: no time is predicted more exactly
-	maxContrast  = 50                     // largest ratio of the rates in and outside of peaks that detection uses, as the lower one may be measured as 0
-	endEvidence  = 4.6                    // log likelihood ratio from which a peak has ended: 100 to 1
-	minPeakShare = 0.25                   // a peak with a smaller share of the usual work was no peak but a few jobs at once
+	maxGap       = 2 * time.Second         // longest interval between two observations in which an onset can be dated
+	resolution   = 150 * time.Millisecond  // of the observations: no time is predicted more exactly
+	maxContrast  = 50                      // largest ratio of the rates in and outside of peaks that detection uses, as the lower one may be measured as 0
+	endEvidence  = 4.6                     // log likelihood ratio from which a peak has ended: 100 to 1
+	minPeakShare = 0.25                    // a peak with a smaller share of the usual work was no peak but a few jobs at once
 )
 
 // Totals are running totals of the work submitted to a pool since its owner took over.
@@ -196,13 +196,9 @@
 	return math.Log(math.Max(observed/float64(len(h.peaks))/resolution.Seconds(), 20))
 }
 
-// firstAbove returns the start of the first recent interval since the last peak whose rate
-// exceeds a limit.
+// firstAbove returns the start of the first recent interval whose rate exceeds a limit.
 func (h *History) firstAbove(limit float64) time.Time {
 	for _, iv := range h.recent {
-		if iv.from.Before(h.endFrom) {
-			continue
-		}
 		if iv.Work/iv.to.Sub(iv.from).Seconds() > limit {
 			return iv.from
 		}
@@ -259,6 +255,9 @@
 	p := *h.current
 	h.current, h.onsetSum, h.onsetFrom = nil, 0, h.lastAt
 	p.end, p.height = h.endFrom, height
+	for len(h.recent) > 0 && h.recent[0].from.Before(p.end) {
+		h.recent = h.recent[1:] // the arrivals of this peak are no sign of the next one
+	}
 	work := height * p.end.Sub(p.onset).Seconds()
 	if len(h.peaks) > 0 && work < minPeakShare*h.usualWork() {
 		h.alarms++
