--- a/internal/drive/fleet.go
+++ b/internal/drive/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"sync"
 	"time"
 
@@ -174,6 +175,7 @@
 		logrus.WithFields(logrus.Fields{
 			"pool": s.Pool, "machines": s.Machines, "incoming": s.Incoming, "empty": s.Empty, "cores-used": int(s.Used),
 			"cores-long-running": int(s.LongRunning), "waiting-core-seconds": int(s.Waiting), "cores-wanted": int(s.Wanted),
+			"cores-expected": int(s.Expected), "peak-chance": math.Round(100*s.Chance) / 100,
 		}).Info("pool")
 	}
 }
--- a/internal/moves/demand.go
+++ b/internal/moves/demand.go
@@ -91,7 +91,7 @@
 	remaining := p.moveBudget(st)
 	stages := []stage{firmStage}
 	if p.policy.Costs.enabled() {
-		stages = append(stages, expectedStage, excessStage)
+		stages = append(stages, scarceStage, expectedStage, excessStage)
 	}
 	for _, s := range stages {
 		remaining = p.fill(st, s, &spares, all, remaining)
@@ -111,7 +111,8 @@
 
 // Stages in their order.
 var (
-	firmStage     = stage{cores: firmCores, keep: likelyCores, takeBusy: true}
+	firmStage     = stage{cores: firmCores, keep: expectedCores, takeBusy: true}
+	scarceStage   = stage{cores: scarceCores, keep: firmCores}
 	expectedStage = stage{cores: expectedCores, keep: expectedCores}
 	excessStage   = stage{cores: excessCores, keep: keptCores}
 )
@@ -121,11 +122,10 @@
 func excessCores(b *balance) float64   { return math.Max(b.demand, b.need.excess) }
 func keptCores(b *balance) float64     { return math.Max(expectedCores(b), b.need.kept) }
 
-// likelyCores returns the expected need of a pool, weighted by its chance: a machine that
-// waits for a load which may not come is taken for one that has come.
-func likelyCores(b *balance) float64 {
-	return b.demand + math.Min(b.need.forecast.Chance, 1)*(expectedCores(b)-b.demand)
-}
+// scarceCores returns the need below which a pool whose load has come takes machines from those
+// that wait for a predicted load. A smaller lack is left to them, as it changes from round to round
+// and each such move costs both pools the time of a move.
+func scarceCores(b *balance) float64 { return 0.8 * b.demand }
 
 // fill plans moves to pools that lack capacity for a stage, and returns the remaining budget.
 func (p *Planner) fill(st *state, s stage, spares *[]*machine, all []*balance, remaining int) int {
--- a/internal/moves/forecast.go
+++ b/internal/moves/forecast.go
@@ -100,5 +100,6 @@
 	late := r.LateUsed + r.Late/p.policy.Horizon.Seconds()
 	n.excess = math.Max(n.expected, n.firm+r.Excess/p.policy.Horizon.Seconds())
 	n.kept = math.Max(n.excess, n.firm+late)
+	p.needs[pool] = n
 	return n
 }
--- a/internal/moves/moves.go
+++ b/internal/moves/moves.go
@@ -97,6 +97,7 @@
 	unneededSince map[string]time.Time      // by machine: since when its pool has not needed it
 	demandHistory map[string][]demandSample // by pool, oldest sample first
 	histories     map[string]*surge.History // by pool; empty without Policy.Costs
+	needs         map[string]need           // by pool, of the last round; empty without Policy.Costs
 	index         index
 	frozen        map[string]time.Time // by machine: no order is sent before this time
 	sentOrders    []time.Time          // times of the orders within orderWindow, oldest first
@@ -104,7 +105,7 @@
 
 // New returns a planner without intents or waves.
 func New(p Policy) *Planner {
-	return &Planner{policy: p, intents: map[string]*intent{}, waves: map[int64]*wave{}, unneededSince: map[string]time.Time{}, frozen: map[string]time.Time{}, demandHistory: map[string][]demandSample{}, histories: map[string]*surge.History{}}
+	return &Planner{policy: p, intents: map[string]*intent{}, waves: map[int64]*wave{}, unneededSince: map[string]time.Time{}, frozen: map[string]time.Time{}, demandHistory: map[string][]demandSample{}, histories: map[string]*surge.History{}, needs: map[string]need{}}
 }
 
 // Freeze prevents orders for a machine until the given time. A new owner of the fleet
@@ -154,6 +155,8 @@
 			delete(p.intents, name)
 		case !in.sent && (m.State != site.Up || m.VM != in.fromVM):
 			delete(p.intents, name) // the machine failed or left before the order was sent
+		case !in.sent && st.pools[in.Pool].Spare && st.now.Sub(in.plannedAt) > dispatchTimeout:
+			delete(p.intents, name) // more urgent orders use all that the platform accepts; its pool can use the machine meanwhile
 		case in.accepted && m.State != site.Up:
 			in.observed = true
 		case in.isUndispatched(st.now) && in.everSent:
@@ -231,6 +234,9 @@
 		if x, y := st.urgency(due[i]), st.urgency(due[k]); x != y {
 			return x < y
 		}
+		if !due[i].plannedAt.Equal(due[k].plannedAt) {
+			return due[i].plannedAt.Before(due[k].plannedAt) // moves that were refused and planned anew would otherwise keep others back
+		}
 		return due[i].Machine < due[k].Machine
 	})
 	var list []Order
--- a/internal/moves/summary.go
+++ b/internal/moves/summary.go
@@ -17,6 +17,8 @@
 	LongRunning float64 // cores of long-running tasks
 	Waiting     float64 // core-seconds
 	Wanted      float64 // cores; the pool's demand
+	Expected    float64 // cores; with the predicted load, if that is worth moves
+	Chance      float64 // that the predicted load comes within the time of a move
 }
 
 // Summary returns the summaries of all pools, sorted by name.
@@ -27,6 +29,9 @@
 		s := &Summary{Pool: pool.Name}
 		if r := v.Reports[pool.Name]; r != nil {
 			s.Used, s.LongRunning, s.Waiting, s.Wanted = r.Used, r.Lasting, r.Waiting, p.demand(r)
+			if n, known := p.needs[pool.Name]; known {
+				s.Wanted, s.Expected, s.Chance = n.firm, n.expected, n.forecast.Chance
+			}
 			for i := range r.VMs {
 				if r.VMs[i].Runs == 0 && r.VMs[i].Known {
 					s.Empty++
--- a/internal/surge/forecast.go
+++ b/internal/surge/forecast.go
@@ -22,11 +22,11 @@
 	JobWork float64 // mean core-seconds of the jobs
 }
 
-// Prior errors, which count half as much as a past prediction: of a height, as a share of it, and of
+// Prior errors, which count half as much as a past prediction of the same age: of a height, as a share of it, and of
 // a time between two onsets, as a share of that time.
 const (
 	priorError       = 0.5
-	priorTimingError = 0.1
+	priorTimingError = 0.25
 	priorCount       = 0.5
 	minHeightError   = 0.05 // even equal heights are measured no better than this
 	errorDecay       = 0.8  // weight of a past prediction relative to the next one
@@ -55,7 +55,7 @@
 	}
 	f.Rate, f.Error = weight*height, relErr*height
 	ahead := next.Sub(now.Add(horizon))
-	f.Chance = weight * normalCDF(-ahead.Seconds()/timeErr.Seconds())
+	f.Chance = weight * h.trust() * normalCDF(-ahead.Seconds()/timeErr.Seconds())
 	f.Wait = max(ahead, 0) + timeErr
 	f.Quiet = max(f.Quiet, ahead-2*timeErr)
 	return f
@@ -99,7 +99,8 @@
 // heightForecast returns the predicted height of the next peak and its relative error: the mean
 // of the errors that the same prediction had for the past peaks.
 func (h *History) heightForecast() (height, relErr float64) {
-	sum, count := priorError*priorCount, priorCount
+	count := priorCount * math.Pow(errorDecay, float64(len(h.peaks)-1))
+	sum := priorError * count
 	for i := 1; i < len(h.peaks); i++ {
 		predicted, actual := medianHeight(h.peaks[:i]), h.peaks[i].height
 		w := math.Pow(errorDecay, float64(len(h.peaks)-1-i))
@@ -138,7 +139,7 @@
 }
 
 // nextOnset predicts the next onset by the rule that predicted the past ones best. It predicts
-// none if the error exceeds a quarter of the time between two onsets: the load has no rhythm.
+// none if the error exceeds an eighth of the time between two onsets: the load has no rhythm.
 func (h *History) nextOnset() (next time.Time, timeErr time.Duration, ok bool) {
 	if len(h.peaks) < 3 {
 		return time.Time{}, 0, false
@@ -150,7 +151,8 @@
 	best, bestErr := 0.0, math.Inf(1)
 	for _, rule := range intervalRules {
 		predicted := rule(past)
-		sum, count := priorTimingError*predicted*priorCount, priorCount
+		count := priorCount * math.Pow(errorDecay, float64(len(past)-1))
+		sum := priorTimingError * predicted * count
 		for i := 1; i < len(past); i++ {
 			w := math.Pow(errorDecay, float64(len(past)-1-i))
 			sum += w * math.Abs(past[i]-rule(past[:i]))
@@ -160,12 +162,30 @@
 			best, bestErr = predicted, e
 		}
 	}
-	if best == 0 || bestErr > best/4 {
+	if best == 0 || bestErr > best/8 {
 		return time.Time{}, 0, false
 	}
 	timeErr = max(time.Duration(bestErr*float64(time.Second)), resolution)
 	return h.peaks[len(h.peaks)-1].onset.Add(time.Duration(best * float64(time.Second))), timeErr, true
 }
 
+// scoreOnset compares an onset with its prediction, if there was one.
+func (h *History) scoreOnset(onset time.Time) {
+	next, timeErr, ok := h.nextOnset()
+	if !ok {
+		return
+	}
+	const decay = 0.6 // about the last three count, so that a change of rhythm shows at once
+	h.hits, h.misses = decay*h.hits, decay*h.misses
+	if onset.Sub(next).Abs() <= 2*timeErr+resolution {
+		h.hits++
+	} else {
+		h.misses++
+	}
+}
+
+// trust returns the share of the last predicted onsets that came when predicted.
+func (h *History) trust() float64 { return (h.hits + 1) / (h.hits + h.misses + 1) }
+
 // normalCDF returns the probability that a standard normal variable is below x.
 func normalCDF(x float64) float64 { return 0.5 * math.Erfc(-x/math.Sqrt2) }
--- a/internal/surge/history.go
+++ b/internal/surge/history.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	maxSamples   = 256                     // intervals kept for the rate outside of peaks; 38 s of the planner's rounds
-	baseEvery    = 8                       // intervals between two computations of that rate, which sorts the samples
+	sampleTime   = 1200 * time.Millisecond // of a sample of the rate outside of peaks; shorter ones are mostly 0 if jobs are few
+	minSamples   = 2                       // before which no peak is looked for
+	maxSamples   = 64                      // kept
 	maxPeaks     = 8                       // kept for predictions; a changed rhythm has replaced an old one after as many
 	recentTime   = 2400 * time.Millisecond // intervals kept for finding a first peak; single large jobs need a longer time to show a rate
 	maxGap       = 2 * time.Second         // longest interval between two observations in which an onset can be dated
@@ -49,23 +50,26 @@
 
 // History is the load of one pool. Its zero value is ready for use.
 type History struct {
-	last      Totals
-	lastAt    time.Time
-	firstAt   time.Time
-	samples   []float64 // ring of the latest rates
-	count     int       // of all samples
-	base      float64   // rate outside of peaks
-	jobWork   float64   // mean core-seconds of the job that a core-second belongs to
-	recent    []interval
-	peaks     []peak // ended ones, oldest first
-	current   *peak
-	inPeak    Totals    // since the onset of the current peak, up to the possible end
-	sinceEnd  Totals    // since the possible end of the current peak, or the end of the last one
-	endFrom   time.Time // when that was
-	onsetFrom time.Time // possible onset
-	onsetSum  float64   // log likelihood ratio of a peak since onsetFrom
-	endSum    float64   // log likelihood ratio of no peak since endFrom
-	alarms    float64   // decayed number of onsets that were no peaks
+	last         Totals
+	lastAt       time.Time
+	firstAt      time.Time
+	sample       float64       // work of the sample that is being taken
+	sampleTime   time.Duration // its length so far
+	samples      []float64     // ring of the latest rates
+	count        int           // of all samples
+	base         float64       // rate outside of peaks
+	jobWork      float64       // mean core-seconds of the job that a core-second belongs to
+	recent       []interval
+	peaks        []peak // ended ones, oldest first
+	current      *peak
+	inPeak       Totals    // since the onset of the current peak, up to the possible end
+	sinceEnd     Totals    // since the possible end of the current peak, or the end of the last one
+	endFrom      time.Time // when that was
+	onsetFrom    time.Time // possible onset
+	onsetSum     float64   // log likelihood ratio of a peak since onsetFrom
+	endSum       float64   // log likelihood ratio of no peak since endFrom
+	alarms       float64   // decayed number of onsets that were no peaks
+	hits, misses float64   // decayed numbers of onsets that came when predicted, and of others
 }
 
 // Observe adds the totals at the given time. Totals below the last ones are those of another
@@ -115,14 +119,17 @@
 
 // addSample updates the base rate, the size of the jobs and the recent intervals.
 func (h *History) addSample(iv interval) {
-	rate := iv.Work / iv.to.Sub(iv.from).Seconds()
-	if len(h.samples) < maxSamples {
-		h.samples = append(h.samples, rate)
-	} else {
-		h.samples[h.count%maxSamples] = rate
-	}
-	h.count++
-	if h.count%baseEvery == 0 {
+	h.sample += iv.Work
+	h.sampleTime += iv.to.Sub(iv.from)
+	if h.sampleTime >= sampleTime {
+		rate := h.sample / h.sampleTime.Seconds()
+		if len(h.samples) < maxSamples {
+			h.samples = append(h.samples, rate)
+		} else {
+			h.samples[h.count%maxSamples] = rate
+		}
+		h.count++
+		h.sample, h.sampleTime = 0, 0
 		h.base = lowerHalfMean(h.samples)
 	}
 	if iv.Work > 0 {
@@ -182,7 +189,7 @@
 	for i := len(h.recent) - 1; i >= 0; i-- {
 		sum.add(h.recent[i].Totals)
 		rate, stdErr := sum.rate(iv.to.Sub(h.recent[i].from))
-		if h.count >= 2*baseEvery && rate-3*stdErr > 2*h.base {
+		if h.count >= minSamples && rate-3*stdErr > 2*h.base {
 			h.begin(h.firstAbove(rate / 2))
 			return
 		}
@@ -264,6 +271,7 @@
 		return
 	}
 	h.alarms *= 0.7
+	h.scoreOnset(p.onset)
 	h.peaks = append(h.peaks, p)
 	if len(h.peaks) > maxPeaks {
 		h.peaks = append([]peak(nil), h.peaks[1:]...)
