--- a/internal/moves/demand.go
+++ b/internal/moves/demand.go
@@ -12,9 +12,15 @@
 
 // demand returns the cores that a pool needs: for long-running tasks, for the larger of
 // the running tasks and the offered load, and for finishing the waiting tasks within
-// the horizon, but for these no more than they can use at once.
+// the horizon, but for these no more than they can use at once. Waiting jobs beyond their
+// account's share do not count; see need.excess.
 func (p *Planner) demand(r *sched.Report) float64 {
-	return r.Lasting + math.Max(r.Used, r.Rate) + math.Min(r.Waiting/p.policy.Horizon.Seconds(), r.Width)
+	return r.Lasting + math.Max(r.Used, r.Rate-r.ExcessRate) + p.waitingCores(r)
+}
+
+// waitingCores returns the cores for finishing the waiting tasks within the horizon.
+func (p *Planner) waitingCores(r *sched.Report) float64 {
+	return math.Min(math.Max(r.Waiting-r.Excess, 0)/p.policy.Horizon.Seconds(), r.Width)
 }
 
 // joinTime is how long a machine that has arrived in a pool takes to get its first run: until the
@@ -89,13 +95,12 @@
 	all := p.balances(st)
 	spares := p.availableSpares(st, spare)
 	remaining := p.moveBudget(st)
-	stages := []stage{firmStage}
+	remaining = p.fill(st, firmStage, &spares, all, remaining)
 	if p.policy.Costs.enabled() {
-		stages = append(stages, scarceStage, expectedStage, excessStage)
-	}
-	for _, s := range stages {
-		remaining = p.fill(st, s, &spares, all, remaining)
+		remaining = p.fill(st, scarceStage, &spares, all, remaining)
+		remaining = p.fill(st, expectedStage, &spares, all, remaining)
 	}
+	remaining = p.fill(st, excessStage, &spares, all, remaining)
 	if spare != "" {
 		p.moveIdleToSpare(st, spare, all, remaining)
 	}
@@ -301,7 +306,7 @@
 			delete(p.unneededSince, m.Name)
 		}
 	}
-	b.need = p.need(st.now, name, r, b.capacity/math.Max(float64(b.machineCount), 1))
+	b.need = p.need(st.now, name, r, st.machineCores(b))
 	b.demand = b.need.firm
 	if b.machineCount > 0 && b.machineCount < r.MinVMs {
 		b.demand = math.Max(b.demand, b.capacity/float64(b.machineCount)*float64(r.MinVMs))
@@ -317,6 +322,17 @@
 	return b
 }
 
+// machineCores returns the mean cores of a pool's machines, or those of any machine if it has none.
+func (st *state) machineCores(b *balance) float64 {
+	switch {
+	case b.machineCount > 0:
+		return b.capacity / float64(b.machineCount)
+	case len(st.machines) > 0:
+		return float64(st.machines[0].CPU) / 1000
+	}
+	return 0
+}
+
 // pick returns a machine for a pool that lacks capacity: a spare machine, else an idle
 // one that its pool can spare, else a busy one that its pool can spare even at its
 // recent peak demand. It removes a spare machine from spares.
--- a/internal/moves/failures_test.go
+++ b/internal/moves/failures_test.go
@@ -198,19 +198,23 @@
 // TestExcessDrawsIdleMachinesOnly guards against accounts beyond their share that take VMs at
 // others' expense: their demand draws spare machines and idle ones that no other pool needs.
 func TestExcessDrawsIdleMachinesOnly(t *testing.T) {
-	f := newFleet(map[string]int{"a": 1, "b": 4, "spare": 1})
-	p := New(costPolicy())
-	f.view.Reports["a"].Excess = 600
-	f.view.Reports["b"].Rate, f.view.Reports["b"].Used = 9, 9
-	f.setRuns("vm-b0", 4, 0)
-	f.setRuns("vm-b1", 4, 0)
-	f.setRuns("vm-b2", 1, 0)
-	orders := f.plan(p, 0, 1000)
-	assert.Equal(t, len(orders), 2, "%v", orders)
-	for _, o := range orders {
-		assert.Assert(t, o.Pool == "a" && (o.Machine == "spare0" || o.Machine == "b3"), "%v", o)
+	for name, p := range map[string]*Planner{"with costs": New(costPolicy()), "without": newPlanner()} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(map[string]int{"a": 1, "b": 4, "spare": 1})
+			a, b := f.view.Reports["a"], f.view.Reports["b"]
+			a.Excess, a.Waiting, a.Width, a.Rate, a.ExcessRate = 600, 600, 600, 400, 400
+			b.Rate, b.Used = 9, 9
+			f.setRuns("vm-b0", 4, 0)
+			f.setRuns("vm-b1", 4, 0)
+			f.setRuns("vm-b2", 1, 0)
+			orders := f.plan(p, 0, 1000)
+			assert.Equal(t, len(orders), 2, "%v", orders)
+			for _, o := range orders {
+				assert.Assert(t, o.Pool == "a" && (o.Machine == "spare0" || o.Machine == "b3"), "%v", o)
+			}
+			assert.Equal(t, len(p.Cordons(&f.view, "b")), 1) // of b3
+		})
 	}
-	assert.Equal(t, len(p.Cordons(&f.view, "b")), 1) // of b3
 }
 
 // TestCostsDecide guards against a comparison that has a wrong sign or unit.
--- a/internal/moves/forecast.go
+++ b/internal/moves/forecast.go
@@ -38,10 +38,6 @@
 	return c.VMSecond*quiet.Seconds() > 2*c.Move || c.VMSecond*idle.Seconds() >= c.Move
 }
 
-// rateWindow is the time over which Report.Rate is averaged. After the end of a peak, Rate exceeds
-// the present rate for this long.
-const rateWindow = time.Second
-
 // planningDelay is the time that a prediction must look ahead beyond a move: until the next round and the
 // inventory read after the move.
 const planningDelay = 300 * time.Millisecond
@@ -75,30 +71,33 @@
 
 // need returns the cores that a pool needs. machine is the mean number of cores of its machines.
 func (p *Planner) need(now time.Time, pool string, r *sched.Report, machine float64) need {
-	n := need{firm: p.demand(r)}
+	firm, excess := p.demand(r), r.ExcessRate+r.Excess/p.policy.Horizon.Seconds()
+	n := need{firm: firm, expected: firm, excess: firm + excess, kept: firm + excess}
 	h := p.histories[pool]
 	if !p.policy.Costs.enabled() || h == nil {
-		n.expected, n.kept = n.firm, n.firm
 		return n
 	}
 	n.forecast = h.Forecast(now, p.horizon())
 	f := &n.forecast
-	rate := r.Rate
+	rate := r.Rate - r.ExcessRate
 	if f.Ended {
 		rate = math.Min(rate, f.EndRate)
 	}
-	waiting := math.Min(r.Waiting/p.policy.Horizon.Seconds(), r.Width)
-	base := r.Lasting + waiting
+	base := r.Lasting + p.waitingCores(r)
+	predicted := f.Rate
+	if r.Rate > 0 {
+		predicted *= 1 - r.ExcessRate/r.Rate // the history does not tell whose jobs a peak consisted of
+	}
 	n.firm = base + math.Max(r.Used-r.LateUsed, rate)
 	if f.Begun {
-		n.firm = math.Max(n.firm, base+f.Rate)
+		n.firm = math.Max(n.firm, base+predicted)
 	}
 	n.expected = n.firm
 	if f.Rate > 0 && p.policy.Costs.worthTaking(f, machine, p.policy.MoveTime) {
-		n.expected = math.Max(n.expected, base+f.Rate)
+		n.expected = math.Max(n.expected, base+predicted)
 	}
 	late := r.LateUsed + r.Late/p.policy.Horizon.Seconds()
-	n.excess = math.Max(n.expected, n.firm+r.Excess/p.policy.Horizon.Seconds())
+	n.excess = math.Max(n.expected, n.firm+excess)
 	n.kept = math.Max(n.excess, n.firm+late)
 	p.needs[pool] = n
 	return n
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -28,6 +28,7 @@
 	OfferedSquares float64
 	LateUsed       float64 // the part of Used of jobs past their objective
 	Excess         float64 // core-seconds of waiting tasks of jobs beyond their account's share; part of Waiting
+	ExcessRate     float64 // the part of Rate of jobs beyond their account's share
 	// Accounts is the load of each client account with jobs in the pool; nil on sites without
 	// accounts.
 	Accounts map[string]AccountReport
