--- a/internal/sched/fairness_test.go
+++ b/internal/sched/fairness_test.go
@@ -238,3 +238,17 @@
 	wait := r.s.pool("pool").supply.Wait(r.s.pool("pool").load.InTime, time.Second)
 	assert.Assert(t, wait < 700*time.Millisecond, "%v", wait)
 }
+
+// TestReportSeparatesExcess guards against machines that are taken from other pools for jobs beyond
+// the rate of their account.
+func TestReportSeparatesExcess(t *testing.T) {
+	r := newFixture(t, testVM("vm1"))
+	r.s.SetAccounts(testAccounts(1, 1))
+	for i := range 4 { // the rate of account a covers the first one
+		r.s.Submit(at(0), accountJob(i, "a", 1))
+	}
+	report := r.s.Report(at(100), "pool")
+	assert.Assert(t, report.ExcessRate > 0 && report.ExcessRate < report.Rate, "rate %v, of it beyond the rates of accounts %v", report.Rate, report.ExcessRate)
+	r.s.Submit(at(100), accountJob(9, "b", 1))
+	assert.Equal(t, r.s.Report(at(100), "pool").ExcessRate, report.ExcessRate)
+}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -72,19 +72,21 @@
 	declaredWork float64   // decaying sum over the same runs, in core-milliseconds
 	largestVM    resources // maximum of each resource over all VMs so far
 	offeredLoad  offeredLoad
-	gate         shed.Gate
-	load         shed.Load   // as of loadAt, with the jobs accepted since
-	supply       shed.Supply // as of loadAt
-	loadAt       time.Time
-	arrivals     []shed.Arrival // expected by VM moves, as reported by the planner at arrivalsAt
-	arrivalsAt   time.Time
-	refused      map[string]int // refused jobs by client account
-	slack        time.Duration  // decaying mean over the jobs submitted: time that a job can wait and still meet its objective
-	taskTime     time.Duration  // decaying mean over the same jobs of Request.TaskTime
-	idle         []idleVM       // as of loadAt, less the first tasks of jobs accepted since
-	idleBefore   []idleVM       // buffer of fitsIdle
-	leftIdle     []idleVM       // as of placedRound
-	placedRound  int64          // number of the last round that had jobs in the pool
+	// offeredBeyondRate is the part of offeredLoad of jobs beyond the rates of their accounts.
+	offeredBeyondRate offeredLoad
+	gate              shed.Gate
+	load              shed.Load   // as of loadAt, with the jobs accepted since
+	supply            shed.Supply // as of loadAt
+	loadAt            time.Time
+	arrivals          []shed.Arrival // expected by VM moves, as reported by the planner at arrivalsAt
+	arrivalsAt        time.Time
+	refused           map[string]int // refused jobs by client account
+	slack             time.Duration  // decaying mean over the jobs submitted: time that a job can wait and still meet its objective
+	taskTime          time.Duration  // decaying mean over the same jobs of Request.TaskTime
+	idle              []idleVM       // as of loadAt, less the first tasks of jobs accepted since
+	idleBefore        []idleVM       // buffer of fitsIdle
+	leftIdle          []idleVM       // as of placedRound
+	placedRound       int64          // number of the last round that had jobs in the pool
 
 	// The rest is used only on sites with accounts.
 	accounts   map[string]*accountLoad
--- a/internal/sched/submit.go
+++ b/internal/sched/submit.go
@@ -30,6 +30,9 @@
 	if !again && !j.LongRunning() {
 		work := s.equivalentWork(j) * s.pool(j.Pool).workRatio
 		s.pool(j.Pool).offeredLoad.add(now, work)
+		if added.beyondRate {
+			s.pool(j.Pool).offeredBeyondRate.add(now, work)
+		}
 		s.offer(now, added, work)
 	}
 	if a := s.admit(now, added); !a.Accepted {
