--- a/internal/stand/emul/ledger.go
+++ b/internal/stand/emul/ledger.go
@@ -13,6 +13,8 @@
 	VM           string
 	Spec         string
 	LongRunning  bool
+	Account      string // client account of the job's caller; empty if it has none
+	Reserved     Resources
 	Start        time.Time
 	End          time.Time // zero while it runs
 	How          string    // outcome: done, failed, stopped, lapsed (the VM's lease expired), or the argument of Worker.Kill
--- a/internal/stand/emul/operator.go
+++ b/internal/stand/emul/operator.go
@@ -4,10 +4,44 @@
 	"encoding/json"
 	"fmt"
 	"strings"
+	"time"
 )
 
 // Queue is a job queue of the configuration. Its path is /Name/ on host h.example.
-type Queue struct{ Name, Pool string }
+type Queue struct {
+	Name, Pool string
+	Public     bool // callers need no key
+}
+
+// Account is a client account of the configuration.
+type Account struct {
+	Name   string
+	Keys   []string
+	Weight float64
+	Limit  Resources // quota; 0 for no limit
+}
+
+// Resources are amounts of what tasks reserve on VMs.
+type Resources struct {
+	CPU   int `json:"cpu"` // thousandths of a core
+	MemMB int `json:"memMb"`
+	GPU   int `json:"gpu"` // number of accelerators
+}
+
+// Configuration is a version of the operator's configuration, without the spare pool named rest,
+// which all versions have.
+type Configuration struct {
+	Version  int64
+	Queues   []Queue
+	Pools    []string
+	Accounts []Account // nil if the site has no client accounts
+}
+
+// publishedQuotas are the quotas of a configuration and the time at which it was published.
+type publishedQuotas struct {
+	at     time.Time
+	limits map[string]Resources // by account
+}
 
 // MaxAttempts is the number of failed runs after which a task fails and is not retried.
 const MaxAttempts = 3
@@ -16,30 +50,40 @@
 // named rest, and one queue under /q/ on host h.example. The jobs of the queue run in pool, which
 // must be one of pools or rest.
 func (p *Platform) Configure(version int64, pool string, pools ...string) error {
-	return p.ConfigureQueues(version, []Queue{{"q", pool}}, pools)
+	return p.Publish(&Configuration{Version: version, Queues: []Queue{{Name: "q", Pool: pool}}, Pools: pools})
 }
 
-// ConfigureQueues writes a configuration with the given queues and pools, and adds a spare pool
-// named rest.
-func (p *Platform) ConfigureQueues(version int64, queues []Queue, pools []string) error {
-	// The configuration calls pools services.
+// Publish writes a configuration as the operator would.
+func (p *Platform) Publish(c *Configuration) error {
+	// The configuration calls pools services, and client accounts tenants.
 	poolRows := []map[string]any{{"name": "rest", "spare": true}}
-	for _, name := range pools {
+	for _, name := range c.Pools {
 		poolRows = append(poolRows, map[string]any{"name": name, "rejectsOverload": true})
 	}
 	var routes []map[string]any
-	for _, q := range queues {
+	for _, q := range c.Queues {
 		routes = append(routes, map[string]any{
 			"name": q.Name, "host": "h.example", "pathPrefix": "/" + q.Name + "/", "service": q.Pool, "timeoutMs": 3000,
-			"targetRuntimeMs": 600, "maxAttempts": MaxAttempts, "stretch": 1.6,
+			"targetRuntimeMs": 600, "maxAttempts": MaxAttempts, "stretch": 1.6, "public": q.Public,
 		})
 	}
-	data, err := json.Marshal(map[string]any{
-		"version": version, "routes": routes, "services": poolRows, "limits": map[string]any{"maxBodyBytes": 262144},
-	})
+	config := map[string]any{"version": c.Version, "routes": routes, "services": poolRows, "limits": map[string]any{"maxBodyBytes": 262144}}
+	quotas := publishedQuotas{at: time.Now(), limits: map[string]Resources{}}
+	if c.Accounts != nil {
+		tenants := []map[string]any{}
+		for _, a := range c.Accounts {
+			tenants = append(tenants, map[string]any{"name": a.Name, "apiKeys": a.Keys, "weight": a.Weight, "maxCount": a.Limit, "priority": 0})
+			quotas.limits[a.Name] = a.Limit
+		}
+		config["tenants"] = tenants
+	}
+	data, err := json.Marshal(config)
 	if err != nil {
 		return err
 	}
+	p.mu.Lock()
+	p.quotas = append(p.quotas, quotas)
+	p.mu.Unlock()
 	p.Store.Put("keyed.op", "config", data)
 	return nil
 }
--- a/internal/stand/emul/platform.go
+++ b/internal/stand/emul/platform.go
@@ -36,8 +36,10 @@
 	leaseHolders   map[string]string // lease holder of an order, by machine and fencing token
 	waves          map[int64]*requestedWave
 	incarnations   int
-	acceptedOrders []string // "machine pool wave" of each accepted order; the pool of a maintenance order is empty
-	violations     []string // accepted orders that violate a rule for owners, see checkOrder
+	acceptedOrders []string          // "machine pool wave" of each accepted order; the pool of a maintenance order is empty
+	violations     []string          // accepted orders that violate a rule for owners, see checkOrder
+	quotas         []publishedQuotas // of all configurations so far
+	cutOff         map[string]bool   // entries that the log turns away
 	servers        []*http.Server
 	closed         chan struct{}
 }
@@ -66,7 +68,7 @@
 // Start starts a platform with the given options. Its job topic has 4 partitions.
 func Start(o Options) (*Platform, error) {
 	p := &Platform{
-		Store: NewStore(4), Ledger: &Ledger{}, opts: o, waves: map[int64]*requestedWave{}, leaseHolders: map[string]string{},
+		Store: NewStore(4), Ledger: &Ledger{}, opts: o, waves: map[int64]*requestedWave{}, leaseHolders: map[string]string{}, cutOff: map[string]bool{},
 		machines: map[string]*machine{}, fencingTokens: map[string]int64{}, closed: make(chan struct{}),
 	}
 	var err error
@@ -101,6 +103,50 @@
 	return ln.Addr().String(), nil
 }
 
+// LogAddress starts a listener of the log for one entry and returns its address. The log answers the
+// entry's calls there with 503 while CutOff turns it away.
+func (p *Platform) LogAddress(entry string) (string, error) {
+	return p.serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if p.isCutOff(entry) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		p.Store.ServeHTTP(&cutOffWriter{ResponseWriter: w, platform: p, entry: entry}, r)
+	}))
+}
+
+// CutOff sets the entries that the log turns away and admits all others again.
+func (p *Platform) CutOff(entries ...string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cutOff = map[string]bool{}
+	for _, e := range entries {
+		p.cutOff[e] = true
+	}
+}
+
+func (p *Platform) isCutOff(entry string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cutOff[entry]
+}
+
+// cutOffWriter aborts a response to an entry that was cut off after its call arrived. Otherwise a
+// read that waits for new records would still deliver them.
+type cutOffWriter struct {
+	http.ResponseWriter
+	platform *Platform
+	entry    string
+}
+
+// Write writes data unless the entry has been cut off.
+func (w *cutOffWriter) Write(data []byte) (int, error) {
+	if w.platform.isCutOff(w.entry) {
+		panic(http.ErrAbortHandler)
+	}
+	return w.ResponseWriter.Write(data)
+}
+
 // Close stops the platform's servers and kills all VMs.
 func (p *Platform) Close() {
 	close(p.closed)
--- a/internal/stand/emul/worker.go
+++ b/internal/stand/emul/worker.go
@@ -11,7 +11,10 @@
 // Task describes how a task behaves on an emulated VM. The run-start call does not carry
 // these properties.
 type Task struct {
+	Account     string        // client account of the job's caller; empty if it has none
 	CPU         int           // thousandths of a core
+	MemMB       int           // reserved memory
+	GPU         int           // reserved accelerators
 	Duration    time.Duration // run time unless it is long-running
 	LongRunning bool          // it runs until stopped
 	FailingRuns int           // number of its runs that fail before one succeeds
@@ -283,7 +286,10 @@
 
 // beginRun starts a run of a task; w.mu is held.
 func (w *Worker) beginRun(b *workerRequest, task Task) {
-	taskRun := &TaskRun{Task: b.Task, Run: b.Run, VM: w.ID, Spec: b.Spec, LongRunning: task.LongRunning, Start: time.Now()}
+	taskRun := &TaskRun{
+		Task: b.Task, Run: b.Run, VM: w.ID, Spec: b.Spec, LongRunning: task.LongRunning, Start: time.Now(),
+		Account: task.Account, Reserved: Resources{CPU: task.CPU, MemMB: task.MemMB, GPU: task.GPU},
+	}
 	failedBefore := w.ledger.add(taskRun)
 	how := "done"
 	if w.FailAllRuns || failedBefore < task.FailingRuns {
--- a/internal/stand/soak/soak.go
+++ b/internal/stand/soak/soak.go
@@ -237,7 +237,7 @@
 	version := harness.version
 	harness.mu.Unlock()
 	queues := append([]emul.Queue{{Name: fmt.Sprintf("extra-%d", version), Pool: "alpha"}}, harness.queues...)
-	if err := harness.platform.ConfigureQueues(version, queues, pools); err != nil {
+	if err := harness.platform.Publish(&emul.Configuration{Version: version, Queues: queues, Pools: pools}); err != nil {
 		harness.reportViolation("%v", err)
 	}
 }
