emul: cutting off entries has a lock of its own

Cause: a response of the log checks the cut-off entries while the store's lock is held, and an order for a machine takes the two locks the other way round; the tests of drive stopped (TestVMThatDoesNotAnswerOrders after 600 s).

--- a/internal/stand/emul/platform.go
+++ b/internal/stand/emul/platform.go
@@ -39,9 +39,11 @@
 	acceptedOrders []string          // "machine pool wave" of each accepted order; the pool of a maintenance order is empty
 	violations     []string          // accepted orders that violate a rule for owners, see checkOrder
 	quotas         []publishedQuotas // of all configurations so far
-	cutOff         map[string]bool   // entries that the log turns away
 	servers        []*http.Server
 	closed         chan struct{}
+
+	cutOffMu sync.Mutex      // of its own, as it is locked while the store's lock is held
+	cutOff   map[string]bool // entries that the log turns away
 }
 
 // machine is a VM slot, over all incarnations of its VM.
@@ -117,8 +119,8 @@
 
 // CutOff sets the entries that the log turns away and admits all others again.
 func (p *Platform) CutOff(entries ...string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.cutOffMu.Lock()
+	defer p.cutOffMu.Unlock()
 	p.cutOff = map[string]bool{}
 	for _, e := range entries {
 		p.cutOff[e] = true
@@ -126,8 +128,8 @@
 }
 
 func (p *Platform) isCutOff(entry string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.cutOffMu.Lock()
+	defer p.cutOffMu.Unlock()
 	return p.cutOff[entry]
 }
 
