drive: entries that the log rejects ask all peers; metrics, log lines and loads by account

Cause: an entry that the log rejected polled only the owners that it knew. A call to a dead peer took two intervals, and an entry that was cut off in its first second knew no owner at all. Nothing said why a call got 401.

While the log rejects an entry, it asks all entries that it has heard of, the uninformed ones last. A new entry reads the assignment until it knows a peer. The look-up before a submission to a moved queue refuses if the job is of another account. A call without a valid key gives a log line, at most ten per second, and is counted; requests are counted by account, the 20 largest by name. An entry collects the load of accounts from the owners of all pools.

--- /dev/null
+++ b/internal/drive/accounts.go
@@ -0,0 +1,128 @@
+package drive
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/greengagelane/greengagelane/internal/sched"
+	"github.com/greengagelane/greengagelane/pkg/site"
+)
+
+const (
+	accountsTimeout   = 2500 * time.Millisecond // for the owners' reports; the command waits 3 s
+	maxLoggedPath     = 80                      // bytes; a queue's prefix and a job's identifier are shorter
+	concurrentReports = 16                      // pools whose reports are fetched at a time
+)
+
+const maxUnauthorizedLines = 10 // log lines per second on requests without a valid key; callers may send thousands
+
+// lineLimit limits the log lines of one kind per second. Its zero value is ready for use.
+type lineLimit struct {
+	mu         sync.Mutex
+	second     int64 // Unix time of the second that written counts for
+	written    int
+	suppressed int // since the last line
+}
+
+// allow reports whether a line may be written, and how many were not since the last one.
+func (l *lineLimit) allow(now time.Time, perSecond int) (ok bool, suppressed int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Unix() != l.second {
+		l.second, l.written = now.Unix(), 0
+	}
+	if l.written >= perSecond {
+		l.suppressed++
+		return false, 0
+	}
+	l.written++
+	suppressed, l.suppressed = l.suppressed, 0
+	return true, suppressed
+}
+
+// Unauthorized counts and logs a request that was answered with 401. The key is not logged.
+func (n *Node) Unauthorized(route *site.Route, version int64, path, why string) {
+	countAccountRequest(noAccount, site.Unauthorized.String())
+	now := time.Now()
+	if ok, suppressed := n.unauthorizedLog.allow(now, maxUnauthorizedLines); ok {
+		logrus.WithFields(logrus.Fields{
+			"queue": route.Name, "path": path[:min(len(path), maxLoggedPath)], "reason": why, "version": version,
+			"confirmed-ms-ago": n.confirmed.ageMS(now), "suppressed": suppressed,
+		}).Info("request has no valid key")
+	}
+}
+
+// collectAccounts returns the load of client accounts from the owners of all pools. A pool whose
+// owner does not answer is listed as missing.
+func (n *Node) collectAccounts(ctx context.Context, req *AccountsRequest) (*AccountsResponse, error) {
+	cfg := n.Config()
+	if cfg == nil {
+		return nil, errors.New("the entry has no configuration yet")
+	}
+	loads := map[string]*AccountLoad{}
+	for i := range cfg.Accounts {
+		a := &cfg.Accounts[i]
+		loads[a.Name] = &AccountLoad{Name: a.Name, Configured: true, Weight: a.Weight, Limit: a.Limit, Pools: map[string]sched.AccountReport{}}
+	}
+	var pools []string
+	for i := range cfg.Pools {
+		pools = append(pools, cfg.Pools[i].Name)
+	}
+	ctx, cancel := context.WithTimeout(ctx, accountsTimeout)
+	defer cancel()
+	reports, missing := n.poolReports(ctx, pools)
+	for pool, r := range reports {
+		for name, load := range r.Accounts {
+			if loads[name] == nil {
+				loads[name] = &AccountLoad{Name: name, Pools: map[string]sched.AccountReport{}}
+			}
+			loads[name].Pools[pool] = load
+		}
+	}
+	resp := &AccountsResponse{Version: cfg.Version, Missing: missing}
+	for _, name := range slices.Sorted(maps.Keys(loads)) {
+		if req.Name == "" || req.Name == name {
+			resp.Accounts = append(resp.Accounts, *loads[name])
+		}
+	}
+	if req.Name != "" && len(resp.Accounts) == 0 {
+		return nil, fmt.Errorf("account %q: %w", req.Name, errUnknownAccount)
+	}
+	return resp, nil
+}
+
+// poolReports fetches the reports of pools from their owners, several at a time. missing holds the
+// reasons for those that it did not get.
+func (n *Node) poolReports(ctx context.Context, pools []string) (reports map[string]*sched.Report, missing map[string]string) {
+	reports, missing = map[string]*sched.Report{}, map[string]string{}
+	var mu sync.Mutex
+	var active sync.WaitGroup
+	slots := make(chan struct{}, concurrentReports)
+	for _, pool := range pools {
+		active.Add(1)
+		slots <- struct{}{}
+		go func() {
+			defer active.Done()
+			defer func() { <-slots }()
+			r, err := retryOwner(ctx, func() (*sched.Report, error) {
+				return n.report(ctx, &reportCall{Partition: n.partitionOf(pool), Pool: pool, ReadOnly: true})
+			})
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				missing[pool] = err.Error()
+				return
+			}
+			reports[pool] = r
+		}()
+	}
+	active.Wait()
+	return reports, missing
+}
--- a/internal/drive/admin.go
+++ b/internal/drive/admin.go
@@ -14,8 +14,9 @@
 
 // Kinds of calls from an operator's command to an entry.
 const (
-	operatorJobKind  = "operator-job"
-	operatorPoolKind = "operator-pool"
+	operatorJobKind      = "operator-job"
+	operatorPoolKind     = "operator-pool"
+	operatorAccountsKind = "operator-accounts"
 )
 
 // operatorTimeout bounds an operator's request about a job, which may ask all partitions.
@@ -39,6 +40,28 @@
 // PoolRequest asks for the report of a pool.
 type PoolRequest struct{ Pool string }
 
+// AccountsRequest asks for the load of client accounts.
+type AccountsRequest struct{ Name string } // of one account; empty for all
+
+// AccountsResponse is the reply to an AccountsRequest.
+type AccountsResponse struct {
+	Version  int64             // of the configuration at the entry that was asked
+	Accounts []AccountLoad     // by name; with those that only jobs have, since they were removed
+	Missing  map[string]string // pools whose owner did not answer, with the reason
+}
+
+// AccountLoad is a client account and its load in each pool in which it has any.
+type AccountLoad struct {
+	Name       string
+	Configured bool // in the configuration of the entry that was asked
+	Weight     float64
+	Limit      site.Resources                 // 0 for no limit
+	Pools      map[string]sched.AccountReport // by pool
+}
+
+// errUnknownAccount is returned if neither the configuration nor a job has the account.
+var errUnknownAccount = errors.New("no client account has this name")
+
 // errUnknownJob is returned if no partition holds the job.
 var errUnknownJob = errors.New("no partition holds the job")
 
@@ -56,6 +79,13 @@
 	return peer.Call[PoolRequest, sched.Report](ctx, c, operatorPoolKind, &PoolRequest{Pool: pool})
 }
 
+// FetchAccounts asks the entry at a peer address for the load of client accounts.
+func FetchAccounts(ctx context.Context, address string, req *AccountsRequest) (*AccountsResponse, error) {
+	c := peer.NewClient(address, "operator", func() string { return "" })
+	defer c.Close()
+	return peer.Call[AccountsRequest, AccountsResponse](ctx, c, operatorAccountsKind, req)
+}
+
 func (n *Node) handleOperatorCalls(s *peer.Server) {
 	peer.Handle(s, operatorJobKind, func(ctx context.Context, _ string, req *JobRequest) (*JobResponse, error) {
 		ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
@@ -67,6 +97,9 @@
 			return n.report(ctx, &reportCall{Partition: n.partitionOf(req.Pool), Pool: req.Pool, ReadOnly: true})
 		})
 	})
+	peer.Handle(s, operatorAccountsKind, func(ctx context.Context, _ string, req *AccountsRequest) (*AccountsResponse, error) {
+		return n.collectAccounts(ctx, req)
+	})
 	peer.Handle(s, explainKind, func(ctx context.Context, _ string, c *jobCall) (*sched.JobView, error) {
 		return n.explainLocal(ctx, c)
 	})
--- a/internal/drive/admin_test.go
+++ b/internal/drive/admin_test.go
@@ -1,10 +1,13 @@
 package drive
 
 import (
+	"fmt"
+	"net/http"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/greengagelane/greengagelane/internal/sched"
 	"github.com/greengagelane/greengagelane/pkg/jobs"
 	"github.com/greengagelane/greengagelane/pkg/site"
 )
@@ -91,3 +94,60 @@
 	_, err = SendJobRequest(t.Context(), entry, &JobRequest{ID: j.ID, Submit: j})
 	assert.ErrorContains(t, err, `queue "other" does not exist`)
 }
+
+// TestOperatorListsAccounts guards against an account's load that is missing from or wrong in what
+// an entry collects: of pools that other entries own, of accounts without jobs, and of accounts that
+// the configuration no longer has.
+func TestOperatorListsAccounts(t *testing.T) {
+	c := newCluster(t, 2, map[string]int{"alpha": 1, "delta": 1})
+	c.publish(5, "alpha", map[string][]string{"a": {"key-a"}, "b": {"key-b"}})
+	c.awaitVersion(5, 0, 1)
+	c.awaitStatus(http.StatusOK, 0, "key-a", http.MethodPost, "/q/00000000000000d1", `{"steps":[{"count":2,"cpu":1000,"memMb":100,"longRunning":true}]}`)
+	c.awaitStatus(http.StatusOK, 0, "key-b", http.MethodPost, "/q/00000000000000d2", `{"steps":[{"count":1,"cpu":9000}]}`)
+	c.publish(6, "alpha", map[string][]string{"b": {"key-b"}, "c": {"key-c"}})
+	c.awaitVersion(6, 0, 1)
+	want := []AccountLoad{
+		{Name: "a", Pools: map[string]sched.AccountReport{"alpha": {Running: 1, Used: site.Resources{CPU: 2000, MemMB: 200}}}},
+		{Name: "b", Configured: true, Weight: 10, Pools: map[string]sched.AccountReport{"alpha": {Waiting: 1}}},
+		{Name: "c", Configured: true, Weight: 10, Pools: map[string]sched.AccountReport{}},
+	}
+	for i := range c.nodes {
+		var resp *AccountsResponse
+		c.await("both tasks run", func() bool {
+			var err error
+			resp, err = FetchAccounts(t.Context(), c.nodes[i].address, &AccountsRequest{})
+			assert.NilError(t, err)
+			return len(resp.Missing) == 0 && len(resp.Accounts) == 3 && resp.Accounts[0].Pools["alpha"].Used.CPU == 2000
+		})
+		assert.Equal(t, resp.Version, int64(6))
+		assert.DeepEqual(t, resp.Accounts, want)
+		one, err := FetchAccounts(t.Context(), c.nodes[i].address, &AccountsRequest{Name: "b"})
+		assert.NilError(t, err)
+		assert.DeepEqual(t, one.Accounts, want[1:2])
+		_, err = FetchAccounts(t.Context(), c.nodes[i].address, &AccountsRequest{Name: "d"})
+		assert.ErrorContains(t, err, `account "d": no client account has this name`)
+	}
+}
+
+// TestAccountLabelsAreBounded guards against metrics whose number grows with the accounts, or with the
+// changes of their weights over time.
+func TestAccountLabelsAreBounded(t *testing.T) {
+	var l accountLabels
+	labels := map[string]bool{}
+	for change := range 10 {
+		var accounts []site.Account
+		for i := range 770 {
+			accounts = append(accounts, site.Account{Name: fmt.Sprint(i), Weight: float64((i + 100*change) % 770)})
+		}
+		l.setAccounts(accounts)
+		for i := range accounts {
+			labels[l.label(accounts[i].Name)] = true
+		}
+		if change == 0 {
+			assert.Equal(t, l.label("769"), "769")
+			assert.Equal(t, l.label("749"), otherAccounts)
+		}
+	}
+	assert.Equal(t, len(labels), maxAccountLabels+1)
+	assert.Equal(t, l.label(""), noAccount)
+}
--- a/internal/drive/member.go
+++ b/internal/drive/member.go
@@ -23,7 +23,7 @@
 	vmListIntervalIncoming = 100 * time.Millisecond  // the same while VMs are moving to a pool of this entry
 	operatorReadWait       = 700 * time.Millisecond  // how long the log may delay its reply to a read while there are no changes; short, since it may never answer a long-polling read
 	watchBackoff           = 250 * time.Millisecond  // after a failed read of the operator's records
-	syncInterval           = 400 * time.Millisecond  // before a sync with another entry; also the timeout of the sync
+	syncInterval           = 400 * time.Millisecond  // between the starts of two syncs with other entries; also the timeout of a sync
 )
 
 // dependency logs when a service that the entry needs stops answering and answers again.
@@ -198,6 +198,10 @@
 			n.owners.setAssignment(time.Now(), members, n.settings.Log.Partitions)
 		}
 		sleep(ctx, minAssignmentInterval)
+		if time.Since(n.startedAt) < startupPhase && len(n.owners.peers(n.address)) == 0 {
+			timer.Reset(0) // without an owner to sync with, an entry that the log rejects now would get no configuration
+			continue
+		}
 		timer.Reset(assignmentInterval)
 	}
 }
@@ -214,6 +218,7 @@
 			return
 		}
 		dep.recordResult(err)
+		n.logRejects.Store(err != nil)
 		if err != nil {
 			sleep(ctx, watchBackoff)
 			continue
@@ -296,43 +301,65 @@
 	}
 }
 
-// syncPeers fetches the configuration and the owners from the other entries in turn, in case
-// the platform answers them but not this entry.
-func (n *Node) syncPeers(ctx context.Context) {
-	next := 0
+// syncWithPeers fetches the configuration and the owners from one other entry after the other, in case
+// the platform answers them but not this entry. An interval includes the time of its call, so that a
+// peer that does not answer delays the next call no longer than one that does.
+func (n *Node) syncWithPeers(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, syncInterval)
-		peers := n.owners.peers(n.address)
-		if len(peers) == 0 {
-			continue
-		}
-		next++
-		if err := n.syncWith(ctx, peers[next%len(peers)]); err != nil && !errors.Is(err, context.Canceled) {
-			logrus.WithError(err).Debug("sync with another entry failed")
+		began := time.Now()
+		age, known := n.confirmed.age(began)
+		rejected := n.logRejects.Load() || !known || age > recentConfirmation
+		if address := n.syncPeers.next(began, n.owners.peers(n.address), rejected); address != "" {
+			if err := n.syncWith(ctx, address); err != nil && !errors.Is(err, context.Canceled) {
+				logrus.WithError(err).Debug("sync with another entry failed")
+			}
 		}
+		sleep(ctx, syncInterval-time.Since(began))
 	}
 }
 
 func (n *Node) syncWith(ctx context.Context, address string) error {
-	call := &syncCall{}
+	began := time.Now()
+	call := &syncCall{Address: n.address, ConfigAgeMS: n.confirmed.ageMS(began)}
 	if cfg := n.config.Load(); cfg != nil {
 		call.ConfigVersion = cfg.Version
 	}
-	began := time.Now()
 	callCtx, cancel := context.WithTimeout(ctx, syncInterval)
 	defer cancel()
 	r, err := peer.Call[syncCall, syncReply](callCtx, n.peer(address), syncKind, call)
 	if err != nil {
+		n.syncPeers.recordCall(address, began, false, time.Time{})
 		return err
 	}
+	n.syncPeers.recordCall(address, began, true, confirmedAt(began, r.ConfigAgeMS))
+	n.hearOf(r.Entries, began)
 	if r.Config != nil {
 		n.setConfig(r.Config, address)
 	}
-	if r.ConfigAgeMS >= 0 {
-		n.confirmed.record(began.Add(-time.Duration(r.ConfigAgeMS) * time.Millisecond))
+	if at := confirmedAt(began, r.ConfigAgeMS); !at.IsZero() {
+		n.confirmed.record(at)
 	}
 	for p, info := range r.Owners {
 		n.handleClaim(p, info, address)
 	}
 	return nil
 }
+
+// hearOf records the entries that another entry named, with the ages of their confirmations in
+// milliseconds at the given time.
+func (n *Node) hearOf(ages map[string]int64, at time.Time) {
+	for address, age := range ages {
+		if address != n.address && address != "" {
+			n.syncPeers.heardOf(address, confirmedAt(at, age))
+		}
+	}
+}
+
+// confirmedAt returns the time of a confirmation from its age in milliseconds at a given time, the zero
+// time for a negative age, which stands for no confirmation.
+func confirmedAt(now time.Time, ageMS int64) time.Time {
+	if ageMS < 0 {
+		return time.Time{}
+	}
+	return now.Add(-time.Duration(ageMS) * time.Millisecond)
+}
--- a/internal/drive/metrics.go
+++ b/internal/drive/metrics.go
@@ -1,9 +1,15 @@
 package drive
 
 import (
+	"cmp"
+	"slices"
+	"strconv"
+	"sync"
+
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/greengagelane/greengagelane/internal/sched"
+	"github.com/greengagelane/greengagelane/pkg/site"
 )
 
 var (
@@ -32,3 +38,54 @@
 func countRequest(kind, outcome string) {
 	metrics.GetOrCreateCounter(`greengagelane_caller_requests_total{kind="` + kind + `",outcome="` + outcome + `"}`).Inc()
 }
+
+const (
+	maxNamedAccounts = 20                   // client accounts of one configuration that have metrics of their own
+	maxAccountLabels = 2 * maxNamedAccounts // names in metrics over the life of the process, as configurations change
+	otherAccounts    = "other"              // label of all other accounts
+	noAccount        = "none"               // label of requests without an account
+)
+
+// accountLabels chooses the names of client accounts in metrics so that the number of series is
+// bounded: the largest accounts by weight have their own. Its zero value is ready for use.
+type accountLabels struct {
+	mu    sync.Mutex
+	large map[string]bool // largest accounts of the configuration in force
+	used  map[string]bool // names that series have
+}
+
+// setAccounts sets the accounts of the configuration in force.
+func (l *accountLabels) setAccounts(accounts []site.Account) {
+	sorted := slices.Clone(accounts)
+	slices.SortFunc(sorted, func(a, b site.Account) int {
+		return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(a.Name, b.Name))
+	})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.large = map[string]bool{}
+	for i := range sorted[:min(len(sorted), maxNamedAccounts)] {
+		l.large[sorted[i].Name] = true
+	}
+}
+
+// label returns the label of an account.
+func (l *accountLabels) label(account string) string {
+	if account == "" {
+		return noAccount
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.large[account] || (!l.used[account] && len(l.used) >= maxAccountLabels) {
+		return otherAccounts
+	}
+	if l.used == nil {
+		l.used = map[string]bool{}
+	}
+	l.used[account] = true
+	return account
+}
+
+// countAccountRequest counts a caller's request by its client account's label and its outcome.
+func countAccountRequest(label, outcome string) {
+	metrics.GetOrCreateCounter(`greengagelane_account_requests_total{account=` + strconv.Quote(label) + `,outcome="` + outcome + `"}`).Inc()
+}
--- a/internal/drive/node.go
+++ b/internal/drive/node.go
@@ -43,6 +43,10 @@
 	incarnation     string
 	config          atomic.Pointer[site.Config]
 	confirmed       confirmation // of the configuration
+	logRejects      atomic.Bool  // the last read of the operator's records failed
+	syncPeers       syncPeers
+	accountLabels   accountLabels
+	unauthorizedLog lineLimit
 	owners          ownerTable
 	stopping        atomic.Bool
 	aborted         chan struct{} // closed to exit without a handover, as after SIGKILL
@@ -105,7 +109,7 @@
 	go n.watchOperator(workCtx)
 	go n.watchVMs(workCtx)
 	go n.watchAssignment(workCtx)
-	go n.syncPeers(workCtx)
+	go n.syncWithPeers(workCtx)
 	memberDone := make(chan struct{})
 	memberCtx, leave := context.WithCancel(workCtx)
 	defer leave()
@@ -213,6 +217,7 @@
 		}
 		if n.config.CompareAndSwap(old, c) {
 			n.recordQueueMoves(old, c, time.Now())
+			n.accountLabels.setAccounts(c.Accounts)
 			logrus.WithFields(logrus.Fields{"version": c.Version, "from": from, "routes": len(c.Routes), "accounts": len(c.Accounts)}).Info("configuration in force")
 			return
 		}
@@ -278,11 +283,13 @@
 		return &r, nil
 	})
 	peer.Handle(s, syncKind, func(_ context.Context, _ string, c *syncCall) (*syncReply, error) {
-		r := &syncReply{Owners: n.owners.claims()}
+		now := time.Now()
+		n.hearOf(map[string]int64{c.Address: c.ConfigAgeMS}, now)
+		r := &syncReply{Owners: n.owners.claims(), Entries: n.syncPeers.informedPeers(now, c.Address)}
 		if cfg := n.config.Load(); cfg != nil && cfg.Version > c.ConfigVersion {
 			r.Config = cfg
 		}
-		r.ConfigAgeMS = n.confirmed.ageMS(time.Now())
+		r.ConfigAgeMS = n.confirmed.ageMS(now)
 		return r, nil
 	})
 	peer.Handle(s, reportKind, func(ctx context.Context, _ string, c *reportCall) (*sched.Report, error) {
--- a/internal/drive/node_test.go
+++ b/internal/drive/node_test.go
@@ -34,11 +34,18 @@
 	nodes    []*Node
 	cancels  []context.CancelFunc
 	done     []chan struct{}
+	adjust   func(*site.Bounds) // changes the settings of entries; nil for no change
 }
 
 // newCluster starts an emulated platform, with the given number of machines by pool, and entries,
 // and waits until all entries are ready. Configuration 3 assigns queue q to pool alpha.
 func newCluster(t *testing.T, entries int, pools map[string]int) *cluster {
+	t.Helper()
+	return newAdjustedCluster(t, entries, pools, nil)
+}
+
+// newAdjustedCluster is newCluster with changed settings of the entries.
+func newAdjustedCluster(t *testing.T, entries int, pools map[string]int, adjust func(*site.Bounds)) *cluster {
 	t.Helper()
 	if testLog != nil {
 		logrus.SetOutput(testLog)
@@ -47,7 +54,7 @@
 	}
 	emulator, err := emul.NewPlatform(pools, 300*time.Millisecond)
 	assert.NilError(t, err)
-	c := &cluster{t: t, emulator: emulator}
+	c := &cluster{t: t, emulator: emulator, adjust: adjust}
 	assert.NilError(t, emulator.Configure(3, "alpha", "alpha"))
 	for i := range entries {
 		c.startEntry(i)
@@ -83,13 +90,19 @@
 	c.t.Helper()
 	ports, err := emul.FreePorts(4)
 	assert.NilError(c.t, err)
+	name := fmt.Sprintf("entry-%d", i)
+	logAddress, err := c.emulator.LogAddress(name)
+	assert.NilError(c.t, err)
 	set := &site.Settings{
-		Entry: fmt.Sprintf("entry-%d", i), IP: "127.0.0.1", Ports: ports[:2],
+		Entry: name, IP: "127.0.0.1", Ports: ports[:2],
 		Callers: fmt.Sprintf("127.0.0.1:%d", ports[2]), Ready: fmt.Sprintf("127.0.0.1:%d", ports[3]),
-		Log:   site.LogSettings{Address: c.emulator.LogAddr, Partitions: partitions, RecordBytes: 1 << 18, CallBytes: 1 << 21, MinTTLMS: 1000},
+		Log:   site.LogSettings{Address: logAddress, Partitions: partitions, RecordBytes: 1 << 18, CallBytes: 1 << 21, MinTTLMS: 1000},
 		Fleet: site.FleetSettings{Address: c.emulator.FleetAddr}, Cores: 1,
 		Bounds: site.Bounds{HoldMS: 10000, StopGraceMS: 400, ShutdownGraceS: 6, KeepFinalS: 120, MoveS: 0.2, TurnMS: 300},
 	}
+	if c.adjust != nil {
+		c.adjust(&set.Bounds)
+	}
 	n := New(set)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -121,9 +134,18 @@
 
 // call sends a caller's request to an entry. The status is 0 if it fails.
 func (c *cluster) call(entry int, method, path, body string) (int, string) {
+	return c.callWithKey(entry, "", method, path, body)
+}
+
+// callWithKey sends a caller's request with a client account's key to an entry. The status is 0 if it
+// fails.
+func (c *cluster) callWithKey(entry int, key, method, path, body string) (int, string) {
 	req, err := http.NewRequest(method, "http://"+c.nodes[entry].settings.Callers+path, bytes.NewReader([]byte(body)))
 	assert.NilError(c.t, err)
 	req.Host = "h.example"
+	if key != "" {
+		req.Header.Set("Authorization", "Token "+key)
+	}
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, err.Error()
--- a/internal/drive/partition.go
+++ b/internal/drive/partition.go
@@ -279,7 +279,7 @@
 		return
 	}
 	if account, queue, known := part.scheduler.AccountOf(c.ID); known && !c.Allows(account, queue) {
-		w.answer(replyForbidden(c.Kind))
+		w.answer(replyForbidden(c))
 		return
 	}
 	switch c.Kind {
@@ -305,8 +305,8 @@
 
 // replyForbidden returns the reply to a request for a job of another client account. It does not
 // say that the job exists; a submission is refused without a reason.
-func replyForbidden(kind site.CallKind) site.Reply {
-	if kind == site.SubmitJob {
+func replyForbidden(c *jobCall) site.Reply {
+	if c.Kind == site.SubmitJob || c.BeforeSubmit {
 		return site.Reply{Outcome: site.Refused, RetryMS: 1000, Reason: "the job was not accepted"}
 	}
 	return site.Reply{Outcome: site.NoSuchJob}
--- a/internal/drive/proto.go
+++ b/internal/drive/proto.go
@@ -38,11 +38,16 @@
 	ID     string
 	Job    *jobs.Job
 	WaitMS int64 // time left for the reply
+	// BeforeSubmit marks the look-up of a job that is about to be submitted. A job of another account
+	// is then not hidden, but refused as the submission would be.
+	BeforeSubmit bool
 }
 
 // syncCall asks another entry for its configuration, if newer, and its known owners.
 type syncCall struct {
-	ConfigVersion int64 // configuration in force at the requesting entry, 0 if none
+	ConfigVersion int64  // configuration in force at the requesting entry, 0 if none
+	ConfigAgeMS   int64  // time since the requesting entry last knew that it had the newest configuration, -1 if it never did
+	Address       string // peer address of the requesting entry
 }
 
 // syncReply is the reply to a syncCall.
@@ -50,6 +55,7 @@
 	ConfigAgeMS int64             // time since the replying entry last knew that it had the newest configuration, -1 if it never did
 	Config      *site.Config      // nil unless newer than the requesting entry's
 	Owners      map[int]ownerInfo // by partition
+	Entries     map[string]int64  // other entries whose configurations were recently confirmed: the age of the confirmation in milliseconds, by peer address
 }
 
 // announcement notifies other entries that an entry has become a partition's owner.
--- a/internal/drive/route.go
+++ b/internal/drive/route.go
@@ -35,6 +35,9 @@
 	}
 	requestDuration.UpdateDuration(began)
 	countRequest(req.Kind.String(), r.Outcome.String())
+	if cfg := n.Config(); cfg != nil && cfg.HasAccounts {
+		countAccountRequest(n.accountLabels.label(req.Account), r.Outcome.String())
+	}
 	if req.Kind == site.SubmitJob || req.Kind == site.CancelJob || r.Outcome != site.OK {
 		fields := logrus.Fields{
 			"job": req.ID, "queue": c.Queue, "kind": req.Kind.String(), "outcome": r.Outcome.String(), "reason": r.Reason,
@@ -55,7 +58,7 @@
 func (n *Node) dispatch(ctx context.Context, c *jobCall, now time.Time) site.Reply {
 	if c.Kind == site.SubmitJob && n.movedRecently(c.Queue, now) {
 		show := *c
-		show.Kind, show.Job = site.ShowJob, nil
+		show.Kind, show.Job, show.BeforeSubmit = site.ShowJob, nil, true
 		switch r := n.tryOtherPartitions(ctx, &show, site.Reply{Outcome: site.NoSuchJob}); r.Outcome {
 		case site.NoSuchJob:
 		case site.OK:
