query, sched: account list, account show; pool load says why a VM gets no work

Cause: no command showed what an account has waiting, running and refused, and pool load called a VM in service that was draining, quarantined, on probation, silent or not yet recorded.

Reports carry the reason for which a VM gets no new run.

--- a/internal/query/job.go
+++ b/internal/query/job.go
@@ -64,7 +64,7 @@
 	Name:     "pool load",
 	Args:     "POOL",
 	Query:    true,
-	Short:    "Shows the use of a pool that 'greengagelane schedule' runs, VM by VM.",
+	Short:    "Shows the use of a pool that 'greengagelane schedule' runs, and why VMs get no work.",
 	Examples: []verb.Example{{Command: "greengagelane pool load -peer 10.1.0.9:7060 filings", Help: "asks any entry; it finds the pool's owner"}},
 	New:      newPoolLoad,
 }
@@ -89,19 +89,16 @@
 			report.Pool, report.Used, report.Lasting, report.Waiting, report.Rate)
 		tw := tabwriter.NewWriter(out.Out, 0, 4, 2, ' ', 0)
 		for _, v := range report.VMs {
-			fmt.Fprintf(tw, "%s\t%d runs\t%d long-running\t%.1f cores\t%s\n", v.ID, v.Runs, v.Lasting, float64(v.CPU)/1000, vmCondition(v.Known, v.Cordoned))
+			fmt.Fprintf(tw, "%s\t%d runs\t%d long-running\t%.1f cores\t%s\n", v.ID, v.Runs, v.Lasting, float64(v.CPU)/1000, vmCondition(v.Unusable))
 		}
 		return tw.Flush()
 	}
 }
 
 // vmCondition says whether a VM accepts new runs, and if not, why.
-func vmCondition(known, cordoned bool) string {
-	switch {
-	case !known:
-		return "has not answered yet"
-	case cordoned:
-		return "is about to be moved or maintained"
+func vmCondition(unusable string) string {
+	if unusable == "" {
+		return "in service"
 	}
-	return "in service"
+	return unusable
 }
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -32,8 +32,9 @@
 	Runs     int
 	Lasting  int // runs of long-running tasks
 	Cordoned bool
-	Known    bool // this owner has polled it successfully
-	CPU      int  // thousandths of a core in use
+	Known    bool   // this owner has polled it successfully
+	CPU      int    // thousandths of a core in use
+	Unusable string // why it gets no new run; empty if it may get one
 }
 
 // Report returns the load of a pool.
@@ -41,7 +42,7 @@
 	r := &Report{Pool: pool, Rate: s.pool(pool).offeredLoad.rate(now), Accounts: s.accountReports(pool)}
 	largest := s.largestVM(pool)
 	for _, v := range s.sortedVMs(pool) {
-		u := VMReport{ID: v.ID, Runs: len(v.runs), Cordoned: v.cordoned, Known: v.polled}
+		u := VMReport{ID: v.ID, Runs: len(v.runs), Cordoned: v.cordoned, Known: v.polled, Unusable: v.unusableReason(now, &s.policy)}
 		for _, x := range v.runs {
 			u.CPU += x.step().CPU
 			if x.step().Lasts {
--- a/internal/sched/vm.go
+++ b/internal/sched/vm.go
@@ -85,6 +85,33 @@
 	return !v.probation || len(v.runs) == 0
 }
 
+// unusableReason says why the VM gets no new run, in the order of usable; empty if it may get one.
+func (v *vm) unusableReason(now time.Time, p *Policy) string {
+	switch {
+	case v.usable(now, p):
+		return ""
+	case !v.listed:
+		return "the platform's VM list does not contain it"
+	case v.Draining:
+		return "draining: the platform will take it out of its pool"
+	case v.cordoned:
+		return "cordoned: about to be moved or maintained"
+	case !v.polled:
+		return "has not answered a status poll of this owner yet"
+	case v.pollFailed || now.Sub(v.lastAnswer) > p.SilentAfter+time.Second:
+		return "silent for " + now.Sub(v.lastAnswer).Round(100*time.Millisecond).String()
+	case !v.recorded:
+		return "not recorded in the job log yet"
+	case len(v.orphans) > 0:
+		return "holds runs that this owner does not track"
+	case now.Before(v.quarantinedUntil):
+		return "quarantined for another " + v.quarantinedUntil.Sub(now).Round(100*time.Millisecond).String()
+	case now.Before(v.backoffUntil):
+		return "refused a start; none is sent for another " + v.backoffUntil.Sub(now).Round(10*time.Millisecond).String()
+	}
+	return "on probation: one run at a time until one succeeds"
+}
+
 // estimateClock returns the VM's clock as of now. It is ahead of the VM's actual clock by
 // at most Policy.ClockError times the time since clockAt.
 func (v *vm) estimateClock(now time.Time) int64 {
--- a/internal/shell/shell.go
+++ b/internal/shell/shell.go
@@ -29,6 +29,8 @@
 	cmds.Schedule,
 	cmds.WavePause,
 	cmds.WaveStart,
+	query.AccountList,
+	query.AccountShow,
 	query.Check,
 	query.JobShow,
 	query.PoolLoad,
