soak: client accounts; drive: peers are named in turn, metrics of accounts' loads, vm show -peer

Cause: the soak sent no keys. An entry named only the peers confirmed within 2 s, the most recent first, so that some might never be named to an entry that later needs them. vm show knew nothing of the VMs of scheduling entries.

Change: callers have accounts, one floods, and a probe sends unknown, revoked and foreign keys; the oracle checks the replies and, with -quotas, what VMs ran. Replies to sync name all entries confirmed within 10 s in turn. The metrics have jobs and cores by account. vm show -peer tells why a VM gets no work.

--- a/internal/drive/accounts.go
+++ b/internal/drive/accounts.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	accountsTimeout   = 2500 * time.Millisecond // for the owners' reports; the command waits 3 s
+	reportsTimeout    = 2500 * time.Millisecond // for the owners' reports; the command waits 3 s
 	maxLoggedPath     = 80                      // bytes; a queue's prefix and a job's identifier are shorter
 	concurrentReports = 16                      // pools whose reports are fetched at a time
 )
@@ -71,13 +71,7 @@
 		a := &cfg.Accounts[i]
 		loads[a.Name] = &AccountLoad{Name: a.Name, Configured: true, Weight: a.Weight, Limit: a.Limit, Pools: map[string]sched.AccountReport{}}
 	}
-	var pools []string
-	for i := range cfg.Pools {
-		pools = append(pools, cfg.Pools[i].Name)
-	}
-	ctx, cancel := context.WithTimeout(ctx, accountsTimeout)
-	defer cancel()
-	reports, missing := n.poolReports(ctx, pools)
+	reports, missing := n.poolReports(ctx, cfg.Pools)
 	for pool, r := range reports {
 		for name, load := range r.Accounts {
 			if loads[name] == nil {
@@ -98,14 +92,37 @@
 	return resp, nil
 }
 
+// findVM returns the load of a VM from the owner of its pool.
+func (n *Node) findVM(ctx context.Context, id string) (*VMResponse, error) {
+	cfg := n.Config()
+	if cfg == nil {
+		return nil, errors.New("the entry has no configuration yet")
+	}
+	reports, missing := n.poolReports(ctx, cfg.Pools)
+	for pool, r := range reports {
+		for _, v := range r.VMs {
+			if v.ID == id {
+				return &VMResponse{Pool: pool, VM: v}, nil
+			}
+		}
+	}
+	if len(missing) > 0 {
+		return nil, fmt.Errorf("VM %q: %w; the owners of these pools did not answer: %q", id, errUnknownVM, slices.Sorted(maps.Keys(missing)))
+	}
+	return nil, fmt.Errorf("VM %q: %w", id, errUnknownVM)
+}
+
 // poolReports fetches the reports of pools from their owners, several at a time. missing holds the
 // reasons for those that it did not get.
-func (n *Node) poolReports(ctx context.Context, pools []string) (reports map[string]*sched.Report, missing map[string]string) {
+func (n *Node) poolReports(ctx context.Context, pools []site.Pool) (reports map[string]*sched.Report, missing map[string]string) {
+	ctx, cancel := context.WithTimeout(ctx, reportsTimeout)
+	defer cancel()
 	reports, missing = map[string]*sched.Report{}, map[string]string{}
 	var mu sync.Mutex
 	var active sync.WaitGroup
 	slots := make(chan struct{}, concurrentReports)
-	for _, pool := range pools {
+	for i := range pools {
+		pool := pools[i].Name
 		active.Add(1)
 		slots <- struct{}{}
 		go func() {
--- a/internal/drive/accounts_test.go
+++ b/internal/drive/accounts_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -65,19 +66,20 @@
 	}
 }
 
-// awaitOwners waits until as many entries own partitions as can, and returns these and the others.
+// awaitOwners waits until the entries that the emulator assigns partitions to, the first ones by
+// name, own them all, and returns these and the others.
 func (c *cluster) awaitOwners() (owners, others []int) {
 	c.t.Helper()
+	byName := make([]int, len(c.nodes))
+	for i := range byName {
+		byName[i] = i
+	}
+	slices.SortFunc(byName, func(a, b int) int { return strings.Compare(c.nodes[a].settings.Entry, c.nodes[b].settings.Entry) })
+	n := min(len(c.nodes), partitions)
+	owners, others = byName[:n], byName[n:]
 	c.await("partitions spread over the entries", func() bool {
-		owners, others = nil, nil
-		for i, n := range c.nodes {
-			if n.ownsAny() {
-				owners = append(owners, i)
-			} else {
-				others = append(others, i)
-			}
-		}
-		return len(owners) == min(len(c.nodes), partitions)
+		return !slices.ContainsFunc(owners, func(i int) bool { return !c.nodes[i].ownsAny() }) &&
+			!slices.ContainsFunc(others, func(i int) bool { return c.nodes[i].ownsAny() })
 	})
 	return owners, others
 }
--- a/internal/drive/admin.go
+++ b/internal/drive/admin.go
@@ -17,6 +17,7 @@
 	operatorJobKind      = "operator-job"
 	operatorPoolKind     = "operator-pool"
 	operatorAccountsKind = "operator-accounts"
+	operatorVMKind       = "operator-vm"
 )
 
 // operatorTimeout bounds an operator's request about a job, which may ask all partitions.
@@ -59,6 +60,18 @@
 	Pools      map[string]sched.AccountReport // by pool
 }
 
+// VMRequest asks for the load of a VM.
+type VMRequest struct{ ID string }
+
+// VMResponse is the reply to a VMRequest.
+type VMResponse struct {
+	Pool string
+	VM   sched.VMReport
+}
+
+// errUnknownVM is returned if no owner has the VM in one of its pools.
+var errUnknownVM = errors.New("no pool has this VM")
+
 // errUnknownAccount is returned if neither the configuration nor a job has the account.
 var errUnknownAccount = errors.New("no client account has this name")
 
@@ -86,6 +99,13 @@
 	return peer.Call[AccountsRequest, AccountsResponse](ctx, c, operatorAccountsKind, req)
 }
 
+// FetchVM asks the entry at a peer address for the load of a VM.
+func FetchVM(ctx context.Context, address, id string) (*VMResponse, error) {
+	c := peer.NewClient(address, "operator", func() string { return "" })
+	defer c.Close()
+	return peer.Call[VMRequest, VMResponse](ctx, c, operatorVMKind, &VMRequest{ID: id})
+}
+
 func (n *Node) handleOperatorCalls(s *peer.Server) {
 	peer.Handle(s, operatorJobKind, func(ctx context.Context, _ string, req *JobRequest) (*JobResponse, error) {
 		ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
@@ -97,6 +117,9 @@
 			return n.report(ctx, &reportCall{Partition: n.partitionOf(req.Pool), Pool: req.Pool, ReadOnly: true})
 		})
 	})
+	peer.Handle(s, operatorVMKind, func(ctx context.Context, _ string, req *VMRequest) (*VMResponse, error) {
+		return n.findVM(ctx, req.ID)
+	})
 	peer.Handle(s, operatorAccountsKind, func(ctx context.Context, _ string, req *AccountsRequest) (*AccountsResponse, error) {
 		return n.collectAccounts(ctx, req)
 	})
--- a/internal/drive/admin_test.go
+++ b/internal/drive/admin_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -32,6 +34,13 @@
 	r, err := FetchPoolReport(t.Context(), c.nodes[0].address, "alpha")
 	assert.NilError(t, err)
 	assert.Equal(t, r.VMs[0].Lasting, 1)
+	for _, n := range c.nodes {
+		v, err := FetchVM(t.Context(), n.address, r.VMs[0].ID)
+		assert.NilError(t, err)
+		assert.Equal(t, v.Pool+" "+v.VM.Unusable, "alpha ")
+		_, err = FetchVM(t.Context(), n.address, "i-none")
+		assert.ErrorContains(t, err, "no pool has this VM")
+	}
 	_, err = SendJobRequest(t.Context(), c.nodes[1].address, &JobRequest{ID: id, Cancel: true})
 	assert.NilError(t, err)
 	assert.Equal(t, c.state(0, id), "cancelled")
@@ -129,6 +138,31 @@
 	}
 }
 
+// TestAccountLoadMetrics guards against loads that are not summed over pools and small accounts, and
+// against those of a pool that another entry owns by now.
+func TestAccountLoadMetrics(t *testing.T) {
+	var l accountLoads
+	now := time.Now()
+	l.record(now.Add(-time.Minute), "lost", map[string]sched.AccountReport{"a": {Waiting: 100}})
+	l.record(now, "alpha", map[string]sched.AccountReport{"a": {Waiting: 1, Running: 2, Used: site.Resources{CPU: 1500}}, "b": {Running: 1}, "c": {Running: 1}})
+	l.record(now, "beta", map[string]sched.AccountReport{"a": {Waiting: 3, Used: site.Resources{CPU: 500}}})
+	l.record(now, "gamma", nil)
+	var out strings.Builder
+	l.write(&out, now, func(account string) string {
+		if account == "a" {
+			return account
+		}
+		return otherAccounts
+	})
+	assert.Equal(t, out.String(), `greengagelane_account_jobs{account="a",state="waiting"} 4
+greengagelane_account_jobs{account="a",state="running"} 2
+greengagelane_account_cores{account="a"} 2
+greengagelane_account_jobs{account="other",state="waiting"} 0
+greengagelane_account_jobs{account="other",state="running"} 2
+greengagelane_account_cores{account="other"} 0
+`)
+}
+
 // TestAccountLabelsAreBounded guards against metrics whose number grows with the accounts, or with the
 // changes of their weights over time.
 func TestAccountLabelsAreBounded(t *testing.T) {
--- a/internal/drive/fleet.go
+++ b/internal/drive/fleet.go
@@ -324,6 +324,8 @@
 			part.scheduler.SetArrivals(now, c.Pool, c.Arrivals)
 			part.cordonedAt = now
 		}
-		return part.scheduler.Report(now, c.Pool)
+		r := part.scheduler.Report(now, c.Pool)
+		n.accountLoads.record(now, c.Pool, r.Accounts)
+		return r
 	})
 }
--- a/internal/drive/metrics.go
+++ b/internal/drive/metrics.go
@@ -2,9 +2,13 @@
 
 import (
 	"cmp"
+	"fmt"
+	"io"
+	"maps"
 	"slices"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -89,3 +93,56 @@
 func countAccountRequest(label, outcome string) {
 	metrics.GetOrCreateCounter(`greengagelane_account_requests_total{account=` + strconv.Quote(label) + `,outcome="` + outcome + `"}`).Inc()
 }
+
+const accountLoadTTL = 2 * time.Second // the mover fetches reports every 150 ms; older ones are of pools that this entry no longer owns
+
+// accountLoads holds the newest load of client accounts in the pools that this entry owns, for the metrics.
+// Its zero value is ready for use.
+type accountLoads struct {
+	mu    sync.Mutex
+	pools map[string]accountLoad // by pool
+}
+
+type accountLoad struct {
+	at       time.Time
+	accounts map[string]sched.AccountReport
+}
+
+// record records the load of a pool. It keeps nothing on sites without accounts.
+func (l *accountLoads) record(now time.Time, pool string, accounts map[string]sched.AccountReport) {
+	if accounts == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.pools == nil {
+		l.pools = map[string]accountLoad{}
+	}
+	l.pools[pool] = accountLoad{now, accounts}
+}
+
+// write writes the loads as metrics, summed over pools by the accounts' labels.
+func (l *accountLoads) write(w io.Writer, now time.Time, label func(account string) string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sums := map[string]sched.AccountReport{}
+	for pool, load := range l.pools {
+		if now.Sub(load.at) > accountLoadTTL {
+			delete(l.pools, pool)
+			continue
+		}
+		for account, r := range load.accounts {
+			sum := sums[label(account)]
+			sum.Waiting += r.Waiting
+			sum.Running += r.Running
+			sum.Used.CPU += r.Used.CPU
+			sums[label(account)] = sum
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(sums)) {
+		r := sums[name]
+		fmt.Fprintf(w, "greengagelane_account_jobs{account=%q,state=\"waiting\"} %d\n", name, r.Waiting)
+		fmt.Fprintf(w, "greengagelane_account_jobs{account=%q,state=\"running\"} %d\n", name, r.Running)
+		fmt.Fprintf(w, "greengagelane_account_cores{account=%q} %g\n", name, float64(r.Used.CPU)/1000)
+	}
+}
--- a/internal/drive/node.go
+++ b/internal/drive/node.go
@@ -46,6 +46,7 @@
 	logRejects      atomic.Bool  // the last read of the operator's records failed
 	syncPeers       syncPeers
 	accountLabels   accountLabels
+	accountLoads    accountLoads
 	unauthorizedLog lineLimit
 	owners          ownerTable
 	stopping        atomic.Bool
@@ -101,7 +102,7 @@
 	go func() { failed <- ps.Serve(workCtx, ln) }()
 	callers := httpd.New(&http.Server{Addr: n.settings.Callers, Handler: platform.Ingress(n), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes})
 	ready := &http.Server{Addr: n.settings.Ready, Handler: platform.ReadyHandler(n), ReadHeaderTimeout: headerTimeout}
-	metricsSrv := &http.Server{Addr: n.settings.MetricsAddress(), Handler: http.HandlerFunc(serveMetrics), ReadHeaderTimeout: headerTimeout}
+	metricsSrv := &http.Server{Addr: n.settings.MetricsAddress(), Handler: http.HandlerFunc(n.serveMetrics), ReadHeaderTimeout: headerTimeout}
 	servers := []httpServer{callers, ready, metricsSrv}
 	for _, s := range servers {
 		go func() { failed <- s.ListenAndServe() }()
@@ -171,8 +172,9 @@
 	}
 }
 
-func serveMetrics(w http.ResponseWriter, _ *http.Request) {
+func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	metrics.WritePrometheus(w, true)
+	n.accountLoads.write(w, time.Now(), n.accountLabels.label)
 }
 
 // Config returns the configuration in force, or nil if none has been received yet.
@@ -285,7 +287,7 @@
 	peer.Handle(s, syncKind, func(_ context.Context, _ string, c *syncCall) (*syncReply, error) {
 		now := time.Now()
 		n.hearOf(map[string]int64{c.Address: c.ConfigAgeMS}, now)
-		r := &syncReply{Owners: n.owners.claims(), Entries: n.syncPeers.informedPeers(now, c.Address)}
+		r := &syncReply{Owners: n.owners.claims(), Entries: n.syncPeers.namePeers(now, c.Address)}
 		if cfg := n.config.Load(); cfg != nil && cfg.Version > c.ConfigVersion {
 			r.Config = cfg
 		}
--- a/internal/drive/proto.go
+++ b/internal/drive/proto.go
@@ -55,7 +55,7 @@
 	ConfigAgeMS int64             // time since the replying entry last knew that it had the newest configuration, -1 if it never did
 	Config      *site.Config      // nil unless newer than the requesting entry's
 	Owners      map[int]ownerInfo // by partition
-	Entries     map[string]int64  // other entries whose configurations were recently confirmed: the age of the confirmation in milliseconds, by peer address
+	Entries     map[string]int64  // some other entries: the age of their confirmations in milliseconds, by peer address
 }
 
 // announcement notifies other entries that an entry has become a partition's owner.
--- a/internal/drive/syncpeers.go
+++ b/internal/drive/syncpeers.go
@@ -9,10 +9,11 @@
 )
 
 const (
-	recentConfirmation = 2 * time.Second // a confirmation by the log is up to 1.4 s old when the next one arrives: each read waits 700 ms
-	retryUninformed    = 2 * time.Second // before a peer that did not help is asked again although others may help
-	maxSyncPeers       = 64              // peers remembered; those of which nothing was heard for longest are forgotten
-	maxNamedPeers      = 4               // named in each reply; four replies a second stay below 400 bytes/s
+	recentConfirmation = 2 * time.Second  // a confirmation by the log is up to 1.4 s old when the next one arrives: each read waits 700 ms
+	retryUninformed    = 2 * time.Second  // before a peer that did not help is asked again although others may help
+	maxSyncPeers       = 64               // peers remembered; those of which nothing was heard for longest are forgotten
+	maxNamedPeers      = 4                // named in each reply; four replies a second stay below 400 bytes/s
+	namedWithin        = 10 * time.Second // since its last confirmation, for an entry to be named: with 20 owners, an entry calls each of them every 8 s
 )
 
 // syncPeers are the entries from which this entry can get configurations. An entry that the log
@@ -27,6 +28,7 @@
 type syncPeer struct {
 	askedAt   time.Time // of the last call to it; zero before the first
 	answered  bool      // it answered that call
+	namedAt   time.Time // when it was last named in a reply
 	confirmed time.Time // latest time at which it is known to have had the newest configuration; zero if unknown
 }
 
@@ -114,27 +116,31 @@
 	}
 	return slices.MinFunc(candidates, func(a, b string) int {
 		p, q := state(a), state(b)
-		return cmp.Or(unhelpful(p)-unhelpful(q), p.askedAt.Compare(q.askedAt), cmp.Compare(a, b))
+		return cmp.Or(unhelpful(p)-unhelpful(q), p.askedAt.Compare(q.askedAt), q.confirmed.Compare(p.confirmed), cmp.Compare(a, b))
 	})
 }
 
-// informedPeers returns the age of the confirmation of the entries with the most recent ones, in
-// milliseconds by address, without the entry at the given address.
-func (s *syncPeers) informedPeers(now time.Time, without string) map[string]int64 {
+// namePeers returns a few entries for a reply, without the one at the given address: the age of their
+// confirmations in milliseconds, by address. Those not named for longest come first, so that all are named
+// in turn, and among them the most recently confirmed.
+func (s *syncPeers) namePeers(now time.Time, without string) map[string]int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var list []string
 	for address, p := range s.known {
-		if address != without && now.Sub(p.confirmed) < recentConfirmation {
+		if address != without && now.Sub(p.confirmed) < namedWithin {
 			list = append(list, address)
 		}
 	}
 	slices.SortFunc(list, func(a, b string) int {
-		return cmp.Or(s.known[b].confirmed.Compare(s.known[a].confirmed), cmp.Compare(a, b))
+		p, q := s.known[a], s.known[b]
+		return cmp.Or(p.namedAt.Compare(q.namedAt), q.confirmed.Compare(p.confirmed), cmp.Compare(a, b))
 	})
 	ages := map[string]int64{}
 	for _, address := range list[:min(len(list), maxNamedPeers)] {
-		ages[address] = max(now.Sub(s.known[address].confirmed).Milliseconds(), 0)
+		p := s.known[address]
+		p.namedAt = now
+		ages[address] = max(now.Sub(p.confirmed).Milliseconds(), 0)
 	}
 	return ages
 }
--- a/internal/drive/syncpeers_test.go
+++ b/internal/drive/syncpeers_test.go
@@ -65,5 +65,7 @@
 		s.heardOf(fmt.Sprint(i), now.Add(time.Duration(i-1000)*time.Millisecond))
 	}
 	assert.Equal(t, len(s.known), maxSyncPeers)
-	assert.DeepEqual(t, s.informedPeers(now, "999"), map[string]int64{"998": 2, "997": 3, "996": 4, "995": 5})
+	assert.DeepEqual(t, s.namePeers(now, "999"), map[string]int64{"998": 2, "997": 3, "996": 4, "995": 5})
+	assert.DeepEqual(t, s.namePeers(now, "998"), map[string]int64{"999": 1, "994": 6, "993": 7, "992": 8}) // each is named in turn
+	assert.Equal(t, len(s.namePeers(now.Add(namedWithin), "")), 0)
 }
--- a/internal/stand/soak.go
+++ b/internal/stand/soak.go
@@ -19,6 +19,7 @@
 	fs.StringVar(&cfg.Program, "program", "bin/greengagelane", "path of the greengagelane program")
 	fs.StringVar(&cfg.Dir, "dir", "out/soak", "directory for settings and logs; those of a seed without violations are removed")
 	fs.BoolVar(&cfg.NoFaults, "calm", false, "inject no faults")
+	fs.BoolVar(&cfg.CheckQuotas, "quotas", false, "check that client accounts stay within their quotas")
 	return func(out *verb.IO, _ []string) error {
 		violating, err := soak.RunSeeds(cfg, *seeds, out.Out)
 		if err != nil {
--- a/internal/stand/soak/caller.go
+++ b/internal/stand/soak/caller.go
@@ -34,6 +34,7 @@
 // guards the times.
 type Job struct {
 	ID            string
+	Account       string // client account of its caller
 	Queue         string
 	Spec          string
 	Steps         []step
@@ -118,12 +119,14 @@
 		return emul.Task{}
 	}
 	st := &j.Steps[id.Step]
-	return emul.Task{CPU: st.CPU, Duration: st.duration, LongRunning: st.LongRunning, FailingRuns: st.failingRuns}
+	return emul.Task{Account: j.Account, CPU: st.CPU, Duration: st.duration, LongRunning: st.LongRunning, FailingRuns: st.failingRuns}
 }
 
 // caller submits, queries and cancels jobs over one persistent connection.
 type caller struct {
 	harness  *Harness
+	account  string // its client account
+	key      string // sent with each request
 	r        *rand.Rand
 	entry    *Entry // at the other end of the connection, nil if there is none
 	client   *http.Client
@@ -131,7 +134,8 @@
 }
 
 func newCaller(harness *Harness, seed, number uint64) *caller {
-	return &caller{harness: harness, r: rand.New(rand.NewPCG(seed, number)), client: newClient()}
+	account := callerAccounts[number%uint64(len(callerAccounts))]
+	return &caller{harness: harness, account: account, key: lastingKey(account), r: rand.New(rand.NewPCG(seed, number)), client: newClient()}
 }
 
 func newClient() *http.Client {
@@ -150,6 +154,7 @@
 		return 0, nil, 0
 	}
 	req.Host = "h.example"
+	req.Header.Set("Authorization", "Token "+c.key)
 	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(requestDeadline.Milliseconds(), 10))
 	res, err := c.client.Do(req)
 	if err == nil {
@@ -189,13 +194,17 @@
 	}
 }
 
+// submit submits a job of a random shape.
 func (c *caller) submit(ctx context.Context) {
 	shape := shapes[c.r.IntN(len(shapes))]
+	if c.account == floodAccount {
+		shape = shapes[0]
+	}
 	if shape.name == longRunningShape && c.hasLongRunning() {
 		shape = shapes[0] // several long-running jobs of each caller would fill all VMs
 	}
 	j := &Job{
-		ID: fmt.Sprintf("%016x", c.r.Uint64()), Queue: c.harness.queues[c.r.IntN(len(c.harness.queues))].Name,
+		ID: fmt.Sprintf("%016x", c.r.Uint64()), Account: c.account, Queue: c.harness.queues[c.r.IntN(len(c.harness.queues))].Name,
 		Shape: shape.name, Steps: shape.steps(c.r), Spec: fmt.Sprintf("spec-%d", c.r.IntN(1000)),
 	}
 	body, err := json.Marshal(map[string]any{"spec": j.Spec, "steps": j.Steps})
--- a/internal/stand/soak/check.go
+++ b/internal/stand/soak/check.go
@@ -115,6 +115,11 @@
 	for _, v := range harness.platform.Violations() {
 		harness.reportViolation("%s", v)
 	}
+	if harness.cfg.CheckQuotas {
+		for _, v := range harness.platform.QuotaViolations(quotaOverage) {
+			harness.reportViolation("%s", v)
+		}
+	}
 }
 
 // checkRun checks the run r of a task. earlier holds the runs of the task that started before
--- a/internal/stand/soak/entry.go
+++ b/internal/stand/soak/entry.go
@@ -37,7 +37,7 @@
 
 // newEntry writes the settings file and opens the links of an entry; it does not start the
 // process.
-func newEntry(name, program, dir, logAddress, fleetAddress string) (*Entry, error) {
+func newEntry(name, program, dir, logAddress, fleetAddress string, revokeStrict bool) (*Entry, error) {
 	e := &Entry{Name: name, program: program, settings: filepath.Join(dir, name+".jsonc")}
 	// The first two ports are for other entries, the third for callers, the fourth for
 	// readiness checks.
@@ -57,7 +57,7 @@
 		Entry: name, DataCentre: "z", IP: "127.0.0.1", Ports: ports[:2], Callers: loopback(ports[2]), Ready: e.readyAddress, Announce: e.Peers.Address,
 		Log:   site.LogSettings{Address: e.Log.Address, Partitions: 4, RecordBytes: 1 << 18, CallBytes: 1 << 21, MinTTLMS: 1000},
 		Fleet: site.FleetSettings{Address: e.Fleet.Address}, Cores: 0.4,
-		Bounds: site.Bounds{HoldMS: maxLeaseMS, StopGraceMS: 400, ShutdownGraceS: shutdownGrace.Seconds(), KeepFinalS: 120, MoveS: moveTime.Seconds(), TurnMS: 1000},
+		Bounds: site.Bounds{HoldMS: maxLeaseMS, StopGraceMS: 400, ShutdownGraceS: shutdownGrace.Seconds(), KeepFinalS: 120, MoveS: moveTime.Seconds(), TurnMS: 1000, RevokeStrict: revokeStrict, RevokeMS: int(revokeLimit.Milliseconds())},
 	}
 	data, err := json.Marshal(&settings)
 	if err != nil {
--- a/internal/stand/soak/soak.go
+++ b/internal/stand/soak/soak.go
@@ -37,6 +37,9 @@
 	Program  string // path of the program
 	Dir      string // for settings and logs
 	NoFaults bool
+	// CheckQuotas checks that the tasks of each client account stay within its quota. It is off
+	// until entries enforce quotas.
+	CheckQuotas bool
 }
 
 // Harness runs the entries, callers and emulated platform of one seed, and records violated
@@ -50,14 +53,17 @@
 	registry *JobRegistry
 	queues   []emul.Queue // that callers submit to
 
+	publishing sync.Mutex // held while a version of the configuration is made and published
+
 	mu              sync.Mutex
 	violations      []string
 	links           map[string]*Link       // by VM
 	orderFaultTimes map[string][]time.Time // by VM: when faults that delay orders to it started and ended
 	readyEntries    []*Entry
-	version         int64 // of the newest configuration
-	waveCount       int   // maintenance waves requested
-	faultCount      int   // faults injected; only injectFaults writes it, without mu
+	version         int64        // of the newest configuration
+	keys            []rotatedKey // of rotatedAccount, in the order of their versions
+	waveCount       int          // maintenance waves requested
+	faultCount      int          // faults injected; only injectFaults writes it, without mu
 }
 
 // pools are the pools of the configuration, apart from the spare pool rest.
@@ -119,7 +125,7 @@
 	}
 	harness.configure()
 	for i := range harness.cfg.Entries {
-		e, err := newEntry(fmt.Sprintf("entry-%d", i+1), harness.cfg.Program, harness.cfg.Dir, harness.platform.LogAddr, harness.platform.FleetAddr)
+		e, err := newEntry(fmt.Sprintf("entry-%d", i+1), harness.cfg.Program, harness.cfg.Dir, harness.platform.LogAddr, harness.platform.FleetAddr, harness.strict())
 		if err != nil {
 			return err
 		}
@@ -160,6 +166,18 @@
 			c.sendRequests(ctx)
 		}()
 	}
+	flood := newFlood(harness)
+	callers = append(callers, flood)
+	probe := newProbe(harness)
+	active.Add(2)
+	go func() {
+		defer active.Done()
+		flood.flood(ctx)
+	}()
+	go func() {
+		defer active.Done()
+		probe.run(ctx)
+	}()
 	if !harness.cfg.NoFaults {
 		harness.injectFaults(ctx)
 	}
@@ -229,15 +247,18 @@
 }
 
 // configure writes the next version of the configuration, with the queues of the callers and
-// an unused one whose name differs in each version. Versions increase but need not be
+// an unused one whose name differs in each version, and replaces a key. Versions increase but need not be
 // consecutive.
 func (harness *Harness) configure() {
+	harness.publishing.Lock() // versions reach the log in their order
+	defer harness.publishing.Unlock()
 	harness.mu.Lock()
 	harness.version += 2
 	version := harness.version
-	harness.mu.Unlock()
+	accounts := harness.rotateKey(version)
+	harness.mu.Unlock() // the platform locks it too, to open links to new VMs
 	queues := append([]emul.Queue{{Name: fmt.Sprintf("extra-%d", version), Pool: "alpha"}}, harness.queues...)
-	if err := harness.platform.Publish(&emul.Configuration{Version: version, Queues: queues, Pools: pools}); err != nil {
+	if err := harness.platform.Publish(&emul.Configuration{Version: version, Queues: queues, Pools: pools, Accounts: accounts}); err != nil {
 		harness.reportViolation("%v", err)
 	}
 }
