--- a/internal/drive/fleet.go
+++ b/internal/drive/fleet.go
@@ -335,6 +335,7 @@
 		reply := part.handleQuota(now, c.Quota)
 		r := part.scheduler.Report(now, c.Pool)
 		r.Quota = reply
+		n.accountLoads.record(now, c.Pool, r.Accounts)
 		return r
 	})
 }
--- a/internal/drive/node.go
+++ b/internal/drive/node.go
@@ -43,6 +43,11 @@
 	incarnation     string
 	config          atomic.Pointer[site.Config]
 	confirmed       confirmation // of the configuration
+	logRejects      atomic.Bool  // the last read of the operator's records failed
+	syncPeers       syncPeers
+	accountLabels   accountLabels
+	accountLoads    accountLoads
+	unauthorizedLog lineLimit
 	owners          ownerTable
 	stopping        atomic.Bool
 	aborted         chan struct{} // closed to exit without a handover, as after SIGKILL
@@ -97,7 +102,7 @@
 	go func() { failed <- ps.Serve(workCtx, ln) }()
 	callers := httpd.New(&http.Server{Addr: n.settings.Callers, Handler: platform.Ingress(n), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes})
 	ready := &http.Server{Addr: n.settings.Ready, Handler: platform.ReadyHandler(n), ReadHeaderTimeout: headerTimeout}
-	metricsSrv := &http.Server{Addr: n.settings.MetricsAddress(), Handler: http.HandlerFunc(serveMetrics), ReadHeaderTimeout: headerTimeout}
+	metricsSrv := &http.Server{Addr: n.settings.MetricsAddress(), Handler: http.HandlerFunc(n.serveMetrics), ReadHeaderTimeout: headerTimeout}
 	servers := []httpServer{callers, ready, metricsSrv}
 	for _, s := range servers {
 		go func() { failed <- s.ListenAndServe() }()
@@ -105,7 +110,7 @@
 	go n.watchOperator(workCtx)
 	go n.watchVMs(workCtx)
 	go n.watchAssignment(workCtx)
-	go n.syncPeers(workCtx)
+	go n.syncWithPeers(workCtx)
 	memberDone := make(chan struct{})
 	memberCtx, leave := context.WithCancel(workCtx)
 	defer leave()
@@ -167,8 +172,9 @@
 	}
 }
 
-func serveMetrics(w http.ResponseWriter, _ *http.Request) {
+func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	metrics.WritePrometheus(w, true)
+	n.accountLoads.write(w, time.Now(), n.accountLabels.label)
 }
 
 // Config returns the configuration in force, or nil if none has been received yet.
@@ -213,6 +219,7 @@
 		}
 		if n.config.CompareAndSwap(old, c) {
 			n.recordQueueMoves(old, c, time.Now())
+			n.accountLabels.setAccounts(c.Accounts)
 			logrus.WithFields(logrus.Fields{"version": c.Version, "from": from, "routes": len(c.Routes), "accounts": len(c.Accounts)}).Info("configuration in force")
 			return
 		}
@@ -278,11 +285,13 @@
 		return &r, nil
 	})
 	peer.Handle(s, syncKind, func(_ context.Context, _ string, c *syncCall) (*syncReply, error) {
-		r := &syncReply{Owners: n.owners.claims()}
+		now := time.Now()
+		n.hearOf(map[string]int64{c.Address: c.ConfigAgeMS}, now)
+		r := &syncReply{Owners: n.owners.claims(), Entries: n.syncPeers.namePeers(now, c.Address)}
 		if cfg := n.config.Load(); cfg != nil && cfg.Version > c.ConfigVersion {
 			r.Config = cfg
 		}
-		r.ConfigAgeMS = n.confirmed.ageMS(time.Now())
+		r.ConfigAgeMS = n.confirmed.ageMS(now)
 		return r, nil
 	})
 	peer.Handle(s, reportKind, func(ctx context.Context, _ string, c *reportCall) (*sched.Report, error) {
--- a/internal/drive/quota_test.go
+++ b/internal/drive/quota_test.go
@@ -28,7 +28,10 @@
 	t.Helper()
 	c := newCluster(t, entries, map[string]int{"alpha": 2, "delta": 2})
 	queues := []emul.Queue{{Name: "q", Pool: "alpha"}, {Name: "d", Pool: "delta"}}
-	assert.NilError(t, c.emulator.ConfigureAccounts(5, queues, []string{"alpha", "delta"}, []emul.Account{{Name: "acme", Key: "key-1", CPU: 500 * quotaTasks}}))
+	assert.NilError(t, c.emulator.Publish(&emul.Configuration{
+		Version: 5, Queues: queues, Pools: []string{"alpha", "delta"},
+		Accounts: []emul.Account{{Name: "acme", Keys: []string{"key-1"}, Weight: 1, Limit: emul.Resources{CPU: 500 * quotaTasks}}},
+	}))
 	assert.Assert(t, c.nodes[0].partitionOf("alpha") != c.nodes[0].partitionOf("delta"), "the pools must be in different partitions")
 	for _, n := range c.nodes {
 		c.await("configuration in force", func() bool { return n.Config().Version == 5 })
