--- a/internal/drive/fleet.go
+++ b/internal/drive/fleet.go
@@ -65,7 +65,7 @@
 func newMover(part *ownedPartition) *mover {
 	settings := part.node.settings
 	m := &mover{
-		part: part, planner: moves.New(movesPolicy(settings)), quotas: newQuotaRounds(part.scheduler.Epoch),
+		part: part, planner: moves.New(movesPolicy(settings)),
 		fleet: platform.NewFleet(settings), statusLog: platform.NewLog(settings), writtenStates: map[int64]string{}, storedStarted: map[int64]int{}, waveStart: map[int64]time.Time{},
 		orderConns: make(chan *platform.Fleet, maxOrderConns),
 		orderedAt:  map[string]time.Time{}, inventoryDependency: &dependency{name: "machine inventory"},
@@ -85,6 +85,7 @@
 // machine.
 func (m *mover) run(ctx context.Context) {
 	defer m.closeConns()
+	m.quotas = newQuotaRounds(m.part.scheduler.Epoch)
 	now, minOrderGap := time.Now(), site.Millis(m.part.node.settings.Bounds.TurnMS)
 	for machine, ordered := range m.part.restored.orderTimes {
 		m.planner.Freeze(machine, now.Add(minOrderGap-ordered.age(now)))
