--- a/internal/query/account.go
+++ b/internal/query/account.go
@@ -72,6 +72,9 @@
 	{"RUNNING", func(r *sched.AccountReport) any { return r.Running }},
 	{"REFUSED", func(r *sched.AccountReport) any { return r.Refused }},
 	{"IN USE", func(r *sched.AccountReport) any { return formatResources(r.Used) }},
+	{"DEMAND", func(r *sched.AccountReport) any { return formatResources(r.Demand) }},
+	{"SHARE", func(r *sched.AccountReport) any { return fmt.Sprintf("%.0f cores", r.Share) }},
+	{"QUOTA HELD", func(r *sched.AccountReport) any { return fmt.Sprintf("%.0f %%", 100*r.Fraction) }},
 }
 
 // writeAccounts writes a row for each account and pool, and a row for each account without load.
--- a/internal/stand/soak/check.go
+++ b/internal/stand/soak/check.go
@@ -115,10 +115,8 @@
 	for _, v := range harness.platform.Violations() {
 		harness.reportViolation("%s", v)
 	}
-	if harness.cfg.CheckQuotas {
-		for _, v := range harness.platform.QuotaViolations(quotaOverage) {
-			harness.reportViolation("%s", v)
-		}
+	for _, v := range harness.platform.QuotaViolations(quotaOverage) {
+		harness.reportViolation("%s", v)
 	}
 }
 
--- a/internal/stand/soak/soak.go
+++ b/internal/stand/soak/soak.go
@@ -37,9 +37,6 @@
 	Program  string // path of the program
 	Dir      string // for settings and logs
 	NoFaults bool
-	// CheckQuotas checks that the tasks of each client account stay within its quota. It is off
-	// until entries enforce quotas.
-	CheckQuotas bool
 }
 
 // Harness runs the entries, callers and emulated platform of one seed, and records violated
