--- a/internal/drive/admin_test.go
+++ b/internal/drive/admin_test.go
@@ -115,9 +115,10 @@
 	c.awaitStatus(http.StatusOK, 0, "key-b", http.MethodPost, "/q/00000000000000d2", `{"steps":[{"count":1,"cpu":9000}]}`)
 	c.publish(6, "alpha", map[string][]string{"b": {"key-b"}, "c": {"key-c"}})
 	c.awaitVersion(6, 0, 1)
+	perWeight := 8 / 11.0 // cores of the VM, by the weights of a, which is removed, and b
 	want := []AccountLoad{
-		{Name: "a", Pools: map[string]sched.AccountReport{"alpha": {Running: 1, Used: site.Resources{CPU: 2000, MemMB: 200}}}},
-		{Name: "b", Configured: true, Weight: 10, Pools: map[string]sched.AccountReport{"alpha": {Waiting: 1}}},
+		{Name: "a", Pools: map[string]sched.AccountReport{"alpha": {Running: 1, Used: site.Resources{CPU: 2000, MemMB: 200}, Share: perWeight}}},
+		{Name: "b", Configured: true, Weight: 10, Pools: map[string]sched.AccountReport{"alpha": {Waiting: 1, Share: 10 * perWeight, Demand: site.Resources{CPU: 9000}}}},
 		{Name: "c", Configured: true, Weight: 10, Pools: map[string]sched.AccountReport{}},
 	}
 	for i := range c.nodes {
