sched: quotas count both runs of a task after a takeover

A new owner counted a task with two runs once, and not the copy that was being stopped, so that its starts could exceed the quota of the account.

--- a/internal/sched/copies_test.go
+++ b/internal/sched/copies_test.go
@@ -291,3 +291,37 @@
 	}
 	assert.Equal(t, record(3000, run{}), 1)
 }
+
+// TestTakeoverCountsBothRuns guards against a new owner that counts a task with two runs once: a start
+// could then exceed the quota of the account. It counts both until their VMs answer, with and without a
+// handover record, and the loser of a finished race until it has stopped.
+func TestTakeoverCountsBothRuns(t *testing.T) {
+	for _, handover := range []bool{false, true} {
+		r, x := copyFixture(t, jobs.Step{})
+		r.s.jobs[jobID].Account = "acme"
+		var err error
+		r.jobLog[jobKeyPrefix+jobID], err = jobs.Encode(r.s.jobs[jobID].Job)
+		assert.NilError(t, err)
+		c := r.copyOf(x)
+		r.flush(800)
+		if handover {
+			r.retire(800)
+		}
+		r.takeover(900, testVM("a"), testVM("b"), testVM("c"))
+		r.s.SetAccounts(accountsWithLimit(50_000))
+		used := func(ms int) int { return r.grant(ms, 1).Loads[0].Used.CPU }
+		assert.Assert(t, used(900) >= 2000, "handover %v: both VMs are unverified", handover)
+		r.poll(910, x.VM, site.VMStatus{Running: []site.Run{atOnePercent(x)}})
+		assert.Assert(t, used(910) >= 2000, "handover %v: the copy's VM is unverified", handover)
+		r.pollAll(920, x, c)
+		assert.Equal(t, used(920), 2000, "handover %v", handover)
+
+		r.poll(930, x.VM, site.VMStatus{Ended: []site.RunEnd{ended(x, 9)}})
+		assert.Equal(t, r.s.jobs[jobID].state, jobs.Completed)
+		r.flush(930)
+		r.takeover(940, testVM("a"), testVM("b"), testVM("c"))
+		r.s.SetAccounts(accountsWithLimit(50_000))
+		loads := r.grant(940, 1).Loads
+		assert.Assert(t, len(loads) == 1 && loads[0].Used.CPU >= 1000, "the copy is being stopped")
+	}
+}
--- a/internal/sched/quota.go
+++ b/internal/sched/quota.go
@@ -155,7 +155,7 @@
 	vms := s.unknownVMs()
 	if s.inherited != nil {
 		for name, on := range s.inherited.vmsByTask {
-			if on = s.stillUnverified(on); len(on) > 0 && !s.tracked(name) {
+			for range s.stillUnverified(on) { // a task with a copy, or with a run that is being stopped, may run on several
 				s.countUntracked(usage, name)
 			}
 		}
@@ -182,22 +182,9 @@
 	}
 }
 
-// tracked reports whether a task has a run of this owner.
-func (s *Scheduler) tracked(name string) bool {
-	id, err := jobs.ParseTaskID(name)
-	if err != nil {
-		return false
-	}
-	j := s.jobs[id.Job]
-	if j == nil || j.state.Final() {
-		return false // a run of a final job that is tracked is found by its VM, which is verified then
-	}
-	t := j.findTask(id)
-	return t != nil && len(t.runs) > 0
-}
-
-// countRecovered counts the tasks of a recovered job that may be running on any unverified VM. The
-// runs of a job that was cancelled or failed shortly before the takeover may still be stopping.
+// countRecovered counts the runs that the tasks of a recovered job may have on any unverified VM. The
+// runs of a job that ended shortly before the takeover may still be stopping; those of a completed job
+// are copies, or the first runs that lost against them, and members of gangs.
 func (s *Scheduler) countRecovered(now time.Time, j *job, usage map[string]site.Resources, bestEffortCPU map[string]int) {
 	r := usage[j.Account]
 	count := func(st *jobs.Step, n int) {
@@ -209,9 +196,11 @@
 	if j.state.Final() {
 		const clockSkew = 2 * time.Second // between the wall clocks of two owners
 		ended := now.UnixMilli() - j.finalMS
-		if j.state != jobs.Completed && ended < (s.policy.localDuration(s.policy.Lease)+s.policy.StopGrace+clockSkew).Milliseconds() {
+		if ended < (s.policy.localDuration(s.policy.Lease) + s.policy.StopGrace + clockSkew).Milliseconds() {
 			for i := range j.Steps {
-				count(&j.Steps[i], j.Steps[i].Count)
+				if st := &j.Steps[i]; j.state != jobs.Completed || st.Gang || copyableStep(st) {
+					count(st, st.Count)
+				}
 			}
 		}
 	}
@@ -225,8 +214,8 @@
 		for _, st := range o.steps { // also those that wait for others: their ends may not have been stored
 			n := 0
 			for _, t := range st.tasks {
-				if t.unverified && !t.done && len(t.runs) == 0 {
-					n++
+				if t.unverified {
+					n += max(t.possibleRuns()-len(t.runs), 0)
 				}
 			}
 			count(st.Step, n)
@@ -235,6 +224,19 @@
 	usage[j.Account] = r
 }
 
+// possibleRuns returns how many runs an earlier owner may have left of a task: of a task that is done,
+// the run that is being stopped since another one is done.
+func (t *task) possibleRuns() int {
+	n := 1
+	if t.step.copyable() {
+		n = 2
+	}
+	if t.done && !t.step.Gang {
+		n--
+	}
+	return n
+}
+
 // demand returns what an account's ready tasks without a run need, by account, in a pool or in all
 // pools if the name is empty.
 func (s *Scheduler) demand(pool string) map[string]site.Resources {
