--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -97,7 +97,7 @@
 	for _, r := range u.copies {
 		s.stopLosingCopy(now, r)
 	}
-	if !u.hasRoom(0, s.policy.CopyShare) || tasksWait(list) || (!p.refusedAt.IsZero() && now.Sub(p.refusedAt) < quietAfterRefusal) {
+	if !u.hasRoom(0, s.policy.CopyShare) || s.tasksWait(now, list) || (!p.refusedAt.IsZero() && now.Sub(p.refusedAt) < quietAfterRefusal) {
 		return
 	}
 	var found []straggler
@@ -116,12 +116,13 @@
 	}
 }
 
-// tasksWait reports whether a task that is ready has no run.
-func tasksWait(list []*job) bool {
+// tasksWait reports whether a task that is ready has no run. Tasks that wait for the quota of their
+// account do not count, since they cannot use the capacity.
+func (s *Scheduler) tasksWait(now time.Time, list []*job) bool {
 	for _, j := range list {
 		for _, o := range j.occurrences {
 			for _, st := range o.steps {
-				if st.withoutRun > 0 && o.stepReady(st) {
+				if st.withoutRun > 0 && o.stepReady(st) && s.quotaAllows(now, st.tasks[0], startedTogether(st)) {
 					return true
 				}
 			}
--- a/internal/sched/copies_test.go
+++ b/internal/sched/copies_test.go
@@ -325,3 +325,13 @@
 		assert.Assert(t, len(loads) == 1 && loads[0].Used.CPU >= 1000, "the copy is being stopped")
 	}
 }
+
+// TestTaskAtQuotaPreventsNoCopies guards against one account at its quota that ends copies for all jobs
+// of the pool: its waiting tasks cannot use the capacity.
+func TestTaskAtQuotaPreventsNoCopies(t *testing.T) {
+	r, x := copyFixture(t, jobs.Step{})
+	r.s.SetAccounts(accountsWithLimit(1000))
+	r.grant(600, 0)
+	r.submit(700, quotaJob("00000000000000a2", "acme", oneCore(1)))
+	r.copyOf(x)
+}
