--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -93,7 +93,7 @@
 		return
 	}
 	p.copiesAt = now
-	u := s.copyUsage(name)
+	u := s.copyUsage(now, name)
 	for _, r := range u.copies {
 		s.stopLosingCopy(now, r)
 	}
@@ -133,21 +133,27 @@
 
 // copyUsage is the use of a pool, in equivalent cores.
 type copyUsage struct {
-	largest              resources
-	total, used, copying float64
-	copies               []*run
+	largest     resources
+	total, used float64 // of the VMs that may get runs
+	copying     float64 // in copies on any VM
+	copies      []*run
 }
 
-func (s *Scheduler) copyUsage(pool string) copyUsage {
+func (s *Scheduler) copyUsage(now time.Time, pool string) copyUsage {
 	u := copyUsage{largest: s.largestVM(pool)}
 	for _, v := range s.vms {
-		if v.Pool != pool || !v.listed {
+		if v.Pool != pool {
 			continue
 		}
-		u.total += float64(v.CPU) / 1000
+		usable := v.usable(now, &s.policy)
+		if usable {
+			u.total += float64(v.CPU) / 1000
+		}
 		for _, r := range v.runs {
 			cores := u.largest.equivalentCores(r.step())
-			u.used += cores
+			if usable {
+				u.used += cores
+			}
 			if r.usesCopyShare() {
 				u.copying += cores
 				u.copies = append(u.copies, r)
--- a/internal/sched/copies_load_test.go
+++ b/internal/sched/copies_load_test.go
@@ -124,7 +124,7 @@
 			u.s.HandlePoll(now, x.VM, now, &site.VMStatus{Born: 1, ClockMS: now.UnixMilli(), Running: u.listed(now, x.VM), Ended: []site.RunEnd{{Sequence: u.sequence[x.VM], Task: x.Task, Run: x.Run, How: site.Stopped}}})
 		}
 	}
-	usage := u.s.copyUsage("pool")
+	usage := u.s.copyUsage(now, "pool")
 	u.maxCopying = max(u.maxCopying, usage.copying/usage.total)
 	u.flush(t, now)
 	for _, j := range u.s.jobs {
--- a/internal/sched/copies_test.go
+++ b/internal/sched/copies_test.go
@@ -335,3 +335,19 @@
 	r.submit(700, quotaJob("00000000000000a2", "acme", oneCore(1)))
 	r.copyOf(x)
 }
+
+// TestCopiesLeaveIdleShareOfUsableVMs guards against copies that take the last cores which may get runs,
+// while cores of VMs that do not answer count as idle.
+func TestCopiesLeaveIdleShareOfUsableVMs(t *testing.T) {
+	r, x := copyFixture(t, jobs.Step{})
+	r.s.policy.CopyShare = 1
+	r.submit(700, testJob("00000000000000a2", jobs.Step{Count: 14, CPU: 1000, EstimateMS: 5000}))
+	other := ""
+	for _, vm := range []string{"a", "b", "c"} {
+		if vm != x.VM {
+			other = vm
+		}
+	}
+	r.s.vms[other].pollFailed = true
+	assert.Equal(t, len(r.starts(710)), 14, "one of 16 usable cores is idle")
+}
