sched: tasks beyond a quota claim no share

The waiting tasks of one account at its quota made an overload of jobs that all fitted, so that the jobs of other accounts were not started by urgency.

--- a/internal/sched/fairness.go
+++ b/internal/sched/fairness.go
@@ -9,6 +9,7 @@
 
 	"github.com/greengagelane/greengagelane/internal/fair"
 	"github.com/greengagelane/greengagelane/internal/shed"
+	"github.com/greengagelane/greengagelane/pkg/site"
 )
 
 // accountLoad is the load of a client account in a pool. Jobs beyond the rate of the account count
@@ -18,12 +19,13 @@
 	offered  offeredLoad // by jobs within the account's rate
 	seenAt   time.Time   // of its last submission
 	gate     shed.Gate
-	load     shed.Load // as of pool.loadAt, with the jobs accepted since
-	running  float64   // cores of its runs without long-running ones, as of pool.loadAt
-	rate     float64   // mean of offered over the last second, in cores, as of pool.loadAt
-	used     float64   // cores of its runs, in the last round
-	wanted   float64   // cores of its tasks that could start, in the last round
-	assigned float64   // used, and cores of its jobs that sortByShares has passed
+	load     shed.Load      // as of pool.loadAt, with the jobs accepted since
+	running  float64        // cores of its runs without long-running ones, as of pool.loadAt
+	rate     float64        // mean of offered over the last second, in cores, as of pool.loadAt
+	used     float64        // cores of its runs, in the last round
+	wanted   float64        // cores of its tasks that are ready and have no run, in the last round
+	ready    site.Resources // what these tasks need; set only if an account has a limit
+	assigned float64        // used, and cores of its jobs that sortByShares has passed
 }
 
 // fairLoad is what admission to a pool needs to know about all accounts.
@@ -212,15 +214,16 @@
 // sortByShares moves the excess jobs of each class behind the others of the class. The list is sorted by
 // urgency. An account's job is within its share if the account's other runs and more urgent jobs take
 // fewer cores than that. A job larger than the share can thus be within it, and its own runs do not hold
-// up the rest of it, which would make wide jobs of small accounts late.
-func (s *Scheduler) sortByShares(list []*job) {
+// up the rest of it, which would make wide jobs of small accounts late. Tasks beyond the quota of their
+// account claim no share.
+func (s *Scheduler) sortByShares(now time.Time, list []*job) {
 	if len(list) == 0 {
 		return
 	}
 	name := list[0].Pool
 	p, largest := s.pool(name), s.largestVM(name)
 	for account, a := range p.accounts {
-		a.used, a.wanted, a.weight = 0, 0, s.weightOf(account)
+		a.used, a.wanted, a.ready, a.weight = 0, 0, site.Resources{}, s.weightOf(account)
 	}
 	anyBeyondRate := false
 	for _, j := range list {
@@ -233,11 +236,14 @@
 		a := s.accountLoad(p, j.Account)
 		a.used += used
 		a.wanted += wanted
+		if s.quotas.limited {
+			j.addReady(&a.ready)
+		}
 		j.order.account = a
 	}
 	p.claims = p.claims[:0]
-	for _, a := range p.accounts {
-		p.claims = append(p.claims, fair.Claim{Weight: a.weight, Demand: a.used + a.wanted})
+	for account, a := range p.accounts {
+		p.claims = append(p.claims, fair.Claim{Weight: a.weight, Demand: a.used + a.wanted*s.partWithinQuota(now, account, a.ready)})
 		a.assigned = a.used
 	}
 	p.startLevel = fair.Level(p.placeCores, p.claims)
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -135,7 +135,7 @@
 		return a.ID < b.ID
 	})
 	if len(s.accounts) > 0 {
-		s.sortByShares(list)
+		s.sortByShares(now, list)
 	}
 }
 
--- a/internal/sched/quota.go
+++ b/internal/sched/quota.go
@@ -246,13 +246,7 @@
 			continue
 		}
 		r, before := demand[j.Account], demand[j.Account]
-		for _, o := range j.occurrences {
-			for _, st := range o.steps {
-				if st.withoutRun > 0 && o.stepReady(st) {
-					add(&r, st.Step, st.withoutRun)
-				}
-			}
-		}
+		j.addReady(&r)
 		if r != before {
 			demand[j.Account] = r
 		}
@@ -260,6 +254,35 @@
 	return demand
 }
 
+// addReady adds what a job's ready tasks without a run need.
+func (j *job) addReady(r *site.Resources) {
+	for _, o := range j.occurrences {
+		for _, st := range o.steps {
+			if st.withoutRun > 0 && o.stepReady(st) {
+				add(r, st.Step, st.withoutRun)
+			}
+		}
+	}
+}
+
+// partWithinQuota returns the part of an amount, from 0 to 1, that an account may use in addition to
+// what it runs.
+func (s *Scheduler) partWithinQuota(now time.Time, account string, amount site.Resources) float64 {
+	limit, known := s.quotas.limits[account]
+	if !known {
+		return 1
+	}
+	running, fraction, part := s.quotas.running(account), s.quotas.holder.Fraction(now, account), 1.0
+	for _, r := range [...]struct{ amount, running, limit int }{
+		{amount.CPU, running.CPU, limit.CPU}, {amount.MemMB, running.MemMB, limit.MemMB}, {amount.GPU, running.GPU, limit.GPU},
+	} {
+		if r.amount > 0 && r.limit > 0 {
+			part = min(part, max(fraction*float64(r.limit)-float64(r.running), 0)/float64(r.amount))
+		}
+	}
+	return part
+}
+
 // HandleQuota handles the quota coordinator's request; latest is the highest epoch of a coordinator
 // that is known. An owner that has retired does not reply: the handover record says what it holds.
 func (s *Scheduler) HandleQuota(now time.Time, latest int64, r *quota.Request) *quota.Reply {
--- a/internal/sched/quota_test.go
+++ b/internal/sched/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -158,6 +159,22 @@
 	assert.Equal(t, len(r.starts(70)), 4, "VM b holds at most 8 of the 12 cores")
 }
 
+// TestSharesIgnoreTasksBeyondQuota guards against an overload that only tasks make which wait for the
+// quota of their account: the other jobs fit, so that their order is by urgency.
+func TestSharesIgnoreTasksBeyondQuota(t *testing.T) {
+	r := newFixture(t, testVM("a"))
+	accounts := accountsWithLimit(1000)
+	accounts[0].Weight = 100
+	r.s.SetAccounts(accounts)
+	r.grant(1, 1)
+	long := quotaJob(jobID, "acme", oneCore(50))
+	long.TargetMS = 60_000
+	r.submit(2, long)
+	r.submit(2, quotaJob("00000000000000a2", "free", oneCore(5)))
+	assert.Equal(t, len(r.starts(10)), 6)
+	assert.Assert(t, math.IsInf(r.s.pool("pool").startLevel, 1), "level %f", r.s.pool("pool").startLevel)
+}
+
 // TestRemovedAccount guards against jobs of a removed account that do not continue, and against
 // starts above its last limit.
 func TestRemovedAccount(t *testing.T) {
