--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -26,11 +26,12 @@
 		return Admission{Accepted: true} // no VMs are known yet, or all are out of service briefly
 	}
 	work := s.equivalentWork(j.Job) * p.workRatio
+	withinQuota := s.firstTasksWithinQuota(now, j)
 	r := &shed.Request{
 		Timing:   s.timing(j),
 		Work:     work,
 		TaskTime: s.taskTime(j.Job),
-		Fits:     p.fitsIdle(j),
+		Fits:     withinQuota && p.fitsIdle(j),
 	}
 	var d shed.Decision
 	var beyond, detail string
@@ -44,7 +45,7 @@
 		reason := fmt.Sprintf("pool %s cannot begin the job for %s%s", j.Pool, d.Wait.Round(time.Millisecond), detail)
 		return Admission{Reason: reason, RetryAfter: d.RetryAfter, Beyond: beyond}
 	}
-	if !r.Fits {
+	if !r.Fits && withinQuota {
 		p.takeIdle(j)
 	}
 	inTime := r.Classify(now) == shed.InTime
--- a/internal/sched/idle.go
+++ b/internal/sched/idle.go
@@ -12,8 +12,8 @@
 	free resources
 }
 
-// recordIdle records what a round left idle, without VMs whose cores are all in use. No task that waited in
-// the round could use it.
+// recordIdle records what a round left idle, without VMs whose cores are all in use. Of the tasks that
+// waited in the round, only those beyond the quotas of their accounts could use it.
 func (p *pool) recordIdle(round int64, cands []*candidate) {
 	p.leftIdle, p.placedRound = p.leftIdle[:0], round
 	for _, c := range cands {
@@ -24,7 +24,7 @@
 }
 
 // measureIdle sets pool.idle to what the last round left idle, less the tasks of the jobs that no round
-// has considered yet. Resources that came free since are not idle: the next round gives them to the
+// has considered yet and that the quotas of their accounts allow. Resources that came free since are not idle: the next round gives them to the
 // tasks that wait.
 func (s *Scheduler) measureIdle(now time.Time, name string) {
 	p := s.pool(name)
@@ -42,7 +42,7 @@
 		return
 	}
 	for _, j := range s.jobs {
-		if j.Pool == name && !j.state.Final() && j.consideredIn != s.round {
+		if j.Pool == name && !j.state.Final() && j.consideredIn != s.round && s.firstTasksWithinQuota(now, j) {
 			p.takeIdle(j)
 		}
 	}
--- a/internal/sched/quota.go
+++ b/internal/sched/quota.go
@@ -283,6 +283,21 @@
 	return part
 }
 
+// firstTasksWithinQuota reports whether the quota of a job's account allows all of the job's first tasks
+// to start now.
+func (s *Scheduler) firstTasksWithinQuota(now time.Time, j *job) bool {
+	if !s.quotas.limited || j.Account == "" {
+		return true
+	}
+	var first site.Resources
+	for i := range j.Steps {
+		if st := &j.Steps[i]; len(st.After) == 0 {
+			add(&first, st, st.Count)
+		}
+	}
+	return s.partWithinQuota(now, j.Account, first) == 1
+}
+
 // HandleQuota handles the quota coordinator's request; latest is the highest epoch of a coordinator
 // that is known. An owner that has retired does not reply: the handover record says what it holds.
 func (s *Scheduler) HandleQuota(now time.Time, latest int64, r *quota.Request) *quota.Reply {
--- a/internal/sched/quota_test.go
+++ b/internal/sched/quota_test.go
@@ -159,6 +159,31 @@
 	assert.Equal(t, len(r.starts(70)), 4, "VM b holds at most 8 of the 12 cores")
 }
 
+// TestAccountAtQuotaIsRefused guards against an account at its quota whose jobs are all accepted, since
+// their tasks would fit into cores that the account may not use, and against other accounts that are
+// refused beside it.
+func TestAccountAtQuotaIsRefused(t *testing.T) {
+	r := newFixture(t, testVM("a"))
+	accounts := accountsWithLimit(2000)
+	accounts[0].Weight = 1000 // its rate is not what limits it
+	r.s.SetAccounts(accounts)
+	r.grant(1, 1)
+	refused := 0
+	for i := range 100 {
+		ms := 10 + 10*i
+		j := quotaJob(fmt.Sprintf("%016x", i), "acme", oneCore(1))
+		j.SubmittedMS = at(ms).UnixMilli()
+		if a := r.s.Submit(at(ms), j); !a.Accepted {
+			refused++
+			assert.Assert(t, a.RetryAfter > 0)
+		}
+		r.flush(ms)
+		r.starts(ms)
+	}
+	assert.Assert(t, refused > 50, "%d refused of 100 jobs, of which 2 run in a second", refused)
+	assert.Assert(t, r.s.Submit(at(1010), quotaJob(jobID, "free", oneCore(1))).Accepted)
+}
+
 // TestSharesIgnoreTasksBeyondQuota guards against an overload that only tasks make which wait for the
 // quota of their account: the other jobs fit, so that their order is by urgency.
 func TestSharesIgnoreTasksBeyondQuota(t *testing.T) {
