--- a/internal/sched/handover.go
+++ b/internal/sched/handover.go
@@ -68,9 +68,15 @@
 	}
 	value, err := jobs.Encode(&h)
 	if q := s.quotas.handOver(now); q != nil && err == nil {
-		var data []byte
-		data, err = jobs.Encode(q)
-		value = append(value, data...)
+		data, quotaErr := jobs.Encode(q)
+		if quotaErr == nil && len(value)+len(data) > s.maxHandoverBytes {
+			quotaErr = fmt.Errorf("%d bytes exceed the rest of the job log's limit, %d", len(data), s.maxHandoverBytes-len(value))
+		}
+		if quotaErr != nil {
+			s.log.WithError(quotaErr).Warn("fractions of quotas not handed over; the next owner starts without them")
+		} else {
+			value = append(value, data...)
+		}
 	}
 	if err == nil && len(value) > s.maxHandoverBytes {
 		err = fmt.Errorf("%d bytes exceed the job log's limit of %d", len(value), s.maxHandoverBytes)
--- a/internal/sched/quota_test.go
+++ b/internal/sched/quota_test.go
@@ -233,6 +233,21 @@
 	assert.Equal(t, h.Epoch, r.s.Epoch)
 }
 
+// TestFractionsThatDoNotFitAreLeftOut guards against fractions that make the handover record too large:
+// without the record, the next owner waits for all VMs.
+func TestFractionsThatDoNotFitAreLeftOut(t *testing.T) {
+	r := newFixture(t, testVM("a"))
+	r.s.SetAccounts(accountsWithLimit(2000))
+	r.grant(1, 1)
+	former, err := jobs.Encode(&handover{Epoch: 1, Tasks: map[string][]string{}})
+	assert.NilError(t, err)
+	r.s.Retire(len(former) + 10)
+	r.flush(10)
+	r.takeover(20, testVM("a"))
+	assert.Assert(t, r.s.inherited != nil)
+	assert.Assert(t, r.s.quotas.holder.Held() == nil)
+}
+
 // BenchmarkDecideAtQuota measures a scheduling round with a long queue of an account at its quota, in
 // a pool of idle VMs: the round must not look for a VM for each task.
 func BenchmarkDecideAtQuota(b *testing.B) {
