--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -33,8 +35,10 @@
 			byPool[j.Pool] = append(byPool[j.Pool], j)
 		}
 	}
-	for name, list := range byPool {
-		s.placePool(now, name, list)
+	pools := slices.Sorted(maps.Keys(byPool))
+	for i := range pools { // each is the first in turn, since pools compete for the quotas of accounts
+		name := pools[(int64(i)+s.round)%int64(len(pools))]
+		s.placePool(now, name, byPool[name])
 	}
 }
 
--- a/internal/sched/quota_test.go
+++ b/internal/sched/quota_test.go
@@ -248,6 +248,35 @@
 	assert.Assert(t, r.s.quotas.holder.Held() == nil)
 }
 
+// TestPoolsShareQuotaInTurn guards against starts that depend on the iteration order of a map, and against
+// a pool that gets all the quota of an account with work in two.
+func TestPoolsShareQuotaInTurn(t *testing.T) {
+	var want string
+	for i := range 20 {
+		a, b := testVM("a"), testVM("b")
+		b.Pool = "pool-b"
+		r := newFixture(t, a, b)
+		r.s.SetAccounts(accountsWithLimit(1000))
+		r.grant(1, 1)
+		r.submit(2, quotaJob(jobID, "acme", oneCore(8)))
+		second := quotaJob("00000000000000a2", "acme", oneCore(8))
+		second.Pool = "pool-b"
+		r.submit(2, second)
+		order := ""
+		for n := range 4 {
+			runs := r.starts(10 + n)
+			assert.Equal(t, len(runs), 1)
+			order += runs[0].VM
+			r.poll(11+n, runs[0].VM, site.VMStatus{Ended: []site.RunEnd{end(int64(n+1), runs[0], site.Done)}})
+		}
+		if i == 0 {
+			want = order
+		}
+		assert.Equal(t, order, want)
+		assert.Assert(t, order == "abab" || order == "baba", order)
+	}
+}
+
 // BenchmarkDecideAtQuota measures a scheduling round with a long queue of an account at its quota, in
 // a pool of idle VMs: the round must not look for a VM for each task.
 func BenchmarkDecideAtQuota(b *testing.B) {
