--- a/internal/sched/fairness_test.go
+++ b/internal/sched/fairness_test.go
@@ -238,3 +238,18 @@
 	wait := r.s.pool("pool").supply.Wait(r.s.pool("pool").load.InTime, time.Second)
 	assert.Assert(t, wait < 700*time.Millisecond, "%v", wait)
 }
+
+// TestIdleVMsAreFilledInOrder guards against admission that depends on the iteration order of a map: which
+// idle VM a job takes decides whether the next one fits.
+func TestIdleVMsAreFilledInOrder(t *testing.T) {
+	for range 20 {
+		small := testVM("a")
+		small.CPU = 4000
+		r := newFixture(t, small, testVM("b"))
+		r.starts(10)
+		r.s.measureIdle(at(20), "pool")
+		p := r.s.pool("pool")
+		assert.Assert(t, p.fitsIdle(newJob(testJob(jobID, oneCore(3)))))
+		assert.Assert(t, p.fitsIdle(newJob(testJob(jobID, jobs.Step{Count: 1, CPU: 8000}))))
+	}
+}
--- a/internal/sched/idle.go
+++ b/internal/sched/idle.go
@@ -32,8 +32,8 @@
 	if p.placedRound == s.round {
 		p.idle = append(p.idle, p.leftIdle...)
 	} else { // the last round found no jobs in the pool
-		for _, v := range s.vms {
-			if v.Pool == name && v.usable(now, &s.policy) {
+		for _, v := range s.sortedVMs(name) {
+			if v.usable(now, &s.policy) {
 				p.idle = append(p.idle, idleVM{v, v.freeResources()})
 			}
 		}
