--- a/internal/drive/quota.go
+++ b/internal/drive/quota.go
@@ -64,8 +64,8 @@
 // second.
 func (q *quotaRounds) report(now time.Time, version int64, c *quota.Change) {
 	const (
-		minLogged    = 0.1 // of the limit
-		linesPerSecs = 10
+		minLogged      = 0.1 // of the limit
+		linesPerSecond = 10
 	)
 	if c.To > c.From {
 		quotaRaised.Inc()
@@ -78,7 +78,7 @@
 	if now.Sub(q.logFrom) >= time.Second {
 		q.logFrom, q.logged = now, 0
 	}
-	if q.logged++; q.logged > linesPerSecs {
+	if q.logged++; q.logged > linesPerSecond {
 		q.suppressed++
 		return
 	}
