--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -93,11 +93,11 @@
 		return
 	}
 	p.copiesAt = now
-	u := s.copyUsage(name)
+	u := s.copyUsage(now, name)
 	for _, r := range u.copies {
 		s.stopLosingCopy(now, r)
 	}
-	if !u.hasRoom(0, s.policy.CopyShare) || tasksWait(list) || (!p.refusedAt.IsZero() && now.Sub(p.refusedAt) < quietAfterRefusal) {
+	if !u.hasRoom(0, s.policy.CopyShare) || s.tasksWait(now, list) || (!p.refusedAt.IsZero() && now.Sub(p.refusedAt) < quietAfterRefusal) {
 		return
 	}
 	var found []straggler
@@ -116,12 +116,13 @@
 	}
 }
 
-// tasksWait reports whether a task that is ready has no run.
-func tasksWait(list []*job) bool {
+// tasksWait reports whether a task that is ready has no run. Tasks that wait for the quota of their
+// account do not count, since they cannot use the capacity.
+func (s *Scheduler) tasksWait(now time.Time, list []*job) bool {
 	for _, j := range list {
 		for _, o := range j.occurrences {
 			for _, st := range o.steps {
-				if st.withoutRun > 0 && o.stepReady(st) {
+				if st.withoutRun > 0 && o.stepReady(st) && s.quotaAllows(now, st.tasks[0], startedTogether(st)) {
 					return true
 				}
 			}
@@ -132,21 +133,27 @@
 
 // copyUsage is the use of a pool, in equivalent cores.
 type copyUsage struct {
-	largest              resources
-	total, used, copying float64
-	copies               []*run
+	largest     resources
+	total, used float64 // of the VMs that may get runs
+	copying     float64 // in copies on any VM
+	copies      []*run
 }
 
-func (s *Scheduler) copyUsage(pool string) copyUsage {
+func (s *Scheduler) copyUsage(now time.Time, pool string) copyUsage {
 	u := copyUsage{largest: s.largestVM(pool)}
 	for _, v := range s.vms {
-		if v.Pool != pool || !v.listed {
+		if v.Pool != pool {
 			continue
 		}
-		u.total += float64(v.CPU) / 1000
+		usable := v.usable(now, &s.policy)
+		if usable {
+			u.total += float64(v.CPU) / 1000
+		}
 		for _, r := range v.runs {
 			cores := u.largest.equivalentCores(r.step())
-			u.used += cores
+			if usable {
+				u.used += cores
+			}
 			if r.usesCopyShare() {
 				u.copying += cores
 				u.copies = append(u.copies, r)
--- a/internal/sched/fairness_test.go
+++ b/internal/sched/fairness_test.go
@@ -252,3 +252,18 @@
 	r.s.Submit(at(100), accountJob(9, "b", 1))
 	assert.Equal(t, r.s.Report(at(100), "pool").ExcessRate, report.ExcessRate)
 }
+
+// TestIdleVMsAreFilledInOrder guards against admission that depends on the iteration order of a map: which
+// idle VM a job takes decides whether the next one fits.
+func TestIdleVMsAreFilledInOrder(t *testing.T) {
+	for range 20 {
+		small := testVM("a")
+		small.CPU = 4000
+		r := newFixture(t, small, testVM("b"))
+		r.starts(10)
+		r.s.measureIdle(at(20), "pool")
+		p := r.s.pool("pool")
+		assert.Assert(t, p.fitsIdle(newJob(testJob(jobID, oneCore(3)))))
+		assert.Assert(t, p.fitsIdle(newJob(testJob(jobID, jobs.Step{Count: 1, CPU: 8000}))))
+	}
+}
--- a/internal/sched/quota_test.go
+++ b/internal/sched/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -158,6 +159,47 @@
 	assert.Equal(t, len(r.starts(70)), 4, "VM b holds at most 8 of the 12 cores")
 }
 
+// TestAccountAtQuotaIsRefused guards against an account at its quota whose jobs are all accepted, since
+// their tasks would fit into cores that the account may not use, and against other accounts that are
+// refused beside it.
+func TestAccountAtQuotaIsRefused(t *testing.T) {
+	r := newFixture(t, testVM("a"))
+	accounts := accountsWithLimit(2000)
+	accounts[0].Weight = 1000 // its rate is not what limits it
+	r.s.SetAccounts(accounts)
+	r.grant(1, 1)
+	refused := 0
+	for i := range 100 {
+		ms := 10 + 10*i
+		j := quotaJob(fmt.Sprintf("%016x", i), "acme", oneCore(1))
+		j.SubmittedMS = at(ms).UnixMilli()
+		if a := r.s.Submit(at(ms), j); !a.Accepted {
+			refused++
+			assert.Assert(t, a.RetryAfter > 0)
+		}
+		r.flush(ms)
+		r.starts(ms)
+	}
+	assert.Assert(t, refused > 50, "%d refused of 100 jobs, of which 2 run in a second", refused)
+	assert.Assert(t, r.s.Submit(at(1010), quotaJob(jobID, "free", oneCore(1))).Accepted)
+}
+
+// TestSharesIgnoreTasksBeyondQuota guards against an overload that only tasks make which wait for the
+// quota of their account: the other jobs fit, so that their order is by urgency.
+func TestSharesIgnoreTasksBeyondQuota(t *testing.T) {
+	r := newFixture(t, testVM("a"))
+	accounts := accountsWithLimit(1000)
+	accounts[0].Weight = 100
+	r.s.SetAccounts(accounts)
+	r.grant(1, 1)
+	long := quotaJob(jobID, "acme", oneCore(50))
+	long.TargetMS = 60_000
+	r.submit(2, long)
+	r.submit(2, quotaJob("00000000000000a2", "free", oneCore(5)))
+	assert.Equal(t, len(r.starts(10)), 6)
+	assert.Assert(t, math.IsInf(r.s.pool("pool").startLevel, 1), "level %f", r.s.pool("pool").startLevel)
+}
+
 // TestRemovedAccount guards against jobs of a removed account that do not continue, and against
 // starts above its last limit.
 func TestRemovedAccount(t *testing.T) {
@@ -191,6 +233,50 @@
 	assert.Equal(t, h.Epoch, r.s.Epoch)
 }
 
+// TestFractionsThatDoNotFitAreLeftOut guards against fractions that make the handover record too large:
+// without the record, the next owner waits for all VMs.
+func TestFractionsThatDoNotFitAreLeftOut(t *testing.T) {
+	r := newFixture(t, testVM("a"))
+	r.s.SetAccounts(accountsWithLimit(2000))
+	r.grant(1, 1)
+	former, err := jobs.Encode(&handover{Epoch: 1, Tasks: map[string][]string{}})
+	assert.NilError(t, err)
+	r.s.Retire(len(former) + 10)
+	r.flush(10)
+	r.takeover(20, testVM("a"))
+	assert.Assert(t, r.s.inherited != nil)
+	assert.Assert(t, r.s.quotas.holder.Held() == nil)
+}
+
+// TestPoolsShareQuotaInTurn guards against starts that depend on the iteration order of a map, and against
+// a pool that gets all the quota of an account with work in two.
+func TestPoolsShareQuotaInTurn(t *testing.T) {
+	var want string
+	for i := range 20 {
+		a, b := testVM("a"), testVM("b")
+		b.Pool = "pool-b"
+		r := newFixture(t, a, b)
+		r.s.SetAccounts(accountsWithLimit(1000))
+		r.grant(1, 1)
+		r.submit(2, quotaJob(jobID, "acme", oneCore(8)))
+		second := quotaJob("00000000000000a2", "acme", oneCore(8))
+		second.Pool = "pool-b"
+		r.submit(2, second)
+		order := ""
+		for n := range 4 {
+			runs := r.starts(10 + n)
+			assert.Equal(t, len(runs), 1)
+			order += runs[0].VM
+			r.poll(11+n, runs[0].VM, site.VMStatus{Ended: []site.RunEnd{end(int64(n+1), runs[0], site.Done)}})
+		}
+		if i == 0 {
+			want = order
+		}
+		assert.Equal(t, order, want)
+		assert.Assert(t, order == "abab" || order == "baba", order)
+	}
+}
+
 // BenchmarkDecideAtQuota measures a scheduling round with a long queue of an account at its quota, in
 // a pool of idle VMs: the round must not look for a VM for each task.
 func BenchmarkDecideAtQuota(b *testing.B) {
