--- a/internal/sched/fuzz_test.go
+++ b/internal/sched/fuzz_test.go
@@ -477,12 +477,46 @@
 
 func (m *model) actions() map[string]func(*rapid.T) {
 	return map[string]func(*rapid.T){
-		"decide": m.decide, "decide2": m.decide, "deliver": m.deliver, "deliver2": m.deliver, "deliver3": m.deliver, "late": m.deliverDelayed,
+		"": m.checkUsage, "decide": m.decide, "decide2": m.decide, "deliver": m.deliver, "deliver2": m.deliver, "deliver3": m.deliver, "late": m.deliverDelayed,
 		"look": m.poll, "look2": m.poll, "look3": m.poll, "end": m.end, "end2": m.end, "submit": m.submit, "cancel": m.cancel,
 		"flush": m.flush, "flush2": m.flush, "takeover": m.takeover, "handover": m.handOver, "handover2": m.handOver, "crash": m.crash, "wait": m.wait, "cordon": m.cordon,
 	}
 }
 
+// checkUsage checks that the usage of each account is what its runs reserve, and that with what may be
+// running on unverified VMs it covers what the VMs run.
+func (m *model) checkUsage(t *rapid.T) {
+	used, running := map[string]site.Resources{}, map[string]site.Resources{}
+	for _, v := range m.s.vms {
+		for _, r := range v.runs {
+			if account := r.task.job.Account; account != "" {
+				u := used[account]
+				add(&u, r.step(), 1)
+				used[account] = u
+			}
+		}
+	}
+	assert.Equal(t, len(m.s.quotas.used), len(used))
+	for account, u := range used {
+		assert.Equal(t, *m.s.quotas.used[account], u, account)
+	}
+	m.s.refreshQuotas(m.now)
+	for _, v := range m.vms {
+		for name := range v.running {
+			id, err := jobs.ParseTaskID(name)
+			if j := m.jobs[id.Job]; err == nil && v.up && j.Account != "" {
+				r := running[j.Account]
+				add(&r, &j.Steps[id.Step], 1)
+				running[j.Account] = r
+			}
+		}
+	}
+	for account, r := range running {
+		counted := m.s.quotas.running(account)
+		assert.Assert(t, counted.CPU >= r.CPU, "account %s runs %d, counted are %d", account, r.CPU, counted.CPU)
+	}
+}
+
 // round flushes, decides, carries out most orders and polls all VMs: tasks have to run for a while before
 // they get copies, which single steps in random order rarely allow.
 func (m *model) round(t *rapid.T) {
--- a/internal/sched/quota.go
+++ b/internal/sched/quota.go
@@ -198,9 +198,8 @@
 		ended := now.UnixMilli() - j.finalMS
 		if ended < (s.policy.localDuration(s.policy.Lease) + s.policy.StopGrace + clockSkew).Milliseconds() {
 			for i := range j.Steps {
-				if st := &j.Steps[i]; j.state != jobs.Completed || st.Gang || copyableStep(st) {
-					count(st, st.Count)
-				}
+				st := &j.Steps[i]
+				count(st, st.Count*possibleRuns(st, j.state == jobs.Completed))
 			}
 		}
 	}
@@ -215,7 +214,7 @@
 			n := 0
 			for _, t := range st.tasks {
 				if t.unverified {
-					n += max(t.possibleRuns()-len(t.runs), 0)
+					n += max(possibleRuns(st.Step, t.done)-len(t.runs), 0)
 				}
 			}
 			count(st.Step, n)
@@ -224,14 +223,14 @@
 	usage[j.Account] = r
 }
 
-// possibleRuns returns how many runs an earlier owner may have left of a task: of a task that is done,
-// the run that is being stopped since another one is done.
-func (t *task) possibleRuns() int {
+// possibleRuns returns how many runs an earlier owner may have left of a task; of a task that is done,
+// the ones that are being stopped since another run is done.
+func possibleRuns(st *jobs.Step, done bool) int {
 	n := 1
-	if t.step.copyable() {
+	if copyableStep(st) {
 		n = 2
 	}
-	if t.done && !t.step.Gang {
+	if done && !st.Gang {
 		n--
 	}
 	return n
