--- a/internal/drive/accounts.go
+++ b/internal/drive/accounts.go
@@ -143,3 +143,22 @@
 	active.Wait()
 	return reports, missing
 }
+
+// applyAccounts passes the accounts of a new configuration to the scheduler.
+func (part *ownedPartition) applyAccounts() {
+	cfg := part.node.Config()
+	if cfg == nil || cfg == part.config {
+		return
+	}
+	part.config = cfg
+	part.scheduler.SetAccounts(cfg.Accounts)
+}
+
+// replyForbidden returns the reply to a request for a job of another client account. It does not
+// say that the job exists; a submission is refused without a reason.
+func replyForbidden(c *jobCall) site.Reply {
+	if c.Kind == site.SubmitJob || c.BeforeSubmit {
+		return site.Reply{Outcome: site.Refused, RetryMS: 1000, Reason: "the job was not accepted"}
+	}
+	return site.Reply{Outcome: site.NoSuchJob}
+}
--- a/internal/drive/partition.go
+++ b/internal/drive/partition.go
@@ -167,16 +167,6 @@
 	}
 }
 
-// applyAccounts passes the accounts of a new configuration to the scheduler.
-func (part *ownedPartition) applyAccounts() {
-	cfg := part.node.Config()
-	if cfg == nil || cfg == part.config {
-		return
-	}
-	part.config = cfg
-	part.scheduler.SetAccounts(cfg.Accounts)
-}
-
 func (part *ownedPartition) execute(ctx context.Context, now time.Time, a sched.Action) {
 	switch a := a.(type) {
 	case sched.StartRun:
@@ -305,15 +295,6 @@
 	}
 }
 
-// replyForbidden returns the reply to a request for a job of another client account. It does not
-// say that the job exists; a submission is refused without a reason.
-func replyForbidden(c *jobCall) site.Reply {
-	if c.Kind == site.SubmitJob || c.BeforeSubmit {
-		return site.Reply{Outcome: site.Refused, RetryMS: 1000, Reason: "the job was not accepted"}
-	}
-	return site.Reply{Outcome: site.NoSuchJob}
-}
-
 // submit passes a job to the scheduler. An accepted request waits until the job is stored; during
 // a log outage new jobs are refused at once.
 func (part *ownedPartition) submit(now time.Time, j *jobs.Job, w *waiter) {
--- a/internal/moves/failures_test.go
+++ b/internal/moves/failures_test.go
@@ -195,7 +195,7 @@
 	}
 }
 
-// TestExcessDrawsIdleMachinesOnly guards against accounts beyond their share that take VMs at
+// TestExcessDrawsIdleMachinesOnly guards against accounts beyond their rate that take VMs at
 // others' expense: their demand draws spare machines and idle ones that no other pool needs.
 func TestExcessDrawsIdleMachinesOnly(t *testing.T) {
 	for name, p := range map[string]*Planner{"with costs": New(costPolicy()), "without": newPlanner()} {
--- a/internal/moves/forecast.go
+++ b/internal/moves/forecast.go
@@ -46,8 +46,8 @@
 type need struct {
 	firm     float64 // for reported load and for a peak that has begun; draws any machine that others can spare
 	expected float64 // with a predicted peak that is worth moving for; draws spare and idle machines
-	kept     float64 // with late jobs and those beyond their account's share; keeps idle machines
-	excess   float64 // for jobs beyond their account's share; draws spare and idle machines after all others
+	kept     float64 // with late jobs and those beyond their account's rate; keeps idle machines
+	excess   float64 // for jobs beyond their account's rate; draws spare and idle machines after all others
 	forecast surge.Forecast
 }
 
--- /dev/null
+++ b/internal/sched/flush.go
@@ -0,0 +1,155 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/greengagelane/greengagelane/pkg/jobs"
+	"github.com/greengagelane/greengagelane/pkg/site"
+)
+
+// dropFinalJobs drops jobs that have been final for KeepFinal and returns tombstones for
+// their records.
+func (s *Scheduler) dropFinalJobs(now time.Time) []site.Record {
+	var removed []site.Record
+	for id, j := range s.jobs {
+		if j.storedState.Final() && now.UnixMilli()-j.finalMS > s.policy.KeepFinal.Milliseconds() {
+			delete(s.jobs, id)
+			removed = append(removed, site.Record{Key: jobKeyPrefix + id}, site.Record{Key: progressKeyPrefix + id})
+		}
+	}
+	return removed
+}
+
+// Cursor is the sequence number up to which the run ends of a VM's incarnation are processed.
+type Cursor struct {
+	VM          string
+	Incarnation int64
+	Sequence    int64
+}
+
+// Flush is a batch of records for the job log.
+type Flush struct {
+	Records     []site.Record
+	cursors     []Cursor              // run ends that may be acknowledged once the flush is stored
+	recordedVMs []string              // VMs that the record under vmsKey names
+	states      map[string]jobs.State // states of the jobs whose progress is in the flush, by job ID
+	addedJobs   []string              // IDs of new jobs in the flush
+	hasHandover bool                  // contains the handover record
+}
+
+// Flush collects the changes since the last flush, or returns nil if there are none. Only
+// one flush may be under way; it ends with a call of Flushed or FlushRefused.
+func (s *Scheduler) Flush(now time.Time, maxBytes int) (*Flush, error) {
+	f := &Flush{Records: s.dropFinalJobs(now), states: map[string]jobs.State{}}
+	size, deferred := 0, 0
+	for id, j := range s.jobs {
+		if !j.dirty {
+			continue
+		}
+		if size > maxBytes/2 { // the other half is for the last job added, the VM list and the handover record
+			deferred++
+			continue
+		}
+		if !j.stored {
+			data, err := jobs.Encode(j.Job)
+			if err != nil {
+				return nil, err
+			}
+			f.Records = append(f.Records, site.Record{Key: jobKeyPrefix + id, Value: data})
+			f.addedJobs = append(f.addedJobs, id)
+			size += len(data)
+			j.flushing = true
+		}
+		if j.stored || j.began || j.state.Final() {
+			data, err := jobs.Encode(j.progress())
+			if err != nil {
+				return nil, err
+			}
+			f.Records = append(f.Records, site.Record{Key: progressKeyPrefix + id, Value: data})
+			size += len(data)
+		}
+		f.states[id] = j.state
+		j.dirty = false
+	}
+	if s.recordedVMsDirty {
+		data, err := s.encodeRecordedVMs()
+		if err != nil {
+			return nil, err
+		}
+		f.Records = append(f.Records, site.Record{Key: vmsKey, Value: data})
+		s.recordedVMsDirty = false
+		for id := range s.recordedVMs {
+			f.recordedVMs = append(f.recordedVMs, id)
+		}
+	}
+	for _, v := range s.vms {
+		if v.seenSeq > v.storedSeq {
+			f.cursors = append(f.cursors, Cursor{VM: v.ID, Incarnation: v.Born, Sequence: v.seenSeq})
+		}
+	}
+	if deferred > 0 {
+		f.cursors = nil // acknowledged only once all progress is stored
+	}
+	if s.retired && deferred == 0 {
+		r, err := s.handoverRecord(now)
+		if err != nil {
+			s.log.WithError(err).Warn("handover record not written; the next owner waits for all VMs")
+		}
+		f.Records, f.hasHandover = append(f.Records, r), true
+		f.Records = s.appendRunTimes(f.Records, s.maxHandoverBytes-len(r.Value))
+	}
+	if len(f.Records) == 0 && len(f.cursors) == 0 {
+		return nil, nil
+	}
+	return f, nil
+}
+
+func (s *Scheduler) encodeRecordedVMs() ([]byte, error) {
+	var list []recordedVM
+	for id := range s.recordedVMs {
+		if v := s.vms[id]; v != nil {
+			list = append(list, recordedVM{VM: v.VM})
+		}
+	}
+	return jobs.Encode(&list)
+}
+
+// Flushed records that the job log holds a flush.
+func (s *Scheduler) Flushed(f *Flush) {
+	s.handedOver = s.handedOver || f.hasHandover
+	for _, id := range f.addedJobs {
+		if j := s.jobs[id]; j != nil {
+			j.stored, j.flushing = true, false
+		}
+	}
+	for id, state := range f.states {
+		if j := s.jobs[id]; j != nil {
+			j.storedState = state
+		}
+	}
+	for _, id := range f.recordedVMs {
+		if v := s.vms[id]; v != nil && s.recordedVMs[id] {
+			v.recorded = true
+		}
+	}
+	for _, c := range f.cursors {
+		if v := s.vms[c.VM]; v != nil && v.Born == c.Incarnation {
+			v.storedSeq = c.Sequence
+		}
+	}
+}
+
+// FlushRefused records that the job log has stored nothing of a flush.
+func (s *Scheduler) FlushRefused(f *Flush) {
+	s.recordedVMsDirty = true
+	for _, id := range f.addedJobs {
+		if j := s.jobs[id]; j != nil {
+			j.flushing = false
+		}
+	}
+	for id := range f.states {
+		if j := s.jobs[id]; j != nil {
+			j.dirty = true
+		}
+	}
+}
