--- a/internal/drive/member.go
+++ b/internal/drive/member.go
@@ -75,10 +75,11 @@
 		if ctx.Err() != nil {
 			break
 		}
-		if site.IsUnanswered(err) {
-			timeout.RecordTimeout()
-		} else {
+		switch {
+		case err == nil:
 			timeout.RecordAnswer(time.Since(began), false)
+		case site.IsUnanswered(err):
+			timeout.RecordTimeout()
 		}
 		dep.recordResult(err)
 		releaseBegan := false
