drive: an owner that was paused confirms its ownership before it decides

The owner was frozen for 3.9 s. 80 ms after it woke it took all VMs for silent, and started a task elsewhere, on a VM that had not heard of the later owner, since orders and polls of that one were left unanswered and carried out late.

Change: after a round gap of a second, the TTL of the group, the partition stores its owner record anew and decides nothing until the log has taken it. A later owner's epoch makes the log refuse it.

Test: TestPausedOwnerConfirmsItsOwnership, which without the check starts the task at once.

--- a/internal/drive/partition.go
+++ b/internal/drive/partition.go
@@ -54,6 +54,8 @@
 	handedOver   chan struct{}        // closed once the handover record is stored
 	releasing    atomic.Bool          // the partition is no longer assigned to this entry, which serves it until the handover
 
+	lastRoundAt    time.Time       // zero before the first round
+	unconfirmed    bool            // no decisions until the log has confirmed the ownership
 	pendingRecords []controlRecord // records of the mover, for the next flush
 	restored       restoredFleet   // control records read by the claim, for the mover; set before loaded is closed
 	mover          *mover          // nil unless this is the fleet partition
@@ -155,8 +157,10 @@
 	if now.Sub(part.cordonedAt) > cordonTTL {
 		part.scheduler.Uncordon()
 	}
-	for _, a := range part.scheduler.Decide(now) {
-		part.execute(ctx, now, a)
+	if part.confirmOwnership(now) {
+		for _, a := range part.scheduler.Decide(now) {
+			part.execute(ctx, now, a)
+		}
 	}
 	part.syncSessions(ctx)
 	stats := part.scheduler.Stats()
--- /dev/null
+++ b/internal/drive/pause_test.go
@@ -0,0 +1,85 @@
+package drive
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/greengagelane/greengagelane/internal/sched"
+	"github.com/greengagelane/greengagelane/pkg/jobs"
+	"github.com/greengagelane/greengagelane/pkg/site"
+	"github.com/greengagelane/greengagelane/platform"
+)
+
+// TestPausedOwnerConfirmsItsOwnership guards against an owner that was paused, for which another entry
+// has taken over, and that starts tasks on VMs that have not heard of the later owner: a task would run
+// twice.
+func TestPausedOwnerConfirmsItsOwnership(t *testing.T) {
+	tests := []struct {
+		name    string
+		pause   time.Duration
+		claimed bool // by a later owner, during the pause
+		held    bool // the round after the pause decides nothing
+		started int  // in the end
+	}{
+		{"usual interval", idleInterval, false, false, 1},
+		{"long pause", 4 * time.Second, false, true, 1},
+		{"long pause, later owner", 4 * time.Second, true, true, 0},
+	}
+	c := newCluster(t, 1, map[string]int{"alpha": 1})
+	for i, tt := range tests {
+		part := partitionWithJob(t, c.nodes[0], i)
+		now := time.Now()
+		part.lastRoundAt = now.Add(-tt.pause)
+		if tt.claimed {
+			value := int64(9)
+			later := &ownedPartition{node: c.nodes[0], number: part.number, store: platform.NewLog(c.nodes[0].settings), appendTimeout: newTimeout(), nextSequence: 1}
+			assert.NilError(t, appendClaimRecord(t.Context(), later, value, -1, epochKey, &value))
+			later.store.Close()
+		}
+		part.round(t.Context(), now)
+		assert.Equal(t, part.scheduler.Stats().Started == 0, tt.held, tt.name)
+		if tt.held {
+			for part.unconfirmed && !part.scheduler.Fenced() {
+				select {
+				case f := <-part.events: // of the append
+					f(now)
+				case <-time.After(testTimeout):
+					t.Fatalf("%s: the append has no result", tt.name)
+				}
+			}
+			if !part.scheduler.Fenced() {
+				part.round(t.Context(), now.Add(idleInterval))
+			}
+		}
+		assert.Equal(t, part.scheduler.Fenced(), tt.claimed, tt.name)
+		assert.Equal(t, part.scheduler.Stats().Started, tt.started, tt.name)
+		part.cancel()
+		part.store.Close()
+	}
+}
+
+// partitionWithJob returns a partition of a topic of its own number that is not running, with a job that
+// waits to be started.
+func partitionWithJob(t *testing.T, n *Node, number int) *ownedPartition {
+	t.Helper()
+	part := &ownedPartition{
+		node: n, number: 100 + number, store: platform.NewLog(n.settings), appendTimeout: newTimeout(), nextSequence: 1,
+		log: logrus.NewEntry(logrus.StandardLogger()), events: make(chan func(time.Time), eventBuffer), done: make(chan struct{}),
+		sessions: map[string]*vmSession{}, waiters: map[string][]*waiter{},
+	}
+	part.ctx, part.cancel = t.Context(), func() {}
+	now := time.Now()
+	part.scheduler = sched.New(1, n.policy, part.log)
+	part.scheduler.SetVMs(now, []site.VM{{ID: "vm", Born: 1, Pool: "pool", Address: "127.0.0.1:1", CPU: 8000, MemMB: 8000}})
+	part.scheduler.HandlePoll(now, "vm", now, &site.VMStatus{Born: 1, ClockMS: 1000})
+	job := &jobs.Job{ID: "00000000000000a1", Queue: "q", Pool: "pool", Steps: []jobs.Step{{Count: 1, CPU: 1000, EstimateMS: 500}}, MaxAttempts: 1, SubmittedMS: now.UnixMilli()}
+	assert.Assert(t, part.scheduler.Submit(now, job).Accepted)
+	f, err := part.scheduler.Flush(now, 1<<20)
+	assert.NilError(t, err)
+	part.scheduler.Flushed(f)
+	part.cordonedAt = now
+	return part
+}
