--- a/internal/quota/allocate.go
+++ b/internal/quota/allocate.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/greengagelane/greengagelane/internal/fair"
 )
 
 // allocate sets the fractions of an account for the next requests. It lowers fractions to their
@@ -96,7 +98,8 @@
 		copy(target, c.defaults.sent)
 		return target
 	}
-	budget, sum, members := 1.0, 0.0, 0
+	budget, sum := 1.0, 0.0
+	var claims []fair.Claim // of the partitions that reply
 	floor := floorShare / float64(max(c.count, 1))
 	for n, p := range c.partitions {
 		switch {
@@ -104,7 +107,7 @@
 		case c.raisable(now, n):
 			target[n] = max(a.need[n], floor)
 			sum += target[n]
-			members++
+			claims = append(claims, fair.Claim{Weight: 1, Demand: target[n]})
 		case p.known:
 			target[n] = a.ceiling[n]
 			budget -= a.counted(n)
@@ -113,11 +116,8 @@
 		}
 	}
 	budget = max(budget, 0)
-	rest := (budget - sum) / float64(max(members, 1))
-	level := math.Inf(1)
-	if rest < 0 {
-		rest, level = 0, c.fillLevel(now, target, budget, members)
-	}
+	rest := max(budget-sum, 0) / float64(max(len(claims), 1))
+	level := fair.Level(budget, claims)
 	for n := range target {
 		if c.raisable(now, n) {
 			target[n] = min(target[n], level) + rest
@@ -126,31 +126,6 @@
 	return target
 }
 
-// fillLevel returns the level at which the targets of the partitions that reply, each limited to the
-// level, add up to the budget. It is the max-min fair division of the budget.
-func (c *Coordinator) fillLevel(now time.Time, target []float64, budget float64, members int) float64 {
-	level := 0.0
-	for open, left := members, budget; open > 0; {
-		next := left / float64(open)
-		left, open = budget, 0
-		for n, t := range target {
-			if !c.raisable(now, n) {
-				continue
-			}
-			if t <= next {
-				left -= t
-			} else {
-				open++
-			}
-		}
-		if next == level {
-			break
-		}
-		level = next
-	}
-	return level
-}
-
 // setFraction sets the fraction of the next request to a partition.
 func (c *Coordinator) setFraction(now time.Time, a *account, n int, f float64) {
 	from := a.sent[n]
