--- a/internal/moves/burst_test.go
+++ b/internal/moves/burst_test.go
@@ -135,7 +135,7 @@
 	s.SetVMs(sim.now, list)
 	for id, v := range sim.vms {
 		if v.pool == pool {
-			sim.poll(s, id, v)
+			v.poll(sim.now, s, id, func(r *simRun) int { return 100 - int(100*r.end.Sub(sim.now)/taskDuration) })
 		}
 	}
 	for _, a := range s.Decide(sim.now) {
@@ -161,21 +161,21 @@
 	}
 }
 
-func (sim *simulation) poll(s *sched.Scheduler, id string, v *simVM) {
-	nextPoll, ok := s.NextPoll(sim.now, id, false)
+// poll answers a status poll of the VM's scheduler, if one is due. percent is the progress of a run.
+func (v *simVM) poll(now time.Time, s *sched.Scheduler, id string, percent func(r *simRun) int) {
+	nextPoll, ok := s.NextPoll(now, id, false)
 	if !ok {
 		return
 	}
 	for len(v.ended) > 0 && v.ended[0].Sequence <= nextPoll.AckCursor {
 		v.ended = v.ended[1:]
 	}
-	status := &site.VMStatus{Born: v.born.UnixMilli(), ClockMS: 1000 + sim.now.Sub(v.born).Milliseconds()}
+	status := &site.VMStatus{Born: v.born.UnixMilli(), ClockMS: 1000 + now.Sub(v.born).Milliseconds()}
 	var running []simRun
 	for _, r := range v.runs {
-		if sim.now.Before(r.end) {
+		if now.Before(r.end) {
 			running = append(running, r)
-			percent := 100 - int(100*r.end.Sub(sim.now)/taskDuration)
-			status.Running = append(status.Running, site.Run{Task: r.start.Order.Task, Run: r.start.Order.Run, Percent: percent})
+			status.Running = append(status.Running, site.Run{Task: r.start.Order.Task, Run: r.start.Order.Run, Percent: percent(&r)})
 			continue
 		}
 		v.lastSeq++
@@ -183,7 +183,7 @@
 	}
 	v.runs = running
 	status.Ended = v.ended
-	s.HandlePoll(sim.now, id, sim.now, status)
+	s.HandlePoll(now, id, now, status)
 }
 
 func (sim *simulation) plan() {
--- a/internal/moves/peaks_test.go
+++ b/internal/moves/peaks_test.go
@@ -27,7 +27,7 @@
 	pools      []*peakPool
 	planner    *Planner
 	view       View
-	vms        map[string]*peakVM
+	vms        map[string]*simVM
 	returnAt   map[string]time.Time
 	boots      int
 	jobs       int
@@ -66,14 +66,6 @@
 	due   float64                 // core-seconds due for submission
 }
 
-type peakVM struct {
-	pool    string
-	runs    []simRun
-	ended   []site.RunEnd
-	lastSeq int64
-	born    time.Time
-}
-
 type peakRetry struct {
 	at    time.Time
 	pool  *peakPool
@@ -92,7 +84,7 @@
 	l := logrus.New()
 	l.SetOutput(io.Discard)
 	l.SetLevel(logrus.ErrorLevel)
-	s := &peakSite{now: start, rng: rand.New(rand.NewPCG(seed, 1)), vms: map[string]*peakVM{}, returnAt: map[string]time.Time{}, waited: map[string]time.Time{}, planner: New(policy), shape: smallJobs}
+	s := &peakSite{now: start, rng: rand.New(rand.NewPCG(seed, 1)), vms: map[string]*simVM{}, returnAt: map[string]time.Time{}, waited: map[string]time.Time{}, planner: New(policy), shape: smallJobs}
 	add := func(pool string, n int) {
 		for i := range n {
 			s.view.Machines = append(s.view.Machines, site.Machine{Name: fmt.Sprintf("%s%03d", pool, i), Pool: pool, CPU: peakCores * 1000})
@@ -116,7 +108,7 @@
 	s.boots++
 	m.State, m.VM = site.Up, fmt.Sprintf("i-%05d", s.boots)
 	if m.Pool != "spare" {
-		s.vms[m.VM] = &peakVM{pool: m.Pool, born: s.now}
+		s.vms[m.VM] = &simVM{machine: m.Name, pool: m.Pool, born: s.now}
 	}
 }
 
@@ -207,7 +199,7 @@
 	}
 	p.sched.SetVMs(s.now, list)
 	for _, id := range ids {
-		s.poll(p.sched, id, s.vms[id])
+		s.vms[id].poll(s.now, p.sched, id, func(*simRun) int { return int(s.now.Sub(start)/time.Second) % 100 })
 	}
 	for _, a := range p.sched.Decide(s.now) {
 		switch a := a.(type) {
@@ -250,30 +242,6 @@
 	return time.Duration(t)
 }
 
-func (s *peakSite) poll(sc *sched.Scheduler, id string, v *peakVM) {
-	next, ok := sc.NextPoll(s.now, id, false)
-	if !ok {
-		return
-	}
-	for len(v.ended) > 0 && v.ended[0].Sequence <= next.AckCursor {
-		v.ended = v.ended[1:]
-	}
-	status := &site.VMStatus{Born: v.born.UnixMilli(), ClockMS: 1000 + s.now.Sub(v.born).Milliseconds()}
-	var running []simRun
-	for _, r := range v.runs {
-		if s.now.Before(r.end) {
-			running = append(running, r)
-			status.Running = append(status.Running, site.Run{Task: r.start.Order.Task, Run: r.start.Order.Run, Percent: int(s.now.Sub(start)/time.Second) % 100})
-			continue
-		}
-		v.lastSeq++
-		v.ended = append(v.ended, site.RunEnd{Sequence: v.lastSeq, Task: r.start.Order.Task, Run: r.start.Order.Run, How: site.Done})
-	}
-	v.runs = running
-	status.Ended = v.ended
-	sc.HandlePoll(s.now, id, s.now, status)
-}
-
 func (s *peakSite) plan() {
 	s.view.Reports, s.view.ReadStart = map[string]*sched.Report{}, s.now
 	for _, p := range s.pools {
--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -21,18 +21,7 @@
 
 func benchDecide(b *testing.B, n int) {
 	const tasksPerVM = 10
-	s := New(1, testPolicy(), quietLog())
-	var vms []site.VM
-	for i := range n {
-		v := testVM(fmt.Sprintf("vm-%05d", i))
-		v.CPU, v.MemMB = tasksPerVM*1000, 100_000
-		vms = append(vms, v)
-	}
-	s.SetVMs(at(0), vms)
-	for _, v := range vms {
-		s.HandlePoll(at(0), v.ID, at(0), &site.VMStatus{Born: 1, ClockMS: 1000})
-	}
-	flushAll(b, s)
+	s := idlePool(b, n, tasksPerVM*1000, 100_000)
 	for i := range n {
 		j := testJob(fmt.Sprintf("%016x", i), jobs.Step{Count: 2 * tasksPerVM, CPU: 1000, MemMB: 1000, EstimateMS: 1000})
 		s.Submit(at(0), j)
@@ -56,16 +45,7 @@
 func BenchmarkCopies(b *testing.B) {
 	for _, n := range []int{350, 5000} {
 		b.Run(strconv.Itoa(n), func(b *testing.B) {
-			s := New(1, testPolicy(), quietLog())
-			var vms []site.VM
-			for i := range n {
-				vms = append(vms, testVM(fmt.Sprintf("vm-%05d", i)))
-			}
-			s.SetVMs(at(0), vms)
-			for _, v := range vms {
-				s.HandlePoll(at(0), v.ID, at(0), &site.VMStatus{Born: 1, ClockMS: 1000})
-			}
-			flushAll(b, s)
+			s := idlePool(b, n, 8000, 8000)
 			for i := range n {
 				j := testJob(fmt.Sprintf("%016x", i), jobs.Step{Count: 7, CPU: 1000, EstimateMS: 1000, Copies: true})
 				j.Stretch = 100
@@ -100,15 +80,14 @@
 	}
 }
 
-// accountsFixture returns a scheduler with a full pool of 100 VMs of 64 cores, 2,000 waiting jobs and the
-// given number of accounts.
-func accountsFixture(b *testing.B, accounts int) *Scheduler {
+// idlePool returns a scheduler with idle VMs of the given size.
+func idlePool(b *testing.B, n, cpu, memMB int) *Scheduler {
 	b.Helper()
 	s := New(1, testPolicy(), quietLog())
 	var vms []site.VM
-	for i := range 100 {
+	for i := range n {
 		v := testVM(fmt.Sprintf("vm-%05d", i))
-		v.CPU, v.MemMB = 64_000, 1_000_000
+		v.CPU, v.MemMB = cpu, memMB
 		vms = append(vms, v)
 	}
 	s.SetVMs(at(0), vms)
@@ -116,6 +95,14 @@
 		s.HandlePoll(at(0), v.ID, at(0), &site.VMStatus{Born: 1, ClockMS: 1000})
 	}
 	flushAll(b, s)
+	return s
+}
+
+// accountsFixture returns a scheduler with a full pool of 100 VMs of 64 cores, 2,000 waiting jobs and the
+// given number of accounts.
+func accountsFixture(b *testing.B, accounts int) *Scheduler {
+	b.Helper()
+	s := idlePool(b, 100, 64_000, 1_000_000)
 	var list []site.Account
 	for i := range accounts {
 		list = append(list, site.Account{Name: fmt.Sprintf("account-%03d", i), Weight: float64(5 + i%50)})
--- a/internal/sched/quota_test.go
+++ b/internal/sched/quota_test.go
@@ -294,20 +294,9 @@
 func BenchmarkDecideAtQuota(b *testing.B) {
 	for _, limit := range []int{0, 1000} {
 		b.Run(fmt.Sprint("limit-", limit), func(b *testing.B) {
-			s := New(1, testPolicy(), quietLog())
-			var vms []site.VM
-			for i := range 350 {
-				v := testVM(fmt.Sprintf("vm-%05d", i))
-				v.CPU, v.MemMB = 10_000, 100_000
-				vms = append(vms, v)
-			}
-			s.SetVMs(at(0), vms)
-			for _, v := range vms {
-				s.HandlePoll(at(0), v.ID, at(0), &site.VMStatus{Born: 1, ClockMS: 1000})
-			}
+			s := idlePool(b, 350, 10_000, 100_000)
 			s.SetAccounts(accountsWithLimit(limit))
 			s.HandleQuota(at(0), 1, &quota.Request{Epoch: 1, Sequence: 1, PartitionEpoch: 1, Grants: &quota.Grants{Partitions: 1, Default: 1}})
-			flushAll(b, s)
 			for i := range 2000 {
 				j := quotaJob(fmt.Sprintf("%016x", i), "acme", jobs.Step{Count: 10, CPU: 1000, MemMB: 1000, EstimateMS: 1000})
 				j.TargetMS = 1e6 // none is refused
