--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -248,9 +248,8 @@
 		if a == nil {
 			continue
 		}
-		limit, total := c.limits[l.Account].Limit, l.Used
-		total.CPU, total.MemMB, total.GPU = total.CPU+l.Demand.CPU, total.MemMB+l.Demand.MemMB, total.GPU+l.Demand.GPU
-		a.used[n], a.need[n] = Share(l.Used, limit), min(Share(total, limit), 1)
+		limit := c.limits[l.Account].Limit
+		a.used[n], a.need[n] = Share(l.Used, limit), min(Share(l.Used.Plus(l.Demand), limit), 1)
 		a.workAt = now
 	}
 }
--- a/internal/sched/accounts.go
+++ b/internal/sched/accounts.go
@@ -78,9 +78,7 @@
 				continue
 			}
 			r := reports[j.Account]
-			r.Used.CPU += x.step().CPU
-			r.Used.MemMB += x.step().MemMB
-			r.Used.GPU += x.step().GPU
+			add(&r.Used, x.step(), 1)
 			reports[j.Account] = r
 		}
 	}
--- a/internal/sched/quota.go
+++ b/internal/sched/quota.go
@@ -70,7 +70,7 @@
 func (q *quotas) running(account string) site.Resources {
 	total := q.extra[account]
 	if u := q.used[account]; u != nil {
-		total.CPU, total.MemMB, total.GPU = total.CPU+u.CPU, total.MemMB+u.MemMB, total.GPU+u.GPU
+		total = total.Plus(*u)
 	}
 	return total
 }
@@ -169,7 +169,7 @@
 		bound := site.Resources{}
 		for id := range s.unverified {
 			if v := s.vms[id]; v != nil {
-				bound.CPU, bound.MemMB, bound.GPU = bound.CPU+v.CPU, bound.MemMB+v.MemMB, bound.GPU+v.GPU
+				bound = bound.Plus(site.Resources{CPU: v.CPU, MemMB: v.MemMB, GPU: v.GPU})
 			}
 		}
 		for account, u := range usage {
@@ -177,8 +177,7 @@
 		}
 	}
 	for account, u := range usage {
-		e := s.quotas.extra[account]
-		s.quotas.extra[account] = site.Resources{CPU: e.CPU + u.CPU, MemMB: e.MemMB + u.MemMB, GPU: e.GPU + u.GPU}
+		s.quotas.extra[account] = s.quotas.extra[account].Plus(u)
 	}
 }
 
--- a/pkg/jobs/job.go
+++ b/pkg/jobs/job.go
@@ -107,13 +107,3 @@
 	stretched := time.Duration(float64(j.CriticalPath()) * max(j.Stretch, 1))
 	return stretched + time.Duration(j.TargetMS)*time.Millisecond
 }
-
-// CoreSeconds returns the declared CPU work of one occurrence.
-func (j *Job) CoreSeconds() float64 {
-	var sum float64
-	for i := range j.Steps {
-		s := &j.Steps[i]
-		sum += float64(s.Count) * float64(s.CPU) / 1000 * float64(s.EstimateMS) / 1000
-	}
-	return sum
-}
--- a/pkg/site/account.go
+++ b/pkg/site/account.go
@@ -18,6 +18,11 @@
 	GPU   int // number of accelerators
 }
 
+// Plus returns the sum of two amounts.
+func (r Resources) Plus(other Resources) Resources {
+	return Resources{CPU: r.CPU + other.CPU, MemMB: r.MemMB + other.MemMB, GPU: r.GPU + other.GPU}
+}
+
 // minWeight is the smallest weight of an account; smaller ones are raised to it, since an account
 // without a share would never be served under overload.
 const minWeight = 1
