drive: one limit of log lines, one way to collect reports, one call of an operator's command

The quota coordinator counted its log lines itself, beside the limit for requests without a key; the mover and operators' queries each collected reports of pools; four commands opened their connections the same way; appends and joins recorded their results in the same three cases. The confirmation of a paused owner moves out of the file on the configuration's. No behaviour changes but that lines on missing reports come after the round's calls.

--- a/internal/drive/accounts.go
+++ b/internal/drive/accounts.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"maps"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -16,37 +15,10 @@
 )
 
 const (
-	reportsTimeout    = 2500 * time.Millisecond // for the owners' reports; the command waits 3 s
-	maxLoggedPath     = 80                      // bytes; a queue's prefix and a job's identifier are shorter
-	concurrentReports = 16                      // pools whose reports are fetched at a time
+	maxLoggedPath        = 80 // bytes; a queue's prefix and a job's identifier are shorter
+	maxUnauthorizedLines = 10 // log lines per second on requests without a valid key; callers may send thousands
 )
 
-const maxUnauthorizedLines = 10 // log lines per second on requests without a valid key; callers may send thousands
-
-// lineLimit limits the log lines of one kind per second. Its zero value is ready for use.
-type lineLimit struct {
-	mu         sync.Mutex
-	second     int64 // Unix time of the second that written counts for
-	written    int
-	suppressed int // since the last line
-}
-
-// allow reports whether a line may be written, and how many were not since the last one.
-func (l *lineLimit) allow(now time.Time, perSecond int) (ok bool, suppressed int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if now.Unix() != l.second {
-		l.second, l.written = now.Unix(), 0
-	}
-	if l.written >= perSecond {
-		l.suppressed++
-		return false, 0
-	}
-	l.written++
-	suppressed, l.suppressed = l.suppressed, 0
-	return true, suppressed
-}
-
 // Unauthorized counts and logs a request that was answered with 401. The key is not logged.
 func (n *Node) Unauthorized(route *site.Route, version int64, path, why string) {
 	countAccountRequest(noAccount, site.Unauthorized.String())
@@ -71,7 +43,7 @@
 		a := &cfg.Accounts[i]
 		loads[a.Name] = &AccountLoad{Name: a.Name, Configured: true, Weight: a.Weight, Limit: a.Limit, Pools: map[string]sched.AccountReport{}}
 	}
-	reports, missing := n.poolReports(ctx, cfg.Pools)
+	reports, missing := n.readReports(ctx, cfg.Pools)
 	for pool, r := range reports {
 		for name, load := range r.Accounts {
 			if loads[name] == nil {
@@ -98,7 +70,7 @@
 	if cfg == nil {
 		return nil, errors.New("the entry has no configuration yet")
 	}
-	reports, missing := n.poolReports(ctx, cfg.Pools)
+	reports, missing := n.readReports(ctx, cfg.Pools)
 	for pool, r := range reports {
 		for _, v := range r.VMs {
 			if v.ID == id {
@@ -112,38 +84,6 @@
 	return nil, fmt.Errorf("VM %q: %w", id, errUnknownVM)
 }
 
-// poolReports fetches the reports of pools from their owners, several at a time. missing holds the
-// reasons for those that it did not get.
-func (n *Node) poolReports(ctx context.Context, pools []site.Pool) (reports map[string]*sched.Report, missing map[string]string) {
-	ctx, cancel := context.WithTimeout(ctx, reportsTimeout)
-	defer cancel()
-	reports, missing = map[string]*sched.Report{}, map[string]string{}
-	var mu sync.Mutex
-	var active sync.WaitGroup
-	slots := make(chan struct{}, concurrentReports)
-	for i := range pools {
-		pool := pools[i].Name
-		active.Add(1)
-		slots <- struct{}{}
-		go func() {
-			defer active.Done()
-			defer func() { <-slots }()
-			r, err := retryOwner(ctx, func() (*sched.Report, error) {
-				return n.report(ctx, &reportCall{Partition: n.partitionOf(pool), Pool: pool, ReadOnly: true})
-			})
-			mu.Lock()
-			defer mu.Unlock()
-			if err != nil {
-				missing[pool] = err.Error()
-				return
-			}
-			reports[pool] = r
-		}()
-	}
-	active.Wait()
-	return reports, missing
-}
-
 // applyAccounts passes the accounts of a new configuration to the scheduler.
 func (part *ownedPartition) applyAccounts() {
 	cfg := part.node.Config()
--- a/internal/drive/admin.go
+++ b/internal/drive/admin.go
@@ -80,30 +80,29 @@
 
 // SendJobRequest sends a request about a job to the entry at a peer address.
 func SendJobRequest(ctx context.Context, address string, req *JobRequest) (*JobResponse, error) {
-	c := peer.NewClient(address, "operator", func() string { return "" })
-	defer c.Close()
-	return peer.Call[JobRequest, JobResponse](ctx, c, operatorJobKind, req)
+	return callEntry[JobRequest, JobResponse](ctx, address, operatorJobKind, req)
 }
 
 // FetchPoolReport asks the entry at a peer address for the report of a pool.
 func FetchPoolReport(ctx context.Context, address, pool string) (*sched.Report, error) {
-	c := peer.NewClient(address, "operator", func() string { return "" })
-	defer c.Close()
-	return peer.Call[PoolRequest, sched.Report](ctx, c, operatorPoolKind, &PoolRequest{Pool: pool})
+	return callEntry[PoolRequest, sched.Report](ctx, address, operatorPoolKind, &PoolRequest{Pool: pool})
 }
 
 // FetchAccounts asks the entry at a peer address for the load of client accounts.
 func FetchAccounts(ctx context.Context, address string, req *AccountsRequest) (*AccountsResponse, error) {
-	c := peer.NewClient(address, "operator", func() string { return "" })
-	defer c.Close()
-	return peer.Call[AccountsRequest, AccountsResponse](ctx, c, operatorAccountsKind, req)
+	return callEntry[AccountsRequest, AccountsResponse](ctx, address, operatorAccountsKind, req)
 }
 
 // FetchVM asks the entry at a peer address for the load of a VM.
 func FetchVM(ctx context.Context, address, id string) (*VMResponse, error) {
+	return callEntry[VMRequest, VMResponse](ctx, address, operatorVMKind, &VMRequest{ID: id})
+}
+
+// callEntry sends an operator's request to the entry at a peer address.
+func callEntry[C, R any](ctx context.Context, address, kind string, req *C) (*R, error) {
 	c := peer.NewClient(address, "operator", func() string { return "" })
 	defer c.Close()
-	return peer.Call[VMRequest, VMResponse](ctx, c, operatorVMKind, &VMRequest{ID: id})
+	return peer.Call[C, R](ctx, c, kind, req)
 }
 
 func (n *Node) handleOperatorCalls(s *peer.Server) {
@@ -113,9 +112,7 @@
 		return n.handleJobRequest(ctx, req)
 	})
 	peer.Handle(s, operatorPoolKind, func(ctx context.Context, _ string, req *PoolRequest) (*sched.Report, error) {
-		return retryOwner(ctx, func() (*sched.Report, error) {
-			return n.report(ctx, &reportCall{Partition: n.partitionOf(req.Pool), Pool: req.Pool, ReadOnly: true})
-		})
+		return n.readReport(ctx, n.readCall(req.Pool))
 	})
 	peer.Handle(s, operatorVMKind, func(ctx context.Context, _ string, req *VMRequest) (*VMResponse, error) {
 		return n.findVM(ctx, req.ID)
--- a/internal/drive/fleet.go
+++ b/internal/drive/fleet.go
@@ -207,24 +207,10 @@
 // fetchReports fetches the reports of all pools concurrently. Pools without an answer are
 // missing from the result.
 func (m *mover) fetchReports(ctx context.Context, calls []*reportCall) map[string]*sched.Report {
-	var mu sync.Mutex
-	var wg sync.WaitGroup
-	reports := map[string]*sched.Report{}
-	for _, c := range calls {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			r, err := m.part.node.report(ctx, c)
-			if err != nil {
-				logrus.WithError(err).WithField("pool", c.Pool).Info("no report of the pool; its machines are not moved")
-				return
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			reports[c.Pool] = r
-		}()
+	reports, failed := collectReports(calls, len(calls), func(c *reportCall) (*sched.Report, error) { return m.part.node.report(ctx, c) })
+	for pool, err := range failed {
+		logrus.WithError(err).WithField("pool", pool).Info("no report of the pool; its machines are not moved")
 	}
-	wg.Wait()
 	return reports
 }
 
--- a/internal/drive/flush.go
+++ b/internal/drive/flush.go
@@ -93,13 +93,19 @@
 func (part *ownedPartition) tryAppend(ctx context.Context, a *site.Append, repeated bool) error {
 	began := time.Now()
 	err := part.store.AppendJobs(ctx, a, part.appendTimeout.Timeout())
+	recordAttempt(part.appendTimeout, began, repeated, err)
+	return err
+}
+
+// recordAttempt records the result of an attempt. One that was refused or not sent says nothing about
+// the response time.
+func recordAttempt(timeout *retry.Estimator, began time.Time, repeated bool, err error) {
 	switch {
 	case err == nil:
-		part.appendTimeout.RecordAnswer(time.Since(began), repeated)
+		timeout.RecordAnswer(time.Since(began), repeated)
 	case site.IsUnanswered(err):
-		part.appendTimeout.RecordTimeout()
+		timeout.RecordTimeout()
 	}
-	return err
 }
 
 // newTimeout returns the estimator of timeouts for requests to the log that may be repeated. An
--- a/internal/drive/member.go
+++ b/internal/drive/member.go
@@ -75,12 +75,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		switch {
-		case err == nil:
-			timeout.RecordAnswer(time.Since(began), false)
-		case site.IsUnanswered(err):
-			timeout.RecordTimeout()
-		}
+		recordAttempt(timeout, began, false, err)
 		dep.recordResult(err)
 		releaseBegan := false
 		if err == nil {
--- /dev/null
+++ b/internal/drive/pause.go
@@ -0,0 +1,34 @@
+package drive
+
+import (
+	"time"
+
+	"github.com/greengagelane/greengagelane/pkg/jobs"
+	"github.com/greengagelane/greengagelane/pkg/site"
+)
+
+// confirmOwnership reports whether the partition may decide. After a pause in which another entry may
+// have taken the partition over, its owner record is stored anew first, which the log refuses if a
+// later owner has claimed the partition. VMs that have not heard of that owner would still carry out the
+// orders of this one, which takes all VMs for silent after a long pause and starts their tasks
+// elsewhere.
+func (part *ownedPartition) confirmOwnership(now time.Time) bool {
+	pause := now.Sub(part.lastRoundAt)
+	paused := !part.lastRoundAt.IsZero() && pause >= memberTTL
+	part.lastRoundAt = now
+	if !paused || part.unconfirmed {
+		return !part.unconfirmed
+	}
+	value, err := jobs.Encode(&ownerRecord{Epoch: part.scheduler.Epoch, Address: part.node.address})
+	if err != nil {
+		part.log.WithError(err).Error("cannot encode the owner record")
+		return false
+	}
+	part.unconfirmed = true
+	part.log.WithField("pause-ms", pause.Milliseconds()).Info("partition was paused; confirming its ownership")
+	part.pendingRecords = append(part.pendingRecords, controlRecord{
+		record:   site.Record{Key: ownerKey, Value: value},
+		onStored: func() { part.post(func(time.Time) { part.unconfirmed = false }) },
+	})
+	return false
+}
--- a/internal/drive/quota.go
+++ b/internal/drive/quota.go
@@ -25,10 +25,8 @@
 // used on the mover's goroutine only.
 type quotaRounds struct {
 	coordinator *quota.Coordinator
-	fenced      bool      // logged
-	logFrom     time.Time // start of the current second of log lines
-	logged      int       // lines in it
-	suppressed  int       // lines that the limit left out since the last one
+	fenced      bool // logged
+	lines       lineLimit
 }
 
 func newQuotaRounds(epoch int64) *quotaRounds {
@@ -75,18 +73,14 @@
 	if c.Account == "" || math.Abs(c.To-c.From) < minLogged {
 		return
 	}
-	if now.Sub(q.logFrom) >= time.Second {
-		q.logFrom, q.logged = now, 0
-	}
-	if q.logged++; q.logged > linesPerSecond {
-		q.suppressed++
+	ok, suppressed := q.lines.allow(now, linesPerSecond)
+	if !ok {
 		return
 	}
 	logrus.WithFields(logrus.Fields{
 		"account": c.Account, "partition": c.Partition, "from": c.From, "to": c.To, "used": c.Used, "need": c.Need,
-		"age-ms": c.Age.Milliseconds(), "config": version, "not-logged": q.suppressed,
+		"age-ms": c.Age.Milliseconds(), "config": version, "not-logged": suppressed,
 	}).Info("quota changed")
-	q.suppressed = 0
 }
 
 // handleReplies passes the owners' replies to the coordinator.
@@ -107,7 +101,7 @@
 	var calls []*reportCall
 	for _, p := range cfg.Pools {
 		if !p.Spare {
-			calls = append(calls, &reportCall{Partition: m.part.node.partitionOf(p.Name), Pool: p.Name, ReadOnly: true})
+			calls = append(calls, m.part.node.readCall(p.Name))
 		}
 	}
 	m.quotas.addRequests(time.Now(), cfg, calls)
