--- a/internal/moves/demand.go
+++ b/internal/moves/demand.go
@@ -108,7 +108,7 @@
 	}
 	budget := int(p.policy.OrdersPerS)
 	for name, in := range p.intents {
-		if !in.sent && p.isDue(st, name, in) {
+		if !in.issued && p.isDue(st, name, in) {
 			budget--
 		}
 	}
--- a/internal/moves/moves.go
+++ b/internal/moves/moves.go
@@ -70,11 +70,11 @@
 type intent struct {
 	Order
 	plannedAt     time.Time
-	sent          bool      // sent at least once; whether the platform applied it may be unknown
+	issued        bool      // Plan has returned it at least once
 	awaitingReply bool      // the last attempt has no reply yet
 	issuedAt      time.Time // when Plan last returned the order
 	dispatched    bool      // Dispatch has allowed to send the last attempt
-	everSent      bool      // Dispatch has allowed to send any attempt
+	sent          bool      // Dispatch has allowed to send an attempt; whether the platform applied it may be unknown
 	retryAt       time.Time // earliest time to send it again
 	accepted      bool      // by the platform
 	acceptedAt    time.Time
@@ -153,13 +153,13 @@
 			delete(p.intents, name)
 		case in.accepted && m.State == site.Up && (in.observed || m.VM != in.fromVM || in.hadNoEffect(st.view.ReadStart, m)):
 			delete(p.intents, name)
-		case !in.sent && (m.State != site.Up || m.VM != in.fromVM):
+		case !in.issued && (m.State != site.Up || m.VM != in.fromVM):
 			delete(p.intents, name) // the machine failed or left before the order was sent
-		case !in.sent && st.pools[in.Pool].Spare && st.now.Sub(in.plannedAt) > dispatchTimeout:
+		case !in.issued && st.pools[in.Pool].Spare && st.now.Sub(in.plannedAt) > dispatchTimeout:
 			delete(p.intents, name) // more urgent orders use all that the platform accepts; its pool can use the machine meanwhile
 		case in.accepted && m.State != site.Up:
 			in.observed = true
-		case in.isUndispatched(st.now) && in.everSent:
+		case in.isUndispatched(st.now) && in.sent:
 			in.awaitingReply = false // an earlier attempt may have been applied, so the same order is issued again
 		case in.isUndispatched(st.now):
 			delete(p.intents, name) // the platform has not seen it, and Dispatch will not allow to send it
@@ -187,7 +187,7 @@
 	if in == nil || in.Order != o || !in.awaitingReply || in.dispatched {
 		return false
 	}
-	in.dispatched, in.everSent = true, true
+	in.dispatched, in.sent = true, true
 	return true
 }
 
@@ -245,10 +245,10 @@
 		if len(list) == budget {
 			break
 		}
-		if in.Kind == Maintain && !in.sent && !p.mayMaintain(st, in.Wave) {
+		if in.Kind == Maintain && !in.issued && !p.mayMaintain(st, in.Wave) {
 			continue
 		}
-		in.sent, in.awaitingReply, in.dispatched, in.issuedAt = true, true, false, st.now
+		in.issued, in.awaitingReply, in.dispatched, in.issuedAt = true, true, false, st.now
 		list = append(list, in.Order)
 		p.sentOrders = append(p.sentOrders, st.now)
 	}
@@ -260,7 +260,7 @@
 	if in.accepted || in.awaitingReply || st.now.Before(in.retryAt) || st.now.Before(p.frozen[name]) {
 		return false
 	}
-	return in.sent || p.isEmpty(st, st.machine(name))
+	return in.issued || p.isEmpty(st, st.machine(name))
 }
 
 // urgency ranks an intent's order when not all may be sent at once, the most urgent first: a
--- a/internal/moves/summary.go
+++ b/internal/moves/summary.go
@@ -66,7 +66,7 @@
 	for i := range v.Machines {
 		m := &v.Machines[i]
 		in := p.intents[m.Name]
-		if (m.Pool == pool && m.State == site.Moving) || (in != nil && in.Kind == Move && in.Pool == pool && in.sent) {
+		if (m.Pool == pool && m.State == site.Moving) || (in != nil && in.Kind == Move && in.Pool == pool && in.issued) {
 			return true
 		}
 	}
@@ -102,7 +102,7 @@
 			pending.Runs, pending.LongRunning = m.report.Runs, m.report.Lasting
 		}
 		if in := p.intents[name]; in != nil && in.Kind == Maintain {
-			pending.Planned, pending.Ordered = true, in.sent
+			pending.Planned, pending.Ordered = true, in.issued
 		}
 		list = append(list, pending)
 	}
--- a/internal/moves/waves.go
+++ b/internal/moves/waves.go
@@ -58,7 +58,7 @@
 	for _, name := range w.Machines {
 		m, in := st.machine(name), p.intents[name]
 		switch {
-		case in != nil && in.Kind == Maintain && in.Wave == w.Number && in.sent:
+		case in != nil && in.Kind == Maintain && in.Wave == w.Number && in.issued:
 			n++
 		case m != nil && m.State == site.InMaintenance:
 			n++
