httpd: a server knows its listener before it serves

A caller's connection was reset if Shutdown came before the goroutine that serves had run: the server knew no listener yet, so Shutdown ended at once and closed the connections in the accept queue. The listener is now an argument of New.

The listener is also closed only after poll(2) has found its accept queue empty: a timed-out Accept that is scheduled after its deadline does not look at the queue.

--- a/internal/drive/node.go
+++ b/internal/drive/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -100,11 +101,15 @@
 	}
 	defer ln.Close()
 	go func() { failed <- ps.Serve(workCtx, ln) }()
-	callers := httpd.New(&http.Server{Addr: n.settings.Callers, Handler: platform.Ingress(n), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes})
+	callersLn, err := net.Listen("tcp", n.settings.Callers)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	callers := httpd.New(&http.Server{Handler: platform.Ingress(n), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}, callersLn)
 	ready := &http.Server{Addr: n.settings.Ready, Handler: platform.ReadyHandler(n), ReadHeaderTimeout: headerTimeout}
 	metricsSrv := &http.Server{Addr: n.settings.MetricsAddress(), Handler: http.HandlerFunc(n.serveMetrics), ReadHeaderTimeout: headerTimeout}
-	servers := []httpServer{callers, ready, metricsSrv}
-	for _, s := range servers {
+	go func() { failed <- callers.Serve() }()
+	for _, s := range []*http.Server{ready, metricsSrv} {
 		go func() { failed <- s.ListenAndServe() }()
 	}
 	go n.watchOperator(workCtx)
@@ -121,7 +126,7 @@
 		return err
 	case <-n.aborted:
 		n.dropPartitions()
-		for _, s := range servers {
+		for _, s := range []io.Closer{callers, ready, metricsSrv} {
 			s.Close()
 		}
 		ps.Close()
@@ -143,12 +148,6 @@
 	return nil
 }
 
-// httpServer is a server of one of the entry's HTTP interfaces.
-type httpServer interface {
-	ListenAndServe() error
-	Close() error
-}
-
 // errAborted is returned by Run after abort.
 var errAborted = errors.New("entry aborted")
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -134,13 +134,13 @@
 	e.startBackground(workCtx)
 	callerServer := httpd.New(&http.Server{
 		Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	})
+	}, callers)
 	operatorServer, err := e.operatorServer()
 	if err != nil {
 		return err
 	}
-	go serve(callerServer, callers)
-	go serve(operatorServer, operators)
+	go serve(callerServer.Serve)
+	go serve(func() error { return operatorServer.Serve(operators) })
 	e.events.Add(time.Now(), 0, event.Process, e.self.Name, "started as "+e.self.Incarnation)
 	logrus.WithFields(logrus.Fields{"entry": e.self.Name, "incarnation": e.self.Incarnation}).Info("entry started")
 	<-ctx.Done()
@@ -157,8 +157,8 @@
 	go e.runSnapshots(ctx)
 }
 
-func serve(s interface{ Serve(net.Listener) error }, ln net.Listener) {
-	if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+func serve(run func() error) {
+	if err := run(); !errors.Is(err, http.ErrServerClosed) {
 		logrus.WithError(err).Error("HTTP server stopped unexpectedly")
 	}
 }
--- a/internal/httpd/server.go
+++ b/internal/httpd/server.go
@@ -12,9 +12,13 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -26,18 +30,19 @@
 // Server is an HTTP server that can be stopped without cutting off requests.
 type Server struct {
 	http     *http.Server
+	listener *listener
 	stopping atomic.Bool
 
-	mu       sync.Mutex
-	listener *listener
-	idle     map[*conn]bool // connections without a request; false once their last read has begun
-	open     int            // connections that are not closed
+	mu   sync.Mutex
+	idle map[*conn]bool // connections without a request; false once their last read has begun
+	open int            // connections that are not closed
 }
 
-// New returns a server with the handler and the limits of s. It replaces the handler and the
-// ConnState hook of s.
-func New(s *http.Server) *Server {
-	srv := &Server{http: s, idle: map[*conn]bool{}}
+// New returns a server for a listener, with the handler and the limits of s. It replaces the handler
+// and the ConnState hook of s. Since the listener is known before Serve, a Shutdown that comes before
+// it does not reset the connections that are already open.
+func New(s *http.Server, ln net.Listener) *Server {
+	srv := &Server{http: s, listener: &listener{Listener: ln}, idle: map[*conn]bool{}}
 	next := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if srv.stopping.Load() {
@@ -49,23 +54,10 @@
 	return srv
 }
 
-// ListenAndServe serves on the address of the http.Server until Shutdown or Close.
-func (s *Server) ListenAndServe() error {
-	ln, err := net.Listen("tcp", s.http.Addr)
-	if err != nil {
-		return err
-	}
-	return s.Serve(ln)
-}
-
-// Serve serves on a listener until Shutdown or Close, then returns http.ErrServerClosed.
-func (s *Server) Serve(ln net.Listener) error {
-	wrapped := &listener{Listener: ln}
-	s.mu.Lock()
-	s.listener = wrapped
-	s.mu.Unlock()
-	err := s.http.Serve(wrapped)
-	if wrapped.ending.Load() && errors.Is(err, net.ErrClosed) {
+// Serve serves until Shutdown or Close, then returns http.ErrServerClosed.
+func (s *Server) Serve() error {
+	err := s.http.Serve(s.listener)
+	if s.listener.ending.Load() && errors.Is(err, net.ErrClosed) {
 		return http.ErrServerClosed
 	}
 	return err
@@ -77,17 +69,12 @@
 
 // Shutdown accepts the connections that are already open, closes the listener, and waits until
 // all connections have ended with a response or were idle. If the context ends first, it closes
-// the remaining ones and returns the context's error.
+// the remaining ones and returns the context's error. Serve has to run or to be about to.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.BeginStop()
-	s.mu.Lock()
-	ln := s.listener
-	s.mu.Unlock()
-	if ln != nil {
-		ln.end()
-	}
+	s.listener.end()
 	defer s.http.Close()
-	for s.closeIdle() > 0 || (ln != nil && !ln.closed.Load()) {
+	for s.closeIdle() > 0 || !s.listener.closed.Load() {
 		select {
 		case <-time.After(drainInterval):
 		case <-ctx.Done():
@@ -142,12 +129,11 @@
 	closed atomic.Bool
 }
 
-// Accept returns the next connection. After end it returns net.ErrClosed once none has been
-// opened for lastAcceptWait. An Accept that begins after its deadline fails without looking for
-// connections, so a timed-out one is repeated with a deadline of its own.
+// Accept returns the next connection. After end it returns net.ErrClosed once the accept queue is
+// empty.
 func (l *listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
-	if err != nil && l.ending.Load() && l.extendDeadline() {
+	for errors.Is(err, os.ErrDeadlineExceeded) && l.ending.Load() && l.hasQueued() && l.extendDeadline() {
 		c, err = l.Listener.Accept()
 	}
 	if err == nil {
@@ -161,6 +147,26 @@
 	return nil, err
 }
 
+// hasQueued reports whether the accept queue has a connection. A timed-out Accept does not tell: if
+// its deadline is past when it is scheduled, it fails without a look at the queue.
+func (l *listener) hasQueued() bool {
+	ln, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := ln.SyscallConn()
+	if err != nil {
+		return false
+	}
+	queued := false
+	err = raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(fds, 0)
+		queued = err == nil && n > 0
+	})
+	return err == nil && queued
+}
+
 // end makes the pending Accept return after lastAcceptWait.
 func (l *listener) end() {
 	l.ending.Store(true)
--- a/internal/httpd/server_test.go
+++ b/internal/httpd/server_test.go
@@ -25,8 +25,8 @@
 		time.Sleep(2 * time.Millisecond)
 		handled.Add(1)
 		_, _ = io.WriteString(w, "done")
-	})}) // closed by the test or the cleanup
-	go func() { _ = s.Serve(ln) }()
+	})}, ln) // closed by the test or the cleanup
+	go func() { _ = s.Serve() }()
 	t.Cleanup(func() { s.Close() })
 	return s, ln.Addr().String()
 }
@@ -184,3 +184,25 @@
 	_, err = l.Accept()
 	assert.ErrorIs(t, err, net.ErrClosed)
 }
+
+// TestShutdownBeforeServe guards against a connection that is reset because the server is told to stop
+// before its goroutine has begun to serve.
+func TestShutdownBeforeServe(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := New(&http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "done")
+	})}, ln)
+	defer s.Close()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	assert.NilError(t, err)
+	defer c.Close()
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Shutdown(t.Context()) }()
+	time.Sleep(2 * lastAcceptWait)
+	go func() { _ = s.Serve() }()
+	client := &caller{conn: c}
+	assert.NilError(t, client.request(bufio.NewReader(c)))
+	assert.Assert(t, client.ended)
+	assert.NilError(t, <-stopped)
+}
