sched: runs whose start order is under way count after a restart of their VM

A start order that is under way when its VM restarts under the same identifier may reach the new incarnation. Its run was kept only in the phase starting, so a run whose job was cancelled meanwhile no longer counted for its account's quota. The run now records that its start order is under way.

--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -95,6 +95,7 @@
 	stopConfirmed  bool      // the VM has confirmed a stop order
 	stopReason     string    // shown to operators
 	startedAt      time.Time
+	startInFlight  bool      // the start order is under way, also after a stop was decided
 	percent        int       // of the work, as last reported
 	progressAt     time.Time // when percent last changed
 	availableSince time.Time // since when a long-running task has been available; zero if it is not
--- a/internal/sched/observe.go
+++ b/internal/sched/observe.go
@@ -41,7 +41,7 @@
 func (s *Scheduler) handleNewIncarnation(now time.Time, v *vm, born int64) {
 	startInFlight := false
 	for _, r := range v.runs {
-		if r.phase == starting {
+		if r.startInFlight {
 			startInFlight = true
 			continue
 		}
--- a/internal/sched/replies.go
+++ b/internal/sched/replies.go
@@ -18,7 +18,7 @@
 	if r == nil || r.number != a.Order.Run {
 		return
 	}
-	r.answeredAt = now
+	r.answeredAt, r.startInFlight = now, false
 	switch {
 	case err == nil && refusal == site.Accepted:
 		if r.phase == starting {
