Completed jobs are shown during an outage of the log

Cause: a final state was shown only once the log held it, so jobs that ended during an outage were late for their callers whatever the VMs had done.

--- a/internal/drive/node.go
+++ b/internal/drive/node.go
@@ -59,7 +59,8 @@
 	partitions   map[int]*ownedPartition
 	peers        map[string]*peer.Client
 	vms          map[string]site.VM
-	waves        map[int64]seenWave   // by wave number
+	waves        map[int64]seenWave // by wave number
+	shown        shownJobs
 	queueMovedAt map[string]time.Time // when a queue last changed its pool, by queue name
 
 	assignmentRefresh chan struct{} // holds a pending request to read the partition assignment
@@ -303,6 +304,7 @@
 	peer.Handle(s, yieldKind, func(ctx context.Context, _ string, c *yieldCall) (*yieldReply, error) {
 		return &yieldReply{Yielded: n.yield(ctx, c)}, nil
 	})
+	n.handleShownCalls(s)
 	peer.Handle(s, announceKind, func(_ context.Context, _ string, a *announcement) (*empty, error) {
 		n.handleClaim(a.Partition, a.Owner, "announcement")
 		return &empty{}, nil
--- a/internal/drive/partition.go
+++ b/internal/drive/partition.go
@@ -113,6 +113,8 @@
 	if !part.claim(ctx) {
 		return
 	}
+	part.scheduler.HoldRecovered()
+	go part.collectShown(ctx)
 	close(part.loaded)
 	part.node.announceClaim(part.number, part.scheduler.Epoch)
 	if part.number == fleetPartition {
@@ -295,7 +297,11 @@
 			w.answer(site.Reply{Outcome: site.NoSuchJob})
 			return
 		}
-		w.answer(site.Reply{Outcome: site.OK, State: state.String()})
+		r := site.Reply{Outcome: site.OK, State: state.String()}
+		if !part.logDownSince.IsZero() && part.scheduler.CompletedUnstored(c.ID) {
+			r.State, r.Unstored = jobs.Completed.String(), true
+		}
+		w.answer(r)
 	case site.CountWaiting:
 		w.answer(site.Reply{Outcome: site.OK, Waiting: part.scheduler.Waiting(c.Queue)})
 	}
--- a/internal/drive/syncpeers.go
+++ b/internal/drive/syncpeers.go
@@ -76,6 +76,13 @@
 	delete(s.known, oldest)
 }
 
+// addresses returns the peer addresses of all known entries.
+func (s *syncPeers) addresses() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.known))
+}
+
 // peer returns the state of the entry at an address; s.mu is held.
 func (s *syncPeers) peer(address string) *syncPeer {
 	if s.known == nil {
--- a/internal/sched/fuzz_test.go
+++ b/internal/sched/fuzz_test.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 	"testing"
 	"time"
@@ -43,13 +45,15 @@
 	lastBorn      int              // start of the latest incarnation
 	copies        bool             // the jobs' first steps allow copies, which a warm queue starts readily
 	copyOrders    map[string]int64 // highest run number ordered as a copy, by task
+	shown         map[string]bool  // jobs that were shown as completed before that was stored
+	told          bool             // this owner was told of the jobs in shown
 	copyRuns      int              // runs that started beside another one of their task
 }
 
 func newModel(t *rapid.T, copies bool) *model {
 	m := &model{
 		t: t, now: at(0), copies: copies, copyOrders: map[string]int64{}, vms: map[string]*simVM{}, jobLog: map[string][]byte{}, verify: map[string]bool{},
-		ackedDone: map[string]bool{}, ackedFailures: map[string]int{}, ackedCancels: map[string]bool{}, done: map[string]bool{}, jobs: map[string]*jobs.Job{},
+		ackedDone: map[string]bool{}, ackedFailures: map[string]int{}, ackedCancels: map[string]bool{}, done: map[string]bool{}, jobs: map[string]*jobs.Job{}, shown: map[string]bool{}, told: true,
 	}
 	m.s = m.newScheduler(1)
 	for i := range 3 {
@@ -214,6 +218,9 @@
 	if free := v.freeResources(); free.cpu < 0 || free.mem < 0 {
 		m.t.Fatalf("%s is given more runs than it has room for: %+v", a.VM, free)
 	}
+	if m.shown[a.Task.Job] {
+		m.t.Fatalf("%s is ordered to start after its job was shown as completed", a.Order.Task)
+	}
 	if m.ackedDone[a.Order.Task] {
 		m.t.Fatalf("%s is ordered to start after its completion was acknowledged", a.Order.Task)
 	}
@@ -435,10 +442,56 @@
 		records = append(records, site.Record{Key: k, Value: v})
 	}
 	m.s.Restore(m.now, epoch-1, records)
+	m.s.HoldRecovered()
+	m.told = false
+	if len(m.shown) == 0 {
+		m.tellShown(nil)
+	}
 	m.verify = map[string]bool{}
 	m.sendVMList()
 }
 
+// runJobs runs the tasks of all jobs until most have ended as done, without a flush.
+func (m *model) runJobs(t *rapid.T) {
+	const rounds, deliveries = 4, 6
+	for range rounds {
+		m.decide(t)
+		for range min(len(m.pending), deliveries) {
+			m.deliver(t)
+		}
+		for _, id := range m.vmIDs() {
+			v := m.vms[id]
+			for _, task := range slices.Sorted(maps.Keys(v.running)) {
+				if v.up {
+					m.done[task] = true
+					v.finish(task, site.Done)
+				}
+			}
+		}
+		for range 2 * len(m.vms) {
+			m.poll(t)
+		}
+	}
+}
+
+// show shows jobs as completed that are not stored as such.
+func (m *model) show(*rapid.T) {
+	for id := range m.jobs {
+		if m.s.CompletedUnstored(id) {
+			m.shown[id] = true
+		}
+	}
+}
+
+// tellShown passes the shown jobs to a new owner.
+func (m *model) tellShown(*rapid.T) {
+	if m.told {
+		return
+	}
+	m.told = true
+	m.s.CompleteShown(m.now, slices.Sorted(maps.Keys(m.shown)))
+}
+
 // handOver replaces the owner after a handover. Orders of the previous one may be carried out,
 // and its polls answered, before and after its last flush, which may be refused.
 func (m *model) handOver(t *rapid.T) {
@@ -525,6 +578,21 @@
 	}
 }
 
+// TestSchedulerInvariantsShownJobs runs random histories in which the log refuses most flushes, owners show
+// jobs as completed that are not stored as such, and VMs that hold the only record of the ends crash.
+func TestSchedulerInvariantsShownJobs(t *testing.T) {
+	shown := 0
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t, false)
+		actions := m.actions()
+		actions["show"], actions["show2"], actions["tell"], actions["round"], actions["round2"] = m.show, m.show, m.tellShown, m.round, m.round
+		actions["run"], actions["run2"], actions["crash2"] = m.runJobs, m.runJobs, m.crash
+		t.Repeat(actions)
+		shown += len(m.shown)
+	})
+	assert.Assert(t, shown > 0, "the histories show no job that is not stored as completed")
+}
+
 // checkUsage checks that the usage of each account is what its runs reserve.
 func (m *model) checkUsage(t *rapid.T) {
 	used := map[string]site.Resources{}
--- a/internal/sched/handover.go
+++ b/internal/sched/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -50,6 +51,9 @@
 // the size limit, it returns a tombstone and an error; the next owner then waits for all
 // unverified VMs.
 func (s *Scheduler) handoverRecord(now time.Time) (site.Record, error) {
+	if s.recoveredHeld {
+		return site.Record{Key: handoverKey}, errors.New("handover record: the jobs that an earlier owner has shown as completed are not known yet")
+	}
 	h := handover{Epoch: s.Epoch, Tasks: map[string][]string{}, Unknown: s.unknownVMs()}
 	for id, v := range s.vms {
 		for name := range v.runs {
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -207,7 +207,7 @@
 	if t.done || len(t.runs) > 0 || now.Before(t.readyAt) {
 		return false
 	}
-	return !t.unverified || !s.mayBeRunning(t)
+	return !t.unverified || (!s.recoveredHeld && !s.mayBeRunning(t))
 }
 
 // startOn starts a task on a candidate and allocates its resources.
--- /dev/null
+++ b/internal/sched/shown.go
@@ -0,0 +1,31 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/greengagelane/greengagelane/pkg/jobs"
+)
+
+// CompletedUnstored reports whether all tasks of a stored job have ended as done, and the job log does not
+// hold that yet. While the log does not answer, callers may be shown the job as completed once another entry
+// knows: the next owner asks the other entries for such jobs. Without them it would learn the ends from the
+// VMs, which still list them, and start again the tasks of a VM that is lost by then.
+func (s *Scheduler) CompletedUnstored(id string) bool {
+	j := s.jobs[id]
+	return j != nil && j.stored && j.state == jobs.Completed && !j.storedState.Final()
+}
+
+// HoldRecovered holds the tasks of an earlier owner's jobs back until CompleteShown is called, unless that
+// owner has handed its jobs over.
+func (s *Scheduler) HoldRecovered() { s.recoveredHeld = s.inherited == nil }
+
+// CompleteShown completes the jobs that an earlier owner has shown as completed without storing that, and
+// ends the hold of HoldRecovered.
+func (s *Scheduler) CompleteShown(now time.Time, ids []string) {
+	s.recoveredHeld = false
+	for _, id := range ids {
+		if j := s.jobs[id]; j != nil && !j.state.Final() {
+			s.finalize(now, j, jobs.Completed)
+		}
+	}
+}
--- a/pkg/site/call.go
+++ b/pkg/site/call.go
@@ -43,9 +43,10 @@
 
 // Reply is the answer to a caller's job request.
 type Reply struct {
-	Outcome Outcome
-	State   string // state of the job, for ShowJob
-	Waiting int    // number of jobs in the queue that have not started, for CountWaiting
-	RetryMS int64  // delay before the caller should retry, for Refused
-	Reason  string // why the outcome is not OK; may be empty
+	Outcome  Outcome
+	State    string // state of the job, for ShowJob
+	Unstored bool   // the job log does not hold State yet; an entry other than the owner has to take note before the caller sees it
+	Waiting  int    // number of jobs in the queue that have not started, for CountWaiting
+	RetryMS  int64  // delay before the caller should retry, for Refused
+	Reason   string // why the outcome is not OK; may be empty
 }
