Submissions wait out an outage of the log while their jobs can be in time

Cause: from 250 ms into an outage of the log each new job was refused with Retry-After 1 or 2 s. Callers came back too late for their objectives although the log was back within their patience.

--- a/internal/drive/flush.go
+++ b/internal/drive/flush.go
@@ -129,13 +129,29 @@
 	part.flushing, part.nextSequence, part.nextAppendAt = false, seq, now.Add(appendBackoff)
 	part.pendingRecords = append(control, part.pendingRecords...)
 	part.scheduler.FlushRefused(f)
+	part.refuseHeld(now)
+}
+
+// logDown reports whether appends have failed for so long that new jobs are held only while they
+// may be in time.
+func (part *ownedPartition) logDown(now time.Time) bool {
+	return !part.logDownSince.IsZero() && now.Sub(part.logDownSince) > refuseJobsAfter
+}
+
+// refuseHeld refuses the submissions that wait for the log to answer again and whose jobs could not meet their
+// objective any more.
+func (part *ownedPartition) refuseHeld(now time.Time) {
+	if !part.logDown(now) {
+		return
+	}
 	for id, list := range part.waiters {
-		if !list[0].isCancel && part.scheduler.Withdraw(id) {
-			for _, w := range list {
-				w.answer(part.logDownReply(now))
-			}
-			delete(part.waiters, id)
+		if list[0].isCancel || part.scheduler.MayBeInTime(now, list[0].job) || !part.scheduler.Withdraw(id) {
+			continue
+		}
+		for _, w := range list {
+			w.answer(part.logDownReply(now))
 		}
+		delete(part.waiters, id)
 	}
 }
 
--- a/internal/drive/partition.go
+++ b/internal/drive/partition.go
@@ -70,7 +70,8 @@
 // waiter is a request whose reply waits for an append to the job log.
 type waiter struct {
 	id       string
-	isCancel bool // a cancellation waits until the job's final state is stored, a submission until the job is stored
+	job      *jobs.Job // of a submission
+	isCancel bool      // a cancellation waits until the job's final state is stored, a submission until the job is stored
 	reply    chan site.Reply
 }
 
@@ -166,6 +167,7 @@
 			part.execute(ctx, now, a)
 		}
 	}
+	part.refuseHeld(now)
 	part.syncSessions(ctx)
 	stats := part.scheduler.Stats()
 	countRuns(part.lastStats, stats)
@@ -235,7 +237,7 @@
 	if !part.isLoaded() {
 		return site.Reply{Outcome: site.NotOwner, Reason: "the partition is being taken over"}
 	}
-	w := &waiter{id: c.ID, isCancel: c.Kind == site.CancelJob, reply: make(chan site.Reply, 1)}
+	w := &waiter{id: c.ID, job: c.Job, isCancel: c.Kind == site.CancelJob, reply: make(chan site.Reply, 1)}
 	part.post(func(now time.Time) { part.handle(now, c, w) })
 	select {
 	case r := <-w.reply:
@@ -314,7 +316,7 @@
 		w.answer(site.Reply{Outcome: site.BadRequest, Reason: "the job is missing or invalid"})
 		return
 	}
-	if !part.logDownSince.IsZero() && now.Sub(part.logDownSince) > refuseJobsAfter && !part.scheduler.Known(j.ID) {
+	if part.logDown(now) && !part.scheduler.Known(j.ID) && !part.scheduler.MayBeInTime(now, j) {
 		w.answer(part.logDownReply(now))
 		return
 	}
--- a/internal/sched/overload_test.go
+++ b/internal/sched/overload_test.go
@@ -280,3 +280,26 @@
 	j := testJob("00000000000000a2", jobs.Step{Count: 1, CPU: 1000, EstimateMS: 1000})
 	assert.Assert(t, r.s.Submit(at(30), j).Accepted)
 }
+
+// TestMayBeInTime guards against submissions that are held during an outage of the log although their jobs
+// cannot meet their objective any more, and against a retry that counts as a new job.
+func TestMayBeInTime(t *testing.T) {
+	s := New(1, testPolicy(), quietLog())
+	job := testJob("00000000000000a1", jobs.Step{Count: 1, CPU: 1000, EstimateMS: 1000})
+	job.Stretch, job.TargetMS, job.SubmittedMS = 1.5, 600, at(0).UnixMilli() // objective 2.1 s, so it may wait for 1.1 s
+	s.Submit(at(0), job)
+	s.Withdraw(job.ID)
+	tests := []struct {
+		after time.Duration
+		want  bool
+	}{
+		{0, true},
+		{time.Second, true},
+		{1200 * time.Millisecond, false},
+	}
+	for _, tt := range tests {
+		retry := *job
+		retry.SubmittedMS = at(0).Add(tt.after).UnixMilli()
+		assert.Equal(t, s.MayBeInTime(at(0).Add(tt.after), &retry), tt.want, "after %s", tt.after)
+	}
+}
--- a/internal/sched/submit.go
+++ b/internal/sched/submit.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/greengagelane/greengagelane/internal/shed"
 	"github.com/greengagelane/greengagelane/pkg/jobs"
 )
 
@@ -111,6 +112,15 @@
 	return j != nil && j.stored
 }
 
+// MayBeInTime reports whether a job that is not stored yet could still meet its latency objective if it began
+// now.
+func (s *Scheduler) MayBeInTime(now time.Time, j *jobs.Job) bool {
+	if first, known := s.offeredAt[j.ID]; known {
+		j.SubmittedMS = min(j.SubmittedMS, first.at.UnixMilli())
+	}
+	return s.class(now, newJob(j)) == shed.InTime
+}
+
 // Withdraw drops a job that is neither stored nor in a flush, and reports whether it did.
 func (s *Scheduler) Withdraw(id string) bool {
 	j := s.jobs[id]
