Calls to the log are repeated as soon as one is answered after an outage

Cause: after a silent outage each append and join waited for its own timeout, which had grown to 1.5 s: the log was back at second 17.5, the busy partitions stored again at 18.97, and the first entry joined the group at 19.0.

Change: the first answer that an entry gets after an outage interrupts its other calls, which are sent again at once. An interrupted call is no sample of the response time.

--- a/internal/drive/flush.go
+++ b/internal/drive/flush.go
@@ -92,7 +92,12 @@
 // repeated is set if an earlier attempt may have been carried out.
 func (part *ownedPartition) tryAppend(ctx context.Context, a *site.Append, repeated bool) error {
 	began := time.Now()
-	err := part.store.AppendJobs(ctx, a, part.appendTimeout.Timeout())
+	callCtx, cancel := part.node.logRestored.callContext(ctx)
+	defer cancel()
+	err := part.store.AppendJobs(callCtx, a, part.appendTimeout.Timeout())
+	if callCtx.Err() != nil {
+		return err
+	}
 	recordAttempt(part.appendTimeout, began, repeated, err)
 	return err
 }
--- a/internal/drive/member.go
+++ b/internal/drive/member.go
@@ -32,8 +32,9 @@
 	lostAt time.Time // zero while the dependency answers
 }
 
-// recordResult records the result of a call to the dependency and logs a change.
-func (d *dependency) recordResult(err error) {
+// recordResult records the result of a call to the dependency and logs a change. It reports whether the
+// dependency answers again after it did not.
+func (d *dependency) recordResult(err error) (restored bool) {
 	switch {
 	case err != nil && d.lostAt.IsZero():
 		d.lostAt = time.Now()
@@ -41,7 +42,9 @@
 	case err == nil && !d.lostAt.IsZero():
 		logrus.WithFields(logrus.Fields{"dependency": d.name, "after-ms": time.Since(d.lostAt).Milliseconds()}).Info("dependency answers again")
 		d.lostAt = time.Time{}
+		return true
 	}
+	return false
 }
 
 // runMembership keeps this entry in the group that the partitions are assigned to until the
@@ -71,12 +74,20 @@
 			continue
 		}
 		began := time.Now()
-		share, err := log.Join(ctx, m, timeout.Timeout())
+		joinCtx, cancel := n.logRestored.callContext(ctx)
+		share, err := log.Join(joinCtx, m, timeout.Timeout())
+		interrupted := joinCtx.Err() != nil
+		cancel()
 		if ctx.Err() != nil {
 			break
 		}
+		if interrupted && err != nil {
+			continue
+		}
 		recordAttempt(timeout, began, false, err)
-		dep.recordResult(err)
+		if dep.recordResult(err) {
+			n.logRestored.announce()
+		}
 		releaseBegan := false
 		if err == nil {
 			m.Generation = share.Generation
@@ -195,8 +206,12 @@
 		case <-ctx.Done():
 			return
 		}
-		members, err := log.Owners(ctx)
-		dep.recordResult(err)
+		callCtx, cancel := n.logRestored.callContext(ctx)
+		members, err := log.Owners(callCtx)
+		cancel()
+		if dep.recordResult(err) {
+			n.logRestored.announce()
+		}
 		if err == nil {
 			n.owners.setAssignment(time.Now(), members, n.settings.Log.Partitions)
 		}
@@ -220,7 +235,9 @@
 		if ctx.Err() != nil {
 			return
 		}
-		dep.recordResult(err)
+		if dep.recordResult(err) {
+			n.logRestored.announce()
+		}
 		n.logRejects.Store(err != nil)
 		if err != nil {
 			sleep(ctx, watchBackoff)
@@ -258,8 +275,12 @@
 			sleep(ctx, joinInterval)
 			continue
 		}
-		changes, snapshot, err := w.Next(ctx)
-		dep.recordResult(err)
+		callCtx, cancel := n.logRestored.callContext(ctx)
+		changes, snapshot, err := w.Next(callCtx)
+		cancel()
+		if dep.recordResult(err) {
+			n.logRestored.announce()
+		}
 		if err == nil {
 			n.applyVMChanges(changes, snapshot)
 		}
--- a/internal/drive/node.go
+++ b/internal/drive/node.go
@@ -61,6 +61,7 @@
 	vms          map[string]site.VM
 	waves        map[int64]seenWave // by wave number
 	shown        shownJobs
+	logRestored  restoration
 	queueMovedAt map[string]time.Time // when a queue last changed its pool, by queue name
 
 	assignmentRefresh chan struct{} // holds a pending request to read the partition assignment
