sched: new jobs stay out of flushes while the log does not answer

Cause: a flush that the log refuses returns to the scheduler and is tried again with all held jobs in it.

Change: while appends fail, a flush takes new jobs only if it would have no other record, and then one.

--- a/internal/drive/flush.go
+++ b/internal/drive/flush.go
@@ -25,6 +25,7 @@
 // flush starts an append of the pending records and the changed jobs, the latter up to the log's
 // size limit for one call.
 func (part *ownedPartition) flush(now time.Time) {
+	part.scheduler.HoldNewJobs(!part.logDownSince.IsZero())
 	f, err := part.scheduler.Flush(now, part.node.settings.Log.CallBytes)
 	if err != nil {
 		part.log.WithError(err).Error("cannot encode changed jobs")
--- a/internal/sched/flush.go
+++ b/internal/sched/flush.go
@@ -42,34 +42,28 @@
 func (s *Scheduler) Flush(now time.Time, maxBytes int) (*Flush, error) {
 	f := &Flush{Records: s.dropFinalJobs(now), states: map[string]jobs.State{}}
 	size, deferred := 0, 0
-	for id, j := range s.jobs {
-		if !j.dirty {
+	var held *job
+	for _, j := range s.jobs {
+		switch {
+		case !j.dirty:
 			continue
-		}
-		if size > maxBytes/2 { // the other half is for the last job added, the VM list and the handover record
+		case !j.stored && s.newJobsHeld:
+			held = j
+			continue
+		case size > maxBytes/2: // the other half is for the last job added, the VM list and the handover record
 			deferred++
 			continue
 		}
-		if !j.stored {
-			data, err := jobs.Encode(j.Job)
-			if err != nil {
-				return nil, err
-			}
-			f.Records = append(f.Records, site.Record{Key: jobKeyPrefix + id, Value: data})
-			f.addedJobs = append(f.addedJobs, id)
-			size += len(data)
-			j.flushing = true
-		}
-		if j.stored || j.began || j.state.Final() {
-			data, err := jobs.Encode(j.progress())
-			if err != nil {
-				return nil, err
-			}
-			f.Records = append(f.Records, site.Record{Key: progressKeyPrefix + id, Value: data})
-			size += len(data)
-		}
-		f.states[id] = j.state
-		j.dirty = false
+		n, err := f.addJob(j)
+		if err != nil {
+			return nil, err
+		}
+		size += n
+	}
+	if held != nil && len(f.Records) == 0 {
+		if _, err := f.addJob(held); err != nil {
+			return nil, err
+		}
 	}
 	if s.recordedVMsDirty {
 		data, err := s.encodeRecordedVMs()
@@ -104,6 +98,35 @@
 	return f, nil
 }
 
+// addJob adds the records of a job and returns their size in bytes.
+func (f *Flush) addJob(j *job) (size int, err error) {
+	if !j.stored {
+		data, err := jobs.Encode(j.Job)
+		if err != nil {
+			return 0, err
+		}
+		f.Records = append(f.Records, site.Record{Key: jobKeyPrefix + j.ID, Value: data})
+		f.addedJobs = append(f.addedJobs, j.ID)
+		size += len(data)
+		j.flushing = true
+	}
+	if j.stored || j.began || j.state.Final() {
+		data, err := jobs.Encode(j.progress())
+		if err != nil {
+			return 0, err
+		}
+		f.Records = append(f.Records, site.Record{Key: progressKeyPrefix + j.ID, Value: data})
+		size += len(data)
+	}
+	f.states[j.ID] = j.state
+	j.dirty = false
+	return size, nil
+}
+
+// HoldNewJobs keeps new jobs out of flushes, except for one where a flush would have no other record. While
+// the log does not answer, a job in a flush cannot be withdrawn, so its caller would get no answer in time.
+func (s *Scheduler) HoldNewJobs(hold bool) { s.newJobsHeld = hold }
+
 func (s *Scheduler) encodeRecordedVMs() ([]byte, error) {
 	var list []recordedVM
 	for id := range s.recordedVMs {
--- a/internal/sched/overload_test.go
+++ b/internal/sched/overload_test.go
@@ -303,3 +303,42 @@
 		assert.Equal(t, s.MayBeInTime(at(0).Add(tt.after), &retry), tt.want, "after %s", tt.after)
 	}
 }
+
+// TestHeldJobsCanBeWithdrawn guards against callers without an answer: while the log does not answer, all
+// new jobs but one stay out of flushes, so that they can be refused.
+func TestHeldJobsCanBeWithdrawn(t *testing.T) {
+	tests := []struct {
+		name          string
+		hold          bool
+		progress      bool // of a stored job waits for the flush
+		wantWithdrawn int  // of three new jobs
+	}{
+		{"log answers", false, false, 0},
+		{"log down", true, false, 2},
+		{"log down, progress to store", true, true, 3},
+	}
+	for _, tt := range tests {
+		s := New(1, testPolicy(), quietLog())
+		if tt.progress {
+			s.Submit(at(0), testJob("00000000000000b1", jobs.Step{Count: 1, CPU: 1000, EstimateMS: 1000}))
+			f, err := s.Flush(at(0), 1<<20)
+			assert.NilError(t, err)
+			s.Flushed(f)
+			s.Cancel(at(0), "00000000000000b1")
+		}
+		s.HoldNewJobs(tt.hold)
+		ids := []string{"00000000000000a1", "00000000000000a2", "00000000000000a3"}
+		for _, id := range ids {
+			s.Submit(at(0), testJob(id, jobs.Step{Count: 1, CPU: 1000, EstimateMS: 1000}))
+		}
+		_, err := s.Flush(at(0), 1<<20)
+		assert.NilError(t, err)
+		withdrawn := 0
+		for _, id := range ids {
+			if s.Withdraw(id) {
+				withdrawn++
+			}
+		}
+		assert.Equal(t, withdrawn, tt.wantWithdrawn, tt.name)
+	}
+}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -41,6 +41,7 @@
 	quotas           quotas
 	actions          []Action
 	fenced           bool
+	newJobsHeld      bool           // see HoldNewJobs
 	recoveredHeld    bool           // tasks of an earlier owner's jobs are not started; see HoldRecovered
 	retired          bool           // makes no more scheduling decisions; see Retire
 	handedOver       bool           // the handover record is stored
