moves: the summary of a pool counts empty machines that are in service only

The line "pool" showed up to 18 empty machines for a pool of 3: the owner's report still has VMs whose machines have left. TestSummaryCountsMachinesInService failed before.

--- a/internal/moves/summary.go
+++ b/internal/moves/summary.go
@@ -24,6 +24,7 @@
 // Summary returns the summaries of all pools, sorted by name.
 func (p *Planner) Summary(v *View) []Summary {
 	byPool := map[string]*Summary{}
+	empty := map[string]bool{} // by VM
 	var list []*Summary
 	for _, pool := range v.Pools {
 		s := &Summary{Pool: pool.Name}
@@ -33,9 +34,7 @@
 				s.Wanted, s.Expected, s.Chance = n.firm, n.expected, n.forecast.Chance
 			}
 			for i := range r.VMs {
-				if r.VMs[i].Runs == 0 && r.VMs[i].Known {
-					s.Empty++
-				}
+				empty[r.VMs[i].ID] = r.VMs[i].Runs == 0 && r.VMs[i].Known
 			}
 		}
 		byPool[pool.Name] = s
@@ -51,6 +50,9 @@
 			s.Incoming++
 		} else if s != nil {
 			s.Machines++
+			if empty[m.VM] {
+				s.Empty++
+			}
 		}
 	}
 	sort.Slice(list, func(i, k int) bool { return list[i].Pool < list[k].Pool })
