moves: a machine leaves once the ends of its runs are stored

Cause, by reading: the planner took a machine without runs for empty although its VM's ends were known to the owner of its pool only. If that owner is cut off from the log and replaced, the VM has gone with its list of ends, and the next owner starts the tasks again.

--- a/internal/moves/moves.go
+++ b/internal/moves/moves.go
@@ -291,12 +291,14 @@
 }
 
 // isEmpty reports whether nothing runs on a machine and no run can start there. This holds
-// for machines of the spare pool, which get no runs, and for those that are not up.
+// for machines of the spare pool, which get no runs, and for those that are not up. A machine whose VM
+// has reported ends of runs that are not stored is not empty: if its owner were lost before it has stored them, the
+// next owner would start the tasks again.
 func (p *Planner) isEmpty(st *state, m *machine) bool {
 	if st.pools[m.Pool].Spare || m.State != site.Up {
 		return true
 	}
-	return m.report != nil && m.report.Known && m.report.Runs == 0 && m.report.Cordoned
+	return m.report != nil && m.report.Known && m.report.Runs == 0 && !m.report.Unstored && m.report.Cordoned
 }
 
 // HandleReply handles the reply to an order, or the error of the call.
--- a/internal/moves/moves_test.go
+++ b/internal/moves/moves_test.go
@@ -346,3 +346,19 @@
 	assert.Equal(t, len(p.Plan(at(2000), &f.view)), 0, "ordered although the inventory was read before the order")
 	assert.DeepEqual(t, f.plan(p, 2250, 3000), []Order{{Kind: Move, Machine: "spare0", Pool: "a"}})
 }
+
+// TestMachineWithUnstoredEndsIsNotMoved guards against a machine that leaves before the owner of its pool has
+// stored the ends of its runs: they are lost with its VM, and if the owner is lost too, the tasks start again.
+func TestMachineWithUnstoredEndsIsNotMoved(t *testing.T) {
+	f, p := newFleet(map[string]int{"a": 1, "b": 3}), newPlanner()
+	f.view.Reports["a"].Rate = 16
+	f.view.Reports["b"].Used = 6
+	f.setRuns("vm-b0", 3, 0)
+	f.setRuns("vm-b2", 1, 1)
+	unstored := &f.view.Reports["b"].VMs[1].Unstored
+	*unstored = true
+	assert.Equal(t, len(f.plan(p, 0, 500)), 0, "a move was ordered before the ends are stored")
+	assert.DeepEqual(t, p.Cordons(&f.view, "b"), []string{"vm-b1"})
+	*unstored = false
+	assert.DeepEqual(t, f.plan(p, 750, 1000), []Order{{Kind: Move, Machine: "b1", Pool: "a"}})
+}
