--- a/internal/drive/flush.go
+++ b/internal/drive/flush.go
@@ -124,7 +124,7 @@
 func (part *ownedPartition) markLogDown(now time.Time) {
 	if part.logDownSince.IsZero() {
 		part.logDownSince = now
-		part.log.Warn("appends to the job log fail; refusing new jobs until one succeeds")
+		part.log.Warn("appends to the job log fail; new jobs wait or are refused until one succeeds")
 	}
 }
 
--- a/internal/drive/member.go
+++ b/internal/drive/member.go
@@ -47,6 +47,14 @@
 	return false
 }
 
+// recordLogResult records the result of a call to the log. The first answer after an outage interrupts the other
+// calls to the log.
+func (n *Node) recordLogResult(d *dependency, err error) {
+	if d.recordResult(err) {
+		n.logRestored.announce()
+	}
+}
+
 // runMembership keeps this entry in the group that the partitions are assigned to until the
 // context ends, then leaves the group and hands its partitions over.
 func (n *Node) runMembership(ctx context.Context, done chan struct{}) {
@@ -85,9 +93,7 @@
 			continue
 		}
 		recordAttempt(timeout, began, false, err)
-		if dep.recordResult(err) {
-			n.logRestored.announce()
-		}
+		n.recordLogResult(dep, err)
 		releaseBegan := false
 		if err == nil {
 			m.Generation = share.Generation
@@ -209,9 +215,7 @@
 		callCtx, cancel := n.logRestored.callContext(ctx)
 		members, err := log.Owners(callCtx)
 		cancel()
-		if dep.recordResult(err) {
-			n.logRestored.announce()
-		}
+		n.recordLogResult(dep, err)
 		if err == nil {
 			n.owners.setAssignment(time.Now(), members, n.settings.Log.Partitions)
 		}
@@ -235,9 +239,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if dep.recordResult(err) {
-			n.logRestored.announce()
-		}
+		n.recordLogResult(dep, err)
 		n.logRejects.Store(err != nil)
 		if err != nil {
 			sleep(ctx, watchBackoff)
@@ -278,9 +280,7 @@
 		callCtx, cancel := n.logRestored.callContext(ctx)
 		changes, snapshot, err := w.Next(callCtx)
 		cancel()
-		if dep.recordResult(err) {
-			n.logRestored.announce()
-		}
+		n.recordLogResult(dep, err)
 		if err == nil {
 			n.applyVMChanges(changes, snapshot)
 		}
--- a/internal/drive/session.go
+++ b/internal/drive/session.go
@@ -170,21 +170,21 @@
 	began := time.Now()
 	var refusal site.Refusal
 	var err error
-	attempt := 1
-	for repeat := true; repeat; attempt++ {
+	attempts := 0
+	for repeat := true; repeat && ctx.Err() == nil; {
+		attempts++
 		sentAt := time.Now()
 		refusal, err = s.sendOnce(ctx, link, a, s.calls.Timeout(sentAt.Sub(began)))
-		repeat = s.recordCall(err, time.Since(sentAt), attempt, time.Since(began)) && ctx.Err() == nil
+		repeat = s.recordCall(err, time.Since(sentAt), attempts, time.Since(began))
 	}
 	orderDuration.UpdateDuration(began)
 	if ctx.Err() != nil {
 		return
 	}
-	repeated := attempt > 2
 	s.part.post(func(now time.Time) {
 		switch a := a.(type) {
 		case sched.StartRun:
-			a.Repeated = repeated
+			a.Repeated = attempts > 1
 			s.part.scheduler.HandleStart(now, &a, refusal, err)
 		case sched.StopRun:
 			s.part.scheduler.HandleStop(now, &a, refusal, err)
@@ -208,13 +208,13 @@
 }
 
 // recordCall records the outcome of an attempt at a call and reports whether to repeat the call at once.
-// response is the response time of an answered attempt, took the time of all attempts so far.
-func (s *vmSession) recordCall(err error, response time.Duration, attempt int, took time.Duration) (repeat bool) {
+// response is the response time of an answered attempt, attempts and took are the number and the time of all attempts so far.
+func (s *vmSession) recordCall(err error, response time.Duration, attempts int, took time.Duration) (repeat bool) {
 	switch {
 	case err == nil:
-		s.calls.RecordAnswer(response, attempt > 1)
+		s.calls.RecordAnswer(response, attempts > 1)
 	case site.IsUnanswered(err) && !errors.Is(err, site.ErrOtherIncarnation):
-		return s.calls.RecordSilence(attempt, took)
+		return s.calls.RecordSilence(attempts, took)
 	}
 	return false
 }
--- a/internal/vmcall/vmcall.go
+++ b/internal/vmcall/vmcall.go
@@ -111,13 +111,13 @@
 }
 
 // RecordSilence records a call that was not answered in time, and reports whether to repeat it at
-// once. attempt is the number of attempts so far and took their time. One lost call says nothing about the
+// once. attempts is the number of attempts so far and took their time. One lost call says nothing about the
 // response time, so the timeout grows from the second one in a row.
-func (v *VM) RecordSilence(attempt int, took time.Duration) bool {
+func (v *VM) RecordSilence(attempts int, took time.Duration) bool {
 	g := v.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if attempt > 1 {
+	if attempts > 1 {
 		v.response.RecordTimeout()
 	}
 	if g.earned < 1 {
