drive: a job that is noted stays noted when there is no room, and comments say that submissions may wait

A repeated request for a shown job went through all notes, and failed once there were 10,000 of them. TestShownJobsAreBounded failed before.

--- a/internal/drive/flush.go
+++ b/internal/drive/flush.go
@@ -12,7 +12,7 @@
 
 const (
 	requeueAfter    = 250 * time.Millisecond // a flush returns to the scheduler after the log has refused to store it for this long
-	refuseJobsAfter = 250 * time.Millisecond // after appends have failed for this long, new jobs are refused at once
+	refuseJobsAfter = 250 * time.Millisecond // after appends have failed for this long, new jobs that cannot be in time any more are refused at once
 	shortOutage     = time.Second            // in a log outage of up to this length, refused callers are told to retry after 1 s, in a longer one after 2 s
 )
 
@@ -129,7 +129,7 @@
 }
 
 // requeueFlush returns a flush to the scheduler after the log has stored nothing of it, and
-// refuses the new jobs in it.
+// refuses the new jobs that cannot be in time any more.
 func (part *ownedPartition) requeueFlush(now time.Time, f *sched.Flush, control []controlRecord, seq int64) {
 	part.markLogDown(now)
 	part.flushing, part.nextSequence, part.nextAppendAt = false, seq, now.Add(appendBackoff)
--- a/internal/drive/partition.go
+++ b/internal/drive/partition.go
@@ -309,8 +309,8 @@
 	}
 }
 
-// submit passes a job to the scheduler. An accepted request waits until the job is stored; during
-// a log outage new jobs are refused at once.
+// submit passes a job to the scheduler. An accepted request waits until the job is stored. During a
+// log outage a new job is refused at once if it could not be in time even if it began now.
 func (part *ownedPartition) submit(now time.Time, j *jobs.Job, w *waiter) {
 	if j == nil || j.Check() != nil {
 		w.answer(site.Reply{Outcome: site.BadRequest, Reason: "the job is missing or invalid"})
--- a/internal/drive/shown.go
+++ b/internal/drive/shown.go
@@ -30,10 +30,13 @@
 	byPartition map[int]map[string]time.Time // when they were shown, by job identifier
 }
 
-// record takes note of a job and reports whether there was room.
+// record takes note of a job and reports whether it is noted, which fails only for want of room.
 func (s *shownJobs) record(now time.Time, partition int, id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if at, noted := s.byPartition[partition][id]; noted && now.Sub(at) <= shownRetention/2 {
+		return true // callers ask again and again
+	}
 	n := 0
 	for _, ids := range s.byPartition {
 		maps.DeleteFunc(ids, func(_ string, at time.Time) bool { return now.Sub(at) > shownRetention })
--- a/internal/drive/shown_test.go
+++ b/internal/drive/shown_test.go
@@ -1,7 +1,9 @@
 package drive
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -41,6 +43,21 @@
 	}
 }
 
+// TestShownJobsAreBounded guards against notes without limit, against a job that is shown without a note, and
+// against notes that are lost before the next owner asks.
+func TestShownJobsAreBounded(t *testing.T) {
+	var s shownJobs
+	now := time.Now()
+	for i := range maxShownJobs {
+		assert.Assert(t, s.record(now, i%4, fmt.Sprintf("%016x", i)))
+	}
+	assert.Assert(t, !s.record(now, 0, "ffffffffffffffff"), "a job beyond the limit was noted")
+	assert.Assert(t, s.record(now, 0, fmt.Sprintf("%016x", 0)), "a noted job was forgotten")
+	assert.Equal(t, len(s.list(0)), maxShownJobs/4)
+	assert.Assert(t, s.record(now.Add(shownRetention+time.Second), 0, "ffffffffffffffff"))
+	assert.DeepEqual(t, s.list(0), []string{"ffffffffffffffff"})
+}
+
 // TestCompletedJobNeedsWitness guards against a job that is shown as completed while no other entry knows.
 func TestCompletedJobNeedsWitness(t *testing.T) {
 	c := newCluster(t, 1, map[string]int{"alpha": 2})
