drive: held submissions are refused while the refusal still reaches the caller

A submission was held until the time for its reply was over; the refusal then came after the asking entry's timeout if the partition's round took longer than 30 ms, and the entry had to take the submission for possibly carried out. It is now held for three quarters of that time.

--- a/internal/drive/flush.go
+++ b/internal/drive/flush.go
@@ -13,6 +13,7 @@
 const (
 	requeueAfter    = 250 * time.Millisecond // a flush returns to the scheduler after the log has refused to store it for this long
 	refuseJobsAfter = 250 * time.Millisecond // after appends have failed for this long, new jobs that cannot be in time any more are refused at once
+	heldShare       = 0.75                   // of the time left for the reply, for which a submission is held; a refusal after it still reaches the entry that asked
 	shortOutage     = time.Second            // in a log outage of up to this length, refused callers are told to retry after 1 s, in a longer one after 2 s
 )
 
@@ -144,14 +145,14 @@
 	return !part.logDownSince.IsZero() && now.Sub(part.logDownSince) > refuseJobsAfter
 }
 
-// refuseHeld refuses the submissions that wait for the log to answer again and whose jobs could not meet their
-// objective any more.
+// refuseHeld refuses the submissions that have waited long enough for the log to answer again, and those whose
+// jobs could not meet their objective any more.
 func (part *ownedPartition) refuseHeld(now time.Time) {
 	if !part.logDown(now) {
 		return
 	}
 	for id, list := range part.waiters {
-		if list[0].isCancel || part.scheduler.MayBeInTime(now, list[0].job) || !part.scheduler.Withdraw(id) {
+		if list[0].isCancel || (now.Before(list[0].heldTo) && part.scheduler.MayBeInTime(now, list[0].job)) || !part.scheduler.Withdraw(id) {
 			continue
 		}
 		for _, w := range list {
--- a/internal/drive/partition.go
+++ b/internal/drive/partition.go
@@ -71,6 +71,7 @@
 type waiter struct {
 	id       string
 	job      *jobs.Job // of a submission
+	heldTo   time.Time // until which a submission waits for a log that does not answer
 	isCancel bool      // a cancellation waits until the job's final state is stored, a submission until the job is stored
 	reply    chan site.Reply
 }
@@ -238,7 +239,10 @@
 		return site.Reply{Outcome: site.NotOwner, Reason: "the partition is being taken over"}
 	}
 	w := &waiter{id: c.ID, job: c.Job, isCancel: c.Kind == site.CancelJob, reply: make(chan site.Reply, 1)}
-	part.post(func(now time.Time) { part.handle(now, c, w) })
+	part.post(func(now time.Time) {
+		w.heldTo = now.Add(time.Duration(heldShare * float64(c.WaitMS) * float64(time.Millisecond)))
+		part.handle(now, c, w)
+	})
 	select {
 	case r := <-w.reply:
 		return r
