drive: the latest start of a held submission is computed once

Cause, by reading: during an outage each round classified all waiting submissions, some hundred rounds a second on an entry with a fifth of a core.

Change: a waiting submission keeps the time until which it is held.

--- a/internal/drive/flush.go
+++ b/internal/drive/flush.go
@@ -152,7 +152,14 @@
 		return
 	}
 	for id, list := range part.waiters {
-		if list[0].isCancel || (now.Before(list[0].heldTo) && part.scheduler.MayBeInTime(now, list[0].job)) || !part.scheduler.Withdraw(id) {
+		w := list[0]
+		if !w.isCancel && !w.capped { // once, as each round goes through all waiting submissions
+			w.capped = true
+			if latest := part.scheduler.LatestStart(now, w.job); latest.Before(w.heldTo) {
+				w.heldTo = latest
+			}
+		}
+		if w.isCancel || now.Before(w.heldTo) || !part.scheduler.Withdraw(id) {
 			continue
 		}
 		for _, w := range list {
--- a/internal/drive/partition.go
+++ b/internal/drive/partition.go
@@ -72,6 +72,7 @@
 	id       string
 	job      *jobs.Job // of a submission
 	heldTo   time.Time // until which a submission waits for a log that does not answer
+	capped   bool      // heldTo is no later than the job's latest start
 	isCancel bool      // a cancellation waits until the job's final state is stored, a submission until the job is stored
 	reply    chan site.Reply
 }
--- a/internal/sched/submit.go
+++ b/internal/sched/submit.go
@@ -5,7 +5,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/greengagelane/greengagelane/internal/shed"
 	"github.com/greengagelane/greengagelane/pkg/jobs"
 )
 
@@ -118,7 +117,17 @@
 	if first, known := s.offeredAt[j.ID]; known {
 		j.SubmittedMS = min(j.SubmittedMS, first.at.UnixMilli())
 	}
-	return s.class(now, newJob(j)) == shed.InTime
+	return !now.After(s.LatestStart(now, j))
+}
+
+// LatestStart returns the time until which a job that is not stored yet has to begin to meet its latency
+// objective. A periodic job has no such time; the result is then an hour from now.
+func (s *Scheduler) LatestStart(now time.Time, j *jobs.Job) time.Time {
+	if j.Repeat > 0 {
+		return now.Add(time.Hour)
+	}
+	t := s.timing(newJob(j))
+	return t.LatestStart()
 }
 
 // Withdraw drops a job that is neither stored nor in a flush, and reports whether it did.
