--- a/internal/drive/restored.go
+++ b/internal/drive/restored.go
@@ -5,28 +5,30 @@
 	"sync"
 )
 
-// restoration tells goroutines when the log answers again after an outage. Its zero value is ready for
+// restoration interrupts calls to the log when it answers again after an outage. Its zero value is ready for
 // use.
 type restoration struct {
-	mu   sync.Mutex
-	next chan struct{} // closed at the next restoration; nil if nobody waits
+	mu     sync.Mutex
+	next   context.Context // ends at the next restoration; nil before the first call
+	finish context.CancelFunc
 }
 
-// announce wakes all that wait.
+// announce interrupts the calls under way.
 func (r *restoration) announce() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.next != nil {
-		close(r.next)
+		r.finish()
 		r.next = nil
 	}
 }
 
-func (r *restoration) wait() <-chan struct{} {
+// upcoming returns a context that ends at the next restoration.
+func (r *restoration) upcoming() context.Context {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.next == nil {
-		r.next = make(chan struct{})
+		r.next, r.finish = context.WithCancel(context.Background())
 	}
 	return r.next
 }
@@ -36,13 +38,9 @@
 // of the outage only by its own timeout.
 func (r *restoration) callContext(ctx context.Context) (context.Context, context.CancelFunc) {
 	callCtx, cancel := context.WithCancel(ctx)
-	restored := r.wait()
-	go func() {
-		select {
-		case <-restored:
-			cancel()
-		case <-callCtx.Done():
-		}
-	}()
-	return callCtx, cancel
+	stop := context.AfterFunc(r.upcoming(), cancel)
+	return callCtx, func() {
+		stop()
+		cancel()
+	}
 }
