--- a/internal/drive/flush.go
+++ b/internal/drive/flush.go
@@ -159,16 +159,25 @@
 				w.heldTo = latest
 			}
 		}
-		if w.isCancel || now.Before(w.heldTo) || !part.scheduler.Withdraw(id) {
-			continue
+		if !w.isCancel && !now.Before(w.heldTo) {
+			part.refuseUnstored(now, id)
 		}
-		for _, w := range list {
-			w.answer(part.logDownReply(now))
-		}
-		delete(part.waiters, id)
 	}
 }
 
+// refuseUnstored drops a submitted job that was not sent to the job log and refuses the requests that wait for
+// it. It reports whether it did.
+func (part *ownedPartition) refuseUnstored(now time.Time, id string) bool {
+	if !part.scheduler.Withdraw(id) {
+		return false
+	}
+	for _, w := range part.waiters[id] {
+		w.answer(part.logDownReply(now))
+	}
+	delete(part.waiters, id)
+	return true
+}
+
 // logDownReply returns the reply to a caller whose job cannot be stored.
 func (part *ownedPartition) logDownReply(now time.Time) site.Reply {
 	retryAfter := time.Second
--- a/internal/drive/partition.go
+++ b/internal/drive/partition.go
@@ -10,7 +10,6 @@
 	"github.com/greengagelane/greengagelane/internal/retry"
 	"github.com/greengagelane/greengagelane/internal/sched"
 	"github.com/greengagelane/greengagelane/internal/vmcall"
-	"github.com/greengagelane/greengagelane/pkg/jobs"
 	"github.com/greengagelane/greengagelane/pkg/site"
 	"github.com/greengagelane/greengagelane/platform"
 )
@@ -67,24 +66,6 @@
 	config         *site.Config    // whose accounts the scheduler has; nil before the first
 }
 
-// waiter is a request whose reply waits for an append to the job log.
-type waiter struct {
-	id       string
-	job      *jobs.Job // of a submission
-	heldTo   time.Time // until which a submission waits for a log that does not answer
-	capped   bool      // heldTo is no later than the job's latest start
-	isCancel bool      // a cancellation waits until the job's final state is stored, a submission until the job is stored
-	reply    chan site.Reply
-}
-
-// answer sends the reply unless the request already has one.
-func (w *waiter) answer(r site.Reply) {
-	select {
-	case w.reply <- r:
-	default:
-	}
-}
-
 func newOwnedPartition(ctx context.Context, n *Node, partition int) *ownedPartition {
 	ctx, cancel := context.WithCancel(ctx)
 	part := &ownedPartition{
@@ -116,8 +97,9 @@
 	if !part.claim(ctx) {
 		return
 	}
-	part.scheduler.HoldRecovered()
-	go part.collectShown(ctx)
+	if part.scheduler.HoldRecovered() {
+		go part.collectShown(ctx)
+	}
 	close(part.loaded)
 	part.node.announceClaim(part.number, part.scheduler.Epoch)
 	if part.number == fleetPartition {
@@ -219,139 +201,6 @@
 	part.sessionCount.Store(int64(len(part.sessions)))
 }
 
-// replyStored answers the waiting requests in list, all for one job, whose changes to the job
-// are stored. It reports whether no request in list still waits.
-func (part *ownedPartition) replyStored(id string, list []*waiter) bool {
-	all := true
-	for _, w := range list {
-		switch {
-		case w.isCancel && part.scheduler.FinalStored(id), !w.isCancel && part.scheduler.Stored(id):
-			w.answer(site.Reply{Outcome: site.OK})
-		default:
-			all = false
-		}
-	}
-	return all
-}
-
-// call handles a caller's request.
-func (part *ownedPartition) call(ctx context.Context, c *jobCall) site.Reply {
-	if !part.isLoaded() {
-		return site.Reply{Outcome: site.NotOwner, Reason: "the partition is being taken over"}
-	}
-	w := &waiter{id: c.ID, job: c.Job, isCancel: c.Kind == site.CancelJob, reply: make(chan site.Reply, 1)}
-	part.post(func(now time.Time) {
-		w.heldTo = now.Add(time.Duration(heldShare * float64(c.WaitMS) * float64(time.Millisecond)))
-		part.handle(now, c, w)
-	})
-	select {
-	case r := <-w.reply:
-		return r
-	case <-part.done:
-		return replyAfterEnd(c.Kind, w)
-	case <-ctx.Done():
-	}
-	part.post(func(time.Time) { part.withdraw(w) })
-	const grace = 50 * time.Millisecond // for the partition's goroutine to reply
-	t := time.NewTimer(grace)
-	defer t.Stop()
-	select {
-	case r := <-w.reply:
-		return r
-	case <-t.C:
-	}
-	return site.Reply{Outcome: site.Undecided}
-}
-
-// replyAfterEnd returns the reply to a request whose partition has ended. A request that changes
-// nothing can be sent to the next owner as if this entry had never been asked.
-func replyAfterEnd(kind site.CallKind, w *waiter) site.Reply {
-	select {
-	case r := <-w.reply:
-		return r
-	default:
-	}
-	outcome := site.Undecided
-	if kind == site.ShowJob || kind == site.CountWaiting {
-		outcome = site.NotOwner
-	}
-	return site.Reply{Outcome: outcome, Reason: "the partition has changed its owner"}
-}
-
-// handle executes a caller's request on the partition's goroutine. It replies at once or adds
-// the request to the waiters.
-func (part *ownedPartition) handle(now time.Time, c *jobCall, w *waiter) {
-	if part.scheduler.Retired() && (c.Kind == site.SubmitJob || c.Kind == site.CancelJob) {
-		w.answer(site.Reply{Outcome: site.NotOwner, Reason: "the partition is being handed over"})
-		return
-	}
-	if account, queue, known := part.scheduler.AccountOf(c.ID); known && !c.Allows(account, queue) {
-		w.answer(replyForbidden(c))
-		return
-	}
-	switch c.Kind {
-	case site.SubmitJob:
-		part.submit(now, c.Job, w)
-	case site.CancelJob:
-		if !part.scheduler.Cancel(now, c.ID) {
-			w.answer(site.Reply{Outcome: site.NoSuchJob})
-			return
-		}
-		part.addWaiter(w)
-	case site.ShowJob:
-		state, ok := part.scheduler.JobState(c.ID)
-		if !ok {
-			w.answer(site.Reply{Outcome: site.NoSuchJob})
-			return
-		}
-		r := site.Reply{Outcome: site.OK, State: state.String()}
-		if !part.logDownSince.IsZero() && part.scheduler.CompletedUnstored(c.ID) {
-			r.State, r.Unstored = jobs.Completed.String(), true
-		}
-		w.answer(r)
-	case site.CountWaiting:
-		w.answer(site.Reply{Outcome: site.OK, Waiting: part.scheduler.Waiting(c.Queue)})
-	}
-}
-
-// submit passes a job to the scheduler. An accepted request waits until the job is stored. During a
-// log outage a new job is refused at once if it could not be in time even if it began now.
-func (part *ownedPartition) submit(now time.Time, j *jobs.Job, w *waiter) {
-	if j == nil || j.Check() != nil {
-		w.answer(site.Reply{Outcome: site.BadRequest, Reason: "the job is missing or invalid"})
-		return
-	}
-	if part.logDown(now) && !part.scheduler.Known(j.ID) && !part.scheduler.MayBeInTime(now, j) {
-		w.answer(part.logDownReply(now))
-		return
-	}
-	a := part.scheduler.Submit(now, j)
-	if !a.Accepted {
-		w.answer(site.Reply{Outcome: site.Refused, Reason: a.Reason, RetryMS: a.RetryAfter.Milliseconds()})
-		return
-	}
-	part.addWaiter(w)
-}
-
-func (part *ownedPartition) addWaiter(w *waiter) {
-	if !part.replyStored(w.id, []*waiter{w}) {
-		part.waiters[w.id] = append(part.waiters[w.id], w)
-	}
-}
-
-// withdraw ends the wait of a request that has timed out. A submitted job that was not sent to
-// the job log is dropped and refused; otherwise the reply is site.Undecided.
-func (part *ownedPartition) withdraw(w *waiter) {
-	if !w.isCancel && part.scheduler.Withdraw(w.id) {
-		for _, x := range part.waiters[w.id] {
-			x.answer(part.logDownReply(time.Now()))
-		}
-		delete(part.waiters, w.id)
-		return
-	}
-	w.answer(site.Reply{Outcome: site.Undecided, Reason: "the job log has not answered"})
-}
-
 // retire ends the scheduler's decisions and stores all changes with a handover record for
 // the next owner. handedOver is closed once both are stored.
 func (part *ownedPartition) retire(now time.Time) {
--- a/internal/sched/shown.go
+++ b/internal/sched/shown.go
@@ -16,8 +16,11 @@
 }
 
 // HoldRecovered holds the tasks of an earlier owner's jobs back until CompleteShown is called, unless that
-// owner has handed its jobs over.
-func (s *Scheduler) HoldRecovered() { s.recoveredHeld = s.inherited == nil }
+// owner has handed its jobs over: then it has stored which ones are completed. It reports whether it does.
+func (s *Scheduler) HoldRecovered() bool {
+	s.recoveredHeld = s.inherited == nil
+	return s.recoveredHeld
+}
 
 // CompleteShown completes the jobs that an earlier owner has shown as completed without storing that, and
 // ends the hold of HoldRecovered.
--- a/internal/sched/submit.go
+++ b/internal/sched/submit.go
@@ -78,12 +78,18 @@
 	beyondRate bool // beyond the rate of its account, also when it was submitted again
 }
 
+// recentOffer returns the first submission of a job if that was recently.
+func (s *Scheduler) recentOffer(now time.Time, id string) (first offer, recent bool) {
+	const retryWindow = 10 * time.Second // longer than callers retry a refused job
+	first, known := s.offeredAt[id]
+	return first, known && now.Sub(first.at) < retryWindow
+}
+
 // firstOffered returns the first submission of a job. again reports whether that was recently;
 // otherwise the present submission counts as the first one. The retry of a refused job is not counted
 // as offered load again.
 func (s *Scheduler) firstOffered(now time.Time, j *jobs.Job) (first offer, again bool) {
-	const retryWindow = 10 * time.Second // longer than callers retry a refused job
-	if first, known := s.offeredAt[j.ID]; known && now.Sub(first.at) < retryWindow {
+	if first, again := s.recentOffer(now, j.ID); again {
 		if first.beyondRate && !s.beyondRate(now, j.Account) {
 			first.beyondRate = false
 			s.offeredAt[j.ID] = first
@@ -114,7 +120,7 @@
 // MayBeInTime reports whether a job that is not stored yet could still meet its latency objective if it began
 // now.
 func (s *Scheduler) MayBeInTime(now time.Time, j *jobs.Job) bool {
-	if first, known := s.offeredAt[j.ID]; known {
+	if first, again := s.recentOffer(now, j.ID); again {
 		j.SubmittedMS = min(j.SubmittedMS, first.at.UnixMilli())
 	}
 	return !now.After(s.LatestStart(now, j))
