--- a/internal/drive/requests.go
+++ b/internal/drive/requests.go
@@ -154,4 +154,3 @@
 	}
 	w.answer(site.Reply{Outcome: site.Undecided, Reason: "the job log has not answered"})
 }
-
