mesh: a refused claim is held until its refusal is sent

Cause: Mesh.refuse released the claim of a request before its caller got the verdict not-run, and a copy that had waited for a refused one repeated that verdict after the claim was free. Another copy could run in between.

Change: the claim stays until the refusal is sent, as with refusals by admission. A copy that has waited for a refused one claims the id itself, and so runs or is refused under a claim of its own. Without the change TestRefusedClaimIsHeldUntilReleased and TestCopyOfRefusedRequestMayRun fail.

--- a/internal/mesh/claims.go
+++ b/internal/mesh/claims.go
@@ -21,6 +21,7 @@
 	holderTimeout   = 100 * time.Millisecond // a holder that has not replied by then counts as stale
 	claimRetryAfter = 1 * time.Second        // Retry-After of a refused request
 	transferTimeout = 10 * time.Second
+	maxClaims       = 20 // of a copy whose earlier ones were refused
 )
 
 type releaseRequest struct {
@@ -36,46 +37,81 @@
 
 type outcomeRequest struct{ Key string }
 
+// otherCopyRefused is the refusal of a copy that has waited for another one, which was refused. A further copy
+// may have run since.
+var otherCopyRefused = &proxy.Refusal{Problem: result.Unknown(http.StatusServiceUnavailable, "another copy of the request was refused")}
+
 // Claim collects the grants of a majority of the key's holders and returns a grant to
 // dispatch the request. If another copy of the request holds the claim, it waits for the
-// outcome of that copy and returns its response. Otherwise it returns a problem. It
-// implements proxy.Claimer.
-func (m *Mesh) Claim(ctx context.Context, key string) (*proxy.Grant, *claim.SavedResponse, *result.Problem) {
+// outcome of that copy and returns its response; if that copy was refused, it claims the key
+// anew. Otherwise it returns a refusal. It implements proxy.Claimer.
+func (m *Mesh) Claim(ctx context.Context, key string) (*proxy.Grant, *claim.SavedResponse, *proxy.Refusal) {
+	for n := 1; ; n++ {
+		grant, saved, refusal := m.claimOnce(ctx, key)
+		if refusal != otherCopyRefused || n == maxClaims {
+			return grant, saved, refusal
+		}
+		select {
+		case <-time.After(gatherInterval):
+		case <-ctx.Done():
+			return nil, nil, refusal
+		}
+	}
+}
+
+// claimOnce claims a key once. It returns otherCopyRefused if the key was claimed by a copy that was refused.
+func (m *Mesh) claimOnce(ctx context.Context, key string) (*proxy.Grant, *claim.SavedResponse, *proxy.Refusal) {
 	start := time.Now()
 	req := claim.GrantRequest{Key: key, Owner: m.self.Incarnation, Token: m.lastToken.Add(1)}
 	if !m.outcomes.Begin(start, key, req.Token) {
-		return m.firstCopyResult(ctx, key, m.self.Incarnation)
+		saved, refusal := m.firstCopyResult(ctx, key, m.self.Incarnation)
+		return nil, saved, refusal
 	}
 	reply, owner := m.gatherGrants(ctx, start, req)
 	if reply == claim.Granted {
 		return m.grant(start, req), nil, nil
 	}
 	m.events.Add(time.Now(), m.store.Next(), event.Claim, key, reply.String())
-	if reply == claim.Taken {
-		m.releaseAll(req)
-		_, saved, p := m.firstCopyResult(ctx, key, owner)
-		m.outcomes.Resolve(key, saved, p)
-		return nil, saved, p
+	if reply != claim.Taken {
+		return nil, nil, m.refuse(ctx, req, reply)
 	}
-	p := m.refuse(ctx, req, reply)
-	m.outcomes.Resolve(key, nil, p)
-	return nil, nil, p
+	m.releaseAll(req)
+	saved, refusal := m.firstCopyResult(ctx, key, owner)
+	switch {
+	case refusal == nil:
+		m.outcomes.Resolve(key, saved, nil)
+	case refusal == otherCopyRefused:
+		m.outcomes.Abandon(key)
+	default:
+		m.outcomes.Resolve(key, nil, refusal.Problem)
+	}
+	return nil, saved, refusal
 }
 
-// refuse releases the claim of a request that did not get its grants, and returns the
-// problem for its response. If enough holders have granted this claim to deny every other
-// copy a majority, the problem says that the request did not run. Otherwise it says that
-// another copy may have run.
-func (m *Mesh) refuse(ctx context.Context, req claim.GrantRequest, reply claim.Reply) *result.Problem {
-	noOtherCopyRan := m.blocksOtherCopies(ctx, req)
+// refuse returns the refusal of a request that did not get its grants. If enough holders have
+// granted this claim to deny every other copy a majority, the problem says that the request did
+// not run, and the claim stays until that is sent. Otherwise the claim is released, and the problem
+// says that another copy may have run.
+func (m *Mesh) refuse(ctx context.Context, req claim.GrantRequest, reply claim.Reply) *proxy.Refusal {
+	if m.blocksOtherCopies(ctx, req) && reply != claim.Lost {
+		return &proxy.Refusal{
+			Problem: result.Refuse(http.StatusServiceUnavailable, claimRetryAfter, "too few holders granted request id %q (%s)", req.Key, reply),
+			Release: func() { m.abandon(req) },
+		}
+	}
 	m.releaseAll(req)
-	switch {
-	case reply == claim.Lost:
-		return result.Unknown(http.StatusConflict, "the entries that knew whether request id %q has run are gone", req.Key)
-	case noOtherCopyRan:
-		return result.Refuse(http.StatusServiceUnavailable, claimRetryAfter, "too few holders granted request id %q (%s)", req.Key, reply)
+	p := result.Unknown(http.StatusServiceUnavailable, "too few holders granted request id %q (%s); another copy may have run", req.Key, reply)
+	if reply == claim.Lost {
+		p = result.Unknown(http.StatusConflict, "the entries that knew whether request id %q has run are gone", req.Key)
 	}
-	return result.Unknown(http.StatusServiceUnavailable, "too few holders granted request id %q (%s); another copy may have run", req.Key, reply)
+	m.outcomes.Resolve(req.Key, nil, p)
+	return &proxy.Refusal{Problem: p}
+}
+
+// abandon lets other copies of a request run, after a caller has been told that it did not.
+func (m *Mesh) abandon(req claim.GrantRequest) {
+	m.outcomes.Abandon(req.Key)
+	m.releaseAll(req)
 }
 
 // blocksOtherCopies asks all holders once more, and reports whether enough of them grant
@@ -99,11 +135,8 @@
 func (m *Mesh) grant(start time.Time, req claim.GrantRequest) *proxy.Grant {
 	g := &proxy.Grant{
 		ValidUntil: start.Add(grantValidity),
-		Release: func() {
-			m.outcomes.Abandon(req.Key)
-			m.releaseAll(req)
-		},
-		Finish: func(s *claim.SavedResponse) { m.outcomes.Finish(req.Key, s) },
+		Release:    func() { m.abandon(req) },
+		Finish:     func(s *claim.SavedResponse) { m.outcomes.Finish(req.Key, s) },
 	}
 	g.Renew = func(ctx context.Context) bool {
 		renewStart := time.Now()
@@ -229,21 +262,23 @@
 }
 
 // firstCopyResult gets the outcome of the first copy of a request from the entry that owns
-// it, and converts it into the response or problem for another copy. The grant is always
-// nil; it is there so that Claim can return the results unchanged.
-func (m *Mesh) firstCopyResult(ctx context.Context, key, owner string) (*proxy.Grant, *claim.SavedResponse, *result.Problem) {
+// it, and converts it into the response or refusal for another copy.
+func (m *Mesh) firstCopyResult(ctx context.Context, key, owner string) (*claim.SavedResponse, *proxy.Refusal) {
+	unknown := func(format string) (*claim.SavedResponse, *proxy.Refusal) {
+		return nil, &proxy.Refusal{Problem: result.Unknown(http.StatusConflict, format, key)}
+	}
 	res := m.fetchOutcome(ctx, key, owner)
 	switch {
 	case res == nil || !res.Known:
-		return nil, nil, result.Unknown(http.StatusConflict, "another copy of request id %q is claimed by an entry that does not answer", key)
-	case res.Free:
-		return nil, nil, result.Refuse(http.StatusServiceUnavailable, claimRetryAfter, "another copy of request id %q was refused", key)
+		return unknown("another copy of request id %q is claimed by an entry that does not answer")
+	case res.Free, res.Problem != nil && res.Problem.Verdict == result.NotRun:
+		return nil, otherCopyRefused
 	case res.Problem != nil:
-		return nil, nil, res.Problem
+		return nil, &proxy.Refusal{Problem: res.Problem}
 	case res.Saved == nil:
-		return nil, nil, result.Unknown(http.StatusConflict, "another copy of request id %q may have run; its response is not kept", key)
+		return unknown("another copy of request id %q may have run; its response is not kept")
 	}
-	return nil, res.Saved, nil
+	return res.Saved, nil
 }
 
 // fetchOutcome waits for the outcome of a request on the entry that owns its claim. It
--- a/internal/mesh/claims_test.go
+++ b/internal/mesh/claims_test.go
@@ -15,6 +15,7 @@
 	"github.com/greengagelane/greengagelane/internal/claim"
 	"github.com/greengagelane/greengagelane/internal/event"
 	"github.com/greengagelane/greengagelane/internal/peer"
+	"github.com/greengagelane/greengagelane/internal/proxy"
 	"github.com/greengagelane/greengagelane/internal/tail"
 	"github.com/greengagelane/greengagelane/pkg/conf"
 	"github.com/greengagelane/greengagelane/pkg/fleet"
@@ -124,7 +125,7 @@
 	assert.Assert(t, grant != nil, "%v", p)
 	type answer struct {
 		saved *claim.SavedResponse
-		p     *result.Problem
+		p     *proxy.Refusal
 	}
 	answers := make(chan answer, 4)
 	for _, i := range []int{2, 3, 3, 3} { // one on the same entry, three on another
@@ -179,6 +180,58 @@
 	t.Fatal("the id is still claimed after its release")
 }
 
+// TestRefusedClaimIsHeldUntilReleased guards against a caller that is told that its request has not run while another
+// copy runs: until the caller has the answer, the claim has to keep other copies from running.
+func TestRefusedClaimIsHeldUntilReleased(t *testing.T) {
+	g := newGroup(t, 2)
+	g.kill(0)
+	m := g.meshes[1]
+	claims := func() int {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return m.table.Len()
+	}
+	key := g.keyFor(0, 1)
+	_, _, refusal := m.Claim(t.Context(), key)
+	assert.Equal(t, refusal.Verdict, result.NotRun)
+	assert.Equal(t, claims(), 1, "another copy could run before the caller knows that none has")
+	second := make(chan *proxy.Refusal)
+	go func() {
+		_, _, r := m.Claim(t.Context(), key)
+		second <- r
+	}()
+	select {
+	case <-second:
+		t.Fatal("a second copy got an answer while the first one was still being refused")
+	case <-time.After(50 * time.Millisecond):
+	}
+	refusal.Release()
+	r := <-second
+	assert.Equal(t, r.Verdict, result.NotRun)
+	assert.Equal(t, claims(), 1, "the second copy must hold a claim of its own to say that none has run")
+	r.Release()
+	assert.Equal(t, claims(), 0)
+}
+
+// TestCopyOfRefusedRequestMayRun guards against a copy that repeats the refusal of the copy it has waited for:
+// the claim is free by then, so a third copy may already run.
+func TestCopyOfRefusedRequestMayRun(t *testing.T) {
+	for _, second := range []int{2, 3} { // the entry of the first copy, and another one
+		g := newGroup(t, 4)
+		key := g.keyFor(0, 1)
+		first, _, p := g.meshes[2].Claim(t.Context(), key)
+		assert.Assert(t, first != nil, "%v", p)
+		grants := make(chan *proxy.Grant)
+		go func() {
+			grant, _, _ := g.meshes[second].Claim(t.Context(), key)
+			grants <- grant
+		}()
+		time.Sleep(50 * time.Millisecond)
+		first.Release()
+		assert.Assert(t, <-grants != nil, "entry %d", second)
+	}
+}
+
 // TestOneTransferAtATime guards against parallel transfers to one member, which
 // start if every heartbeat reply during a slow transfer starts another one.
 func TestOneTransferAtATime(t *testing.T) {
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -29,8 +29,15 @@
 // Claimer claims request ids, so that of several copies of a request only one is dispatched.
 type Claimer interface {
 	// Claim returns a grant to dispatch the request, or the saved response to another copy of
-	// it, or a problem if the claim was refused. The other two results are nil.
-	Claim(ctx context.Context, key string) (*Grant, *claim.SavedResponse, *result.Problem)
+	// it, or a refusal. The other two results are nil.
+	Claim(ctx context.Context, key string) (*Grant, *claim.SavedResponse, *Refusal)
+}
+
+// Refusal is the problem of a request whose claim was refused. Release lets other copies of it run. It is called once the
+// problem, which says that none has, has been sent; it is nil if the problem does not say so.
+type Refusal struct {
+	*result.Problem
+	Release func()
 }
 
 // Grant is the right to dispatch one request once.
@@ -177,15 +184,16 @@
 	if !r.keyFromCaller {
 		return h.admitAndServe(ctx, w, r, nil)
 	}
-	grant, saved, p := h.claimer.Claim(ctx, r.svc.Name+"/"+r.key)
+	grant, saved, refusal := h.claimer.Claim(ctx, r.svc.Name+"/"+r.key)
 	switch {
-	case p != nil:
-		return p
+	case refusal != nil:
+		r.releaseClaim = refusal.Release
+		return refusal.Problem
 	case saved != nil:
 		h.writeSavedResponse(w, saved)
 		return nil
 	}
-	p = h.admitAndServe(ctx, w, r, grant)
+	p := h.admitAndServe(ctx, w, r, grant)
 	if p != nil && p.Verdict == result.NotRun {
 		r.releaseClaim = grant.Release
 	} else if p != nil {
--- a/internal/proxy/handler_test.go
+++ b/internal/proxy/handler_test.go
@@ -29,7 +29,7 @@
 	validFor                    time.Duration // time until a grant expires; 0 means one minute
 }
 
-func (g *grantAll) Claim(context.Context, string) (*Grant, *claim.SavedResponse, *result.Problem) {
+func (g *grantAll) Claim(context.Context, string) (*Grant, *claim.SavedResponse, *Refusal) {
 	return &Grant{
 		ValidUntil: time.Now().Add(cmp.Or(g.validFor, time.Minute)),
 		Renew: func(context.Context) bool {
--- a/internal/proxy/verdict_test.go
+++ b/internal/proxy/verdict_test.go
@@ -17,29 +17,42 @@
 )
 
 // claimFunc is a Claimer.
-type claimFunc func() (*Grant, *claim.SavedResponse, *result.Problem)
+type claimFunc func() (*Grant, *claim.SavedResponse, *Refusal)
 
-func (f claimFunc) Claim(context.Context, string) (*Grant, *claim.SavedResponse, *result.Problem) {
+func (f claimFunc) Claim(context.Context, string) (*Grant, *claim.SavedResponse, *Refusal) {
 	return f()
 }
 
 // Once the claim of a refused request is released, another copy of it may run. So the caller has to
 // get the verdict not-run before the release, or it could get it after the other copy has begun.
 func TestClaimIsReleasedAfterTheRefusal(t *testing.T) {
-	w := httptest.NewRecorder()
-	flushed, releases := false, 0
-	c := claimFunc(func() (*Grant, *claim.SavedResponse, *result.Problem) {
-		return &Grant{ValidUntil: time.Now().Add(time.Minute), Release: func() {
-			releases++
-			flushed = w.Flushed && w.Header().Get(result.VerdictHeader) == result.NotRun.String()
-		}}, nil, nil
-	})
-	h := newTestHandler(t, c, 1000, closedAddress(t))
-	req := httptest.NewRequest(http.MethodPost, "http://svc.example/x", strings.NewReader("body"))
-	req.Header.Set(result.IdempotencyKeyHeader, "key")
-	h.ServeHTTP(w, req)
-	assert.Equal(t, releases, 1)
-	assert.Assert(t, flushed, "the claim was released before the response was sent")
+	tests := []struct {
+		name  string
+		claim func(release func()) (*Grant, *claim.SavedResponse, *Refusal)
+	}{
+		{"refused by admission", func(release func()) (*Grant, *claim.SavedResponse, *Refusal) {
+			return &Grant{ValidUntil: time.Now().Add(time.Minute), Release: release}, nil, nil
+		}},
+		{"refused by the holders of the claim", func(release func()) (*Grant, *claim.SavedResponse, *Refusal) {
+			return nil, nil, &Refusal{Problem: result.Refuse(http.StatusServiceUnavailable, time.Second, "too few holders"), Release: release}
+		}},
+	}
+	for _, tt := range tests {
+		w := httptest.NewRecorder()
+		flushed, releases := false, 0
+		c := claimFunc(func() (*Grant, *claim.SavedResponse, *Refusal) {
+			return tt.claim(func() {
+				releases++
+				flushed = w.Flushed && w.Header().Get(result.VerdictHeader) == result.NotRun.String()
+			})
+		})
+		h := newTestHandler(t, c, 1000, closedAddress(t))
+		req := httptest.NewRequest(http.MethodPost, "http://svc.example/x", strings.NewReader("body"))
+		req.Header.Set(result.IdempotencyKeyHeader, "key")
+		h.ServeHTTP(w, req)
+		assert.Equal(t, releases, 1, tt.name)
+		assert.Assert(t, flushed, "%s: the claim was released before the response was sent", tt.name)
+	}
 }
 
 // stalledBody is a body of which only the start arrives.
@@ -51,7 +64,7 @@
 // A copy of a request must not get the verdict not-run when another copy may have run through another
 // entry. Only the claim shows whether one has, so a refusal without it cannot say so.
 func TestRefusalWithoutTheClaimDoesNotSayNotRun(t *testing.T) {
-	ranBefore := claimFunc(func() (*Grant, *claim.SavedResponse, *result.Problem) {
+	ranBefore := claimFunc(func() (*Grant, *claim.SavedResponse, *Refusal) {
 		return nil, &claim.SavedResponse{Status: http.StatusOK, Header: http.Header{}}, nil
 	})
 	tests := []struct {
