soak: VMs of a pool leave calls unanswered; each seed has an outage of the log

In each seed with faults the log refuses or ignores all calls once in the middle of the run; in seeds with an even number an entry is killed meanwhile.

--- a/internal/stand/emul/store.go
+++ b/internal/stand/emul/store.go
@@ -30,6 +30,7 @@
 	assigned       map[int]string // name of the member that each partition of the job topic is assigned to, empty if unassigned
 	partitionCount int            // number of partitions of the job topic
 	Down           bool           // answers all calls with 503
+	Silent         bool           // leaves all calls unanswered and carries none out
 	LoseNextReply  bool           // the next append takes effect without a reply
 	LosePercent    int            // percentage of appends that take effect without a reply
 	LoseSilently   bool           // lost replies leave their connection open
@@ -113,9 +114,10 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	down, delay := s.Down, s.Delay
-	hang := s.HangNewestReads > 0 && r.URL.Path == "/v1/log-newest"
-	if hang {
+	hang := s.Silent
+	if s.HangNewestReads > 0 && r.URL.Path == "/v1/log-newest" {
 		s.HangNewestReads--
+		hang = true
 	}
 	s.mu.Unlock()
 	if hang {
--- a/internal/stand/emul/worker.go
+++ b/internal/stand/emul/worker.go
@@ -21,8 +21,8 @@
 }
 
 // Worker emulates one VM, that is, one incarnation of a machine. It runs tasks while its lease
-// lasts. The exported fields DropOrders, OrderDelay and FailAllRuns are faults. An order is any
-// call but the status poll.
+// lasts. The exported fields DropOrders, OrderDelay, LosePercent and FailAllRuns are faults. An order is
+// any call but the status poll.
 type Worker struct {
 	ID             string
 	Pool           string
@@ -47,7 +47,10 @@
 	closed         chan struct{}    // closed when the VM is killed
 	DropOrders     bool             // orders have no effect and get no reply
 	OrderDelay     time.Duration    // orders take effect after this delay and get no reply
+	LosePercent    int              // percentage of calls that get no reply; orders among them take effect after LateBy
+	LateBy         time.Duration    // see LosePercent
 	FailAllRuns    bool             // all runs that it starts fail
+	calls          int              // received
 }
 
 const (
@@ -187,6 +190,10 @@
 	w.mu.Lock()
 	order := r.URL.Path != "/v1/hold"
 	drop, delay := w.DropOrders && order, w.OrderDelay
+	w.calls++
+	if w.calls*37%100 < w.LosePercent {
+		drop, delay = true, max(delay, w.LateBy)
+	}
 	w.mu.Unlock()
 	if delay > 0 && order {
 		path := r.URL.Path
--- a/internal/stand/soak/fault.go
+++ b/internal/stand/soak/fault.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"math/rand/v2"
 	"syscall"
 	"time"
@@ -43,6 +44,7 @@
 	{"fault on the link from callers to an entry", 2, entryLinkFault(func(e *Entry) *Link { return e.Callers })},
 	{"fault on the link to a running VM", 4, injectVMLinkFault},
 	{"VM executes orders late", 3, delayVMOrders},
+	{"VMs of a pool leave calls unanswered", 4, loseVMCalls},
 	{"VM fails all runs", 2, func(harness *Harness, r *rand.Rand) func() {
 		return injectVMFault(harness, r, func(w *emul.Worker) { w.FailAllRuns = true }, func(w *emul.Worker) { w.FailAllRuns = false })
 	}},
@@ -214,6 +216,49 @@
 	})
 }
 
+// loseVMCalls has the VMs of a random pool leave a share of their calls unanswered and carry the orders among
+// them out late. The VMs that join the pool meanwhile answer.
+func loseVMCalls(harness *Harness, r *rand.Rand) func() {
+	pool, share := pools[r.IntN(len(pools))], 3+r.IntN(25)
+	late := randomDuration(r, 3*time.Second)
+	var affected []*emul.Worker
+	for _, vm := range harness.platform.VMs() {
+		if vm.Pool == pool {
+			affected = append(affected, vm)
+		}
+	}
+	set := func(share int, late time.Duration) {
+		for _, vm := range affected {
+			harness.recordOrderFault(vm.ID)
+			vm.SetFaults(func(w *emul.Worker) { w.LosePercent, w.LateBy = share, late })
+		}
+	}
+	harness.log("%d VMs of pool %s leave %d %% of their calls unanswered, orders take effect after %s", len(affected), pool, share, late)
+	set(share, late)
+	return func() { set(0, 0) }
+}
+
+// injectOutage makes the log unavailable for some time in the middle of the run; in every second seed an
+// entry is killed meanwhile.
+func (harness *Harness) injectOutage(ctx context.Context) {
+	r := rand.New(rand.NewPCG(harness.cfg.Seed, 1))
+	begin := harness.cfg.Duration/4 + randomDuration(r, harness.cfg.Duration/4)
+	length := harness.cfg.Duration/8 + randomDuration(r, harness.cfg.Duration/8)
+	silent, kill := r.IntN(2) == 0, harness.cfg.Seed%2 == 0
+	sleep(ctx, begin)
+	harness.log("outage of the log for %s, silent: %t, an entry is killed: %t", length.Round(time.Millisecond), silent, kill)
+	end := harness.injectLogFault(func(s *emul.Store) { s.Down, s.Silent = true, silent }, func(s *emul.Store) { s.Down, s.Silent = false, false })
+	defer end()
+	sleep(ctx, length/2)
+	if kill {
+		e := harness.randomEntry(r)
+		harness.log("kill %s during the outage", e.Name)
+		e.Kill()
+		defer harness.restartAfter(e, 0)
+	}
+	sleep(ctx, length/2)
+}
+
 func crashVM(harness *Harness, r *rand.Rand) func() {
 	vms := harness.platform.VMs()
 	if len(vms) == 0 {
--- a/internal/stand/soak/soak.go
+++ b/internal/stand/soak/soak.go
@@ -176,6 +176,7 @@
 		probe.run(ctx)
 	}()
 	if !harness.cfg.NoFaults {
+		active.Go(func() { harness.injectOutage(ctx) })
 		harness.injectFaults(ctx)
 	}
 	active.Wait()
