proxy: answers say when their verdict was stated; the check of P4 uses it

Cause: the check took the time at which the demo's callers had read a refusal for the time at which it was stated.

Change: refusals carry the entry's time, Greengagelane-Verdict-Us. A run that began before that time still breaks P4; without the header the time of reading counts as before. A test holds that the time is before the claim's release.

--- a/internal/proxy/verdict_test.go
+++ b/internal/proxy/verdict_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -39,10 +40,11 @@
 	}
 	for _, tt := range tests {
 		w := httptest.NewRecorder()
-		flushed, releases := false, 0
+		flushed, releases, releasedAt := false, 0, int64(0)
 		c := claimFunc(func() (*Grant, *claim.SavedResponse, *Refusal) {
 			return tt.claim(func() {
 				releases++
+				releasedAt = time.Now().UnixMicro()
 				flushed = w.Flushed && w.Header().Get(result.VerdictHeader) == result.NotRun.String()
 			})
 		})
@@ -52,6 +54,9 @@
 		h.ServeHTTP(w, req)
 		assert.Equal(t, releases, 1, tt.name)
 		assert.Assert(t, flushed, "%s: the claim was released before the response was sent", tt.name)
+		statedAt, err := strconv.ParseInt(w.Header().Get(result.VerdictTimeHeader), 10, 64)
+		assert.NilError(t, err, tt.name)
+		assert.Assert(t, statedAt <= releasedAt, "%s: the verdict is dated after the release", tt.name)
 	}
 }
 
--- a/internal/stand/callers.go
+++ b/internal/stand/callers.go
@@ -56,6 +56,7 @@
 	Verdict       string `json:"verdict"`
 	Correct       bool   `json:"whole"`           // status 200 and exactly the expected bytes
 	HasRetryAfter bool   `json:"after"`           // the response had a Retry-After header
+	StatedAt      int64  `json:"stated"`          // when the entry stated the verdict, or the response arrived if it does not say
 	Error         string `json:"error,omitempty"` // "dial" if the connection could not be opened; begins with "cut: " if the response ended early
 }
 
@@ -237,6 +238,10 @@
 	attempt.Status = res.StatusCode
 	attempt.Verdict = res.Header.Get(result.VerdictHeader)
 	attempt.HasRetryAfter = res.Header.Get("Retry-After") != ""
+	attempt.StatedAt = time.Now().UnixMicro()
+	if us, err := strconv.ParseInt(res.Header.Get(result.VerdictTimeHeader), 10, 64); err == nil {
+		attempt.StatedAt = us
+	}
 	attempt.Correct = res.StatusCode == http.StatusOK && bytes.Equal(data, Content(r.Key, size))
 }
 
--- a/internal/stand/checks.go
+++ b/internal/stand/checks.go
@@ -204,7 +204,7 @@
 
 // p4 checks that a request has no run if all its attempts were refused as not run, that the first
 // of these refusals has a Retry-After header, and that an at-most-once request has no run that
-// started before one of its attempts was refused as not run.
+// started before an entry stated that one of its attempts was refused as not run.
 func (c *checker) p4() PromiseResult {
 	res := PromiseResult{Promise: "P4"}
 	n := 0
@@ -212,7 +212,7 @@
 		refused := len(req.Attempts) > 0
 		for _, a := range req.Attempts {
 			refused = refused && a.Verdict == "not-run"
-			if req.AtMostOnce && a.Verdict == "not-run" && c.ranBefore(req.Key, a.End) {
+			if req.AtMostOnce && a.Verdict == "not-run" && c.ranBefore(req.Key, a.StatedAt) {
 				res.Violation = fmt.Sprintf("request %s was refused as not run after an attempt had run", req.Key)
 			}
 		}
--- a/pkg/result/problem.go
+++ b/pkg/result/problem.go
@@ -45,9 +45,10 @@
 	return &combined
 }
 
-// Write writes the problem document as the response to w.
-func (p *Problem) Write(w http.ResponseWriter) {
+// Write writes the problem document as the response to w. The verdict states what is known at the given time.
+func (p *Problem) Write(w http.ResponseWriter, now time.Time) {
 	h := w.Header()
+	h.Set(VerdictTimeHeader, strconv.FormatInt(now.UnixMicro(), 10))
 	h.Set("Content-Type", "application/problem+json")
 	h.Set(VerdictHeader, p.Verdict.String())
 	if p.RetryAfter > 0 {
