proxy: a long response that arrives as its attempt times out is not cut

Cause: an attempt's timer could fire between the start of a response's body and its delivery; the rest of a body longer than the 64 KiB buffer then ended with the attempt's context.

Change: such a response is given up before any of it is sent, as if it had not come in time, so that an idempotent request is tried again.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -98,7 +98,11 @@
 		timer.Stop()
 		return nil, result.Unknown(http.StatusBadGateway, "the backend server's response was truncated: %v", err)
 	}
-	timer.Stop()
+	inTime := timer.Stop() && stopFollowing()
+	if !inTime && resp.bodyRest != nil { // attemptCtx has ended, and with it the rest of the body
+		resp.close()
+		return nil, attemptProblem(context.DeadlineExceeded, true)
+	}
 	return resp, workerRefusal(resp)
 }
 
--- a/internal/proxy/slow_test.go
+++ b/internal/proxy/slow_test.go
@@ -4,10 +4,14 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -136,3 +140,39 @@
 		entryServer.Close()
 	}
 }
+
+// A response longer than the entry buffers may arrive just as its attempt times out. It has to be delivered to its
+// end, or not at all, as the caller has no use for a part of it.
+func TestLongResponseAtTheTimeoutIsNotCut(t *testing.T) {
+	const timeoutMS, attempts, spread = 60, 400, 3 * time.Millisecond
+	body := strings.Repeat("x", 4*bufferedResponseBytes)
+	h := newHandlerWithSlots(&grantAll{}, timeoutMS, attempts, startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		left, err := strconv.Atoi(r.Header.Get(result.TimeoutHeader))
+		assert.Check(t, err)
+		time.Sleep(time.Duration(left)*time.Millisecond - rand.N(spread))
+		_, _ = io.WriteString(w, body)
+	}))
+	entry := httptest.NewServer(h)
+	defer entry.Close()
+	var active sync.WaitGroup
+	var whole atomic.Int64
+	for range attempts {
+		active.Go(func() {
+			req := httptest.NewRequest(http.MethodPost, entry.URL, strings.NewReader("body"))
+			req.Host, req.RequestURI = "svc", ""
+			res, err := http.DefaultClient.Do(req)
+			if !assert.Check(t, err) {
+				return
+			}
+			defer res.Body.Close()
+			if res.StatusCode == http.StatusOK {
+				whole.Add(1)
+			}
+			data, err := io.ReadAll(res.Body)
+			assert.Check(t, err, "the response was cut after %d of %d bytes", len(data), len(body))
+		})
+		time.Sleep(time.Millisecond)
+	}
+	active.Wait()
+	assert.Assert(t, whole.Load() > 0, "no response arrived in time")
+}
