--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -33,11 +33,10 @@
 	Claim(ctx context.Context, key string) (*Grant, *claim.SavedResponse, *Refusal)
 }
 
-// Refusal is the problem of a request whose claim was refused. Release lets other copies of it run. It is called once the
-// problem, which says that none has, has been sent; it is nil if the problem does not say so.
+// Refusal is the problem of a request whose claim was refused.
 type Refusal struct {
 	*result.Problem
-	Release func()
+	Release func() // lets other copies of the request run, once the problem has been sent, which says that none has; nil if it does not say so
 }
 
 // Grant is the right to dispatch one request once.
