retry: repeats wait 200 ms at least; a quick answer to one ends the long timeout

Change: an append's first timeout stays 50 ms, its repeats wait 200 ms at least and double; joins begin at 200 ms as before. An answer to a repeat within 50 ms ends the long timeout, as each attempt has a connection of its own. vmcall is back at its own rule.

--- a/internal/drive/flush.go
+++ b/internal/drive/flush.go
@@ -11,10 +11,11 @@
 )
 
 const (
-	requeueAfter    = 250 * time.Millisecond // a flush returns to the scheduler after the log has refused to store it for this long
-	refuseJobsAfter = 250 * time.Millisecond // after appends have failed for this long, new jobs that cannot be in time any more are refused at once
-	heldShare       = 0.75                   // of the time left for the reply, for which a submission is held; a refusal after it still reaches the entry that asked
-	shortOutage     = time.Second            // in a log outage of up to this length, refused callers are told to retry after 1 s, in a longer one after 2 s
+	requeueAfter     = 250 * time.Millisecond // a flush returns to the scheduler after the log has refused to store it for this long
+	refuseJobsAfter  = 250 * time.Millisecond // after appends have failed for this long, new jobs that cannot be in time any more are refused at once
+	heldShare        = 0.75                   // of the time left for the reply, for which a submission is held; a refusal after it still reaches the entry that asked
+	minAppendTimeout = 50 * time.Millisecond
+	shortOutage      = time.Second // in a log outage of up to this length, refused callers are told to retry after 1 s, in a longer one after 2 s
 )
 
 // controlRecord is a record of the mover that waits for the next flush.
@@ -115,10 +116,10 @@
 	}
 }
 
-// newTimeout returns the estimator of timeouts for requests to the log that may be repeated. An
-// answer takes about 10 ms, and some 300 ms if the log is slowed down by a factor of 60.
-func newTimeout() *retry.Estimator {
-	return &retry.Estimator{Min: 50 * time.Millisecond, Max: 1500 * time.Millisecond}
+// newTimeout returns the estimator of timeouts, of at least shortest, for requests to the log that may be
+// repeated. An answer takes about 10 ms, and some 300 ms if the log is slowed down by a factor of 60.
+func newTimeout(shortest time.Duration) *retry.Estimator {
+	return &retry.Estimator{Min: shortest, Max: 1500 * time.Millisecond, MinRepeat: 200 * time.Millisecond}
 }
 
 // markLogDown records and logs the start of a series of failed appends.
--- a/internal/drive/handover_test.go
+++ b/internal/drive/handover_test.go
@@ -60,7 +60,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			part := &ownedPartition{node: n, number: partition, store: platform.NewLog(n.settings), appendTimeout: newTimeout(), log: logrus.NewEntry(logrus.StandardLogger())}
+			part := &ownedPartition{node: n, number: partition, store: platform.NewLog(n.settings), appendTimeout: newTimeout(minAppendTimeout), log: logrus.NewEntry(logrus.StandardLogger())}
 			defer part.store.Close()
 			if part.claim(t.Context()) {
 				mu.Lock()
@@ -202,7 +202,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 10*minReadTimeout)
 	defer cancel()
 	c.emulator.Store.SetFaults(func(s *emul.Store) { s.HangNewestReads = 1 })
-	part := &ownedPartition{node: n, number: 3, store: platform.NewLog(n.settings), appendTimeout: newTimeout(), log: logrus.NewEntry(logrus.StandardLogger())}
+	part := &ownedPartition{node: n, number: 3, store: platform.NewLog(n.settings), appendTimeout: newTimeout(minAppendTimeout), log: logrus.NewEntry(logrus.StandardLogger())}
 	defer part.store.Close()
 	assert.Assert(t, part.claim(ctx))
 	assert.Equal(t, part.readTimeout, 2*minReadTimeout, "the second attempt has twice the timeout")
--- a/internal/drive/member.go
+++ b/internal/drive/member.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	joinInterval           = 300 * time.Millisecond  // three joins fit into memberTTL
-	startupPhase           = 3 * time.Second         // after the process starts; other entries may be starting too
+	joinInterval           = 300 * time.Millisecond // three joins fit into memberTTL
+	startupPhase           = 3 * time.Second        // after the process starts; other entries may be starting too
+	minJoinTimeout         = 200 * time.Millisecond
 	memberTTL              = 1000 * time.Millisecond // a silent entry loses its partitions after this; the shortest time that the log allows
 	handoverTimeout        = 400 * time.Millisecond  // for storing the last changes of a partition
 	assignmentInterval     = time.Second             // between two reads of the partition assignment without a request
@@ -64,7 +65,7 @@
 	m := &site.Member{Name: memberName(n.settings.Entry, n.address, n.settings.Cores), TTLMS: max(int(memberTTL.Milliseconds()), n.settings.Log.MinTTLMS)}
 	dep := &dependency{name: "entry group"}
 	self := member{address: n.address, cores: n.settings.Cores}
-	timeout := newTimeout()
+	timeout := newTimeout(minJoinTimeout)
 	left := false // has left the group to entries with more cores
 	sleep(ctx, firstJoinDelay(self.cores))
 	for ctx.Err() == nil {
--- a/internal/drive/partition.go
+++ b/internal/drive/partition.go
@@ -71,7 +71,7 @@
 	part := &ownedPartition{
 		node: n, number: partition, store: platform.NewLog(n.settings), ctx: ctx, cancel: cancel,
 		log:           logrus.WithField("partition", partition),
-		appendTimeout: newTimeout(), events: make(chan func(time.Time), eventBuffer), done: make(chan struct{}), loaded: make(chan struct{}), handedOver: make(chan struct{}),
+		appendTimeout: newTimeout(minAppendTimeout), events: make(chan func(time.Time), eventBuffer), done: make(chan struct{}), loaded: make(chan struct{}), handedOver: make(chan struct{}),
 		vmCalls: vmcall.NewGroup(), sessions: map[string]*vmSession{}, waiters: map[string][]*waiter{},
 	}
 	go part.run()
--- a/internal/drive/pause_test.go
+++ b/internal/drive/pause_test.go
@@ -36,7 +36,7 @@
 		part.lastRoundAt = now.Add(-tt.pause)
 		if tt.claimed {
 			value := int64(9)
-			later := &ownedPartition{node: c.nodes[0], number: part.number, store: platform.NewLog(c.nodes[0].settings), appendTimeout: newTimeout(), nextSequence: 1}
+			later := &ownedPartition{node: c.nodes[0], number: part.number, store: platform.NewLog(c.nodes[0].settings), appendTimeout: newTimeout(minAppendTimeout), nextSequence: 1}
 			assert.NilError(t, appendClaimRecord(t.Context(), later, value, -1, epochKey, &value))
 			later.store.Close()
 		}
@@ -67,7 +67,7 @@
 func partitionWithJob(t *testing.T, n *Node, number int) *ownedPartition {
 	t.Helper()
 	part := &ownedPartition{
-		node: n, number: 100 + number, store: platform.NewLog(n.settings), appendTimeout: newTimeout(), nextSequence: 1,
+		node: n, number: 100 + number, store: platform.NewLog(n.settings), appendTimeout: newTimeout(minAppendTimeout), nextSequence: 1,
 		log: logrus.NewEntry(logrus.StandardLogger()), events: make(chan func(time.Time), eventBuffer), done: make(chan struct{}),
 		vmCalls: vmcall.NewGroup(), sessions: map[string]*vmSession{}, waiters: map[string][]*waiter{},
 	}
--- a/internal/drive/session.go
+++ b/internal/drive/session.go
@@ -214,7 +214,7 @@
 	case err == nil:
 		s.calls.RecordAnswer(response, attempts > 1)
 	case site.IsUnanswered(err) && !errors.Is(err, site.ErrOtherIncarnation):
-		return s.calls.RecordSilence(took)
+		return s.calls.RecordSilence(attempts, took)
 	}
 	return false
 }
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -5,8 +5,8 @@
 // It answers a log that loses a third of its answers, and one that is up to 60 times slower than
 // usual: with one fixed timeout, a lost answer holds a partition's appends up for as long as the
 // slowest answer takes, or each slow answer is requested several times. The timeout follows the
-// measured response times instead, as in RFC 6298, but one silence does not lengthen it: a lost answer says
-// nothing about the response time.
+// measured response times instead, as in RFC 6298. The first attempt may have a much shorter timeout than its
+// repeats: a lost answer then costs little, and a log that has become slow still answers an early repeat.
 //
 // The package uses no clock and no network.
 package retry
@@ -16,12 +16,12 @@
 // Estimator derives the timeout of the next attempt from the response times so far. Its zero
 // value, with Min and Max set, is ready for use. It is not safe for concurrent use.
 type Estimator struct {
-	Min, Max time.Duration // bounds of the timeout
+	Min, Max  time.Duration // bounds of the timeout
+	MinRepeat time.Duration // shortest timeout after an attempt without an answer; 0 for twice the last one
 
 	smoothed  time.Duration // response time; 0 before the first sample
 	deviation time.Duration // mean deviation from it
 	backoff   time.Duration // timeout after attempts without an answer; 0 if the last sample is newer
-	silent    bool          // the last attempt had no answer
 }
 
 // Timeout returns the time to wait for the answer to the next attempt.
@@ -34,9 +34,12 @@
 }
 
 // RecordAnswer records the response time of an attempt. A request that was repeated gives no
-// sample, since its answer may be to any attempt; the longer timeout then stays for the next request.
+// sample, since its answer may have been ready for an earlier attempt; the longer timeout then stays for the next
+// request, unless the answer came within Min: earlier ones were lost, as each attempt has a connection of its own.
 func (e *Estimator) RecordAnswer(took time.Duration, repeated bool) {
-	e.silent = false
+	if repeated && took < e.Min {
+		e.backoff = 0
+	}
 	if repeated {
 		return
 	}
@@ -49,10 +52,5 @@
 	e.smoothed += (took - e.smoothed) / 8
 }
 
-// RecordTimeout records an attempt without an answer. From the second one in a row it doubles the timeout.
-func (e *Estimator) RecordTimeout() {
-	if e.silent {
-		e.backoff = min(2*e.Timeout(), e.Max)
-	}
-	e.silent = true
-}
+// RecordTimeout records an attempt without an answer. It doubles the timeout, to MinRepeat at least.
+func (e *Estimator) RecordTimeout() { e.backoff = min(max(2*e.Timeout(), e.MinRepeat), e.Max) }
--- a/internal/vmcall/vmcall.go
+++ b/internal/vmcall/vmcall.go
@@ -111,12 +111,15 @@
 }
 
 // RecordSilence records a call that was not answered in time, and reports whether to repeat it at
-// once. took is the time of all its attempts so far.
-func (v *VM) RecordSilence(took time.Duration) bool {
+// once. attempts is the number of attempts so far and took their time. One lost call says nothing about the
+// response time, so the timeout grows from the second one in a row.
+func (v *VM) RecordSilence(attempts int, took time.Duration) bool {
 	g := v.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	v.response.RecordTimeout()
+	if attempts > 1 {
+		v.response.RecordTimeout()
+	}
 	if g.earned < 1 {
 		return false
 	}
--- a/internal/vmcall/vmcall_test.go
+++ b/internal/vmcall/vmcall_test.go
@@ -41,7 +41,7 @@
 			return took + response, true
 		}
 		took += timeout
-		if !f.vms[i].RecordSilence(took) {
+		if !f.vms[i].RecordSilence(attempt, took) {
 			return took, false
 		}
 	}
@@ -61,7 +61,7 @@
 		if f.rnd.Float64() < f.lost(i) {
 			now += wait + timeout
 			failures++
-			f.vms[i].RecordSilence(0)
+			f.vms[i].RecordSilence(failures, 0)
 			continue
 		}
 		if end <= now+wait {
