emul, retry, proxy: one rule for lost calls, one reset of the timeout, one reading of the clock

VMs and the log of the emulator chose the calls that they lose by the same formula twice; the reset of a timeout stood in two branches; a problem's time was read twice.

--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -150,7 +150,7 @@
 	if p.Status == http.StatusRequestTimeout || p.Status == http.StatusRequestEntityTooLarge {
 		w.Header().Set("Connection", "close")
 	}
-	p.Write(w, time.Now())
+	p.Write(w, now)
 }
 
 // serve dispatches a valid request and writes its response. If it returns a problem, nothing has
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -37,13 +37,12 @@
 // sample, since its answer may have been ready for an earlier attempt; the longer timeout then stays for the next
 // request, unless the answer came within Min: earlier ones were lost, as each attempt has a connection of its own.
 func (e *Estimator) RecordAnswer(took time.Duration, repeated bool) {
-	if repeated && took < e.Min {
+	if !repeated || took < e.Min {
 		e.backoff = 0
 	}
 	if repeated {
 		return
 	}
-	e.backoff = 0
 	if e.smoothed == 0 {
 		e.smoothed, e.deviation = took, took/2
 		return
--- a/internal/stand/emul/store.go
+++ b/internal/stand/emul/store.go
@@ -163,8 +163,7 @@
 	}
 	status, response := s.doAppend(r, body)
 	s.mu.Lock()
-	// 37 has no common factor with 100, so that lost replies are spread evenly over the appends.
-	loseReply := status == http.StatusOK && (s.LoseNextReply || s.Appends*37%100 < s.LosePercent)
+	loseReply := status == http.StatusOK && (s.LoseNextReply || isLost(s.Appends, s.LosePercent))
 	if loseReply {
 		s.LoseNextReply = false
 	}
@@ -181,6 +180,12 @@
 	fmt.Fprint(w, response)
 }
 
+// isLost reports whether call number n is among the given percentage of calls that are lost.
+func isLost(n, percent int) bool {
+	const step = 37 // has no common factor with 100, which spreads the lost calls evenly
+	return n*step%100 < percent
+}
+
 // doAppend appends the records in body and returns the HTTP status and the response. An
 // append with a producer is checked against the partition's epoch and next sequence number,
 // and a repeated one gets the response to the first. With the parameter at, it also fails if
--- a/internal/stand/emul/worker.go
+++ b/internal/stand/emul/worker.go
@@ -191,7 +191,7 @@
 	order := r.URL.Path != "/v1/hold"
 	drop, delay := w.DropOrders && order, w.OrderDelay
 	w.calls++
-	if w.calls*37%100 < w.LosePercent {
+	if isLost(w.calls, w.LosePercent) {
 		drop, delay = true, max(delay, w.LateBy)
 	}
 	w.mu.Unlock()
