sched: a lost VM is logged with the runs that it takes along

The incident's hypotheses could not be told apart: no line said which VM was lost when, with which runs, and how long these had run. One line per lost VM names up to eight runs, the youngest first, and greengagelane_vms_lost_total counts the VMs. No decision changes.

--- a/internal/drive/metrics.go
+++ b/internal/drive/metrics.go
@@ -35,6 +35,7 @@
 	add("stopped", current.Stopped-last.Stopped)
 	add("lost", current.Lost-last.Lost)
 	add("stalled", current.Stalled-last.Stalled)
+	metrics.GetOrCreateCounter(`greengagelane_vms_lost_total`).Add(current.LostVMs - last.LostVMs)
 	add("copy-started", current.Copies-last.Copies)
 	add("copy-won", current.CopiesWon-last.CopiesWon)
 	metrics.GetOrCreateCounter(`greengagelane_copy_core_ms_total`).Add(current.CopyCoreMS - last.CopyCoreMS)
--- a/internal/drive/session.go
+++ b/internal/drive/session.go
@@ -70,7 +70,7 @@
 		s.recordCall(err, time.Since(sentAt)-poll.Wait, failures+1, time.Since(sentAt))
 		s.part.post(func(now time.Time) {
 			if err != nil {
-				s.part.scheduler.HandlePollFailure(s.id, err)
+				s.part.scheduler.HandlePollFailure(now, s.id, err)
 				return
 			}
 			s.part.scheduler.HandlePoll(now, s.id, sentAt, status)
--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -46,7 +46,7 @@
 	for _, v := range s.vms {
 		silent := now.Sub(v.lastAnswer) > s.policy.Lease
 		if silent && now.After(v.leasesEnd) && len(v.runs) > 0 {
-			s.log.WithField("vm", v.ID).Info("VM does not answer and its leases have expired; its runs are released")
+			s.logLostVM(now, v, "does not answer and its leases have expired")
 			s.releaseRuns(v, "lease expired")
 			v.polled = false
 		}
--- a/internal/sched/model_test.go
+++ b/internal/sched/model_test.go
@@ -314,11 +314,11 @@
 	m.advance(10 * time.Millisecond)
 	if !v.up {
 		m.verify[id] = true
-		m.s.HandlePollFailure(id, errors.New("no answer"))
+		m.s.HandlePollFailure(m.now, id, errors.New("no answer"))
 		return
 	}
 	if nextPoll.Fence < v.fence {
-		m.s.HandlePollFailure(id, site.ErrFenced)
+		m.s.HandlePollFailure(m.now, id, site.ErrFenced)
 		return
 	}
 	v.fence = nextPoll.Fence
@@ -334,7 +334,7 @@
 	status.Ended = append(status.Ended, v.ends...)
 	if rapid.IntRange(0, 5).Draw(t, "lost look") == 0 {
 		m.verify[id] = true
-		m.s.HandlePollFailure(id, errors.New("no answer"))
+		m.s.HandlePollFailure(m.now, id, errors.New("no answer"))
 		return
 	}
 	m.verify[id] = false
--- a/internal/sched/observe.go
+++ b/internal/sched/observe.go
@@ -39,6 +39,7 @@
 // in flight may reach the new incarnation, which cannot tell that it was meant for the
 // earlier one, so its run stays until the reply and a later poll are known.
 func (s *Scheduler) handleNewIncarnation(now time.Time, v *vm, born int64) {
+	s.logLostVM(now, v, "VM restarted")
 	startInFlight := false
 	for _, r := range v.runs {
 		if r.startInFlight {
@@ -58,11 +59,12 @@
 }
 
 // RemoveVM drops a VM whose incarnation has certainly ended, and releases its runs.
-func (s *Scheduler) RemoveVM(id string) {
+func (s *Scheduler) RemoveVM(now time.Time, id string) {
 	v := s.vms[id]
 	if v == nil {
 		return
 	}
+	s.logLostVM(now, v, "another incarnation answers at its address")
 	s.releaseRuns(v, "VM incarnation ended")
 	s.forgetVM(v)
 }
--- a/internal/sched/overload_test.go
+++ b/internal/sched/overload_test.go
@@ -275,7 +275,7 @@
 			r.s.HandleStart(at(20), &x, site.RefusedRoom, nil)
 		}
 	}
-	r.s.HandlePollFailure("vm2", site.ErrNotDone)
+	r.s.HandlePollFailure(at(22), "vm2", site.ErrNotDone)
 	r.s.SetArrivals(at(25), "pool", []shed.Arrival{{After: 5 * time.Second, Cores: 8}})
 	j := testJob("00000000000000a2", jobs.Step{Count: 1, CPU: 1000, EstimateMS: 1000})
 	assert.Assert(t, r.s.Submit(at(30), j).Accepted)
--- a/internal/sched/replies.go
+++ b/internal/sched/replies.go
@@ -14,7 +14,7 @@
 // start was refused, since the earlier attempt may still be carried out. A repeated start is refused
 // as old if the run has been on the VM and has ended.
 func (s *Scheduler) HandleStart(now time.Time, a *StartRun, refusal site.Refusal, err error) {
-	v := s.answeringVM(a.VM, err)
+	v := s.answeringVM(now, a.VM, err)
 	if v == nil {
 		return
 	}
@@ -62,7 +62,7 @@
 
 // HandleStop handles the reply to a stop order.
 func (s *Scheduler) HandleStop(now time.Time, a *StopRun, refusal site.Refusal, err error) {
-	v := s.answeringVM(a.VM, err)
+	v := s.answeringVM(now, a.VM, err)
 	if v == nil {
 		return
 	}
@@ -83,8 +83,8 @@
 }
 
 // HandlePollFailure handles a status poll that failed.
-func (s *Scheduler) HandlePollFailure(id string, err error) {
-	v := s.answeringVM(id, err)
+func (s *Scheduler) HandlePollFailure(now time.Time, id string, err error) {
+	v := s.answeringVM(now, id, err)
 	if v == nil {
 		return
 	}
@@ -94,9 +94,9 @@
 
 // answeringVM returns the VM that a call went to, nil if it is not known. It removes the VM
 // if another incarnation answered.
-func (s *Scheduler) answeringVM(id string, err error) *vm {
+func (s *Scheduler) answeringVM(now time.Time, id string, err error) *vm {
 	if errors.Is(err, site.ErrOtherIncarnation) {
-		s.RemoveVM(id)
+		s.RemoveVM(now, id)
 	}
 	return s.vms[id]
 }
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -54,10 +54,11 @@
 	stats        Stats
 }
 
-// Stats holds the counters for the metrics. Refused counts jobs, the others count runs. Lost
+// Stats holds the counters for the metrics. Refused counts jobs, LostVMs VMs, the others count runs. Lost
 // counts runs that were released without a report of their end.
 type Stats struct {
 	Started, Done, Failed, Stopped, Lost, Refused, Stalled int
+	LostVMs                                                int // incarnations of VMs that were lost with runs
 	RefusedByShare                                         int // of Refused: the account's work exceeds its share
 	RefusedByRate                                          int // of Refused: the job is beyond the rate of its account
 
--- a/pkg/jobs/task.go
+++ b/pkg/jobs/task.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"cmp"
 	"fmt"
 	"strconv"
 	"strings"
@@ -19,6 +20,11 @@
 	return t.Job + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
 }
 
+// Compare orders tasks by job, occurrence, step and index, as cmp.Compare does.
+func (t TaskID) Compare(o TaskID) int {
+	return cmp.Or(cmp.Compare(t.Job, o.Job), cmp.Compare(t.Occurrence, o.Occurrence), cmp.Compare(t.Step, o.Step), cmp.Compare(t.Index, o.Index))
+}
+
 // StepName returns the name of the task's step in its occurrence, of the form
 // job.occurrence.step.
 func (t TaskID) StepName() string {
