--- /dev/null
+++ b/internal/sched/crash_test.go
@@ -0,0 +1,126 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/greengagelane/greengagelane/pkg/jobs"
+	"github.com/greengagelane/greengagelane/pkg/site"
+)
+
+// maxStartsOfDeadlyTask is the platform's bound: three crashes, then fewer than three starts.
+const maxStartsOfDeadlyTask = 5
+
+// crashSite is a pool whose VMs come back some seconds after a crash.
+type crashSite struct {
+	*fixture
+	names []string // of the VMs
+	born  map[string]int64
+	lives int // of all VMs
+	ms    int
+}
+
+func newCrashSite(t *testing.T, vms int) *crashSite {
+	c := &crashSite{fixture: &fixture{t: t, s: New(1, testPolicy(), quietLog()), jobLog: map[string][]byte{}}, born: map[string]int64{}}
+	for i := range vms {
+		c.boot(fmt.Sprintf("vm%d", i))
+	}
+	c.list()
+	c.pollAll()
+	return c
+}
+
+func (c *crashSite) boot(name string) {
+	c.lives++
+	c.names = append(c.names, name)
+	c.born[name] = int64(c.lives)
+}
+
+func (c *crashSite) list() {
+	var list []site.VM
+	for _, name := range c.names {
+		v := testVM(name)
+		v.Born = c.born[name]
+		list = append(list, v)
+	}
+	c.s.SetVMs(at(c.ms), list)
+}
+
+// pollAll has each VM that is up answer a status poll with the runs that the scheduler has there.
+func (c *crashSite) pollAll() {
+	for _, name := range c.names {
+		status := site.VMStatus{Born: c.born[name], ClockMS: int64(c.ms) + 1000}
+		if v := c.s.vms[name]; v != nil && v.Born == c.born[name] {
+			for task, r := range v.runs {
+				status.Running = append(status.Running, site.Run{Task: task, Run: r.number, Percent: 50})
+			}
+		}
+		c.s.HandlePoll(at(c.ms), name, at(c.ms), &status)
+	}
+	c.flush(c.ms)
+}
+
+// crash ends a VM. It returns as the given incarnation 3 s later, or not at all.
+func (c *crashSite) crash(name, returnsAs string) {
+	for i, n := range c.names {
+		if n == name {
+			c.names = append(c.names[:i:i], c.names[i+1:]...)
+			break
+		}
+	}
+	if returnsAs != "" {
+		c.boot(returnsAs)
+	}
+}
+
+// TestTaskThatCrashesVMsIsGivenUp guards against a task that is started without end while it crashes one VM after the other.
+func TestTaskThatCrashesVMsIsGivenUp(t *testing.T) {
+	tests := []struct {
+		name      string
+		sameID    bool // VMs return under the identifiers that they had
+		gone      bool // VMs do not return
+		takeovers bool // a new owner after each crash
+	}{
+		{"VMs restart under the same ID", true, false, false},
+		{"other incarnations answer", false, false, false},
+		{"VMs stay silent", false, true, false},
+		{"same ID, takeovers", true, false, true},
+		{"other incarnations, takeovers", false, false, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCrashSite(t, 14)
+			c.submit(c.ms, testJob(jobID, jobs.Step{Count: 1, CPU: 1000, EstimateMS: 1000}))
+			starts := 0
+			for ; c.ms < 60_000; c.ms += 100 {
+				c.list()
+				c.pollAll()
+				for _, x := range c.starts(c.ms) {
+					starts++
+					returnsAs := fmt.Sprintf("%s-%d", x.VM, c.ms)
+					switch {
+					case tt.gone:
+						returnsAs = ""
+					case tt.sameID:
+						returnsAs = x.VM
+					}
+					c.flush(c.ms)
+					c.crash(x.VM, returnsAs)
+					if !tt.sameID && !tt.gone {
+						c.s.HandlePollFailure(at(c.ms), x.VM, site.ErrOtherIncarnation)
+					}
+					c.list()
+					c.pollAll()
+					if tt.takeovers {
+						c.takeover(c.ms)
+					}
+				}
+			}
+			assert.Assert(t, starts <= maxStartsOfDeadlyTask, "the task was started %d times", starts)
+			state, _ := c.s.JobState(jobID)
+			assert.Equal(t, state, jobs.Failed)
+		})
+	}
+}
