sched: crashes of VMs count against the tasks that they ran

Cause: the end of a VM's incarnation released its runs as if they had never been started. Only run ends that a VM lists count as attempts, and a VM that has crashed lists none. The class of fault: an attempt whose outcome is lost counts as no attempt. The log lines of lost VMs show it, with run numbers that rise without a count; there was one owner throughout and no quarantine, which rules out the other hypotheses.

Package blame splits the blame for a crash among the jobs on the VM, by the age of their runs and earlier evidence. A job is given up once one of its tasks has crashed two VMs and no other job explains it, or after four crashes under one task; the crashes then count against nobody else. A task that outlives the age at which its VM crashed is cleared. Lost racks, VMs that were about to leave, and VMs that answer again in the same incarnation are evidence against nobody. The record is part of the job's progress, names the VM that a suspect was started on, and so counts crashes that happen while owners change.

--- /dev/null
+++ b/internal/blame/blame.go
@@ -0,0 +1,127 @@
+// Package blame finds the tasks that crash the VMs that run them.
+//
+// It answers loads in which a few tasks in a hundred end every VM that starts them, together with the runs
+// of all other tasks there. One crash does not tell which run caused it, so the jobs on the VM share the
+// blame: by how soon after a start the VM crashed, and by earlier crashes. A suspect is tried again where a
+// crash takes least with it, so that a second crash tells more. A job is given up once one of its tasks has
+// crashed a VM again and hardly any other job explains that; a task that outlives the age at which its VM
+// crashed is cleared.
+//
+// Losses with a known cause, such as that of a rack or of a VM that leaves, are evidence against nobody.
+//
+// The package uses no clock and no network. Package sched calls it.
+package blame
+
+import "time"
+
+const (
+	baseChance     = 0.01                  // that a job without evidence against it crashes VMs
+	maxChance      = 0.95                  // however much evidence there is against a job
+	ageUnit        = 50 * time.Millisecond // ages below are not told apart: orders and reports take about as long
+	suspectShare   = 0.04                  // of the blame for a crash, from which a job is a suspect: of 25 runs of equal age, each is
+	certainShare   = 0.9                   // of the blame for a crash, from which no other job explains it
+	crashesToProve = 2                     // crashes under one task, of which one is certain, that prove it the cause
+	maxCrashes     = 4                     // crashes under one task after which its job is given up without proof; the platform allows two starts after the third
+)
+
+// Job is a job with runs on a VM that has crashed.
+type Job struct {
+	Age    time.Duration // of its youngest run there
+	Chance float64       // Record.Chance of its tasks, the highest
+}
+
+// Split returns the share of each job in the blame for a crash. The shares sum to 1. A crash caused by a run
+// is expected soon after its start, one in another run's time at any age.
+func Split(list []Job) []float64 {
+	shares := make([]float64, len(list))
+	var sum float64
+	for i := range list {
+		chance := min(max(list[i].Chance, baseChance), maxChance)
+		shares[i] = chance / (1 - chance) / (max(list[i].Age, 0) + ageUnit).Seconds()
+		sum += shares[i]
+	}
+	for i := range shares {
+		shares[i] /= sum
+	}
+	return shares
+}
+
+// Crash is a crash of a VM as evidence against a task that it ran.
+type Crash struct {
+	VM    string
+	Born  int64         // start of the VM's incarnation, Unix milliseconds
+	Age   time.Duration // of the task's run
+	Share float64       // of the task's job in the blame
+}
+
+// Record is the evidence against a task: the crashes of VMs while they ran it. The zero value is that of a
+// task without any.
+type Record []Crash
+
+// Chance returns the chance that the task crashes VMs.
+func (r Record) Chance() float64 {
+	innocent := 1.0
+	for i := range r {
+		innocent *= 1 - r[i].Share
+	}
+	return 1 - innocent
+}
+
+// Suspect reports whether the task is to be run apart from the tasks of other jobs.
+func (r Record) Suspect() bool {
+	for i := range r {
+		if r[i].Share >= suspectShare {
+			return true
+		}
+	}
+	return len(r) >= crashesToProve
+}
+
+//go:generate ../../.bin/enumer -type=Verdict -transform=kebab -output=verdict_enumer.go
+
+// Verdict says whether a job is given up because of one of its tasks.
+type Verdict int
+
+// Verdicts.
+const (
+	None      Verdict = iota
+	Proved            // VMs crashed under the task, and no other job explains it
+	Exhausted         // too many VMs crashed under the task, whichever run was the cause
+)
+
+// Verdict returns whether the task's job is given up.
+func (r Record) Verdict() Verdict {
+	certain := false
+	for i := range r {
+		certain = certain || r[i].Share >= certainShare
+	}
+	switch {
+	case len(r) >= crashesToProve && certain:
+		return Proved
+	case len(r) >= maxCrashes:
+		return Exhausted
+	}
+	return None
+}
+
+// ClearedAfter returns the age that a run of the task has to reach to clear it: twice that of the run that
+// lived longest before a crash.
+func (r Record) ClearedAfter() time.Duration {
+	var age time.Duration
+	for i := range r {
+		age = max(age, r[i].Age)
+	}
+	return 2*age + ageUnit
+}
+
+// Without returns the record without the crash of an incarnation of a VM, which has turned out to have
+// another cause.
+func (r Record) Without(vm string, born int64) Record {
+	var kept Record
+	for _, c := range r {
+		if c.VM != vm || c.Born != born {
+			kept = append(kept, c)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/internal/blame/blame_test.go
@@ -0,0 +1,80 @@
+package blame
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// TestSplit guards against blame for jobs that had run for long when their VM crashed, and for jobs that
+// share a VM with one that has crashed others.
+func TestSplit(t *testing.T) {
+	tests := []struct {
+		name string
+		jobs []Job
+		want []float64
+	}{
+		{"alone", []Job{{Age: ms(700)}}, []float64{1}},
+		{"of equal age", []Job{{Age: ms(10)}, {Age: ms(10)}}, []float64{0.5, 0.5}},
+		{"just started beside long-running ones", []Job{{}, {Age: ms(60_000)}, {Age: ms(60_000)}}, []float64{0.998, 0.001, 0.001}},
+		{"younger by half a second", []Job{{}, {Age: ms(550)}}, []float64{0.923, 0.077}},
+		{"has crashed a VM before", []Job{{Chance: 0.3}, {}}, []float64{0.977, 0.023}},
+		{"two suspects", []Job{{Chance: 0.3}, {Chance: 0.3}}, []float64{0.5, 0.5}},
+		{"certain evidence stays finite", []Job{{Chance: 1}, {}}, []float64{0.999, 0.001}},
+		{"the order came after the crash", []Job{{Age: -ms(5)}, {Age: 0}}, []float64{0.5, 0.5}},
+	}
+	for _, tt := range tests {
+		got := Split(tt.jobs)
+		var sum float64
+		for i := range got {
+			assert.Assert(t, math.Abs(got[i]-tt.want[i]) < 0.0015, "%s: %v", tt.name, got)
+			sum += got[i]
+		}
+		assert.Assert(t, math.Abs(sum-1) < 1e-9, tt.name)
+	}
+}
+
+// TestVerdict guards against jobs that are given up for crashes that another job explains, and against tasks
+// that are started without end.
+func TestVerdict(t *testing.T) {
+	crashes := func(shares ...float64) (r Record) {
+		for i, s := range shares {
+			r = append(r, Crash{VM: "vm", Born: int64(i), Share: s})
+		}
+		return r
+	}
+	tests := []struct {
+		name    string
+		record  Record
+		want    Verdict
+		suspect bool
+	}{
+		{"no crash", nil, None, false},
+		{"one of many on the VM", crashes(0.01), None, false},
+		{"likely", crashes(0.3), None, true},
+		{"alone, once", crashes(1), None, true},
+		{"shared, then alone", crashes(0.05, 0.95), Proved, true},
+		{"alone, then shared", crashes(1, 0.2), Proved, true},
+		{"shared twice", crashes(0.01, 0.02), None, true},
+		{"shared three times", crashes(0.5, 0.5, 0.5), None, true},
+		{"shared four times", crashes(0.3, 0.3, 0.3, 0.3), Exhausted, true},
+	}
+	for _, tt := range tests {
+		assert.Equal(t, tt.record.Verdict(), tt.want, tt.name)
+		assert.Equal(t, tt.record.Suspect(), tt.suspect, tt.name)
+	}
+	r := crashes(0.4, 0.5)
+	assert.DeepEqual(t, r.Without("vm", 0), Record{{VM: "vm", Born: 1, Share: 0.5}})
+	assert.Assert(t, math.Abs(r.Chance()-0.7) < 1e-9)
+}
+
+// TestClearedAfter guards against a task that is cleared before it has reached the age at which its VM crashed.
+func TestClearedAfter(t *testing.T) {
+	r := Record{{Age: ms(400)}, {Age: ms(30)}}
+	assert.Equal(t, r.ClearedAfter(), ms(850))
+	assert.Assert(t, Record(nil).ClearedAfter() > 0)
+}
--- a/internal/drive/metrics.go
+++ b/internal/drive/metrics.go
@@ -36,6 +36,7 @@
 	add("lost", current.Lost-last.Lost)
 	add("stalled", current.Stalled-last.Stalled)
 	metrics.GetOrCreateCounter(`greengagelane_vms_lost_total`).Add(current.LostVMs - last.LostVMs)
+	metrics.GetOrCreateCounter(`greengagelane_jobs_given_up_total`).Add(current.GivenUp - last.GivenUp)
 	add("copy-started", current.Copies-last.Copies)
 	add("copy-won", current.CopiesWon-last.CopiesWon)
 	metrics.GetOrCreateCounter(`greengagelane_copy_core_ms_total`).Add(current.CopyCoreMS - last.CopyCoreMS)
--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -41,14 +41,18 @@
 		if now.After(until) {
 			s.log.WithField("vm", id).Info("VM that may hold runs of an earlier owner did not answer; its leases have expired")
 			delete(s.unverified, id)
+			if v := s.vms[id]; v != nil {
+				s.loseVM(now, v, "does not answer and its leases have expired")
+				v.lapsed = true
+			}
 		}
 	}
 	for _, v := range s.vms {
 		silent := now.Sub(v.lastAnswer) > s.policy.Lease
 		if silent && now.After(v.leasesEnd) && len(v.runs) > 0 {
-			s.logLostVM(now, v, "does not answer and its leases have expired")
+			s.loseVM(now, v, "does not answer and its leases have expired")
 			s.releaseRuns(v, "lease expired")
-			v.polled = false
+			v.polled, v.lapsed = false, true
 		}
 		if !v.listed && len(v.runs) == 0 && silent && now.After(v.leasesEnd) && !s.listReceivedAt.IsZero() {
 			s.forgetVM(v)
@@ -252,6 +256,7 @@
 	v.runs[t.id.String()] = r
 	s.quotas.countRuns(t, 1)
 	s.markBegan(now, t.job)
+	t.job.dirty = t.job.dirty || len(t.crashes) > 0 // the next owner has to know where a suspect may be running
 	s.stats.Started++
 	s.emit(StartRun{VM: v.ID, Task: t.id, Order: site.Start{
 		Task: t.id.String(), Run: number, Spec: t.job.Spec, UntilMS: v.grantLease(now, &s.policy), Fence: s.Epoch,
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"github.com/greengagelane/greengagelane/internal/blame"
 	"github.com/greengagelane/greengagelane/internal/shed"
 	"github.com/greengagelane/greengagelane/pkg/jobs"
 )
@@ -64,8 +65,9 @@
 	job        *job
 	step       *step
 	done       bool
-	failedRuns []int64 // numbers of failed runs; run ends may be reported twice and out of order
-	lastRun    int64   // highest run number seen
+	failedRuns []int64      // numbers of failed runs; run ends may be reported twice and out of order
+	crashes    blame.Record // of VMs that ran it, unless it was cleared of them
+	lastRun    int64        // highest run number seen
 	checkpoint string
 	unverified bool      // it may be running on an unverified VM
 	avoidVM    string    // VM on which it last failed or stalled
@@ -194,10 +196,10 @@
 				switch {
 				case t.done:
 					set.Add(t.id.Index)
-				case len(t.failedRuns) > 0 || t.checkpoint != "":
+				case len(t.failedRuns) > 0 || t.checkpoint != "" || len(t.crashes) > 0:
 					p.Notes = append(p.Notes, jobs.TaskProgress{
 						Occurrence: o.number, Step: st.number, Index: t.id.Index,
-						Failed: t.failedRuns, Checkpoint: t.checkpoint,
+						Failed: t.failedRuns, Checkpoint: t.checkpoint, Crashes: t.crashNotes(), On: t.suspectOn(),
 					})
 				}
 			}
@@ -231,6 +233,7 @@
 	for _, n := range p.Notes {
 		if t := j.findTask(jobs.TaskID{Job: j.ID, Occurrence: n.Occurrence, Step: n.Step, Index: n.Index}); t != nil {
 			t.failedRuns, t.checkpoint = n.Failed, n.Checkpoint
+			t.restoreCrashes(n.Crashes)
 		}
 	}
 }
--- a/internal/sched/loss.go
+++ b/internal/sched/loss.go
@@ -6,31 +6,122 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/greengagelane/greengagelane/internal/blame"
+	"github.com/greengagelane/greengagelane/pkg/jobs"
 )
 
-// maxLoggedRuns is the number of runs that the log line of a lost VM names.
-const maxLoggedRuns = 8
+const (
+	maxLoggedRuns = 8                      // runs that the log line of a lost VM names
+	rackWindow    = 500 * time.Millisecond // within which VMs of one rack fail for one cause
+	rackVMs       = 3                      // VMs of a rack lost within rackWindow, if they are half of it at least, that were lost with the rack
+	fleetWindow   = 50 * time.Millisecond  // within which VMs of all racks fail for one cause
+	fleetVMs      = 4                      // VMs lost within fleetWindow that were lost for one cause
+)
 
-// logLostVM logs the loss of a VM's incarnation with the runs that it takes along, the youngest first: a
-// task that crashes its VM does so soon after its start.
-func (s *Scheduler) logLostVM(now time.Time, v *vm, why string) {
-	if len(v.runs) == 0 {
+// losses holds what the scheduler knows of VMs that were lost with their runs.
+type losses struct {
+	suspects map[*task]bool      // tasks with a record of crashes
+	presumed map[string][]string // tasks that may be running on VMs that this owner has not polled, by VM
+	recent   []loss              // the last losses without a known cause
+}
+
+// loss is the loss of a VM's incarnation.
+type loss struct {
+	vm, rack string
+	born     int64
+	at       time.Time // when the VM first failed to answer
+}
+
+func newLosses() losses {
+	return losses{suspects: map[*task]bool{}, presumed: map[string][]string{}}
+}
+
+// restore loads where a job's suspects may be running.
+func (l *losses) restore(j *job, p *jobs.Progress) {
+	for _, n := range p.Notes {
+		if len(n.Crashes) == 0 {
+			continue
+		}
+		id := jobs.TaskID{Job: j.ID, Occurrence: n.Occurrence, Step: n.Step, Index: n.Index}
+		if t := j.findTask(id); t != nil {
+			l.suspects[t] = true
+		}
+		if n.On != "" {
+			l.presumed[n.On] = append(l.presumed[n.On], id.String())
+		}
+	}
+}
+
+// presume adds the tasks that the previous owner's handover record names.
+func (l *losses) presume(h *inheritedRuns) {
+	if h == nil {
+		return
+	}
+	for name, vms := range h.vmsByTask {
+		for _, vm := range vms {
+			if !slices.Contains(l.presumed[vm], name) {
+				l.presumed[vm] = append(l.presumed[vm], name)
+			}
+		}
+	}
+}
+
+// loseVM logs the loss of a VM's incarnation and splits the blame for it among the jobs that it ran, unless
+// the VM was about to leave.
+func (s *Scheduler) loseVM(now time.Time, v *vm, why string) {
+	lost := s.tasksOn(v)
+	delete(s.losses.presumed, v.ID)
+	if len(lost) == 0 {
 		return
 	}
 	s.stats.LostVMs++
-	runs := v.youngestFirst()
-	var tasks []string
-	for _, r := range runs[:min(len(runs), maxLoggedRuns)] {
-		tasks = append(tasks, fmt.Sprintf("%s run %d, %d ms", r.task.id, r.number, now.Sub(r.startedAt).Milliseconds()))
+	s.logLostVM(now, v, why)
+	if v.cordoned || v.Draining {
+		return
+	}
+	failedAt := v.failedAt
+	if failedAt.IsZero() {
+		failedAt = now
+	}
+	s.blame(failedAt, v, lost)
+	if s.lostTogether(loss{vm: v.ID, rack: v.rack(), born: v.Born, at: failedAt}) {
+		return
+	}
+	for _, x := range lost {
+		s.judge(now, x.task)
 	}
-	s.log.WithFields(logrus.Fields{
-		"vm": v.ID, "pool": v.Pool, "born": v.Born, "why": why, "silent-ms": now.Sub(v.lastAnswer).Milliseconds(),
-		"cordoned": v.cordoned, "draining": v.Draining, "runs": len(runs), "youngest": tasks,
-	}).Info("VM lost with its runs")
 }
 
-// youngestFirst returns the VM's runs ordered by the time since their start, equal ones by task.
-func (v *vm) youngestFirst() []*run {
+// lostTask is a task that a lost VM may have been running. since is when its run was started, zero if this
+// owner does not know.
+type lostTask struct {
+	task  *task
+	since time.Time
+}
+
+// tasksOn returns the tasks that run on a VM, or may do so by the records of an earlier owner, ordered by task.
+func (s *Scheduler) tasksOn(v *vm) []lostTask {
+	var list []lostTask
+	for _, r := range v.runs {
+		list = append(list, lostTask{r.task, r.startedAt})
+	}
+	for _, name := range s.losses.presumed[v.ID] {
+		id, err := jobs.ParseTaskID(name)
+		if err != nil || s.jobs[id.Job] == nil || s.jobs[id.Job].state.Final() {
+			continue
+		}
+		if t := s.jobs[id.Job].findTask(id); t != nil && !t.done && len(t.runs) == 0 {
+			list = append(list, lostTask{task: t})
+		}
+	}
+	slices.SortFunc(list, func(a, b lostTask) int { return a.task.id.Compare(b.task.id) })
+	return list
+}
+
+// logLostVM logs the loss of a VM's incarnation with its runs, the youngest first: a task that crashes its VM
+// does so soon after its start.
+func (s *Scheduler) logLostVM(now time.Time, v *vm, why string) {
 	runs := make([]*run, 0, len(v.runs))
 	for _, r := range v.runs {
 		runs = append(runs, r)
@@ -41,5 +132,159 @@
 		}
 		return a.task.id.Compare(b.task.id)
 	})
-	return runs
+	var youngest []string
+	for _, r := range runs[:min(len(runs), maxLoggedRuns)] {
+		youngest = append(youngest, fmt.Sprintf("%s run %d, %d ms", r.task.id, r.number, now.Sub(r.startedAt).Milliseconds()))
+	}
+	s.log.WithFields(logrus.Fields{
+		"vm": v.ID, "pool": v.Pool, "born": v.Born, "why": why, "silent-ms": now.Sub(v.lastAnswer).Milliseconds(),
+		"cordoned": v.cordoned, "draining": v.Draining, "runs": len(runs), "presumed": len(s.losses.presumed[v.ID]), "youngest": youngest,
+	}).Info("VM lost with its runs")
+}
+
+// blame adds the crash of a VM to the records of the tasks that it ran.
+func (s *Scheduler) blame(failedAt time.Time, v *vm, lost []lostTask) {
+	var list []blame.Job
+	index := map[*job]int{}
+	age := func(x lostTask) time.Duration {
+		if x.since.IsZero() {
+			return 0
+		}
+		return max(failedAt.Sub(x.since), 0)
+	}
+	for _, x := range lost {
+		i, known := index[x.task.job]
+		if !known {
+			i = len(list)
+			index[x.task.job] = i
+			list = append(list, blame.Job{Age: age(x)})
+		}
+		list[i].Age = min(list[i].Age, age(x))
+		list[i].Chance = max(list[i].Chance, x.task.crashes.Chance())
+	}
+	shares := blame.Split(list)
+	for _, x := range lost {
+		t := x.task
+		t.crashes = append(t.crashes, blame.Crash{VM: v.ID, Born: v.Born, Age: age(x), Share: shares[index[t.job]]})
+		t.job.dirty = true
+		s.losses.suspects[t] = true
+	}
+}
+
+// lostTogether records a loss. If it is one of several with one cause, such as the loss of a rack, it
+// withdraws the blame for all of them and returns true.
+func (s *Scheduler) lostTogether(x loss) bool {
+	l := &s.losses
+	l.recent = slices.DeleteFunc(l.recent, func(old loss) bool { return x.at.Sub(old.at) > rackWindow })
+	l.recent = append(l.recent, x)
+	var sameRack, sameTime []loss
+	for _, y := range l.recent {
+		if y.rack == x.rack && x.rack != "" {
+			sameRack = append(sameRack, y)
+		}
+		if x.at.Sub(y.at).Abs() <= fleetWindow {
+			sameTime = append(sameTime, y)
+		}
+	}
+	inRack := 0
+	for _, v := range s.vms {
+		if v.rack() == x.rack {
+			inRack++
+		}
+	}
+	together := false
+	if len(sameRack) >= rackVMs && 2*len(sameRack) >= inRack {
+		together = true
+		s.withdrawAll(sameRack)
+	}
+	if len(sameTime) >= fleetVMs {
+		together = true
+		s.withdrawAll(sameTime)
+	}
+	return together
+}
+
+func (s *Scheduler) withdrawAll(list []loss) {
+	for _, x := range list {
+		s.losses.withdraw(x.vm, x.born)
+	}
+}
+
+// withdraw removes the crash of a VM's incarnation, which has another cause, from all records.
+func (l *losses) withdraw(vm string, born int64) {
+	for t := range l.suspects {
+		if kept := t.crashes.Without(vm, born); len(kept) < len(t.crashes) {
+			l.set(t, kept)
+		}
+	}
+}
+
+// set replaces the record of a task.
+func (l *losses) set(t *task, r blame.Record) {
+	t.crashes = r
+	t.job.dirty = true
+	if len(r) == 0 {
+		delete(l.suspects, t)
+	}
+}
+
+// clearIfOutlived clears a task once one of its runs has outlived the age at which VMs crashed under it.
+func (s *Scheduler) clearIfOutlived(now time.Time, r *run) {
+	if t := r.task; len(t.crashes) > 0 && now.Sub(r.startedAt) >= t.crashes.ClearedAfter() {
+		s.losses.set(t, nil)
+	}
+}
+
+// judge gives a job up if the record of one of its tasks calls for it. The crashes are then no evidence
+// against the tasks of other jobs.
+func (s *Scheduler) judge(now time.Time, t *task) {
+	verdict := t.crashes.Verdict()
+	if verdict == blame.None || t.job.state.Final() {
+		return
+	}
+	s.stats.GivenUp++
+	s.log.WithFields(logrus.Fields{
+		"job": t.job.ID, "task": t.id.String(), "verdict": verdict.String(), "crashes": crashTexts(t.crashes),
+	}).Info("job is given up: VMs crash while they run a task of it")
+	crashes := t.crashes
+	s.finalize(now, t.job, jobs.Failed)
+	if verdict != blame.Proved {
+		return
+	}
+	for _, c := range crashes {
+		s.losses.withdraw(c.VM, c.Born)
+	}
+}
+
+// crashTexts describes crashes for operators.
+func crashTexts(r blame.Record) []string {
+	var list []string
+	for _, c := range r {
+		list = append(list, fmt.Sprintf("VM %s (born %d) after %d ms, share of the blame %.2f", c.VM, c.Born, c.Age.Milliseconds(), c.Share))
+	}
+	return list
+}
+
+// crashNotes returns the record of a task for the job log.
+func (t *task) crashNotes() []jobs.CrashNote {
+	var notes []jobs.CrashNote
+	for _, c := range t.crashes {
+		notes = append(notes, jobs.CrashNote{VM: c.VM, Born: c.Born, AgeMS: c.Age.Milliseconds(), Percent: int(100*c.Share + 0.5)})
+	}
+	return notes
+}
+
+// suspectOn returns the VM that a suspect runs on, empty if it runs on none.
+func (t *task) suspectOn() string {
+	if len(t.crashes) == 0 || len(t.runs) == 0 {
+		return ""
+	}
+	return t.runs[0].vm.ID
+}
+
+func (t *task) restoreCrashes(notes []jobs.CrashNote) {
+	t.crashes = nil
+	for _, n := range notes {
+		t.crashes = append(t.crashes, blame.Crash{VM: n.VM, Born: n.Born, Age: time.Duration(n.AgeMS) * time.Millisecond, Share: float64(n.Percent) / 100})
+	}
 }
--- a/internal/sched/observe.go
+++ b/internal/sched/observe.go
@@ -39,7 +39,7 @@
 // in flight may reach the new incarnation, which cannot tell that it was meant for the
 // earlier one, so its run stays until the reply and a later poll are known.
 func (s *Scheduler) handleNewIncarnation(now time.Time, v *vm, born int64) {
-	s.logLostVM(now, v, "VM restarted")
+	s.loseVM(now, v, "VM restarted")
 	startInFlight := false
 	for _, r := range v.runs {
 		if r.startInFlight {
@@ -51,7 +51,7 @@
 	}
 	v.orphans = map[string]int64{}
 	v.Born, v.seenSeq, v.storedSeq, v.polled = born, 0, 0, false
-	v.leasesEnd, v.clockMS, v.clockAt = time.Time{}, 0, time.Time{}
+	v.leasesEnd, v.clockMS, v.clockAt, v.failedAt, v.lapsed = time.Time{}, 0, time.Time{}, time.Time{}, false
 	if startInFlight {
 		v.leasesEnd = now.Add(s.policy.localDuration(s.policy.MaxLease))
 	}
@@ -64,7 +64,7 @@
 	if v == nil {
 		return
 	}
-	s.logLostVM(now, v, "another incarnation answers at its address")
+	s.loseVM(now, v, "another incarnation answers at its address")
 	s.releaseRuns(v, "VM incarnation ended")
 	s.forgetVM(v)
 }
@@ -138,7 +138,12 @@
 		}
 		s.handleNewIncarnation(now, v, status.Born)
 	}
-	v.clockMS, v.clockAt, v.lastAnswer, v.pollFailed = status.ClockMS, now, now, false
+	v.clockMS, v.clockAt, v.lastAnswer, v.pollFailed, v.failedAt = status.ClockMS, now, now, false, time.Time{}
+	if v.lapsed { // it was cut off, and has not crashed
+		v.lapsed = false
+		s.losses.withdraw(v.ID, v.Born)
+	}
+	delete(s.losses.presumed, v.ID)
 	for i := range status.Ended {
 		if e := &status.Ended[i]; e.Sequence > v.seenSeq {
 			s.handleRunEnd(now, v, e)
@@ -287,6 +292,7 @@
 	}
 	r.reportedTailMS = x.Load
 	r.task.keepCheckpoint(r, x.Checkpoint)
+	s.clearIfOutlived(now, r)
 }
 
 // handleRunEnd processes a run end that a VM reports.
@@ -306,6 +312,7 @@
 			s.recordRace(r)
 			s.recordRun(now, r)
 		}
+		s.clearIfOutlived(now, r)
 		s.releaseRun(r, e.How.String())
 	}
 	j := s.jobs[id.Job]
@@ -345,6 +352,7 @@
 			s.stop(now, r, "another run of the task is done")
 		}
 		j.finishTask(x)
+		delete(s.losses.suspects, x)
 	}
 	if t.step.done == t.step.Count {
 		s.queue(j.Queue).recordStep(t.step)
--- a/internal/sched/replies.go
+++ b/internal/sched/replies.go
@@ -89,6 +89,9 @@
 		return
 	}
 	v.pollFailed = true
+	if v.failedAt.IsZero() {
+		v.failedAt = now
+	}
 	s.fenced = s.fenced || errors.Is(err, site.ErrFenced)
 }
 
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -39,6 +39,7 @@
 	offeredAt        map[string]offer         // first submissions, by job ID
 	round            int64                    // number of the last scheduling round; 1 before the first, which no pool and job has seen
 	quotas           quotas
+	losses           losses
 	actions          []Action
 	fenced           bool
 	newJobsHeld      bool           // see HoldNewJobs
@@ -54,11 +55,12 @@
 	stats        Stats
 }
 
-// Stats holds the counters for the metrics. Refused counts jobs, LostVMs VMs, the others count runs. Lost
+// Stats holds the counters for the metrics. Refused and GivenUp count jobs, LostVMs VMs, the others runs. Lost
 // counts runs that were released without a report of their end.
 type Stats struct {
 	Started, Done, Failed, Stopped, Lost, Refused, Stalled int
 	LostVMs                                                int // incarnations of VMs that were lost with runs
+	GivenUp                                                int // jobs that were given up because a task crashed VMs
 	RefusedByShare                                         int // of Refused: the account's work exceeds its share
 	RefusedByRate                                          int // of Refused: the job is beyond the rate of its account
 
@@ -110,7 +112,7 @@
 		Epoch: epoch, policy: p, log: log,
 		jobs: map[string]*job{}, vms: map[string]*vm{}, pools: map[string]*pool{}, queues: map[string]*queueStats{},
 		unverified: map[string]time.Time{}, recordedVMs: map[string]bool{}, offeredAt: map[string]offer{},
-		buckets: map[string]*fair.Bucket{}, round: 1,
+		buckets: map[string]*fair.Bucket{}, round: 1, losses: newLosses(),
 	}
 }
 
@@ -134,8 +136,10 @@
 	for id, j := range s.jobs {
 		if p := progress[id]; p != nil {
 			j.restore(p)
+			s.losses.restore(j, p)
 		}
 	}
+	s.losses.presume(s.inherited)
 }
 
 func (s *Scheduler) restore(now time.Time, lastEpoch int64, r site.Record, progress map[string]*jobs.Progress) error {
--- a/internal/sched/submit.go
+++ b/internal/sched/submit.go
@@ -177,6 +177,7 @@
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
 			for _, t := range st.tasks {
+				delete(s.losses.suspects, t)
 				for _, r := range t.runs {
 					s.stop(now, r, "job "+state.String())
 				}
--- a/internal/sched/vm.go
+++ b/internal/sched/vm.go
@@ -17,6 +17,8 @@
 	polled              bool             // a status poll of this owner has succeeded; reset when the VM restarts, its leases expire or it refuses a start as late, until the next poll succeeds
 	cordoned            bool             // about to be moved or maintained; gets no new runs
 	pollFailed          bool             // the last status poll failed
+	failedAt            time.Time        // when a poll first failed since the last answer; zero if none has
+	lapsed              bool             // its runs were released when its leases expired; it may be cut off or gone
 	recorded            bool             // the job log names it as a VM that may hold runs; required before a start
 	runs                map[string]*run  // by task name
 	orphans             map[string]int64 // numbers of runs that this owner does not track, by task name
--- a/pkg/jobs/progress.go
+++ b/pkg/jobs/progress.go
@@ -19,7 +19,7 @@
 	// DoneOccurrences is the number of occurrences that are done.
 	DoneOccurrences int
 	Done            []DoneSet      // steps with at least one task done
-	Notes           []TaskProgress // tasks not done that have failures or a checkpoint
+	Notes           []TaskProgress // tasks not done that have failures, crashes or a checkpoint
 }
 
 // DoneSet is the set of a step's tasks that are done.
@@ -38,6 +38,17 @@
 	Index      int
 	Failed     []int64 // numbers of the runs that failed
 	Checkpoint string
+	Crashes    []CrashNote // of VMs while they ran the task; later versions only
+	On         string      // VM that the task was last ordered to start on; set only with Crashes
+}
+
+// CrashNote is a crash of a VM as evidence against a task that it ran.
+type CrashNote struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // encodes fields by position
+	VM       string
+	Born     int64 // start of the VM's incarnation, Unix milliseconds
+	AgeMS    int64 // of the task's run
+	Percent  int   // share of the blame, 0 to 100
 }
 
 // Has reports whether a task is in the set.
