emul, soak: tasks that crash their VMs, VMs that shrink, and pools that do not guard their room

The soak played no task that crashes its VM and no VM whose capacity changes, so nothing of its own showed the incident. One job in some 60 has such a task; a fault takes up to all of a VM's room for some seconds; the VMs of one pool start what exceeds their room. The ledger reports a task of the first kind that is started six times, and a start beyond the room that owners know.

--- a/internal/stand/emul/ledger.go
+++ b/internal/stand/emul/ledger.go
@@ -6,6 +6,10 @@
 	"time"
 )
 
+// maxCrashStarts is the number of starts of a task that crashes its VMs that violates an invariant: three,
+// and three more.
+const maxCrashStarts = 6
+
 // TaskRun is one run of a task, as recorded by its VM.
 type TaskRun struct {
 	Task         string
@@ -20,6 +24,7 @@
 	How          string    // outcome: done, failed, stopped, lapsed (the VM's lease expired), or the argument of Worker.Kill
 	Acknowledged bool      // a status poll acknowledged the end before the VM's lease expired
 	VMHealthy    bool      // no injected fault was active on its VM when the run ended
+	CrashesVM    bool      // it crashes its VM
 }
 
 // Ledger records the task runs of all VMs.
@@ -27,6 +32,14 @@
 	mu     sync.Mutex
 	runs   []*TaskRun
 	byTask map[string][]*TaskRun
+	// violations are starts that brought a VM over its capacity.
+	violations []string
+}
+
+func (l *Ledger) addViolation(text string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.violations = append(l.violations, text)
 }
 
 // Runs returns a copy of all runs in the order of their starts.
@@ -68,11 +81,18 @@
 
 // FirstViolation returns a description of the first violation found, in no particular order of
 // tasks, or an empty string. The invariants are that a task has at most one run at a time, and
-// that no run of a task starts after the end of a run with outcome done has been acknowledged.
+// that no run of a task starts after the end of a run with outcome done has been acknowledged, that no start
+// brings a VM over its capacity, and that a task that crashes its VMs is not started maxCrashStarts times.
 func (l *Ledger) FirstViolation() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, runs := range l.byTask {
+	if len(l.violations) > 0 {
+		return l.violations[0]
+	}
+	for task, runs := range l.byTask {
+		if runs[0].CrashesVM && len(runs) >= maxCrashStarts {
+			return fmt.Sprintf("%s: started %d times, though VMs crash while they run it", task, len(runs))
+		}
 		for i, later := range runs {
 			for _, earlier := range runs[:i] {
 				if why := violation(earlier, later); why != "" {
--- a/internal/stand/emul/operator.go
+++ b/internal/stand/emul/operator.go
@@ -58,7 +58,7 @@
 	// The configuration calls pools services, and client accounts tenants.
 	poolRows := []map[string]any{{"name": "rest", "spare": true}}
 	for _, name := range c.Pools {
-		poolRows = append(poolRows, map[string]any{"name": name, "rejectsOverload": true})
+		poolRows = append(poolRows, map[string]any{"name": name, "rejectsOverload": !p.opts.Unguarded[name]})
 	}
 	var routes []map[string]any
 	for _, q := range c.Queues {
--- a/internal/stand/emul/platform.go
+++ b/internal/stand/emul/platform.go
@@ -18,8 +18,10 @@
 	Lookup func(task string) Task
 	// Address returns the address to publish for a VM, such as that of a proxy that
 	// injects faults. If nil, VMs publish the address that they listen on.
-	Address func(vm, listenAddress string) (string, error)
-	Drift   float64 // fraction by which the clock of every third VM runs slow
+	Address    func(vm, listenAddress string) (string, error)
+	Drift      float64         // fraction by which the clock of every third VM runs slow
+	RepairTime time.Duration   // until a VM that a task has crashed is back
+	Unguarded  map[string]bool // pools whose VMs start what exceeds their capacity
 }
 
 // Platform is an emulated platform: a log, and an inventory of machines in pools whose VMs
@@ -189,6 +191,7 @@
 	if p.incarnations%3 == 0 {
 		vm.clockDrift = p.opts.Drift
 	}
+	vm.onCrash, vm.Unguarded = p.crashByTask, p.opts.Unguarded[m.pool]
 	m.vm, m.state = vm, "up"
 	p.Store.Put("keyed.servers", vm.ID, vm.ListRecord("ready"))
 	return nil
@@ -253,7 +256,7 @@
 			}
 			rows = append(rows, map[string]any{
 				"machine": m.name, "pool": m.pool, "state": m.state, "zone": "z", "labels": []string{"a", "r1-1"},
-				"capacity": map[string]int{"cpu": vmCPU, "memMb": vmMemMB}, "id": id,
+				"capacity": map[string]int{"cpu": VMCPU, "memMb": vmMemMB}, "id": id,
 			})
 		}
 		reply(rw, map[string]any{"machines": rows, "nextToken": nil})
--- a/internal/stand/emul/worker.go
+++ b/internal/stand/emul/worker.go
@@ -18,6 +18,7 @@
 	Duration    time.Duration // run time unless it is long-running
 	LongRunning bool          // it runs until stopped
 	FailingRuns int           // number of its runs that fail before one succeeds
+	CrashesVM   bool          // each of its runs crashes its VM
 }
 
 // Worker emulates one VM, that is, one incarnation of a machine. It runs tasks while its lease
@@ -35,6 +36,8 @@
 	startedAt      time.Time
 	clockDrift     float64 // fraction by which its clock is slow; 0.01 loses 10 ms per second
 	usedCPU        int     // thousandths of a core
+	capacity       []capacityChange
+	onCrash        func(*Worker)
 	mu             sync.Mutex
 	fence          int64 // highest fencing token received
 	leaseEnd       time.Time
@@ -50,11 +53,13 @@
 	LosePercent    int              // percentage of calls that get no reply; orders among them take effect after LateBy
 	LateBy         time.Duration    // see LosePercent
 	FailAllRuns    bool             // all runs that it starts fail
+	Unguarded      bool             // it starts what exceeds its capacity
 	calls          int              // received
 }
 
 const (
-	vmCPU          = 8000  // thousandths of a core
+	// VMCPU is the capacity of a VM, in thousandths of a core.
+	VMCPU          = 8000
 	vmMemMB        = 16000 // memory in MB
 	initialClockMS = 1000  // clock reading at start, milliseconds
 )
@@ -84,7 +89,7 @@
 	}
 	w := &Worker{
 		ID: id, Machine: machine, Pool: pool, address: ln.Addr().String(), ledger: l, ln: ln, startedAt: time.Now(), lookup: lookup,
-		running: map[string]*activeRun{}, highestRun: map[string]int64{}, runEnded: make(chan struct{}), closed: make(chan struct{}),
+		capacity: []capacityChange{{cpu: VMCPU}}, running: map[string]*activeRun{}, highestRun: map[string]int64{}, runEnded: make(chan struct{}), closed: make(chan struct{}),
 	}
 	w.server = &http.Server{Handler: w, ReadHeaderTimeout: time.Minute}
 	go func() { _ = w.server.Serve(ln) }()
@@ -94,9 +99,12 @@
 
 // ListRecord returns the VM's record for the VM list in the platform's log.
 func (w *Worker) ListRecord(state string) []byte {
+	w.mu.Lock()
+	cpu := w.cpu()
+	w.mu.Unlock()
 	data, err := json.Marshal(map[string]any{
 		"service": w.Pool, "address": w.address, "zone": "z", "state": state, "slots": 8,
-		"capacity": map[string]int{"cpu": vmCPU, "memMb": vmMemMB}, "labels": []string{"a", "r1-1"}, "born": w.startedAt.UnixMilli(),
+		"capacity": map[string]int{"cpu": cpu, "memMb": vmMemMB}, "labels": []string{"a", "r1-1"}, "born": w.startedAt.UnixMilli(),
 	})
 	if err != nil {
 		return nil
@@ -282,10 +290,11 @@
 	case w.running[b.Task] != nil:
 	default:
 		task := w.lookup(b.Task)
-		if w.usedCPU+task.CPU > vmCPU {
+		if !w.Unguarded && w.usedCPU+task.CPU > w.cpu() {
 			w.refuse(rw, "room")
 			return
 		}
+		w.checkRoom(b, task)
 		w.beginRun(b, task)
 	}
 	reply(rw, map[string]any{"clockMs": w.clockMS()})
@@ -305,6 +314,10 @@
 	a := &activeRun{taskRun: taskRun, task: task}
 	w.usedCPU += task.CPU
 	w.running[b.Task] = a
+	if task.CrashesVM {
+		taskRun.CrashesVM = true
+		time.AfterFunc(crashDelay, func() { w.onCrash(w) })
+	}
 	duration := task.Duration
 	if task.LongRunning {
 		duration = time.Hour // longer than any test
--- a/internal/stand/soak/caller.go
+++ b/internal/stand/soak/caller.go
@@ -28,6 +28,7 @@
 
 	duration    time.Duration // run time of each task
 	failingRuns int           // number of runs of each task that fail before one succeeds
+	crashesVM   bool          // the first task crashes each VM that runs it
 }
 
 // Job is a job that a caller has submitted, with the times of the replies to the caller. mu
@@ -46,7 +47,11 @@
 	cancelAckedAt time.Time // when a cancellation was first acknowledged
 }
 
-const longRunningShape = "lasting"
+// Shapes of which callers submit fewer jobs than of the others.
+const (
+	longRunningShape = "lasting"
+	crashingShape    = "crashes-vms"
+)
 
 // shapes are the kinds of jobs that callers submit.
 var shapes = []struct {
@@ -66,6 +71,9 @@
 	{"hopeless", func(r *rand.Rand) []step {
 		return []step{{Count: 2, CPU: 500, EstimateMS: 100, duration: shortDuration(r), failingRuns: emul.MaxAttempts + 10}}
 	}},
+	{crashingShape, func(r *rand.Rand) []step {
+		return []step{{Count: 1 + r.IntN(3), CPU: 1000, EstimateMS: 200, duration: shortDuration(r), crashesVM: true}}
+	}},
 	{longRunningShape, func(*rand.Rand) []step {
 		return []step{{Count: 3, CPU: 1500, EstimateMS: 100, LongRunning: true, MayMiss: 1, PerVM: 1}}
 	}},
@@ -119,7 +127,7 @@
 		return emul.Task{}
 	}
 	st := &j.Steps[id.Step]
-	return emul.Task{Account: j.Account, CPU: st.CPU, Duration: st.duration, LongRunning: st.LongRunning, FailingRuns: st.failingRuns}
+	return emul.Task{Account: j.Account, CPU: st.CPU, Duration: st.duration, LongRunning: st.LongRunning, FailingRuns: st.failingRuns, CrashesVM: st.crashesVM && id.Index == 0}
 }
 
 // caller submits, queries and cancels jobs over one persistent connection.
@@ -194,6 +202,9 @@
 	}
 }
 
+// crashingJobs is the number of jobs picked of crashingShape for each one that is submitted.
+const crashingJobs = 10
+
 // submit submits a job of a random shape.
 func (c *caller) submit(ctx context.Context) {
 	shape := shapes[c.r.IntN(len(shapes))]
@@ -203,6 +214,9 @@
 	if shape.name == longRunningShape && c.hasLongRunning() {
 		shape = shapes[0] // several long-running jobs of each caller would fill all VMs
 	}
+	if shape.name == crashingShape && c.r.IntN(crashingJobs) > 0 {
+		shape = shapes[0] // else most VMs would be down
+	}
 	j := &Job{
 		ID: fmt.Sprintf("%016x", c.r.Uint64()), Account: c.account, Queue: c.harness.queues[c.r.IntN(len(c.harness.queues))].Name,
 		Shape: shape.name, Steps: shape.steps(c.r), Spec: fmt.Sprintf("spec-%d", c.r.IntN(1000)),
--- a/internal/stand/soak/check.go
+++ b/internal/stand/soak/check.go
@@ -70,8 +70,8 @@
 			}
 		}
 	case "failed":
-		if !harness.attemptsExhausted(j, h) {
-			harness.reportViolation("job %s is reported as failed, but none of its tasks has failed in all its attempts", j.ID)
+		if !harness.attemptsExhausted(j, h) && !crashesVMs(j, h) {
+			harness.reportViolation("job %s is reported as failed, but none of its tasks has failed in all its attempts or has crashed two VMs", j.ID)
 		}
 	case "cancelled":
 		if !cancelled {
@@ -91,6 +91,16 @@
 	return false
 }
 
+// crashesVMs reports whether a task of a job has crashed two VMs.
+func crashesVMs(j *Job, h history) bool {
+	for s := range j.Steps {
+		if runs := h[formatTaskID(j, s, 0)]; j.Steps[s].crashesVM && len(runs) > 1 && !runs[1].End.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
 // checkRuns checks all recorded runs against the requests of callers and the replies to them.
 func (harness *Harness) checkRuns() {
 	if violation := harness.platform.Ledger.FirstViolation(); violation != "" {
--- a/internal/stand/soak/fault.go
+++ b/internal/stand/soak/fault.go
@@ -49,6 +49,7 @@
 		return injectVMFault(harness, r, func(w *emul.Worker) { w.FailAllRuns = true }, func(w *emul.Worker) { w.FailAllRuns = false })
 	}},
 	{"VM crashes", 4, crashVM},
+	{"VM has less room", 4, shrinkVM},
 	{"configuration changes", 2, func(harness *Harness, _ *rand.Rand) func() { harness.configure(); return nil }},
 	{"maintenance wave", 1, func(harness *Harness, r *rand.Rand) func() { harness.requestWave(r); return nil }},
 }
@@ -259,6 +260,12 @@
 	sleep(ctx, length/2)
 }
 
+// shrinkVM reduces a VM's capacity to a part.
+func shrinkVM(harness *Harness, r *rand.Rand) func() {
+	cpu := 1000 * r.IntN(6)
+	return injectVMFault(harness, r, func(w *emul.Worker) { w.SetCPU(cpu) }, func(w *emul.Worker) { w.SetCPU(emul.VMCPU) })
+}
+
 func crashVM(harness *Harness, r *rand.Rand) func() {
 	vms := harness.platform.VMs()
 	if len(vms) == 0 {
--- a/internal/stand/soak/soak.go
+++ b/internal/stand/soak/soak.go
@@ -19,6 +19,7 @@
 	shutdownGrace   = 6 * time.Second        // from SIGTERM to SIGKILL
 	maxLeaseMS      = 10_000                 // longest lease on a VM
 	moveTime        = 500 * time.Millisecond // how long a machine is out of service during a move
+	repairTime      = 2 * time.Second        // until a VM that a task has crashed is back
 	checkInterval   = 300 * time.Millisecond // between checks of the runs, and between readiness checks of the entries
 	settleTimeout   = 60 * time.Second       // for each wait of settle, after all faults have ended
 
@@ -116,6 +117,7 @@
 	var err error
 	harness.platform, err = emul.Start(emul.Options{
 		Pools: map[string]int{"alpha": 4, "beta": 4, "rest": 3}, MoveTime: moveTime, Lookup: harness.registry.Lookup, Address: harness.addVMLink, Drift: 0.02,
+		RepairTime: repairTime, Unguarded: map[string]bool{"beta": true},
 	})
 	if err != nil {
 		return err
