sched: suspects are started where a crash takes least with it, and verdicts wait for the rack

Callers of other jobs saw these given up, or late by several crashes: the runs of a lost VM were started again together, so each further crash hit the same jobs and told nobody apart.

A suspect is started on a VM without runs of other jobs, or else where a crash costs least, and the VM gets no runs of other jobs until the suspect has outlived the age of the crash; a poll out of turn shows it. A task under which two VMs have crashed waits for a VM of its own, a second at most. Earlier evidence alone makes no blame certain. Verdicts wait 200 ms, in which the loss of a whole rack shows. A crash that has another cause still counts as one, without blame, so that a task is not started without end.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -18,9 +18,10 @@
 	baseChance     = 0.01                  // that a job without evidence against it crashes VMs
 	maxChance      = 0.95                  // however much evidence there is against a job
 	ageUnit        = 50 * time.Millisecond // ages below are not told apart: orders and reports take about as long
-	suspectShare   = 0.04                  // of the blame for a crash, from which a job is a suspect: of 25 runs of equal age, each is
+	suspectShare   = 0.1                   // of the blame for a crash, from which a job is a suspect: of 10 runs of equal age, each is
 	certainShare   = 0.9                   // of the blame for a crash, from which no other job explains it
-	crashesToProve = 2                     // crashes under one task, of which one is certain, that prove it the cause
+	uncertainShare = 0.85                  // largest share of a job that the ages of the runs do not single out
+	crashesToProve = 2                     // crashes under one task, one certain and the others likely enough to make it a suspect, that prove it the cause
 	maxCrashes     = 4                     // crashes under one task after which its job is given up without proof; the platform allows two starts after the third
 )
 
@@ -30,22 +31,37 @@
 	Chance float64       // Record.Chance of its tasks, the highest
 }
 
-// Split returns the share of each job in the blame for a crash. The shares sum to 1. A crash caused by a run
-// is expected soon after its start, one in another run's time at any age.
+// Split returns the share of each job in the blame for a crash. A run that causes a crash does so soon after
+// its start, while the others are of any age. Earlier evidence alone makes no share certain, since another
+// task that crashes VMs may have been started on the same one: the shares then sum to less than 1.
 func Split(list []Job) []float64 {
-	shares := make([]float64, len(list))
-	var sum float64
+	shares, byAge := make([]float64, len(list)), make([]float64, len(list))
 	for i := range list {
 		chance := min(max(list[i].Chance, baseChance), maxChance)
-		shares[i] = chance / (1 - chance) / (max(list[i].Age, 0) + ageUnit).Seconds()
-		sum += shares[i]
+		byAge[i] = 1 / (max(list[i].Age, 0) + ageUnit).Seconds()
+		shares[i] = byAge[i] * chance / (1 - chance)
 	}
+	normalize(shares)
+	normalize(byAge)
 	for i := range shares {
-		shares[i] /= sum
+		if byAge[i] < certainShare {
+			shares[i] = min(shares[i], uncertainShare)
+		}
 	}
 	return shares
 }
 
+// normalize scales values so that they sum to 1.
+func normalize(values []float64) {
+	var sum float64
+	for _, x := range values {
+		sum += x
+	}
+	for i := range values {
+		values[i] /= sum
+	}
+}
+
 // Crash is a crash of a VM as evidence against a task that it ran.
 type Crash struct {
 	VM    string
@@ -91,12 +107,17 @@
 
 // Verdict returns whether the task's job is given up.
 func (r Record) Verdict() Verdict {
-	certain := false
+	certain, likely := 0, 0
 	for i := range r {
-		certain = certain || r[i].Share >= certainShare
+		if r[i].Share >= suspectShare {
+			likely++
+		}
+		if r[i].Share >= certainShare {
+			certain++
+		}
 	}
 	switch {
-	case len(r) >= crashesToProve && certain:
+	case likely >= crashesToProve && certain > 0:
 		return Proved
 	case len(r) >= maxCrashes:
 		return Exhausted
@@ -114,8 +135,25 @@
 	return 2*age + ageUnit
 }
 
-// Without returns the record without the crash of an incarnation of a VM, which has turned out to have
-// another cause.
+// Explained returns the record after a crash has turned out to have another cause, such as another job or the
+// loss of a rack. A crash for which the task was likely counts on as one without blame: it may have had two
+// causes, and the task must not be started without end.
+func (r Record) Explained(vm string, born int64) Record {
+	var kept Record
+	for _, c := range r {
+		if c.VM == vm && c.Born == born {
+			if c.Share < suspectShare {
+				continue
+			}
+			c.Share = 0
+		}
+		kept = append(kept, c)
+	}
+	return kept
+}
+
+// Without returns the record without the crash of an incarnation of a VM, which has turned out not to have
+// ended.
 func (r Record) Without(vm string, born int64) Record {
 	var kept Record
 	for _, c := range r {
--- a/internal/drive/partition.go
+++ b/internal/drive/partition.go
@@ -169,6 +169,8 @@
 		part.sendOrder(ctx, now, a.VM, a)
 	case sched.ThrottleRun:
 		part.sendOrder(ctx, now, a.VM, a)
+	case sched.PollVM:
+		part.sendOrder(ctx, now, a.VM, a)
 	case sched.AskAdvice:
 		part.node.requestAdvice(part, a)
 	}
--- a/internal/drive/session.go
+++ b/internal/drive/session.go
@@ -61,20 +61,12 @@
 			sleep(ctx, pollBackoff)
 			continue
 		}
-		sentAt := time.Now()
-		status, err := link.Poll(ctx, &poll, s.calls.Timeout(0))
+		sentAt, err := s.poll(ctx, link, &poll)
 		if ctx.Err() != nil {
 			return
 		}
 		verify = err != nil
 		s.recordCall(err, time.Since(sentAt)-poll.Wait, failures+1, time.Since(sentAt))
-		s.part.post(func(now time.Time) {
-			if err != nil {
-				s.part.scheduler.HandlePollFailure(now, s.id, err)
-				return
-			}
-			s.part.scheduler.HandlePoll(now, s.id, sentAt, status)
-		})
 		if err != nil {
 			pollsFailed.Inc()
 			if failures++; failures > 1 || !site.IsUnanswered(err) {
@@ -167,6 +159,10 @@
 // send sends an order and passes the reply to the scheduler. An order without an answer is sent again on a
 // new connection: each order has the same effect however often it is carried out.
 func (s *vmSession) send(ctx context.Context, link *platform.VMLink, a sched.Action) {
+	if _, ok := a.(sched.PollVM); ok {
+		s.pollNow(ctx, link)
+		return
+	}
 	began := time.Now()
 	var refusal site.Refusal
 	var err error
@@ -194,6 +190,30 @@
 	})
 }
 
+// pollNow polls the VM's status out of turn. As in a poll after a failed one, the VM does not delay its reply.
+func (s *vmSession) pollNow(ctx context.Context, link *platform.VMLink) {
+	if poll, ok := s.part.nextPoll(ctx, s.id, true); ok {
+		_, _ = s.poll(ctx, link, &poll) // the poll loop decides what a failure means
+	}
+}
+
+// poll sends a status poll and passes the result to the scheduler.
+func (s *vmSession) poll(ctx context.Context, link *platform.VMLink, poll *site.StatusPoll) (sentAt time.Time, err error) {
+	sentAt = time.Now()
+	status, err := link.Poll(ctx, poll, s.calls.Timeout(0))
+	if ctx.Err() != nil {
+		return sentAt, ctx.Err()
+	}
+	s.part.post(func(now time.Time) {
+		if err != nil {
+			s.part.scheduler.HandlePollFailure(now, s.id, err)
+			return
+		}
+		s.part.scheduler.HandlePoll(now, s.id, sentAt, status)
+	})
+	return sentAt, err
+}
+
 func (s *vmSession) sendOnce(ctx context.Context, link *platform.VMLink, a sched.Action, timeout time.Duration) (site.Refusal, error) {
 	epoch := s.part.scheduler.Epoch
 	switch a := a.(type) {
--- a/internal/sched/action.go
+++ b/internal/sched/action.go
@@ -43,6 +43,10 @@
 	VMs  []string
 }
 
+// PollVM polls a VM's status out of turn. Its reply goes to Scheduler.HandlePoll.
+type PollVM struct{ VM string }
+
+func (PollVM) action()      {}
 func (StartRun) action()    {}
 func (StopRun) action()     {}
 func (ThrottleRun) action() {}
--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -232,9 +232,9 @@
 }
 
 // copyableRun returns the only run of a task that may get a copy, else nil. Both runs may fail, so the
-// task needs as many attempts left. An unverified VM may hold another run of the task.
+// task needs as many attempts left, and if VMs crash under it, a copy would crash another. An unverified VM may hold another run of the task.
 func (s *Scheduler) copyableRun(now time.Time, t *task) *run {
-	if t.done || len(t.runs) != 1 || len(t.failedRuns)+2 > t.job.MaxAttempts || (t.unverified && s.mayBeRunning(t)) {
+	if t.done || len(t.runs) != 1 || len(t.crashes) > 0 || len(t.failedRuns)+2 > t.job.MaxAttempts || (t.unverified && s.mayBeRunning(t)) {
 		return nil
 	}
 	if r := t.runs[0]; r.phase == working && now.Sub(r.vm.lastAnswer) < s.policy.SilentAfter {
--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -15,6 +15,7 @@
 	}
 	s.expireLeases(now)
 	s.unrecordDrainedVMs()
+	s.judge(now)
 	s.evacuate(now)
 	for _, v := range s.vms {
 		for _, r := range v.runs {
@@ -22,6 +23,7 @@
 		}
 	}
 	s.throttle(now)
+	s.pollTrials(now)
 	for _, j := range s.jobs {
 		if !j.state.Final() && j.stored {
 			j.createDueOccurrences(now)
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -67,12 +67,14 @@
 	done       bool
 	failedRuns []int64      // numbers of failed runs; run ends may be reported twice and out of order
 	crashes    blame.Record // of VMs that ran it, unless it was cleared of them
-	lastRun    int64        // highest run number seen
-	checkpoint string
-	unverified bool      // it may be running on an unverified VM
-	avoidVM    string    // VM on which it last failed or stalled
-	readyAt    time.Time // not started before
-	runs       []*run
+	// suspectSince is when this owner last saw a VM crash under it.
+	suspectSince time.Time
+	lastRun      int64 // highest run number seen
+	checkpoint   string
+	unverified   bool      // it may be running on an unverified VM
+	avoidVM      string    // VM on which it last failed or stalled
+	readyAt      time.Time // not started before
+	runs         []*run
 }
 
 // phase is the state of a run.
--- a/internal/sched/loss.go
+++ b/internal/sched/loss.go
@@ -17,6 +17,7 @@
 	rackVMs       = 3                      // VMs of a rack lost within rackWindow, if they are half of it at least, that were lost with the rack
 	fleetWindow   = 50 * time.Millisecond  // within which VMs of all racks fail for one cause
 	fleetVMs      = 4                      // VMs lost within fleetWindow that were lost for one cause
+	verdictDelay  = 200 * time.Millisecond // from a crash until a job is given up for it; the loss of other VMs of its rack is known by then
 )
 
 // losses holds what the scheduler knows of VMs that were lost with their runs.
@@ -84,13 +85,8 @@
 	if failedAt.IsZero() {
 		failedAt = now
 	}
-	s.blame(failedAt, v, lost)
-	if s.lostTogether(loss{vm: v.ID, rack: v.rack(), born: v.Born, at: failedAt}) {
-		return
-	}
-	for _, x := range lost {
-		s.judge(now, x.task)
-	}
+	s.blame(now, failedAt, v, lost)
+	s.checkLostTogether(loss{vm: v.ID, rack: v.rack(), born: v.Born, at: failedAt})
 }
 
 // lostTask is a task that a lost VM may have been running. since is when its run was started, zero if this
@@ -143,7 +139,7 @@
 }
 
 // blame adds the crash of a VM to the records of the tasks that it ran.
-func (s *Scheduler) blame(failedAt time.Time, v *vm, lost []lostTask) {
+func (s *Scheduler) blame(now, failedAt time.Time, v *vm, lost []lostTask) {
 	var list []blame.Job
 	index := map[*job]int{}
 	age := func(x lostTask) time.Duration {
@@ -166,14 +162,14 @@
 	for _, x := range lost {
 		t := x.task
 		t.crashes = append(t.crashes, blame.Crash{VM: v.ID, Born: v.Born, Age: age(x), Share: shares[index[t.job]]})
-		t.job.dirty = true
+		t.job.dirty, t.suspectSince = true, now
 		s.losses.suspects[t] = true
 	}
 }
 
-// lostTogether records a loss. If it is one of several with one cause, such as the loss of a rack, it
-// withdraws the blame for all of them and returns true.
-func (s *Scheduler) lostTogether(x loss) bool {
+// checkLostTogether records a loss. If it is one of several with one cause, such as the loss of a rack, the
+// blame for all of them is withdrawn.
+func (s *Scheduler) checkLostTogether(x loss) {
 	l := &s.losses
 	l.recent = slices.DeleteFunc(l.recent, func(old loss) bool { return x.at.Sub(old.at) > rackWindow })
 	l.recent = append(l.recent, x)
@@ -192,29 +188,31 @@
 			inRack++
 		}
 	}
-	together := false
 	if len(sameRack) >= rackVMs && 2*len(sameRack) >= inRack {
-		together = true
-		s.withdrawAll(sameRack)
+		l.explain(sameRack)
 	}
 	if len(sameTime) >= fleetVMs {
-		together = true
-		s.withdrawAll(sameTime)
+		l.explain(sameTime)
 	}
-	return together
 }
 
-func (s *Scheduler) withdrawAll(list []loss) {
+// explain withdraws the blame for losses with a known cause.
+func (l *losses) explain(list []loss) {
 	for _, x := range list {
-		s.losses.withdraw(x.vm, x.born)
+		l.update(func(r blame.Record) blame.Record { return r.Explained(x.vm, x.born) })
 	}
 }
 
 // withdraw removes the crash of a VM's incarnation, which has another cause, from all records.
 func (l *losses) withdraw(vm string, born int64) {
+	l.update(func(r blame.Record) blame.Record { return r.Without(vm, born) })
+}
+
+// update changes the records of all suspects.
+func (l *losses) update(change func(blame.Record) blame.Record) {
 	for t := range l.suspects {
-		if kept := t.crashes.Without(vm, born); len(kept) < len(t.crashes) {
-			l.set(t, kept)
+		if r := change(t.crashes); !slices.Equal(r, t.crashes) {
+			l.set(t, r)
 		}
 	}
 }
@@ -228,31 +226,29 @@
 	}
 }
 
-// clearIfOutlived clears a task once one of its runs has outlived the age at which VMs crashed under it.
-func (s *Scheduler) clearIfOutlived(now time.Time, r *run) {
-	if t := r.task; len(t.crashes) > 0 && now.Sub(r.startedAt) >= t.crashes.ClearedAfter() {
-		s.losses.set(t, nil)
-	}
-}
+// awaitsVerdict reports whether a task's job is about to be given up, unless the last crash turns out to have
+// another cause.
+func (t *task) awaitsVerdict() bool { return len(t.crashes) > 0 && t.crashes.Verdict() != blame.None }
 
-// judge gives a job up if the record of one of its tasks calls for it. The crashes are then no evidence
+// judge gives up the jobs of which the records of a task call for it. The crashes are then no evidence
 // against the tasks of other jobs.
-func (s *Scheduler) judge(now time.Time, t *task) {
-	verdict := t.crashes.Verdict()
-	if verdict == blame.None || t.job.state.Final() {
-		return
-	}
-	s.stats.GivenUp++
-	s.log.WithFields(logrus.Fields{
-		"job": t.job.ID, "task": t.id.String(), "verdict": verdict.String(), "crashes": crashTexts(t.crashes),
-	}).Info("job is given up: VMs crash while they run a task of it")
-	crashes := t.crashes
-	s.finalize(now, t.job, jobs.Failed)
-	if verdict != blame.Proved {
-		return
-	}
-	for _, c := range crashes {
-		s.losses.withdraw(c.VM, c.Born)
+func (s *Scheduler) judge(now time.Time) {
+	for t := range s.losses.suspects {
+		if !t.awaitsVerdict() || now.Sub(t.suspectSince) < verdictDelay || t.job.state.Final() {
+			continue
+		}
+		verdict, crashes := t.crashes.Verdict(), t.crashes
+		s.stats.GivenUp++
+		s.log.WithFields(logrus.Fields{
+			"job": t.job.ID, "task": t.id.String(), "verdict": verdict.String(), "crashes": crashTexts(crashes),
+		}).Info("job is given up: VMs crash while they run a task of it")
+		s.finalize(now, t.job, jobs.Failed)
+		if verdict != blame.Proved {
+			continue
+		}
+		for _, c := range crashes {
+			s.losses.update(func(r blame.Record) blame.Record { return r.Explained(c.VM, c.Born) })
+		}
 	}
 }
 
--- a/internal/sched/observe.go
+++ b/internal/sched/observe.go
@@ -155,6 +155,7 @@
 		running[status.Running[i].Task] = true
 		s.handleListedRun(now, v, &status.Running[i])
 	}
+	s.clearOutlived(v, pollStart)
 	for name, r := range v.runs {
 		if !running[name] && r.endsWhenUnlisted() && r.answeredAt.Before(pollStart) {
 			s.stats.Lost++
@@ -292,7 +293,6 @@
 	}
 	r.reportedTailMS = x.Load
 	r.task.keepCheckpoint(r, x.Checkpoint)
-	s.clearIfOutlived(now, r)
 }
 
 // handleRunEnd processes a run end that a VM reports.
@@ -312,7 +312,6 @@
 			s.recordRace(r)
 			s.recordRun(now, r)
 		}
-		s.clearIfOutlived(now, r)
 		s.releaseRun(r, e.How.String())
 	}
 	j := s.jobs[id.Job]
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -21,6 +21,7 @@
 	// reserved excludes tasks that are not long-running, so that enough resources come
 	// free for a long-running task.
 	reserved bool
+	trial    *job // on trial there, or for which it is emptied; excludes tasks of other jobs
 }
 
 // place starts the tasks that are ready, pool by pool.
@@ -58,12 +59,12 @@
 	}
 	s.sortJobs(now, list)
 	unplaced := &unplacedSizes{}
-	copies := false
+	copies, suspects := false, s.suspectJobs()
 	for _, j := range list {
 		copies = copies || j.copies
 		for _, o := range j.sortedOccurrences() {
 			for _, st := range o.steps {
-				if st.withoutRun > 0 && st.done < st.Count && o.stepReady(st) && !unplaced.covers(st.Step) {
+				if st.withoutRun > 0 && st.done < st.Count && o.stepReady(st) && (suspects[j] || !unplaced.covers(st.Step)) {
 					s.placeStep(now, j, st, cands, unplaced)
 				}
 			}
@@ -105,7 +106,7 @@
 		if !v.usable(now, &s.policy) {
 			continue
 		}
-		c := &candidate{vm: v, free: v.freeResources()}
+		c := &candidate{vm: v, free: v.freeResources(), trial: v.onTrial()}
 		for _, r := range v.runs {
 			c.usedCPU += r.step().CPU
 		}
@@ -170,6 +171,10 @@
 		if !s.quotaAllows(now, t, 1) {
 			return
 		}
+		if t.crashes.Suspect() {
+			s.placeSuspect(now, t, cands)
+			continue
+		}
 		c := s.bestCandidate(now, t, cands)
 		if c == nil {
 			if st.Lasts && !j.order.excess {
@@ -188,7 +193,7 @@
 	var best *candidate
 	for _, c := range cands {
 		st := t.step
-		if c.reserved || c.vm.CPU < st.CPU || c.vm.MemMB < st.MemMB || (st.Label != "" && !c.vm.Has(st.Label)) ||
+		if c.reserved || c.trial != nil || !c.vm.holds(st.Step) ||
 			(st.PerVM > 0 && c.vm.countSameStep(t) >= st.PerVM) {
 			continue
 		}
@@ -204,7 +209,7 @@
 // startable reports whether a task has no run and may get one. A task that may still be
 // running under an earlier owner's order may not.
 func (s *Scheduler) startable(now time.Time, t *task) bool {
-	if t.done || len(t.runs) > 0 || now.Before(t.readyAt) {
+	if t.done || len(t.runs) > 0 || now.Before(t.readyAt) || t.awaitsVerdict() {
 		return false
 	}
 	return !t.unverified || (!s.recoveredHeld && !s.mayBeRunning(t))
@@ -255,17 +260,19 @@
 // allowed reports whether a task may run on a candidate.
 func (s *Scheduler) allowed(now time.Time, t *task, c *candidate) bool {
 	st := t.step
-	if (c.reserved && !st.Lasts) || !c.fits(st.Step) || (st.Label != "" && !c.vm.Has(st.Label)) {
+	if (c.reserved && !st.Lasts) || (c.trial != nil && c.trial != t.job) || !c.fits(st.Step) || (st.Label != "" && !c.vm.Has(st.Label)) {
 		return false
 	}
 	if st.PerVM > 0 && c.vm.countSameStep(t) >= st.PerVM {
 		return false
 	}
-	if t.job.Advice {
-		_, ok := st.tickets[c.vm.ID]
-		return ok && now.Before(st.adviceExpires)
-	}
-	return true
+	return !t.job.Advice || s.hasTicket(now, t, c)
+}
+
+// hasTicket reports whether the placement policy allows a task on a candidate.
+func (s *Scheduler) hasTicket(now time.Time, t *task, c *candidate) bool {
+	_, ok := t.step.tickets[c.vm.ID]
+	return ok && now.Before(t.step.adviceExpires)
 }
 
 // countSameStep returns how many tasks of the same step and occurrence are on a VM.
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -93,6 +93,9 @@
 		s.addDemand(j, largest, r, s.class(now, j) == shed.InTime)
 	}
 	r.MinVMs = largest.packCount(longRunning)
+	if waits := s.pool(pool).trialsWait; !waits.IsZero() && now.Sub(waits) < trialPatience {
+		r.MinVMs++ // for a suspect
+	}
 	return r
 }
 
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -91,6 +91,7 @@
 	idle              []idleVM       // as of loadAt, less the first tasks of jobs accepted since
 	idleBefore        []idleVM       // buffer of fitsIdle
 	leftIdle          []idleVM       // as of placedRound
+	trialsWait        time.Time      // when a suspect last found no VM without long-running tasks
 	placedRound       int64          // number of the last round that had jobs in the pool
 
 	// The rest is used only on sites with accounts.
--- a/internal/sched/vm.go
+++ b/internal/sched/vm.go
@@ -18,6 +18,7 @@
 	cordoned            bool             // about to be moved or maintained; gets no new runs
 	pollFailed          bool             // the last status poll failed
 	failedAt            time.Time        // when a poll first failed since the last answer; zero if none has
+	trialPolledAt       time.Time        // when a poll was last ordered out of turn, see pollTrials
 	lapsed              bool             // its runs were released when its leases expired; it may be cut off or gone
 	recorded            bool             // the job log names it as a VM that may hold runs; required before a start
 	runs                map[string]*run  // by task name
