Runs of a VM whose machine the inventory shows as down are released at once

Callers waited 3.2 to 4.8 s for the tasks of a VM that had crashed: its runs were released when another incarnation answered or their leases had expired.

The mover compares successive inventories and tells the owners of the pools which incarnations have ended, by identifier and start, so that a later incarnation with the same identifier is not meant. A run whose start order is under way stays until the reply; a poll that was sent before is ignored.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -12,7 +12,10 @@
 // The package uses no clock and no network. Package sched calls it.
 package blame
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	baseChance     = 0.01                  // that a job without evidence against it crashes VMs
@@ -135,6 +138,11 @@
 	return 2*age + ageUnit
 }
 
+// Has reports whether the record holds the crash of an incarnation of a VM.
+func (r Record) Has(vm string, born int64) bool {
+	return slices.ContainsFunc(r, func(c Crash) bool { return c.VM == vm && c.Born == born })
+}
+
 // Explained returns the record after a crash has turned out to have another cause, such as another job or the
 // loss of a rack. A crash for which the task was likely counts on as one without blame: it may have had two
 // causes, and the task must not be started without end.
--- a/internal/drive/fleet.go
+++ b/internal/drive/fleet.go
@@ -34,11 +34,12 @@
 type reportCall struct {
 	Partition int
 	Pool      string
-	Cordons   []string       // identifiers of VMs that get no new runs
-	Arrivals  []shed.Arrival // capacity that is expected to join the pool by moves
-	Coming    bool           // machines are moving to the pool
-	ReadOnly  bool           // leaves cordons and arrivals unchanged
-	Quota     *quota.Request // of the quota coordinator; nil on all but one call per partition, and without accounts that have a limit
+	Cordons   []string           // identifiers of VMs that get no new runs
+	Arrivals  []shed.Arrival     // capacity that is expected to join the pool by moves
+	Coming    bool               // machines are moving to the pool
+	ReadOnly  bool               // leaves cordons and arrivals unchanged
+	Ended     []site.Incarnation // of the pool's VMs, that have ended according to the inventory
+	Quota     *quota.Request     // of the quota coordinator; nil on all but one call per partition, and without accounts that have a limit
 }
 
 // mover plans moves and maintenance of machines and sends the orders for them to the platform,
@@ -47,6 +48,7 @@
 type mover struct {
 	part                *ownedPartition
 	planner             *moves.Planner
+	lives               moves.Lives
 	quotas              *quotaRounds
 	fleet               *platform.Fleet      // for reading the inventory
 	orderConns          chan *platform.Fleet // idle connections for orders
@@ -127,7 +129,7 @@
 			calls = append(calls, &reportCall{
 				Partition: m.part.node.partitionOf(p.Name), Pool: p.Name,
 				Cordons: m.planner.Cordons(&m.view, p.Name), Arrivals: m.planner.Arrivals(now, &m.view, p.Name),
-				Coming: m.planner.HasIncoming(&m.view, p.Name),
+				Coming: m.planner.HasIncoming(&m.view, p.Name), Ended: m.lives.Ended(p.Name),
 			})
 		}
 	}
@@ -198,6 +200,7 @@
 		return err
 	}
 	m.inventoryReadAt = now
+	m.lives.Observe(now, machines, m.part.node.bornAt)
 	m.mu.Lock()
 	m.view.Machines, m.view.ReadStart = machines, now
 	m.mu.Unlock()
@@ -314,6 +317,9 @@
 		n.incomingUntil.Store(time.Now().Add(2 * reportTimeout).UnixNano())
 	}
 	return runOnPartition(ctx, part, func(part *ownedPartition, now time.Time) *sched.Report {
+		for _, e := range c.Ended {
+			part.scheduler.EndVM(now, e)
+		}
 		if !c.ReadOnly {
 			part.scheduler.Cordon(c.Pool, c.Cordons)
 			part.scheduler.SetArrivals(now, c.Pool, c.Arrivals)
--- a/internal/sched/crash_test.go
+++ b/internal/sched/crash_test.go
@@ -124,3 +124,42 @@
 		})
 	}
 }
+
+// TestRunsOfEndedVMRestartAtOnce guards against tasks that wait for the leases of a VM whose machine is known
+// to be down, and against runs that are released although their VM may be running them.
+func TestRunsOfEndedVMRestartAtOnce(t *testing.T) {
+	r := newFixture(t, testVM("a"))
+	r.submit(0, testJob(jobID, jobs.Step{Count: 1, CPU: 1000, EstimateMS: 9000}))
+	first := r.starts(10)[0]
+	r.poll(20, "a", site.VMStatus{Running: []site.Run{running(first)}})
+	r.s.SetVMs(at(30), []site.VM{testVM("a"), testVM("b")})
+	r.poll(30, "b", site.VMStatus{})
+	r.flush(30)
+
+	r.s.EndVM(at(40), site.Incarnation{VM: "a", Born: 0})
+	assert.Equal(t, len(r.starts(40)), 0, "an earlier incarnation has ended")
+	r.s.EndVM(at(50), site.Incarnation{VM: "a", Born: 1})
+	restarted := r.starts(50)
+	assert.Equal(t, len(restarted), 1)
+	assert.Equal(t, restarted[0].VM, "b")
+
+	late := site.VMStatus{Born: 1, ClockMS: 1000, Running: []site.Run{running(first)}}
+	r.s.HandlePoll(at(60), "a", at(45), &late)
+	assert.Equal(t, len(r.stops(60)), 0, "a reply from before the end was taken for news")
+	assert.Equal(t, r.s.vms["a"].polled, false)
+}
+
+// TestOrderUnderWayToEndedVM guards against a task that is started again while its start order may still reach
+// another incarnation of the VM.
+func TestOrderUnderWayToEndedVM(t *testing.T) {
+	r := newFixture(t, testVM("a"), testVM("b"))
+	r.submit(0, testJob(jobID, jobs.Step{Count: 1, CPU: 1000, EstimateMS: 9000}))
+	var order StartRun
+	for _, a := range r.s.Decide(at(10)) {
+		order = a.(StartRun)
+	}
+	r.s.EndVM(at(20), site.Incarnation{VM: order.VM, Born: 1})
+	assert.Equal(t, len(r.starts(20)), 0, "started again before the order was answered")
+	r.s.HandleStart(at(30), &order, site.Accepted, site.ErrNotDone)
+	assert.Equal(t, len(r.starts(30)), 1)
+}
--- /dev/null
+++ b/internal/sched/ended.go
@@ -0,0 +1,66 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/greengagelane/greengagelane/pkg/site"
+)
+
+// EndVM handles the end of a VM's incarnation that the inventory shows. It releases its runs long before their
+// leases expire.
+func (s *Scheduler) EndVM(now time.Time, e site.Incarnation) {
+	v := s.vms[e.VM]
+	if v == nil || v.Born != e.Born || v.ended {
+		return
+	}
+	s.loseVM(now, v, "its machine is down")
+	s.releaseAnswered(v, "machine is down")
+	v.ended, v.endedAt, v.polled = true, now, false
+	delete(s.unverified, v.ID)
+	s.unrecordVM(v)
+}
+
+// RemoveVM drops a VM whose incarnation has certainly ended, and releases its runs.
+func (s *Scheduler) RemoveVM(now time.Time, id string) {
+	v := s.vms[id]
+	if v == nil {
+		return
+	}
+	s.loseVM(now, v, "another incarnation answers at its address")
+	s.releaseRuns(v, "VM incarnation ended")
+	s.forgetVM(v)
+}
+
+func (s *Scheduler) forgetVM(v *vm) {
+	delete(s.vms, v.ID)
+	delete(s.unverified, v.ID)
+	s.unrecordVM(v)
+}
+
+// unrecordVM removes a VM from the record of VMs that may hold runs.
+func (s *Scheduler) unrecordVM(v *vm) {
+	if s.recordedVMs[v.ID] {
+		delete(s.recordedVMs, v.ID)
+		v.recorded, s.recordedVMsDirty = false, true
+	}
+}
+
+// releaseRuns releases all runs of a VM.
+func (s *Scheduler) releaseRuns(v *vm, why string) {
+	for _, r := range v.runs {
+		s.stats.Lost++
+		s.releaseRun(r, why)
+	}
+	v.orphans = map[string]int64{}
+}
+
+// releaseAnswered releases the runs of a VM but those whose start orders are under way.
+func (s *Scheduler) releaseAnswered(v *vm, why string) {
+	for _, r := range v.runs {
+		if !r.startInFlight {
+			s.stats.Lost++
+			s.releaseRun(r, why)
+		}
+	}
+	v.orphans = map[string]int64{}
+}
--- a/internal/sched/fuzz_test.go
+++ b/internal/sched/fuzz_test.go
@@ -146,10 +146,24 @@
 		m.vms[id].up = false
 		return
 	}
+	m.earlier[id] = m.vms[id].born
 	m.boot(id)
 	m.sendVMList()
 }
 
+// inventory tells the scheduler of the incarnations that have ended, late and repeatedly.
+func (m *model) inventory(t *rapid.T) {
+	for _, id := range m.vmIDs() {
+		v := m.vms[id]
+		if !v.up && rapid.Bool().Draw(t, "down") {
+			m.s.EndVM(m.now, site.Incarnation{VM: id, Born: v.born})
+		}
+		if earlier := m.earlier[id]; earlier != 0 && rapid.Bool().Draw(t, "late") {
+			m.s.EndVM(m.now, site.Incarnation{VM: id, Born: earlier})
+		}
+	}
+}
+
 // cordon cordons a VM, or uncordons all.
 func (m *model) cordon(t *rapid.T) {
 	if rapid.Bool().Draw(t, "off") {
@@ -211,6 +225,17 @@
 	}
 }
 
+// TestSchedulerInvariantsEndedVMs runs random histories in which the inventory shows the ends of incarnations,
+// also after the next one has begun under the same identifier.
+func TestSchedulerInvariantsEndedVMs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t, false)
+		actions := m.actions()
+		actions["inventory"], actions["inventory2"], actions["crash2"], actions["round"], actions["repeat"] = m.inventory, m.inventory, m.crash, m.round, m.deliverRepeated
+		t.Repeat(actions)
+	})
+}
+
 // TestSchedulerInvariantsShownJobs runs random histories in which the log refuses most flushes, owners show
 // jobs as completed that are not stored as such, and VMs that hold the only record of the ends crash.
 func TestSchedulerInvariantsShownJobs(t *testing.T) {
--- a/internal/sched/loss.go
+++ b/internal/sched/loss.go
@@ -161,6 +161,9 @@
 	shares := blame.Split(list)
 	for _, x := range lost {
 		t := x.task
+		if t.crashes.Has(v.ID, v.Born) {
+			continue // its start order was under way when the loss was first seen
+		}
 		t.crashes = append(t.crashes, blame.Crash{VM: v.ID, Born: v.Born, Age: age(x), Share: shares[index[t.job]]})
 		t.job.dirty, t.suspectSince = true, now
 		s.losses.suspects[t] = true
--- a/internal/sched/model_test.go
+++ b/internal/sched/model_test.go
@@ -39,6 +39,7 @@
 	done          map[string]bool // tasks with a done run, acknowledged or not
 	jobs          map[string]*jobs.Job
 	flushing      *Flush
+	earlier       map[string]int64 // start of the incarnation before the present one, by VM
 	lastBorn      int              // start of the latest incarnation
 	copies        bool             // the jobs' first steps allow copies, which a warm queue starts readily
 	copyOrders    map[string]int64 // highest run number ordered as a copy, by task
@@ -49,7 +50,7 @@
 
 func newModel(t *rapid.T, copies bool) *model {
 	m := &model{
-		t: t, now: at(0), copies: copies, copyOrders: map[string]int64{}, vms: map[string]*simVM{}, jobLog: map[string][]byte{}, verify: map[string]bool{},
+		t: t, now: at(0), copies: copies, earlier: map[string]int64{}, copyOrders: map[string]int64{}, vms: map[string]*simVM{}, jobLog: map[string][]byte{}, verify: map[string]bool{},
 		ackedDone: map[string]bool{}, ackedFailures: map[string]int{}, ackedCancels: map[string]bool{}, done: map[string]bool{}, jobs: map[string]*jobs.Job{}, shown: map[string]bool{}, told: true,
 	}
 	m.s = m.newScheduler(1)
--- a/internal/sched/observe.go
+++ b/internal/sched/observe.go
@@ -40,52 +40,15 @@
 // earlier one, so its run stays until the reply and a later poll are known.
 func (s *Scheduler) handleNewIncarnation(now time.Time, v *vm, born int64) {
 	s.loseVM(now, v, "VM restarted")
-	startInFlight := false
-	for _, r := range v.runs {
-		if r.startInFlight {
-			startInFlight = true
-			continue
-		}
-		s.stats.Lost++
-		s.releaseRun(r, "VM restarted")
-	}
-	v.orphans = map[string]int64{}
-	v.Born, v.seenSeq, v.storedSeq, v.polled = born, 0, 0, false
+	s.releaseAnswered(v, "VM restarted")
+	v.Born, v.seenSeq, v.storedSeq, v.polled, v.ended = born, 0, 0, false, false
 	v.leasesEnd, v.clockMS, v.clockAt, v.failedAt, v.lapsed = time.Time{}, 0, time.Time{}, time.Time{}, false
-	if startInFlight {
+	if len(v.runs) > 0 {
 		v.leasesEnd = now.Add(s.policy.localDuration(s.policy.MaxLease))
 	}
 	v.quarantinedUntil, v.probation, v.consecutiveFailures, v.quarantineTime, v.speed = time.Time{}, false, 0, 0, 0
 }
 
-// RemoveVM drops a VM whose incarnation has certainly ended, and releases its runs.
-func (s *Scheduler) RemoveVM(now time.Time, id string) {
-	v := s.vms[id]
-	if v == nil {
-		return
-	}
-	s.loseVM(now, v, "another incarnation answers at its address")
-	s.releaseRuns(v, "VM incarnation ended")
-	s.forgetVM(v)
-}
-
-func (s *Scheduler) forgetVM(v *vm) {
-	delete(s.vms, v.ID)
-	delete(s.unverified, v.ID)
-	if s.recordedVMs[v.ID] {
-		delete(s.recordedVMs, v.ID)
-		s.recordedVMsDirty = true
-	}
-}
-
-func (s *Scheduler) releaseRuns(v *vm, why string) {
-	for _, r := range v.runs {
-		s.stats.Lost++
-		s.releaseRun(r, why)
-	}
-	v.orphans = map[string]int64{}
-}
-
 // releaseRun detaches a run that has certainly ended from its VM and task.
 func (s *Scheduler) releaseRun(r *run, why string) {
 	s.log.WithField("task", r.task.id.String()).WithField("run", r.number).WithField("vm", r.vm.ID).WithField("why", why).Debug("run released")
@@ -132,6 +95,10 @@
 	if v == nil {
 		return
 	}
+	if v.ended && status.Born == v.Born && !pollStart.After(v.endedAt) {
+		return // sent before the incarnation ended
+	}
+	v.ended = false
 	if status.Born != 0 && v.Born != 0 && status.Born != v.Born {
 		if status.Born < v.Born {
 			return // late reply of an earlier incarnation
@@ -270,8 +237,7 @@
 func (s *Scheduler) unrecordDrainedVMs() {
 	for id := range s.recordedVMs {
 		if v := s.vms[id]; v != nil && v.drained() {
-			delete(s.recordedVMs, id)
-			v.recorded, s.recordedVMsDirty = false, true
+			s.unrecordVM(v)
 		}
 	}
 }
--- a/internal/sched/replies.go
+++ b/internal/sched/replies.go
@@ -24,6 +24,9 @@
 	}
 	r.answeredAt, r.startInFlight = now, false
 	switch {
+	case v.ended:
+		s.stats.Lost++
+		s.releaseRun(r, "machine is down")
 	case err == nil && (refusal == site.Accepted || (a.Repeated && refusal == site.RefusedOld)):
 		if r.phase == starting {
 			r.phase = working // or ended already; a poll that begins later shows which
--- a/pkg/site/callkind_enumer.go
+++ b/pkg/site/callkind_enumer.go
@@ -24,10 +24,10 @@
 // Re-run the stringer command to generate them again.
 func _CallKindNoOp() {
 	var x [1]struct{}
-	_ = x[SubmitJob-(0)]
-	_ = x[CancelJob-(1)]
-	_ = x[ShowJob-(2)]
-	_ = x[CountWaiting-(3)]
+	_ = x[SubmitJob-0]
+	_ = x[CancelJob-1]
+	_ = x[ShowJob-2]
+	_ = x[CountWaiting-3]
 }
 
 var _CallKindValues = []CallKind{SubmitJob, CancelJob, ShowJob, CountWaiting}
--- a/pkg/site/how_enumer.go
+++ b/pkg/site/how_enumer.go
@@ -24,13 +24,13 @@
 // Re-run the stringer command to generate them again.
 func _HowNoOp() {
 	var x [1]struct{}
-	_ = x[Unknown-(0)]
-	_ = x[Done-(1)]
-	_ = x[Failed-(2)]
-	_ = x[Stopped-(3)]
-	_ = x[Lapsed-(4)]
-	_ = x[Broken-(5)]
-	_ = x[Alone-(6)]
+	_ = x[Unknown-0]
+	_ = x[Done-1]
+	_ = x[Failed-2]
+	_ = x[Stopped-3]
+	_ = x[Lapsed-4]
+	_ = x[Broken-5]
+	_ = x[Alone-6]
 }
 
 var _HowValues = []How{Unknown, Done, Failed, Stopped, Lapsed, Broken, Alone}
--- a/pkg/site/machinestate_enumer.go
+++ b/pkg/site/machinestate_enumer.go
@@ -24,10 +24,10 @@
 // Re-run the stringer command to generate them again.
 func _MachineStateNoOp() {
 	var x [1]struct{}
-	_ = x[Down-(0)]
-	_ = x[Up-(1)]
-	_ = x[Moving-(2)]
-	_ = x[InMaintenance-(3)]
+	_ = x[Down-0]
+	_ = x[Up-1]
+	_ = x[Moving-2]
+	_ = x[InMaintenance-3]
 }
 
 var _MachineStateValues = []MachineState{Down, Up, Moving, InMaintenance}
--- a/pkg/site/refusal_enumer.go
+++ b/pkg/site/refusal_enumer.go
@@ -24,15 +24,15 @@
 // Re-run the stringer command to generate them again.
 func _RefusalNoOp() {
 	var x [1]struct{}
-	_ = x[Accepted-(0)]
-	_ = x[RefusedFence-(1)]
-	_ = x[RefusedOld-(2)]
-	_ = x[RefusedLate-(3)]
-	_ = x[RefusedRoom-(4)]
-	_ = x[RefusedTicket-(5)]
-	_ = x[RefusedBusy-(6)]
-	_ = x[RefusedWave-(7)]
-	_ = x[RefusedInvalid-(8)]
+	_ = x[Accepted-0]
+	_ = x[RefusedFence-1]
+	_ = x[RefusedOld-2]
+	_ = x[RefusedLate-3]
+	_ = x[RefusedRoom-4]
+	_ = x[RefusedTicket-5]
+	_ = x[RefusedBusy-6]
+	_ = x[RefusedWave-7]
+	_ = x[RefusedInvalid-8]
 }
 
 var _RefusalValues = []Refusal{Accepted, RefusedFence, RefusedOld, RefusedLate, RefusedRoom, RefusedTicket, RefusedBusy, RefusedWave, RefusedInvalid}
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -93,6 +93,12 @@
 	return false
 }
 
+// Incarnation names an incarnation of a VM.
+type Incarnation struct {
+	VM   string
+	Born int64 // its start, Unix milliseconds
+}
+
 // VMStatus is a VM's answer to a status poll.
 type VMStatus struct {
 	ClockMS int64 // the VM's monotonic clock
