sched: suspects do not hold VMs or long-running jobs up

A long-running job is not given up any more: its task is not started again after two crashes that no other job explains, or five. - A job was given up for three crashes of which none was likely its own (10 deadly jobs in 100 in an overloaded pool). One of three has to be likely; five are the limit that the platform sets.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -21,11 +21,14 @@
 	baseChance     = 0.01                  // that a job without evidence against it crashes VMs
 	maxChance      = 0.95                  // however much evidence there is against a job
 	ageUnit        = 50 * time.Millisecond // ages below are not told apart: orders and reports take about as long
+	otherCauses    = 0.003                 // weight of causes other than a task: about that of a job without evidence against it after 3 s
 	suspectShare   = 0.1                   // of the blame for a crash, from which a job is a suspect: of 10 runs of equal age, each is
 	certainShare   = 0.9                   // of the blame for a crash, from which no other job explains it
 	uncertainShare = 0.85                  // largest share of a job that the ages of the runs do not single out
-	crashesToProve = 2                     // crashes under one task, one certain and the others likely enough to make it a suspect, that prove it the cause
-	maxCrashes     = 4                     // crashes under one task after which its job is given up without proof; the platform allows two starts after the third
+	crashesToProve = 2                     // crashes under one task, each likely by it, that may prove it the cause
+	maxCrashes     = 3                     // crashes under one task, one likely by it, after which its job is given up without proof
+	maxUnlikely    = 5                     // crashes under one task after which its job is given up in any case: the platform allows two starts after the third
+	maxLasting     = 5                     // crashes under a long-running task, each likely by it, after which it is not started again without proof
 )
 
 // Job is a job with runs on a VM that has crashed.
@@ -35,36 +38,28 @@
 }
 
 // Split returns the share of each job in the blame for a crash. A run that causes a crash does so soon after
-// its start, while the others are of any age. Earlier evidence alone makes no share certain, since another
-// task that crashes VMs may have been started on the same one: the shares then sum to less than 1.
+// its start, while the others are of any age, and VMs crash for other causes at any time: the shares sum to
+// less than 1. Earlier evidence alone makes no share certain, since another task that crashes VMs may have been
+// started on the same one.
 func Split(list []Job) []float64 {
 	shares, byAge := make([]float64, len(list)), make([]float64, len(list))
+	sum, sumByAge := otherCauses, 0.0
 	for i := range list {
 		chance := min(max(list[i].Chance, baseChance), maxChance)
 		byAge[i] = 1 / (max(list[i].Age, 0) + ageUnit).Seconds()
 		shares[i] = byAge[i] * chance / (1 - chance)
+		sum += shares[i]
+		sumByAge += byAge[i]
 	}
-	normalize(shares)
-	normalize(byAge)
 	for i := range shares {
-		if byAge[i] < certainShare {
+		shares[i] /= sum
+		if byAge[i] < certainShare*sumByAge {
 			shares[i] = min(shares[i], uncertainShare)
 		}
 	}
 	return shares
 }
 
-// normalize scales values so that they sum to 1.
-func normalize(values []float64) {
-	var sum float64
-	for _, x := range values {
-		sum += x
-	}
-	for i := range values {
-		values[i] /= sum
-	}
-}
-
 // Crash is a crash of a VM as evidence against a task that it ran.
 type Crash struct {
 	VM    string
@@ -87,14 +82,7 @@
 }
 
 // Suspect reports whether the task is to be run apart from the tasks of other jobs.
-func (r Record) Suspect() bool {
-	for i := range r {
-		if r[i].Share >= suspectShare {
-			return true
-		}
-	}
-	return len(r) >= crashesToProve
-}
+func (r Record) Suspect() bool { return r.count(suspectShare) > 0 || len(r) >= crashesToProve }
 
 //go:generate ../../.bin/enumer -type=Verdict -transform=kebab -output=verdict_enumer.go
 
@@ -110,24 +98,39 @@
 
 // Verdict returns whether the task's job is given up.
 func (r Record) Verdict() Verdict {
-	certain, likely := 0, 0
-	for i := range r {
-		if r[i].Share >= suspectShare {
-			likely++
-		}
-		if r[i].Share >= certainShare {
-			certain++
-		}
-	}
+	likely, certain := r.count(suspectShare), r.count(certainShare)
 	switch {
 	case likely >= crashesToProve && certain > 0:
 		return Proved
-	case len(r) >= maxCrashes:
+	case len(r) >= maxCrashes && likely > 0, len(r) >= maxUnlikely:
 		return Exhausted
 	}
 	return None
 }
 
+// LastingVerdict is Verdict for a long-running task. It runs on many VMs over its life and is missed while it
+// does not run, so each crash has to be certain or there have to be many.
+func (r Record) LastingVerdict() Verdict {
+	switch {
+	case r.count(certainShare) >= crashesToProve:
+		return Proved
+	case r.count(suspectShare) >= maxLasting:
+		return Exhausted
+	}
+	return None
+}
+
+// count returns the number of crashes with at least the given share of the blame.
+func (r Record) count(share float64) int {
+	n := 0
+	for i := range r {
+		if r[i].Share >= share {
+			n++
+		}
+	}
+	return n
+}
+
 // ClearedAfter returns the age that a run of the task has to reach to clear it: twice that of the run that
 // lived longest before a crash.
 func (r Record) ClearedAfter() time.Duration {
--- a/internal/sched/crash_load_test.go
+++ b/internal/sched/crash_load_test.go
@@ -310,6 +310,8 @@
 				}
 				assert.Equal(t, p.others("failed"), 0, "seed %d: a job without a deadly task was given up", seed)
 				assert.Equal(t, p.others(""), 0, "seed %d: jobs are not done", seed)
+				state, _ := p.s.JobState(lastingJob)
+				assert.Equal(t, state, jobs.Running, "seed %d: a long-running job was given up", seed)
 			}
 			t.Logf("other jobs in time: %.3f without deadly tasks, %.3f with; deadly tasks by number of starts: %v", before, after, starts)
 			assert.Assert(t, after >= before-tt.maxLoss)
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -67,6 +67,7 @@
 	done       bool
 	failedRuns []int64      // numbers of failed runs; run ends may be reported twice and out of order
 	crashes    blame.Record // of VMs that ran it, unless it was cleared of them
+	heldFor    int          // crashes for which a long-running task is not started again; 0 if it may be
 	// suspectSince is when this owner last saw a VM crash under it.
 	suspectSince time.Time
 	lastRun      int64 // highest run number seen
--- a/internal/sched/loss.go
+++ b/internal/sched/loss.go
@@ -202,18 +202,21 @@
 // explain withdraws the blame for losses with a known cause.
 func (l *losses) explain(list []loss) {
 	for _, x := range list {
-		l.update(func(r blame.Record) blame.Record { return r.Explained(x.vm, x.born) })
+		l.update(func(r blame.Record) blame.Record { return r.Explained(x.vm, x.born) }, nil)
 	}
 }
 
 // withdraw removes the crash of a VM's incarnation, which has another cause, from all records.
 func (l *losses) withdraw(vm string, born int64) {
-	l.update(func(r blame.Record) blame.Record { return r.Without(vm, born) })
+	l.update(func(r blame.Record) blame.Record { return r.Without(vm, born) }, nil)
 }
 
-// update changes the records of all suspects.
-func (l *losses) update(change func(blame.Record) blame.Record) {
+// update changes the records of all suspects but one, which may be nil.
+func (l *losses) update(change func(blame.Record) blame.Record, except *task) {
 	for t := range l.suspects {
+		if t == except {
+			continue
+		}
 		if r := change(t.crashes); !slices.Equal(r, t.crashes) {
 			l.set(t, r)
 		}
@@ -229,28 +232,41 @@
 	}
 }
 
-// awaitsVerdict reports whether a task's job is about to be given up, unless the last crash turns out to have
-// another cause.
-func (t *task) awaitsVerdict() bool { return len(t.crashes) > 0 && t.crashes.Verdict() != blame.None }
+// verdict returns whether the record of a task calls for its job to be given up or, if it is long-running, for
+// the task not to be started again.
+func (t *task) verdict() blame.Verdict {
+	switch {
+	case len(t.crashes) == 0:
+		return blame.None
+	case t.step.Lasts:
+		return t.crashes.LastingVerdict()
+	}
+	return t.crashes.Verdict()
+}
 
 // judge gives up the jobs of which the records of a task call for it. The crashes are then no evidence
-// against the tasks of other jobs.
+// against the tasks of other jobs. A long-running job goes on without the task: its other tasks are of use, and
+// may not be stopped.
 func (s *Scheduler) judge(now time.Time) {
 	for t := range s.losses.suspects {
-		if !t.awaitsVerdict() || now.Sub(t.suspectSince) < verdictDelay || t.job.state.Final() {
+		verdict, crashes := t.verdict(), t.crashes
+		if verdict == blame.None || now.Sub(t.suspectSince) < verdictDelay || t.job.state.Final() || t.heldFor == len(crashes) {
 			continue
 		}
-		verdict, crashes := t.crashes.Verdict(), t.crashes
-		s.stats.GivenUp++
-		s.log.WithFields(logrus.Fields{
-			"job": t.job.ID, "task": t.id.String(), "verdict": verdict.String(), "crashes": crashTexts(crashes),
-		}).Info("job is given up: VMs crash while they run a task of it")
-		s.finalize(now, t.job, jobs.Failed)
+		log := s.log.WithFields(logrus.Fields{"job": t.job.ID, "task": t.id.String(), "verdict": verdict.String(), "crashes": crashTexts(crashes)})
+		if t.step.Lasts {
+			log.Warn("long-running task is not started again: VMs crash while they run it")
+			t.heldFor = len(crashes)
+		} else {
+			log.Info("job is given up: VMs crash while they run a task of it")
+			s.stats.GivenUp++
+			s.finalize(now, t.job, jobs.Failed)
+		}
 		if verdict != blame.Proved {
 			continue
 		}
 		for _, c := range crashes {
-			s.losses.update(func(r blame.Record) blame.Record { return r.Explained(c.VM, c.Born) })
+			s.losses.update(func(r blame.Record) blame.Record { return r.Explained(c.VM, c.Born) }, t)
 		}
 	}
 }
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -6,6 +6,7 @@
 	"sort"
 	"time"
 
+	"github.com/greengagelane/greengagelane/internal/blame"
 	"github.com/greengagelane/greengagelane/pkg/jobs"
 )
 
@@ -106,7 +107,7 @@
 		if !v.usable(now, &s.policy) {
 			continue
 		}
-		c := &candidate{vm: v, free: v.freeResources(), trial: v.onTrial()}
+		c := &candidate{vm: v, free: v.freeResources(), trial: v.onTrial(now)}
 		for _, r := range v.runs {
 			c.usedCPU += r.step().CPU
 		}
@@ -209,7 +210,7 @@
 // startable reports whether a task has no run and may get one. A task that may still be
 // running under an earlier owner's order may not.
 func (s *Scheduler) startable(now time.Time, t *task) bool {
-	if t.done || len(t.runs) > 0 || now.Before(t.readyAt) || t.awaitsVerdict() {
+	if t.done || len(t.runs) > 0 || now.Before(t.readyAt) || t.verdict() != blame.None {
 		return false
 	}
 	return !t.unverified || (!s.recoveredHeld && !s.mayBeRunning(t))
