sched: VMs that do not guard their capacity get runs only while the VM list is fresh

While an entry cannot read the VM list, a VM may have shrunk, and one that starts what exceeds its room would be given more than it has (rule LIMIT). In a pool of the other kind no run is started by a list older than the platform's contact time. A claim counts from when its entry last read the list.

--- a/internal/drive/accounts.go
+++ b/internal/drive/accounts.go
@@ -84,14 +84,15 @@
 	return nil, fmt.Errorf("VM %q: %w", id, errUnknownVM)
 }
 
-// applyAccounts passes the accounts of a new configuration to the scheduler.
-func (part *ownedPartition) applyAccounts() {
+// applyConfig passes the accounts and pools of a new configuration to the scheduler.
+func (part *ownedPartition) applyConfig() {
 	cfg := part.node.Config()
 	if cfg == nil || cfg == part.config {
 		return
 	}
 	part.config = cfg
 	part.scheduler.SetAccounts(cfg.Accounts)
+	part.scheduler.SetPools(cfg.Pools)
 }
 
 // replyForbidden returns the reply to a request for a job of another client account. It does not
--- a/internal/drive/claim.go
+++ b/internal/drive/claim.go
@@ -84,7 +84,9 @@
 	}
 	part.scheduler = sched.New(epoch, part.node.policy, part.log)
 	part.scheduler.Restore(time.Now(), last.Epoch, table.Records)
-	part.scheduler.SetVMs(time.Now(), part.node.vmsOf(part.number))
+	vms, readAt := part.node.vmsOf(part.number)
+	part.scheduler.SetVMs(time.Now(), vms)
+	part.scheduler.VMsReadAt(readAt)
 	return nil
 }
 
--- a/internal/drive/member.go
+++ b/internal/drive/member.go
@@ -311,6 +311,7 @@
 // changes describe the whole list.
 func (n *Node) applyVMChanges(changes []site.Change, snapshot bool) {
 	n.mu.Lock()
+	n.vmsReadAt = time.Now()
 	if snapshot {
 		n.vms = map[string]site.VM{}
 	}
@@ -327,7 +328,7 @@
 	n.mu.Unlock()
 	for _, part := range parts {
 		if part.isLoaded() {
-			list := n.vmsOf(part.number)
+			list, _ := n.vmsOf(part.number)
 			part.post(func(now time.Time) { part.scheduler.SetVMs(now, list) })
 		}
 	}
--- a/internal/drive/node.go
+++ b/internal/drive/node.go
@@ -59,6 +59,7 @@
 	partitions   map[int]*ownedPartition
 	peers        map[string]*peer.Client
 	vms          map[string]site.VM
+	vmsReadAt    time.Time          // when the VM list was last read; zero before
 	waves        map[int64]seenWave // by wave number
 	shown        shownJobs
 	logRestored  restoration
@@ -192,17 +193,16 @@
 	return int(xxhash.Sum64String(pool) % uint64(n.settings.Log.Partitions))
 }
 
-// vmsOf returns the VMs of a partition's pools.
-func (n *Node) vmsOf(partition int) []site.VM {
+// vmsOf returns the VMs of a partition's pools and when their list was read.
+func (n *Node) vmsOf(partition int) (list []site.VM, readAt time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	var list []site.VM
 	for _, v := range n.vms {
 		if n.partitionOf(v.Pool) == partition {
 			list = append(list, v)
 		}
 	}
-	return list
+	return list, n.vmsReadAt
 }
 
 // setConfig puts a configuration in force if it is newer than the current one.
--- a/internal/drive/partition.go
+++ b/internal/drive/partition.go
@@ -142,7 +142,7 @@
 
 // round makes the scheduler's decisions, executes them and flushes changes to the job log.
 func (part *ownedPartition) round(ctx context.Context, now time.Time) {
-	part.applyAccounts()
+	part.applyConfig()
 	if now.Sub(part.cordonedAt) > cordonTTL {
 		part.scheduler.Uncordon()
 	}
--- a/internal/drive/policy.go
+++ b/internal/drive/policy.go
@@ -19,6 +19,7 @@
 func schedPolicy(s *site.Settings) sched.Policy {
 	b, overrides := &s.Bounds, &s.Policy
 	p := sched.DefaultPolicy(site.Millis(b.HoldMS), site.Millis(b.StopGraceMS), time.Duration(b.KeepFinalS)*time.Second)
+	override(&p.CapacityNotice, site.Millis(b.CapacityNoticeMS))
 	override(&p.Lease, min(site.Millis(overrides.LeaseMS), p.MaxLease))
 	override(&p.StallAfter, site.Millis(overrides.StallMS))
 	override(&p.Quarantine, site.Millis(overrides.QuarantineMS))
--- a/internal/drive/quota.go
+++ b/internal/drive/quota.go
@@ -112,7 +112,7 @@
 // handleQuota passes a request of the quota coordinator to the scheduler. An owner without a
 // configuration does not reply, since it does not know which accounts have limits.
 func (part *ownedPartition) handleQuota(now time.Time, r *quota.Request) *quota.Reply {
-	part.applyAccounts()
+	part.applyConfig()
 	if r == nil || part.config == nil {
 		return nil
 	}
--- a/internal/sched/accounts.go
+++ b/internal/sched/accounts.go
@@ -26,6 +26,14 @@
 	s.quotas.setLimits(accounts)
 }
 
+// SetPools sets the pools of the configuration in force.
+func (s *Scheduler) SetPools(pools []site.Pool) {
+	s.unguarded = map[string]bool{}
+	for _, p := range pools {
+		s.unguarded[p.Name] = !p.Guards
+	}
+}
+
 // AccountOf returns the client account and the queue of a job; known is false if the job is not
 // known.
 func (s *Scheduler) AccountOf(id string) (account, queue string, known bool) {
--- a/internal/sched/observe.go
+++ b/internal/sched/observe.go
@@ -35,6 +35,9 @@
 	}
 }
 
+// VMsReadAt sets when the VM list that SetVMs passed was read, if that was some time ago.
+func (s *Scheduler) VMsReadAt(at time.Time) { s.listReceivedAt = at }
+
 // handleNewIncarnation releases the runs of a VM's earlier incarnation. A start order
 // in flight may reach the new incarnation, which cannot tell that it was meant for the
 // earlier one, so its run stays until the reply and a later poll are known.
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -103,6 +103,9 @@
 // candidates returns the pool's VMs that may get new runs.
 func (s *Scheduler) candidates(now time.Time, pool string) []*candidate {
 	var cands []*candidate
+	if s.unguarded[pool] && now.Sub(s.listReceivedAt) > s.policy.CapacityNotice {
+		return nil
+	}
 	for _, v := range s.sortedVMs(pool) {
 		if !v.usable(now, &s.policy) {
 			continue
--- a/internal/sched/policy.go
+++ b/internal/sched/policy.go
@@ -17,6 +17,7 @@
 	MaxLease            time.Duration // longest lease that a VM accepts
 	Lease               time.Duration // granted with a start and renewed with each status poll; at most MaxLease
 	ClockError          float64       // bound of the relative error of a VM's clock
+	CapacityNotice      time.Duration // age of the VM list up to which VMs that do not guard their capacity get runs: it may have shrunk since
 	StopGrace           time.Duration // longest time that a VM takes to stop a run
 	KeepFinal           time.Duration // time for which final jobs can be queried
 	Backoff             time.Duration // before a refused or failed order is repeated
@@ -43,6 +44,7 @@
 		MaxLease:            maxLease,
 		Lease:               min(lease, maxLease),
 		ClockError:          0.02, // guaranteed by the platform
+		CapacityNotice:      3 * time.Second,
 		StopGrace:           stopGrace,
 		KeepFinal:           keepFinal,
 		Backoff:             300 * time.Millisecond, // several round trips, well below a task's run time
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -34,6 +34,7 @@
 	recordedVMs      map[string]bool          // VMs that the record under vmsKey has to name
 	recordedVMsDirty bool                     // recordedVMs has changed since it was last flushed
 	accounts         map[string]*site.Account // of the configuration, by name
+	unguarded        map[string]bool          // pools whose VMs start what exceeds their capacity
 	meanWeight       float64                  // of the accounts
 	buckets          map[string]*fair.Bucket  // of the accounts that have submitted jobs
 	offeredAt        map[string]offer         // first submissions, by job ID
--- a/internal/sched/vm_test.go
+++ b/internal/sched/vm_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/greengagelane/greengagelane/pkg/jobs"
 	"github.com/greengagelane/greengagelane/pkg/site"
 )
 
@@ -42,3 +43,40 @@
 		assert.Equal(t, got == "", v.usable(now, policy), tt.want)
 	}
 }
+
+// TestShrunkVMGetsNoRunBeyondItsCapacity guards against runs that exceed the capacity of a VM that has shrunk,
+// and, on VMs that do not refuse such runs, against starts by a VM list that is too old to show it.
+func TestShrunkVMGetsNoRunBeyondItsCapacity(t *testing.T) {
+	tests := []struct {
+		name    string
+		guards  bool
+		listMS  int // age of the VM list
+		cpu     int // of the VM, thousandths of a core
+		want    int // starts
+		running int // tasks that ran before
+	}{
+		{"shrunk, guarded", true, 0, 4000, 2, 2},
+		{"shrunk, unguarded", false, 0, 4000, 2, 2},
+		{"shrunk below its runs", false, 0, 1000, 0, 2},
+		{"grown again", false, 0, 8000, 6, 2},
+		{"old list, guarded", true, 9000, 8000, 6, 2},
+		{"old list, unguarded", false, 9000, 8000, 0, 2},
+	}
+	for _, tt := range tests {
+		r := newFixture(t, testVM("a"))
+		r.s.SetPools([]site.Pool{{Name: "pool", Guards: tt.guards}})
+		r.submit(0, testJob(jobID, jobs.Step{Count: tt.running, CPU: 1000, EstimateMS: 60_000}))
+		assert.Equal(t, len(r.starts(10)), tt.running, tt.name)
+		v := testVM("a")
+		v.CPU = tt.cpu
+		const now = 10_000
+		r.s.SetVMs(at(now-tt.listMS), []site.VM{v})
+		r.submit(now, testJob("00000000000000a2", jobs.Step{Count: 8, CPU: 1000, EstimateMS: 60_000}))
+		var status site.VMStatus
+		for task, x := range r.s.vms["a"].runs {
+			status.Running = append(status.Running, site.Run{Task: task, Run: x.number, Percent: 50})
+		}
+		r.poll(now, "a", status)
+		assert.Equal(t, len(r.starts(now)), tt.want, tt.name)
+	}
+}
--- a/pkg/site/settings.go
+++ b/pkg/site/settings.go
@@ -59,15 +59,17 @@
 // Bounds are time limits of the site and the platform. The platform guarantees the grace
 // periods and MoveS; entries must observe the other limits.
 type Bounds struct {
-	HoldMS         int     `json:"hold-ms"`          // longest lease on a VM
-	StopGraceMS    int     `json:"stop-grace-ms"`    // longest time until a stopped run has ended
-	ShutdownGraceS float64 `json:"shutdown-grace-s"` // time from SIGTERM to SIGKILL
-	KeepFinalS     int     `json:"keep-final-s"`     // how long a job in a final state can be queried
-	MoveS          float64 `json:"move-s"`           // how long a VM is out of service during a move
-	TurnMS         int     `json:"turn-ms"`          // minimum time between orders for the same machine from two entries
-	RevokeStrict   bool    `json:"revoke-strict"`    // without news of the configuration for RevokeMS, calls that need a key are refused
-	RevokeMS       int     `json:"revoke-ms"`        // see RevokeStrict
-	QuotaOverage   float64 `json:"quota-overage"`    // share of an account's limit by which races between entries may exceed it
+	HoldMS      int `json:"hold-ms"`       // longest lease on a VM
+	StopGraceMS int `json:"stop-grace-ms"` // longest time until a stopped run has ended
+	// CapacityNoticeMS is how long a VM's smaller capacity may stay unknown to the owner of its pool; 0 for the default.
+	CapacityNoticeMS int     `json:"capacity-notice-ms"`
+	ShutdownGraceS   float64 `json:"shutdown-grace-s"` // time from SIGTERM to SIGKILL
+	KeepFinalS       int     `json:"keep-final-s"`     // how long a job in a final state can be queried
+	MoveS            float64 `json:"move-s"`           // how long a VM is out of service during a move
+	TurnMS           int     `json:"turn-ms"`          // minimum time between orders for the same machine from two entries
+	RevokeStrict     bool    `json:"revoke-strict"`    // without news of the configuration for RevokeMS, calls that need a key are refused
+	RevokeMS         int     `json:"revoke-ms"`        // see RevokeStrict
+	QuotaOverage     float64 `json:"quota-overage"`    // share of an account's limit by which races between entries may exceed it
 }
 
 // LoadSettings reads a settings file, JSON with comments. Unknown keys are errors.
