blame: a crash with another cause counts on, however unlikely the task was its cause

While many such tasks crashed VMs, each crash was explained by another job or by others within 50 ms, and a crash for which the task was unlikely left no trace.

The crash now stays in the record without blame, so that five crashes end the task's starts in any case. For long-running tasks, which are on many VMs that are lost, it is removed as before: those are held only for crashes that were likely theirs.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -147,20 +147,16 @@
 }
 
 // Explained returns the record after a crash has turned out to have another cause, such as another job or the
-// loss of a rack. A crash for which the task was likely counts on as one without blame: it may have had two
-// causes, and the task must not be started without end.
+// loss of a rack. It counts on as one without blame: it may have had two causes, and the task must not be
+// started without end.
 func (r Record) Explained(vm string, born int64) Record {
-	var kept Record
-	for _, c := range r {
-		if c.VM == vm && c.Born == born {
-			if c.Share < suspectShare {
-				continue
-			}
+	explained := slices.Clone(r)
+	for i := range explained {
+		if c := &explained[i]; c.VM == vm && c.Born == born {
 			c.Share = 0
 		}
-		kept = append(kept, c)
 	}
-	return kept
+	return explained
 }
 
 // Without returns the record without the crash of an incarnation of a VM, which has turned out not to have
--- a/internal/blame/blame_test.go
+++ b/internal/blame/blame_test.go
@@ -92,7 +92,8 @@
 	assert.DeepEqual(t, r.Without("vm", 0), Record{{VM: "vm", Born: 1, Share: 0.5}})
 	assert.Assert(t, math.Abs(r.Chance()-0.7) < 1e-9)
 	assert.DeepEqual(t, r.Explained("vm", 0), Record{{VM: "vm"}, {VM: "vm", Born: 1, Share: 0.5}})
-	assert.Equal(t, len(crashes(0.01).Explained("vm", 0)), 0)
+	assert.DeepEqual(t, r, crashes(0.4, 0.5))
+	assert.Equal(t, len(crashes(0.01).Explained("vm", 0)), 1, "the crash does not count any more")
 }
 
 // TestClearedAfter guards against a task that is cleared before it has reached the age at which its VM crashed.
--- a/internal/sched/loss.go
+++ b/internal/sched/loss.go
@@ -192,39 +192,46 @@
 		}
 	}
 	if len(sameRack) >= rackVMs && 2*len(sameRack) >= inRack {
-		l.explain(sameRack)
+		l.explainAll(sameRack)
 	}
 	if len(sameTime) >= fleetVMs {
-		l.explain(sameTime)
+		l.explainAll(sameTime)
 	}
 }
 
-// explain withdraws the blame for losses with a known cause.
-func (l *losses) explain(list []loss) {
+// explainAll withdraws the blame for losses with a known cause.
+func (l *losses) explainAll(list []loss) {
 	for _, x := range list {
-		l.update(func(r blame.Record) blame.Record { return r.Explained(x.vm, x.born) }, nil)
+		l.explain(x.vm, x.born, nil)
 	}
 }
 
-// withdraw removes the crash of a VM's incarnation, which has another cause, from all records.
-func (l *losses) withdraw(vm string, born int64) {
-	l.update(func(r blame.Record) blame.Record { return r.Without(vm, born) }, nil)
+// explain withdraws the blame for the loss of a VM's incarnation, which has another cause than the tasks that
+// ran there but one, which may be nil.
+func (l *losses) explain(vm string, born int64, cause *task) {
+	for t := range l.suspects {
+		switch {
+		case t == cause:
+		case t.step.Lasts:
+			l.set(t, t.crashes.Without(vm, born)) // it may be on many VMs that are lost
+		default:
+			l.set(t, t.crashes.Explained(vm, born))
+		}
+	}
 }
 
-// update changes the records of all suspects but one, which may be nil.
-func (l *losses) update(change func(blame.Record) blame.Record, except *task) {
+// withdraw removes the loss of a VM's incarnation, which has turned out not to have ended, from all records.
+func (l *losses) withdraw(vm string, born int64) {
 	for t := range l.suspects {
-		if t == except {
-			continue
-		}
-		if r := change(t.crashes); !slices.Equal(r, t.crashes) {
-			l.set(t, r)
-		}
+		l.set(t, t.crashes.Without(vm, born))
 	}
 }
 
 // set replaces the record of a task.
 func (l *losses) set(t *task, r blame.Record) {
+	if slices.Equal(r, t.crashes) {
+		return
+	}
 	t.crashes = r
 	t.job.dirty = true
 	if len(r) == 0 {
@@ -266,7 +273,7 @@
 			continue
 		}
 		for _, c := range crashes {
-			s.losses.update(func(r blame.Record) blame.Record { return r.Explained(c.VM, c.Born) }, t)
+			s.losses.explain(c.VM, c.Born, t)
 		}
 	}
 }
