blame: the ages at which tasks crash VMs are learnt; failures of polls are dated exactly

Hypothesis: with 10 deadly jobs in a peak, each crashed three VMs instead of two, since the ages of other runs on the VM left a doubt at the second crash. Change: crashes are expected sooner after a start (half within 150 ms), and at the ages of those that were proved; the time of a crash is that of the failed poll, not that of its handling, up to 40 ms later.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -21,7 +21,7 @@
 	baseChance     = 0.01                  // that a job without evidence against it crashes VMs
 	maxChance      = 0.95                  // however much evidence there is against a job
 	ageUnit        = 50 * time.Millisecond // ages below are not told apart: orders and reports take about as long
-	otherCauses    = 0.003                 // weight of causes other than a task: about that of a job without evidence against it after 3 s
+	otherCauses    = 0.003                 // weight of causes other than a task: about that of a job without evidence against it after 0.8 s
 	suspectShare   = 0.1                   // of the blame for a crash, from which a job is a suspect: of 10 runs of equal age, each is
 	certainShare   = 0.9                   // of the blame for a crash, from which no other job explains it
 	uncertainShare = 0.85                  // largest share of a job that the ages of the runs do not single out
@@ -41,12 +41,12 @@
 // its start, while the others are of any age, and VMs crash for other causes at any time: the shares sum to
 // less than 1. Earlier evidence alone makes no share certain, since another task that crashes VMs may have been
 // started on the same one.
-func Split(list []Job) []float64 {
+func Split(list []Job, ages *Ages) []float64 {
 	shares, byAge := make([]float64, len(list)), make([]float64, len(list))
 	sum, sumByAge := otherCauses, 0.0
 	for i := range list {
 		chance := min(max(list[i].Chance, baseChance), maxChance)
-		byAge[i] = 1 / (max(list[i].Age, 0) + ageUnit).Seconds()
+		byAge[i] = ages.weight(list[i].Age)
 		shares[i] = byAge[i] * chance / (1 - chance)
 		sum += shares[i]
 		sumByAge += byAge[i]
--- a/internal/drive/session.go
+++ b/internal/drive/session.go
@@ -204,9 +204,10 @@
 	if ctx.Err() != nil {
 		return sentAt, ctx.Err()
 	}
+	endedAt := time.Now()
 	s.part.post(func(now time.Time) {
 		if err != nil {
-			s.part.scheduler.HandlePollFailure(now, s.id, err)
+			s.part.scheduler.HandlePollFailure(endedAt, s.id, err)
 			return
 		}
 		s.part.scheduler.HandlePoll(now, s.id, sentAt, status)
--- a/internal/sched/loss.go
+++ b/internal/sched/loss.go
@@ -25,6 +25,7 @@
 	suspects map[*task]bool      // tasks with a record of crashes
 	presumed map[string][]string // tasks that may be running on VMs that this owner has not polled, by VM
 	recent   []loss              // the last losses without a known cause
+	ages     blame.Ages          // of tasks that were proved to crash VMs
 }
 
 // loss is the loss of a VM's incarnation.
@@ -158,7 +159,7 @@
 		list[i].Age = min(list[i].Age, age(x))
 		list[i].Chance = max(list[i].Chance, x.task.crashes.Chance())
 	}
-	shares := blame.Split(list)
+	shares := blame.Split(list, &s.losses.ages)
 	for _, x := range lost {
 		t := x.task
 		if t.crashes.Has(v.ID, v.Born) {
@@ -273,6 +274,7 @@
 			continue
 		}
 		for _, c := range crashes {
+			s.losses.ages.Add(c.Age)
 			s.losses.explain(c.VM, c.Born, t)
 		}
 	}
--- a/internal/sched/replies.go
+++ b/internal/sched/replies.go
@@ -85,15 +85,15 @@
 	r.stopConfirmed, r.answeredAt = true, now
 }
 
-// HandlePollFailure handles a status poll that failed.
-func (s *Scheduler) HandlePollFailure(now time.Time, id string, err error) {
-	v := s.answeringVM(now, id, err)
+// HandlePollFailure handles a status poll that failed at the given time.
+func (s *Scheduler) HandlePollFailure(at time.Time, id string, err error) {
+	v := s.answeringVM(at, id, err)
 	if v == nil {
 		return
 	}
 	v.pollFailed = true
 	if v.failedAt.IsZero() {
-		v.failedAt = now
+		v.failedAt = at
 	}
 	s.fenced = s.fenced || errors.Is(err, site.ErrFenced)
 }
