sched: suspects wait while their pool is full, and are tried where a crash leaves no doubt

Change: a suspect is not started within 200 ms of a task that found no room, unless it is long-running; a VM on which a crash would leave a doubt counts as that much more exposed.

--- a/internal/blame/ages.go
+++ b/internal/blame/ages.go
@@ -39,6 +39,17 @@
 	return prior * (1 + ageClasses*a.count[ageClass(age)]) / (1 + a.total)
 }
 
+// Certain reports whether a run that crashes its VM at the given age would be the only likely cause there, by the
+// ages that the VM's other runs would then have.
+func (a *Ages) Certain(age time.Duration, others []time.Duration) bool {
+	own := a.weight(age)
+	sum := own
+	for _, x := range others {
+		sum += a.weight(x)
+	}
+	return own >= certainShare*sum
+}
+
 func ageClass(age time.Duration) int {
 	return min(int(math.Log2(float64(age+ageUnit)/float64(ageUnit))), ageClasses-1)
 }
--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -13,6 +13,7 @@
 package blame
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -131,6 +132,14 @@
 	return n
 }
 
+// SoonestAge returns the shortest age of the task's runs at a crash.
+func (r Record) SoonestAge() time.Duration {
+	if len(r) == 0 {
+		return 0
+	}
+	return slices.MinFunc(r, func(a, b Crash) int { return cmp.Compare(a.Age, b.Age) }).Age
+}
+
 // ClearedAfter returns the age that a run of the task has to reach to clear it: twice that of the run that
 // lived longest before a crash.
 func (r Record) ClearedAfter() time.Duration {
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -184,6 +184,9 @@
 			if st.Lasts && !j.order.excess {
 				s.reserve(t, cands)
 			}
+			if !st.Lasts && !st.Fills {
+				s.pool(j.Pool).fullAt = now
+			}
 			unplaced.add(j, st.Step)
 			return
 		}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -92,6 +92,7 @@
 	idle              []idleVM       // as of loadAt, less the first tasks of jobs accepted since
 	idleBefore        []idleVM       // buffer of fitsIdle
 	leftIdle          []idleVM       // as of placedRound
+	fullAt            time.Time      // when a task of another than a suspect's job last found no room
 	trialsWait        time.Time      // when a suspect last found no VM without long-running tasks
 	placedRound       int64          // number of the last round that had jobs in the pool
 
--- a/internal/sched/trial.go
+++ b/internal/sched/trial.go
@@ -17,6 +17,8 @@
 	apartPatience   = 10 * time.Second       // a task under which two VMs have crashed waits no longer than this for a VM of its own
 	lastingPatience = time.Second            // a long-running task waits no longer than this for either, since it is missed
 	trialPolls      = 100 * time.Millisecond // between two status polls of a VM on trial
+	fullFor         = 200 * time.Millisecond // a pool counts as full for this long after a task found no room
+	crashDowntime   = 3 * time.Second        // that a VM is expected to be out of service after a crash
 	lastingLoss     = 10.0                   // core-seconds that a crash costs a long-running task for each of its cores
 )
 
@@ -55,6 +57,9 @@
 		patience, apart = lastingPatience, lastingPatience
 	}
 	waited := now.Sub(t.suspectSince)
+	if !t.step.Lasts && now.Sub(s.pool(t.job.Pool).fullAt) < fullFor {
+		return
+	}
 	if trials > len(cands)/vmsPerTrial && waited < patience {
 		return
 	}
@@ -135,21 +140,36 @@
 	return n
 }
 
-// leastExposed returns the allowed candidate on which a crash costs least, nil if there is none.
+// leastExposed returns the allowed candidate on which a crash under a task costs least, nil if there is none. A
+// crash that leaves a doubt about its cause is followed by another one.
 func (s *Scheduler) leastExposed(now time.Time, t *task, cands []*candidate) *candidate {
 	var best *candidate
 	var least float64
+	age := t.crashes.SoonestAge()
 	for _, c := range cands {
 		if !s.allowed(now, t, c) {
 			continue
 		}
-		if loss := c.vm.crashLoss(now); best == nil || loss < least {
+		loss := c.vm.crashLoss(now)
+		if !s.losses.ages.Certain(age, c.vm.agesAt(now.Add(age))) {
+			loss += float64(c.vm.CPU) / 1000 * crashDowntime.Seconds()
+		}
+		if best == nil || loss < least {
 			best, least = c, loss
 		}
 	}
 	return best
 }
 
+// agesAt returns the ages that the VM's runs will have at a time.
+func (v *vm) agesAt(at time.Time) []time.Duration {
+	ages := make([]time.Duration, 0, len(v.runs))
+	for _, r := range v.runs {
+		ages = append(ages, at.Sub(r.startedAt))
+	}
+	return ages
+}
+
 // crashLoss returns the core-seconds that would have to be done again if a VM crashed.
 func (v *vm) crashLoss(now time.Time) float64 {
 	var sum float64
