--- a/internal/sched/crash_test.go
+++ b/internal/sched/crash_test.go
@@ -213,3 +213,75 @@
 	state, _ := c.s.JobState(jobID)
 	assert.Equal(t, state, jobs.Running)
 }
+
+// TestDeadlyTaskOfGangIsGivenUp guards against a gang that is started without end while one of its tasks crashes
+// VMs: the ends of the others count as no attempt either.
+func TestDeadlyTaskOfGangIsGivenUp(t *testing.T) {
+	c := newCrashSite(t, 14)
+	c.submit(c.ms, testJob(jobID, jobs.Step{Count: 3, CPU: 5000, EstimateMS: 1000, Gang: true}))
+	sequence := map[string]int64{}
+	starts := 0
+	for ; c.ms < 60_000; c.ms += 100 {
+		c.list()
+		c.pollAll()
+		gang := c.starts(c.ms)
+		for _, x := range gang {
+			if x.Task.Index == 0 {
+				starts++
+				c.crash(x.VM, fmt.Sprintf("%s-%d", x.VM, c.ms))
+				c.s.EndVM(at(c.ms), site.Incarnation{VM: x.VM, Born: c.s.vms[x.VM].Born})
+				continue
+			}
+			sequence[x.VM]++
+			c.s.HandlePoll(at(c.ms), x.VM, at(c.ms), &site.VMStatus{
+				Born: c.born[x.VM], ClockMS: int64(c.ms) + 1000, Ended: []site.RunEnd{end(sequence[x.VM], x, site.Broken)},
+			})
+		}
+		c.flush(c.ms)
+	}
+	assert.Assert(t, starts > 1 && starts <= maxStartsOfDeadlyTask, "the gang was started %d times", starts)
+	state, _ := c.s.JobState(jobID)
+	assert.Equal(t, state, jobs.Failed)
+}
+
+// TestSuspectGetsNoCopy guards against a second VM that a task crashes by a speculative run.
+func TestSuspectGetsNoCopy(t *testing.T) {
+	r := newFixture(t, testVM("a"), testVM("b"))
+	j := testJob(jobID, jobs.Step{Count: 1, CPU: 1000, EstimateMS: 1000, Copies: true})
+	j.MaxAttempts = 4
+	r.submit(0, j)
+	r.suspect(0, jobID)
+	x := r.starts(10)[0]
+	r.pollRuns(20, x.VM)
+	assert.Assert(t, r.s.copyableRun(at(30), r.s.jobs[jobID].findTask(x.Task)) == nil)
+}
+
+// TestCrashDuringTakeoverCounts guards against crashes that count for nobody since the owner changes before it
+// is known: the next one learns of the runs from a handover, or of suspects from their records.
+func TestCrashDuringTakeoverCounts(t *testing.T) {
+	for _, handedOver := range []bool{true, false} {
+		r := newFixture(t, testVM("a"), testVM("b"))
+		r.submit(0, testJob(jobID, jobs.Step{Count: 1, CPU: 1000, EstimateMS: 9000}))
+		before := 0
+		if !handedOver {
+			r.suspect(0, jobID)
+			before = 1
+		}
+		first := r.starts(10)[0]
+		r.flush(20)
+		if handedOver {
+			r.retire(30)
+		}
+		vms := []site.VM{testVM("a"), testVM("b")}
+		r.takeover(40, vms...)
+		for i := range vms {
+			if vms[i].ID == first.VM {
+				vms[i].Born = 2
+			}
+		}
+		r.s.SetVMs(at(3500), vms)
+		crashes := r.s.jobs[jobID].findTask(first.Task).crashes
+		assert.Equal(t, len(crashes), before+1, "handed over: %t", handedOver)
+		assert.Equal(t, crashes[before].VM, first.VM)
+	}
+}
