sched: suspects that crash their VMs at the same time are not taken for one loss

Suspects of several jobs are tried in the same round and crash their VMs together. Losses of VMs that run a suspect no longer count towards a common cause; they are still part of a rack that is lost otherwise.

TestSuspectsThatCrashVMsAtOnce failed before.

--- a/internal/sched/crash_test.go
+++ b/internal/sched/crash_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 
@@ -285,3 +286,27 @@
 		assert.Equal(t, crashes[before].VM, first.VM)
 	}
 }
+
+// TestSuspectsThatCrashVMsAtOnce guards against crashes that count for nobody since several suspects, which are
+// tried in the same round, crash their VMs at the same time.
+func TestSuspectsThatCrashVMsAtOnce(t *testing.T) {
+	const vms = 20 // so that five may be on trial
+	c := newCrashSite(t, vms)
+	for i := range fleetVMs {
+		id := fmt.Sprintf("%016x", i+1)
+		c.submit(c.ms, testJob(id, jobs.Step{Count: 1, CPU: 1000, EstimateMS: 1000}))
+		c.suspect(c.ms, id)
+	}
+	runs := c.starts(10)
+	assert.Equal(t, len(runs), fleetVMs)
+	for _, x := range runs {
+		c.s.HandlePollFailure(at(20), x.VM, errors.New("connection reset"))
+		c.s.EndVM(at(30), site.Incarnation{VM: x.VM, Born: c.born[x.VM]})
+	}
+	c.starts(30 + int(verdictDelay.Milliseconds()))
+	c.flush(1000)
+	for _, x := range runs {
+		state, _ := c.s.JobState(x.Task.Job)
+		assert.Equal(t, state, jobs.Failed)
+	}
+}
--- a/internal/sched/loss.go
+++ b/internal/sched/loss.go
@@ -33,6 +33,7 @@
 	vm, rack string
 	born     int64
 	at       time.Time // when the VM first failed to answer
+	suspect  bool      // it ran a suspect; several of these may crash their VMs at once
 }
 
 func newLosses() losses {
@@ -86,8 +87,9 @@
 	if failedAt.IsZero() {
 		failedAt = now
 	}
+	suspect := slices.ContainsFunc(lost, func(x lostTask) bool { return x.task.crashes.Suspect() })
 	s.blame(now, failedAt, v, lost)
-	s.checkLostTogether(loss{vm: v.ID, rack: v.rack(), born: v.Born, at: failedAt})
+	s.checkLostTogether(loss{vm: v.ID, rack: v.rack(), born: v.Born, at: failedAt, suspect: suspect})
 }
 
 // lostTask is a task that a lost VM may have been running. since is when its run was started, zero if this
@@ -178,11 +180,15 @@
 	l.recent = slices.DeleteFunc(l.recent, func(old loss) bool { return x.at.Sub(old.at) > rackWindow })
 	l.recent = append(l.recent, x)
 	var sameRack, sameTime []loss
+	rackLosses := 0 // that no suspect explains
 	for _, y := range l.recent {
 		if y.rack == x.rack && x.rack != "" {
 			sameRack = append(sameRack, y)
+			if !y.suspect {
+				rackLosses++
+			}
 		}
-		if x.at.Sub(y.at).Abs() <= fleetWindow {
+		if x.at.Sub(y.at).Abs() <= fleetWindow && !y.suspect {
 			sameTime = append(sameTime, y)
 		}
 	}
@@ -192,7 +198,7 @@
 			inRack++
 		}
 	}
-	if len(sameRack) >= rackVMs && 2*len(sameRack) >= inRack {
+	if rackLosses >= rackVMs && 2*len(sameRack) >= inRack {
 		l.explainAll(sameRack)
 	}
 	if len(sameTime) >= fleetVMs {
