sched: a crash counts also if the VM was cordoned before it was known

It now counts unless the VM was cordoned before it first failed to answer.

TestCrashBeforeCordonCounts failed before.

--- a/internal/drive/fleet.go
+++ b/internal/drive/fleet.go
@@ -321,7 +321,7 @@
 			part.scheduler.EndVM(now, e)
 		}
 		if !c.ReadOnly {
-			part.scheduler.Cordon(c.Pool, c.Cordons)
+			part.scheduler.Cordon(now, c.Pool, c.Cordons)
 			part.scheduler.SetArrivals(now, c.Pool, c.Arrivals)
 			part.cordonedAt = now
 		}
--- a/internal/moves/burst_test.go
+++ b/internal/moves/burst_test.go
@@ -190,7 +190,7 @@
 	sim.view.Reports = map[string]*sched.Report{}
 	sim.view.ReadStart = sim.now
 	for pool, s := range sim.schedulers {
-		s.Cordon(pool, sim.planner.Cordons(&sim.view, pool))
+		s.Cordon(sim.now, pool, sim.planner.Cordons(&sim.view, pool))
 		s.SetArrivals(sim.now, pool, sim.planner.Arrivals(sim.now, &sim.view, pool))
 		sim.view.Reports[pool] = s.Report(sim.now, pool)
 	}
--- a/internal/moves/peaksite_test.go
+++ b/internal/moves/peaksite_test.go
@@ -230,7 +230,7 @@
 func (s *peakSite) plan() {
 	s.view.Reports, s.view.ReadStart = map[string]*sched.Report{}, s.now
 	for _, p := range s.pools {
-		p.sched.Cordon(p.name, s.planner.Cordons(&s.view, p.name))
+		p.sched.Cordon(s.now, p.name, s.planner.Cordons(&s.view, p.name))
 		p.sched.SetArrivals(s.now, p.name, s.planner.Arrivals(s.now, &s.view, p.name))
 		s.view.Reports[p.name] = p.sched.Report(s.now, p.name)
 	}
--- a/internal/sched/crash_test.go
+++ b/internal/sched/crash_test.go
@@ -310,3 +310,21 @@
 		assert.Equal(t, state, jobs.Failed)
 	}
 }
+
+// TestCrashBeforeCordonCounts guards against a crash that counts for nobody since the VM, which looks idle
+// afterwards, is cordoned before the crash is known, and against blame for the end of a VM that was about to be
+// moved.
+func TestCrashBeforeCordonCounts(t *testing.T) {
+	for _, cordonedFirst := range []bool{false, true} {
+		r := newFixture(t, testVM("a"), testVM("b"))
+		r.submit(0, testJob(jobID, jobs.Step{Count: 1, CPU: 1000, EstimateMS: 1000}))
+		first := r.starts(10)[0]
+		if cordonedFirst {
+			r.s.Cordon(at(15), "pool", []string{first.VM})
+		}
+		r.s.HandlePollFailure(at(20), first.VM, errors.New("connection reset"))
+		r.s.Cordon(at(200), "pool", []string{first.VM})
+		r.s.EndVM(at(400), site.Incarnation{VM: first.VM, Born: 1})
+		assert.Equal(t, len(r.s.jobs[jobID].findTask(first.Task).crashes) == 0, cordonedFirst)
+	}
+}
--- a/internal/sched/fuzz_test.go
+++ b/internal/sched/fuzz_test.go
@@ -170,7 +170,7 @@
 		m.s.Uncordon()
 		return
 	}
-	m.s.Cordon("pool", []string{rapid.SampledFrom(m.vmIDs()).Draw(t, "vm")})
+	m.s.Cordon(m.now, "pool", []string{rapid.SampledFrom(m.vmIDs()).Draw(t, "vm")})
 }
 
 func (m *model) wait(t *rapid.T) {
--- a/internal/sched/loss.go
+++ b/internal/sched/loss.go
@@ -80,13 +80,13 @@
 	}
 	s.stats.LostVMs++
 	s.logLostVM(now, v, why)
-	if v.cordoned || v.Draining {
-		return
-	}
 	failedAt := v.failedAt
 	if failedAt.IsZero() {
 		failedAt = now
 	}
+	if v.Draining || (v.cordoned && v.cordonedAt.Before(failedAt)) {
+		return
+	}
 	suspect := slices.ContainsFunc(lost, func(x lostTask) bool { return x.task.crashes.Suspect() })
 	s.blame(now, failedAt, v, lost)
 	s.checkLostTogether(loss{vm: v.ID, rack: v.rack(), born: v.Born, at: failedAt, suspect: suspect})
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -187,13 +187,16 @@
 }
 
 // Cordon keeps new runs off the given VMs of a pool and uncordons its other VMs.
-func (s *Scheduler) Cordon(pool string, ids []string) {
+func (s *Scheduler) Cordon(now time.Time, pool string, ids []string) {
 	set := map[string]bool{}
 	for _, id := range ids {
 		set[id] = true
 	}
 	for _, v := range s.vms {
 		if v.Pool == pool {
+			if set[v.ID] && !v.cordoned {
+				v.cordonedAt = now
+			}
 			v.cordoned = set[v.ID]
 		}
 	}
--- a/internal/sched/scheduler_test.go
+++ b/internal/sched/scheduler_test.go
@@ -248,7 +248,7 @@
 			vms[i].Draining = vms[i].ID == first
 		}
 		r.s.SetVMs(at(30), vms)
-		r.s.Cordon("pool", []string{"a", "b", "c"})
+		r.s.Cordon(at(0), "pool", []string{"a", "b", "c"})
 		stops := append(r.stops(40), r.stops(50)...)
 		assert.Equal(t, len(stops), 1, "with %s draining", first)
 		assert.Equal(t, len(r.stops(60)), 0)
@@ -291,7 +291,7 @@
 	for ms := 1000; ms <= 3000; ms += 1000 {
 		available(ms, runs[0])
 	}
-	r.s.Cordon("pool", []string{runs[0].VM})
+	r.s.Cordon(at(0), "pool", []string{runs[0].VM})
 	assert.Equal(t, len(r.stops(3000)), 0, "evacuated while the other task's VM does not answer")
 	available(3100, runs[1])
 	assert.Equal(t, len(r.stops(3100)), 1)
--- a/internal/sched/submit.go
+++ b/internal/sched/submit.go
@@ -170,10 +170,14 @@
 func (s *Scheduler) finalize(now time.Time, j *job, state jobs.State) {
 	j.state, j.finalMS, j.dirty = state, now.UnixMilli(), true
 	submitted := time.UnixMilli(j.SubmittedMS)
-	s.log.WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		"job": j.ID, "state": state, "queue": j.Queue, "took-ms": now.Sub(submitted).Milliseconds(),
-		"began-after-ms": j.beganAt.Sub(submitted).Milliseconds(), "objective-ms": s.timing(j).Objective.Milliseconds(), "class": j.beganClass,
-	}).Info("job ended")
+		"objective-ms": s.timing(j).Objective.Milliseconds(), "class": j.beganClass,
+	}
+	if !j.beganAt.IsZero() { // else it began under an earlier owner, or not at all
+		fields["began-after-ms"] = j.beganAt.Sub(submitted).Milliseconds()
+	}
+	s.log.WithFields(fields).Info("job ended")
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
 			for _, t := range st.tasks {
--- a/internal/sched/takeover_test.go
+++ b/internal/sched/takeover_test.go
@@ -43,7 +43,7 @@
 			r.poll(ms, s.VM, site.VMStatus{Running: []site.Run{{Task: s.Order.Task, Run: s.Order.Run, Percent: 100}}})
 		}
 	}
-	r.s.Cordon("pool", []string{"a", "b"})
+	r.s.Cordon(at(0), "pool", []string{"a", "b"})
 	grace := int(testPolicy().StopGrace.Milliseconds())
 	pollAvailable(100 + grace)
 	assert.Equal(t, len(r.stops(100+grace)), 0)
@@ -121,7 +121,7 @@
 	r.submit(0, testJob(jobID, jobs.Step{Count: 1, CPU: 1000, EstimateMS: 500}))
 	run := r.starts(10)[0]
 	other := map[string]string{"a": "b", "b": "a"}[run.VM]
-	r.s.Cordon("pool", []string{other})
+	r.s.Cordon(at(0), "pool", []string{other})
 	r.poll(20, other, site.VMStatus{})
 	r.poll(20, run.VM, site.VMStatus{Running: []site.Run{{Task: run.Order.Task, Run: run.Order.Run}}})
 	r.starts(30)
@@ -140,7 +140,7 @@
 // that it may hold runs.
 func TestUncordonedVMIsRecordedAgain(t *testing.T) {
 	r := newFixture(t, testVM("a"))
-	r.s.Cordon("pool", []string{"a"})
+	r.s.Cordon(at(0), "pool", []string{"a"})
 	r.poll(10, "a", site.VMStatus{})
 	r.starts(20)
 	r.flush(20)
--- a/internal/sched/vm.go
+++ b/internal/sched/vm.go
@@ -16,6 +16,7 @@
 	listed              bool             // the platform's last VM list contains it
 	polled              bool             // a status poll of this owner has succeeded; reset when the VM restarts, its leases expire or it refuses a start as late, until the next poll succeeds
 	cordoned            bool             // about to be moved or maintained; gets no new runs
+	cordonedAt          time.Time        // when it was last cordoned
 	pollFailed          bool             // the last status poll failed
 	failedAt            time.Time        // when a poll first failed since the last answer; zero if none has
 	trialPolledAt       time.Time        // when a poll was last ordered out of turn, see pollTrials
