--- a/internal/sched/trial_test.go
+++ b/internal/sched/trial_test.go
@@ -20,10 +20,10 @@
 	r.poll(ms, vm, status)
 }
 
-// suspect gives the first task of a job a record of one crash.
+// suspect gives the first task of a job a record of one crash, of a VM of its own.
 func (r *fixture) suspect(ms int, id string) *task {
 	t := r.s.jobs[id].findTask(jobs.TaskID{Job: id})
-	t.crashes, t.suspectSince = blame.Record{{VM: "gone", Born: 1, Age: 10 * time.Millisecond, Share: 0.5}}, at(ms)
+	t.crashes, t.suspectSince = blame.Record{{VM: "gone-" + id, Born: 1, Age: 10 * time.Millisecond, Share: 0.5}}, at(ms)
 	r.s.losses.suspects[t] = true
 	return t
 }
