Notes of shown jobs survive a rolling stop of all entries in an outage of the log

Cause: the note of a shown job is in the memory of the owner and of one other entry; a rolling stop in the same outage ends both, and the third copy, the VM's list of ends, is lost with a VM that crashes.

Package shown holds the notes and the rule, as a core of its own: the owner and the relaying entry take note, or another entry that is not stopping; an entry that stops hands its notes on to two others; one that is stopping takes none. A new owner waits a second instead of 150 ms for the others' notes within 30 s of a failed call to the log.

--- a/internal/drive/cluster_test.go
+++ b/internal/drive/cluster_test.go
@@ -100,10 +100,16 @@
 	if c.adjust != nil {
 		c.adjust(&set.Bounds)
 	}
+	c.nodes, c.cancels, c.done = append(c.nodes, nil), append(c.cancels, nil), append(c.done, nil)
+	c.run(len(c.nodes)-1, set)
+}
+
+// run runs an entry with the given settings.
+func (c *cluster) run(i int, set *site.Settings) {
 	n := New(set)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	c.nodes, c.cancels, c.done = append(c.nodes, n), append(c.cancels, cancel), append(c.done, done)
+	c.nodes[i], c.cancels[i], c.done[i] = n, cancel, done
 	go func() {
 		defer close(done)
 		if err := n.Run(ctx); err != nil && !errors.Is(err, errAborted) {
@@ -112,6 +118,13 @@
 	}()
 }
 
+// restart stops an entry as SIGTERM does and starts it again under its addresses.
+func (c *cluster) restart(i int) {
+	c.cancels[i]()
+	<-c.done[i]
+	c.run(i, c.nodes[i].settings)
+}
+
 // kill aborts an entry without a handover and waits for its end.
 func (c *cluster) kill(i int) {
 	c.nodes[i].abort()
--- a/internal/drive/node.go
+++ b/internal/drive/node.go
@@ -20,6 +20,7 @@
 	"github.com/greengagelane/greengagelane/internal/httpd"
 	"github.com/greengagelane/greengagelane/internal/peer"
 	"github.com/greengagelane/greengagelane/internal/sched"
+	"github.com/greengagelane/greengagelane/internal/shown"
 	"github.com/greengagelane/greengagelane/pkg/site"
 	"github.com/greengagelane/greengagelane/platform"
 )
@@ -52,6 +53,7 @@
 	owners          ownerTable
 	stopping        atomic.Bool
 	aborted         chan struct{} // closed to exit without a handover, as after SIGKILL
+	logFailedAt     atomic.Int64  // Unix nanoseconds; when a call to the log last failed
 	incomingUntil   atomic.Int64  // Unix nanoseconds; until then VMs are expected to join a pool of this entry
 	assignmentKnown atomic.Bool   // the partitions are assigned, to this entry or to others; required for readiness
 
@@ -61,7 +63,7 @@
 	vms          map[string]site.VM
 	vmsReadAt    time.Time          // when the VM list was last read; zero before
 	waves        map[int64]seenWave // by wave number
-	shown        shownJobs
+	shown        shown.Notes
 	logRestored  restoration
 	queueMovedAt map[string]time.Time // when a queue last changed its pool, by queue name
 
@@ -103,6 +105,7 @@
 		return fmt.Errorf("listen on the peer address: %w", err)
 	}
 	defer ln.Close()
+	defer ps.Close()
 	go func() { failed <- ps.Serve(workCtx, ln) }()
 	callersLn, err := net.Listen("tcp", n.settings.Callers)
 	if err != nil {
@@ -113,6 +116,7 @@
 	metricsSrv := &http.Server{Addr: n.settings.MetricsAddress(), Handler: http.HandlerFunc(n.serveMetrics), ReadHeaderTimeout: headerTimeout}
 	go func() { failed <- callers.Serve() }()
 	for _, s := range []*http.Server{ready, metricsSrv} {
+		defer s.Close()
 		go func() { failed <- s.ListenAndServe() }()
 	}
 	go n.watchOperator(workCtx)
@@ -139,6 +143,7 @@
 	callers.BeginStop()
 	stopStart := time.Now()
 	logrus.Info("entry is stopping; handing its partitions over")
+	go n.handOnShown(workCtx) // as early as possible, and again with those shown meanwhile
 	leave()
 	<-memberDone
 	sleep(workCtx, stopDelay-time.Since(stopStart))
@@ -147,6 +152,7 @@
 	if err := callers.Shutdown(shutdownCtx); err != nil {
 		logrus.WithError(err).Warn("stopped with requests still in flight")
 	}
+	n.handOnShown(workCtx)
 	logrus.Info("entry stopped")
 	return nil
 }
--- a/internal/drive/proto.go
+++ b/internal/drive/proto.go
@@ -27,7 +27,7 @@
 	yieldKind     = "yield"       // a request to an owner to give up its partition
 	leftKind      = "left"        // the sender has left the platform's group of entries; its partitions are reassigned
 	reportKind    = "pool-report" // the mover's request for a pool's report
-	shownNoteKind = "shown-note"  // a job that is about to be shown as completed, to another entry than its owner
+	shownNoteKind = "shown-notes" // jobs that are shown as completed, to another entry than their owner
 	shownKind     = "shown-jobs"  // a new owner's request for such jobs
 	explainKind   = "explain"     // an operator's request to show a job, to the owner of its partition
 )
--- a/internal/drive/requests.go
+++ b/internal/drive/requests.go
@@ -112,7 +112,7 @@
 			return
 		}
 		r := site.Reply{Outcome: site.OK, State: state.String()}
-		if !part.logDownSince.IsZero() && part.scheduler.CompletedUnstored(c.ID) {
+		if !part.logDownSince.IsZero() && part.scheduler.CompletedUnstored(c.ID) && part.node.shown.Record(now, part.number, c.ID) {
 			r.State, r.Unstored = jobs.Completed.String(), true
 		}
 		w.answer(r)
--- a/internal/drive/shown.go
+++ b/internal/drive/shown.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -10,65 +9,25 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/greengagelane/greengagelane/internal/peer"
+	"github.com/greengagelane/greengagelane/internal/shown"
 	"github.com/greengagelane/greengagelane/pkg/jobs"
 	"github.com/greengagelane/greengagelane/pkg/site"
 )
 
 const (
-	shownRetention = 60 * time.Second       // longer than an outage of the log and the takeover after it
-	maxShownJobs   = 10_000                 // bounds the memory; beyond it, jobs are shown as completed only once that is stored
 	witnessTimeout = 100 * time.Millisecond // for another entry to take note of a shown job
-	maxWitnesses   = 2                      // entries asked to take note, one after the other
+	maxWitnesses   = 4                      // entries asked for each that is to take note, one after the other
 	shownTimeout   = 150 * time.Millisecond // for the other entries to name their shown jobs; a new owner holds back the tasks of its jobs for as long
+	outageTimeout  = time.Second            // the same after an outage of the log, when some have likely been shown
+	recentOutage   = 30 * time.Second       // since the log last failed to answer a call
+	handOnTimeout  = 500 * time.Millisecond // for handing notes on
+	handOnCopies   = 2                      // entries to which one that stops hands its notes on
 )
 
-// shownJobs are the jobs that callers were shown as completed while the log did not answer their
-// owners. An entry takes note of those that it has shown for another owner, and of those of which an owner
-// tells it. Its zero value is ready for use.
-type shownJobs struct {
-	mu          sync.Mutex
-	byPartition map[int]map[string]time.Time // when they were shown, by job identifier
-}
+// shownNote tells another entry of jobs, by partition, that were shown as completed or are about to be.
+type shownNote struct{ Jobs map[int][]string }
 
-// record takes note of a job and reports whether it is noted, which fails only for want of room.
-func (s *shownJobs) record(now time.Time, partition int, id string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if at, noted := s.byPartition[partition][id]; noted && now.Sub(at) <= shownRetention/2 {
-		return true // callers ask again and again
-	}
-	n := 0
-	for _, ids := range s.byPartition {
-		maps.DeleteFunc(ids, func(_ string, at time.Time) bool { return now.Sub(at) > shownRetention })
-		n += len(ids)
-	}
-	if n >= maxShownJobs {
-		return false
-	}
-	if s.byPartition == nil {
-		s.byPartition = map[int]map[string]time.Time{}
-	}
-	if s.byPartition[partition] == nil {
-		s.byPartition[partition] = map[string]time.Time{}
-	}
-	s.byPartition[partition][id] = now
-	return true
-}
-
-// list returns the jobs of a partition.
-func (s *shownJobs) list(partition int) []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.Sorted(maps.Keys(s.byPartition[partition]))
-}
-
-// shownNote tells another entry of a job that is about to be shown as completed.
-type shownNote struct {
-	Partition int
-	ID        string
-}
-
-// shownNoteReply says whether the entry has taken note.
+// shownNoteReply says whether the entry has taken note. One that is stopping has not.
 type shownNoteReply struct{ Noted bool }
 
 // shownCall asks another entry for the jobs of a partition that it has taken note of.
@@ -79,46 +38,76 @@
 
 func (n *Node) handleShownCalls(s *peer.Server) {
 	peer.Handle(s, shownNoteKind, func(_ context.Context, _ string, c *shownNote) (*shownNoteReply, error) {
-		return &shownNoteReply{Noted: n.shown.record(time.Now(), c.Partition, c.ID)}, nil
+		return &shownNoteReply{Noted: !n.stopping.Load() && n.shown.RecordAll(time.Now(), c.Jobs)}, nil
 	})
 	peer.Handle(s, shownKind, func(_ context.Context, _ string, c *shownCall) (*shownReply, error) {
-		return &shownReply{IDs: n.shown.list(c.Partition)}, nil
+		return &shownReply{IDs: n.shown.List(c.Partition)}, nil
 	})
 }
 
-// beforeShown makes sure that another entry than the owner knows of a job that a reply shows as completed
-// although that is not stored. Without one, the job is shown as running.
+// beforeShown has a reply say running if it shows a job as completed although that is not stored, and too few
+// other entries know. local says whether this entry owns the job's partition.
 func (n *Node) beforeShown(ctx context.Context, c *jobCall, r *site.Reply, local bool) {
 	if !r.Unstored {
 		return
 	}
-	if (local && !n.findWitness(ctx, c)) || (!local && !n.shown.record(time.Now(), c.Partition, c.ID)) {
+	r.Unstored = false
+	tell := func() bool {
+		return n.tellOthers(ctx, map[int][]string{c.Partition: {c.ID}}, 1, n.owners.addresses(c.Partition)) > 0
+	}
+	if !n.shown.Show(time.Now(), shown.Entry{Owner: local, Stopping: n.stopping.Load()}, c.Partition, c.ID, tell) {
 		r.State = jobs.Running.String()
 	}
-	r.Unstored = false
 }
 
-// findWitness tells other entries of a shown job until one has taken note, and reports whether one has.
-func (n *Node) findWitness(ctx context.Context, c *jobCall) bool {
-	for i, address := range n.owners.peers(n.address) {
-		if i == maxWitnesses {
+// tellOthers tells other entries but some of jobs until as many as wanted have taken note, and returns how many
+// have.
+func (n *Node) tellOthers(ctx context.Context, jobs map[int][]string, wanted int, not []string) int {
+	noted, asked := 0, 0
+	for _, address := range n.knownEntries() {
+		if noted == wanted || asked == maxWitnesses*wanted {
 			break
 		}
-		callCtx, cancel := context.WithTimeout(ctx, witnessTimeout)
-		r, err := peer.Call[shownNote, shownNoteReply](callCtx, n.peer(address), shownNoteKind, &shownNote{Partition: c.Partition, ID: c.ID})
-		cancel()
-		if err == nil && r.Noted {
-			return true
+		if slices.Contains(not, address) {
+			continue
+		}
+		asked++
+		for range 2 { // the connection may be one to a process that has ended since
+			callCtx, cancel := context.WithTimeout(ctx, witnessTimeout)
+			r, err := peer.Call[shownNote, shownNoteReply](callCtx, n.peer(address), shownNoteKind, &shownNote{Jobs: jobs})
+			cancel()
+			if err == nil && r.Noted {
+				noted++
+			}
+			if err == nil || ctx.Err() != nil {
+				break
+			}
 		}
 	}
-	return false
+	return noted
+}
+
+// handOnShown hands this entry's notes on before it stops.
+func (n *Node) handOnShown(ctx context.Context) {
+	jobs := n.shown.All()
+	if len(jobs) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, handOnTimeout)
+	defer cancel()
+	copies := n.tellOthers(ctx, jobs, handOnCopies, nil)
+	logrus.WithFields(logrus.Fields{"partitions": len(jobs), "entries": copies}).Info("notes of jobs shown as completed handed on")
 }
 
 // collectShown asks all known entries for the partition's shown jobs and passes them to the scheduler.
 func (part *ownedPartition) collectShown(ctx context.Context) {
 	n := part.node
-	ids := n.shown.list(part.number)
-	callCtx, cancel := context.WithTimeout(ctx, shownTimeout)
+	ids := n.shown.List(part.number)
+	timeout := shownTimeout
+	if time.Since(time.Unix(0, n.logFailedAt.Load())) < recentOutage {
+		timeout = outageTimeout
+	}
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var mu sync.Mutex
 	var wg sync.WaitGroup
--- a/internal/drive/shown_test.go
+++ b/internal/drive/shown_test.go
@@ -1,9 +1,7 @@
 package drive
 
 import (
-	"fmt"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -43,19 +41,32 @@
 	}
 }
 
-// TestShownJobsAreBounded guards against notes without limit, against a job that is shown without a note, and
-// against notes that are lost before the next owner asks.
-func TestShownJobsAreBounded(t *testing.T) {
-	var s shownJobs
-	now := time.Now()
-	for i := range maxShownJobs {
-		assert.Assert(t, s.record(now, i%4, fmt.Sprintf("%016x", i)))
+// TestShownJobSurvivesRollingStop guards against a task that starts again after its job was shown as completed,
+// when all entries are stopped in turn during the outage of the log and the VMs that listed the ends crash.
+func TestShownJobSurvivesRollingStop(t *testing.T) {
+	c := newCluster(t, 3, map[string]int{"alpha": 2})
+	id := jobIDs(1)[0]
+	c.submit(0, id, twoSteps)
+	c.await("tasks run", func() bool { return len(c.emulator.Ledger.Runs()) > 0 })
+	c.emulator.Store.SetFaults(func(s *emul.Store) { s.Down = true })
+	owner := c.owner()
+	c.await("the job is shown as completed", func() bool { return c.state(owner, id) == "completed" })
+	for _, vm := range c.emulator.VMs() {
+		c.emulator.Crash(vm)
+	}
+	for i := range c.nodes {
+		c.restart((owner + i) % len(c.nodes))
+	}
+	assert.NilError(t, c.emulator.Repair())
+	c.emulator.Store.SetFaults(func(s *emul.Store) { s.Down = false })
+	c.awaitCompleted(owner, id)
+	starts := map[string]int{}
+	for _, r := range c.emulator.Ledger.Runs() {
+		starts[r.Task]++
+	}
+	for task, n := range starts {
+		assert.Equal(t, n, 1, task)
 	}
-	assert.Assert(t, !s.record(now, 0, "ffffffffffffffff"), "a job beyond the limit was noted")
-	assert.Assert(t, s.record(now, 0, fmt.Sprintf("%016x", 0)), "a noted job was forgotten")
-	assert.Equal(t, len(s.list(0)), maxShownJobs/4)
-	assert.Assert(t, s.record(now.Add(shownRetention+time.Second), 0, "ffffffffffffffff"))
-	assert.DeepEqual(t, s.list(0), []string{"ffffffffffffffff"})
 }
 
 // TestCompletedJobNeedsWitness guards against a job that is shown as completed while no other entry knows.
