--- a/internal/query/job.go
+++ b/internal/query/job.go
@@ -48,6 +48,9 @@
 		return fmt.Errorf("job %s: %s (%s)", id, resp.Reply.Reason, resp.Reply.Outcome)
 	}
 	fmt.Fprintf(out.Out, "job %s of queue %s in pool %s: %s, partition %d\n", id, resp.View.Queue, resp.View.Pool, resp.Reply.State, resp.Partition)
+	if resp.View.Why != "" {
+		fmt.Fprintf(out.Out, "given up: %s\n", resp.View.Why)
+	}
 	tw := tabwriter.NewWriter(out.Out, 0, 4, 2, ' ', 0)
 	for _, t := range resp.View.Tasks {
 		where := t.VM
@@ -55,6 +58,9 @@
 			where = "-"
 		}
 		fmt.Fprintf(tw, "%s\t%s\trun %d\t%d %%\t%d failed\t%s\n", t.Task, where, t.Run, t.Percent, t.Failures, t.Why)
+		for _, c := range t.Crashes {
+			fmt.Fprintf(tw, "\tcrashed: %s\n", c)
+		}
 	}
 	return tw.Flush()
 }
--- a/internal/sched/crash_test.go
+++ b/internal/sched/crash_test.go
@@ -3,10 +3,12 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/greengagelane/greengagelane/internal/blame"
 	"github.com/greengagelane/greengagelane/pkg/jobs"
 	"github.com/greengagelane/greengagelane/pkg/site"
 )
@@ -328,3 +330,24 @@
 		assert.Equal(t, len(r.s.jobs[jobID].findTask(first.Task).crashes) == 0, cordonedFirst)
 	}
 }
+
+// TestOperatorsSeeSuspects guards against a task that waits, or a job that failed, without a reason that an
+// operator can see, also under the next owner.
+func TestOperatorsSeeSuspects(t *testing.T) {
+	r := newFixture(t, testVM("a"))
+	r.submit(0, testJob(jobID, jobs.Step{Count: 1, CPU: 1000, EstimateMS: 1000}))
+	x := r.suspect(0, jobID)
+	r.s.pool("pool").fullAt = at(0)
+	view := r.s.Explain(at(10), jobID)
+	assert.Assert(t, strings.Contains(view.Tasks[0].Why, "a VM crashed while it ran it"), view.Tasks[0].Why)
+	assert.Assert(t, strings.Contains(view.Tasks[0].Crashes[0], "gone"))
+	x.crashes = append(x.crashes, blame.Crash{VM: "a", Born: 1, Share: 1})
+	assert.Assert(t, strings.Contains(r.s.Explain(at(10), jobID).Tasks[0].Why, "not started again"))
+	r.s.Decide(at(1000))
+	r.flush(1000)
+	for range 2 {
+		why := r.s.Explain(at(1000), jobID).Why
+		assert.Assert(t, strings.Contains(why, jobID+".0.0.0") && strings.Contains(why, "VM a"), why)
+		r.takeover(1100)
+	}
+}
--- a/internal/sched/explain.go
+++ b/internal/sched/explain.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/greengagelane/greengagelane/internal/blame"
 )
 
 // TaskView describes a task for operators.
@@ -11,7 +13,8 @@
 	Run      int64
 	Percent  int
 	Failures int
-	Why      string // reason why it does not run, or why its run is being stopped
+	Crashes  []string // of VMs while they ran it, unless it was cleared of them
+	Why      string   // reason why it does not run, or why its run is being stopped
 }
 
 // JobView describes a job for operators.
@@ -19,6 +22,7 @@
 	State string
 	Pool  string
 	Queue string
+	Why   string     // why the job was given up; empty if it was not
 	Tasks []TaskView // of the open occurrences: due and not done
 }
 
@@ -28,7 +32,7 @@
 	if j == nil {
 		return nil
 	}
-	v := &JobView{State: j.state.String(), Pool: j.Pool, Queue: j.Queue}
+	v := &JobView{State: j.state.String(), Pool: j.Pool, Queue: j.Queue, Why: j.reason}
 	if j.state.Final() {
 		return v
 	}
@@ -47,7 +51,7 @@
 }
 
 func (s *Scheduler) explainTask(now time.Time, o *occurrence, t *task, cands []*candidate) TaskView {
-	view := TaskView{Task: t.id.String(), Failures: len(t.failedRuns)}
+	view := TaskView{Task: t.id.String(), Failures: len(t.failedRuns), Crashes: crashTexts(t.crashes)}
 	if len(t.runs) > 0 {
 		return explainRun(t.runs[0])
 	}
@@ -56,7 +60,7 @@
 }
 
 func explainRun(r *run) TaskView {
-	return TaskView{Task: r.task.id.String(), Failures: len(r.task.failedRuns), VM: r.vm.ID, Run: r.number, Percent: r.percent, Why: r.stopReason}
+	return TaskView{Task: r.task.id.String(), Failures: len(r.task.failedRuns), Crashes: crashTexts(r.task.crashes), VM: r.vm.ID, Run: r.number, Percent: r.percent, Why: r.stopReason}
 }
 
 func (s *Scheduler) whyWaiting(now time.Time, o *occurrence, t *task, cands []*candidate) string {
@@ -69,12 +73,16 @@
 		return "earlier steps are not done"
 	case now.Before(t.readyAt):
 		return "its last run has just ended"
+	case t.verdict() != blame.None:
+		return "VMs crash while they run it; it is not started again"
 	case t.unverified && s.mayBeRunning(t):
 		return "it may be running on a VM that has not answered since the takeover"
 	case !s.quotaAllows(now, t, startedTogether(t.step)):
 		return "its account is at its quota in this partition"
 	case len(cands) == 0:
 		return "no VM of the pool is in service"
+	case t.crashes.Suspect():
+		return "a VM crashed while it ran it; it waits until the pool has room, or for a VM of its own"
 	case s.bestCandidate(now, t, cands) == nil:
 		return "it fits on no VM now"
 	}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -22,6 +22,7 @@
 	flushing    bool                // the job is in a flush whose outcome is not known yet
 	dirty       bool                // has progress that is not in a flush yet
 	storedState jobs.State          // state that the job log holds; shown to callers
+	reason      string              // why the job was given up; empty if it was not
 	finalMS     int64               // Unix milliseconds at which the state became final
 	occurrences map[int]*occurrence // open ones, which are created and not done, by number
 	createdOccs int                 // number of occurrences that have been created
@@ -187,7 +188,7 @@
 
 // progress returns the job's progress for the job log.
 func (j *job) progress() *jobs.Progress {
-	p := &jobs.Progress{State: j.state, Began: j.began, FinalMS: j.finalMS, DoneOccurrences: j.doneOccs}
+	p := &jobs.Progress{State: j.state, Began: j.began, FinalMS: j.finalMS, DoneOccurrences: j.doneOccs, Reason: j.reason}
 	if j.state.Final() {
 		return p
 	}
@@ -217,7 +218,7 @@
 
 // restore loads the progress that the job log holds.
 func (j *job) restore(p *jobs.Progress) {
-	j.state, j.storedState, j.began, j.finalMS = p.State, p.State, p.Began, p.FinalMS
+	j.state, j.storedState, j.began, j.finalMS, j.reason = p.State, p.State, p.Began, p.FinalMS, p.Reason
 	j.createdOccs, j.doneOccs = p.Created, p.DoneOccurrences
 	for _, n := range p.Open {
 		j.addOccurrence(n)
--- a/internal/sched/loss.go
+++ b/internal/sched/loss.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -275,6 +276,7 @@
 			log.Info("job is given up: VMs crash while they run a task of it")
 			s.stats.GivenUp++
 			s.queue(t.job.Queue).crashes.GiveUp()
+			t.job.reason = "VMs crashed while they ran task " + t.id.String() + ": " + strings.Join(crashTexts(crashes), "; ")
 			s.finalize(now, t.job, jobs.Failed)
 		}
 		if verdict != blame.Proved {
--- a/pkg/jobs/progress.go
+++ b/pkg/jobs/progress.go
@@ -20,6 +20,7 @@
 	DoneOccurrences int
 	Done            []DoneSet      // steps with at least one task done
 	Notes           []TaskProgress // tasks not done that have failures, crashes or a checkpoint
+	Reason          string         // why the job failed, if not by its own attempts; later versions only
 }
 
 // DoneSet is the set of a step's tasks that are done.
