moves: the planner counts the room that VMs have now, not what the inventory lists

While VMs of a pool have shrunk, the pool looked as large as before to the planner and got no machines. Owners report the capacity of each VM; the smaller of it and the inventory's counts. TestMachinesReplaceShrunkOnes failed before: no order with a quarter of the room left.

--- a/internal/moves/demand.go
+++ b/internal/moves/demand.go
@@ -93,7 +93,7 @@
 			break
 		}
 		p.addMove(st, m, b.pool)
-		b.capacity += float64(m.CPU) / 1000
+		b.capacity += m.cores()
 		b.machineCount++
 		remaining--
 	}
@@ -175,12 +175,12 @@
 // canSpare reports whether, without machine m, the pool has at least keep cores and its
 // minimum number of machines.
 func (b *balance) canSpare(m *machine, keep float64) bool {
-	return b.capacity-float64(m.CPU)/1000 >= keep && b.machineCount > b.minMachineCount
+	return b.capacity-m.cores() >= keep && b.machineCount > b.minMachineCount
 }
 
 // remove subtracts a machine from the pool's capacity.
 func (b *balance) remove(m *machine) {
-	b.capacity -= float64(m.CPU) / 1000
+	b.capacity -= m.cores()
 	b.machineCount--
 }
 
@@ -238,7 +238,7 @@
 		if m.State == site.Down || (in != nil && in.Kind == Maintain) {
 			continue
 		}
-		b.capacity += float64(m.CPU) / 1000
+		b.capacity += m.cores()
 		b.machineCount++
 		if in != nil || m.State != site.Up || m.Pool != name || m.report == nil || !m.report.Known {
 			incoming = true
--- a/internal/moves/follow_test.go
+++ b/internal/moves/follow_test.go
@@ -119,3 +119,18 @@
 		})
 	}
 }
+
+// TestMachinesReplaceShrunkOnes guards against a plan that counts on room that the VMs of a pool have lost: the
+// inventory lists what their machines had.
+func TestMachinesReplaceShrunkOnes(t *testing.T) {
+	for _, capacity := range []int{0, 8000, 2000} {
+		f := newFleet(map[string]int{"a": 4, "spare": 6})
+		r := f.view.Reports["a"]
+		for i := range r.VMs {
+			r.VMs[i].Capacity = capacity
+		}
+		r.Used, r.Waiting, r.Width, r.Rate = 8, 20, 12, 20
+		orders := f.plan(New(DefaultPolicy(time.Second, 0)), 0, 1000)
+		assert.Equal(t, len(orders) > 0, capacity == 2000, "capacity %d: %v", capacity, orders)
+	}
+}
--- a/internal/moves/index.go
+++ b/internal/moves/index.go
@@ -17,6 +17,15 @@
 	pool   *poolIndex      // of Machine.Pool
 }
 
+// cores returns the capacity of the machine's VM, which may have shrunk below what the inventory lists.
+func (m *machine) cores() float64 {
+	cpu := m.CPU
+	if m.report != nil && m.report.Capacity > 0 {
+		cpu = min(cpu, m.report.Capacity)
+	}
+	return float64(cpu) / 1000
+}
+
 // poolIndex holds the machines and the report of one pool.
 type poolIndex struct {
 	name     string
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -45,6 +45,7 @@
 	Cordoned bool
 	Known    bool   // this owner has polled it successfully
 	CPU      int    // thousandths of a core in use
+	Capacity int    // thousandths of a core; 0 if not reported
 	Unstored bool   // it has reported ends of runs that the job log does not hold yet; they would be lost with it
 	Unusable string // why it gets no new run; empty if it may get one
 }
@@ -58,7 +59,7 @@
 	largest := s.largestVM(pool)
 	late := map[*job]bool{} // by job with runs: whether it is past its objective
 	for _, v := range s.sortedVMs(pool) {
-		u := VMReport{ID: v.ID, Runs: len(v.runs), Cordoned: v.cordoned, Known: v.polled, Unstored: v.seenSeq > v.storedSeq, Unusable: v.unusableReason(now, &s.policy)}
+		u := VMReport{ID: v.ID, Runs: len(v.runs), Capacity: v.CPU, Cordoned: v.cordoned, Known: v.polled, Unstored: v.seenSeq > v.storedSeq, Unusable: v.unusableReason(now, &s.policy)}
 		for _, x := range v.runs {
 			u.CPU += x.step().CPU
 			if x.step().Lasts {
