A fresh owner learns of shown jobs from entries that it does not know yet

Entries that hear of a new owner tell it of their notes, and those that come late still complete the job. Without jobs of an earlier owner it does not ask.

--- a/internal/drive/node.go
+++ b/internal/drive/node.go
@@ -325,6 +325,7 @@
 		return
 	}
 	logrus.WithFields(logrus.Fields{"partition": partition, "epoch": info.Epoch, "owner": info.Address, "from": from}).Debug("partition has a new owner")
+	go n.tellOwner(partition, info.Address)
 	if part := n.lookupPartition(partition); part != nil && info.Address != n.address {
 		part.post(func(time.Time) {
 			if part.scheduler.Epoch < info.Epoch {
--- a/internal/sched/fuzz_test.go
+++ b/internal/sched/fuzz_test.go
@@ -123,6 +123,7 @@
 	}
 	m.told = true
 	m.s.CompleteShown(m.now, slices.Sorted(maps.Keys(m.shown)))
+	m.s.ReleaseRecovered()
 }
 
 // handOver replaces the owner after a handover. Orders of the previous one may be carried out,
--- a/internal/sched/shown.go
+++ b/internal/sched/shown.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/greengagelane/greengagelane/pkg/jobs"
@@ -15,17 +17,19 @@
 	return j != nil && j.stored && j.state == jobs.Completed && !j.storedState.Final()
 }
 
-// HoldRecovered holds the tasks of an earlier owner's jobs back until CompleteShown is called, unless that
+// HoldRecovered holds the tasks of an earlier owner's jobs back until ReleaseRecovered is called, unless that
 // owner has handed its jobs over: then it has stored which ones are completed. It reports whether it does.
 func (s *Scheduler) HoldRecovered() bool {
-	s.recoveredHeld = s.inherited == nil
+	open := slices.ContainsFunc(slices.Collect(maps.Values(s.jobs)), func(j *job) bool { return !j.state.Final() })
+	s.recoveredHeld = s.inherited == nil && open
 	return s.recoveredHeld
 }
 
-// CompleteShown completes the jobs that an earlier owner has shown as completed without storing that, and
-// ends the hold of HoldRecovered.
+// ReleaseRecovered ends the hold of HoldRecovered, once all jobs are known that were shown as completed.
+func (s *Scheduler) ReleaseRecovered() { s.recoveredHeld = false }
+
+// CompleteShown completes the jobs that an earlier owner has shown as completed without storing that.
 func (s *Scheduler) CompleteShown(now time.Time, ids []string) {
-	s.recoveredHeld = false
 	for _, id := range ids {
 		if j := s.jobs[id]; j != nil && !j.state.Final() {
 			s.finalize(now, j, jobs.Completed)
