--- a/internal/drive/fleet.go
+++ b/internal/drive/fleet.go
@@ -207,6 +207,13 @@
 	return nil
 }
 
+// bornAt returns the start of a VM's present incarnation according to the VM list, 0 if it is not known.
+func (n *Node) bornAt(vm string) int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.vms[vm].Born
+}
+
 // fetchReports fetches the reports of all pools concurrently. Pools without an answer are
 // missing from the result.
 func (m *mover) fetchReports(ctx context.Context, calls []*reportCall) map[string]*sched.Report {
--- a/internal/drive/member.go
+++ b/internal/drive/member.go
@@ -303,13 +303,6 @@
 	return len(n.partitions) > 0
 }
 
-// bornAt returns the start of a VM's present incarnation according to the VM list, 0 if it is not known.
-func (n *Node) bornAt(vm string) int64 {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.vms[vm].Born
-}
-
 // applyVMChanges updates the VM list and passes it to the schedulers. If snapshot is set, the
 // changes describe the whole list.
 func (n *Node) applyVMChanges(changes []site.Change, snapshot bool) {
