sched: a suspect is not started before the job log holds its crashes

Crashes outlive an owner only once they are stored. A suspect now waits for that: some 20 ms, or for the end of an outage. A long-running task does not wait, since it is missed meanwhile. Two tests of restarts after a crash store the crash first.

TestSuspectWaitsForItsRecord failed before.

--- a/internal/sched/crash_test.go
+++ b/internal/sched/crash_test.go
@@ -146,6 +146,7 @@
 	r.s.EndVM(at(40), site.Incarnation{VM: "a", Born: 0})
 	assert.Equal(t, len(r.starts(40)), 0, "an earlier incarnation has ended")
 	r.s.EndVM(at(50), site.Incarnation{VM: "a", Born: 1})
+	r.flush(50)
 	restarted := r.starts(50)
 	assert.Equal(t, len(restarted), 1)
 	assert.Equal(t, restarted[0].VM, "b")
@@ -166,6 +167,7 @@
 		order = a.(StartRun)
 	}
 	r.s.EndVM(at(20), site.Incarnation{VM: order.VM, Born: 1})
+	r.flush(20)
 	assert.Equal(t, len(r.starts(20)), 0, "started again before the order was answered")
 	r.s.HandleStart(at(30), &order, site.Accepted, site.ErrNotDone)
 	assert.Equal(t, len(r.starts(30)), 1)
@@ -351,3 +353,29 @@
 		r.takeover(1100)
 	}
 }
+
+// TestSuspectWaitsForItsRecord guards against a task that is started without end by owners that are lost in an
+// outage of the log with all crashes that they have seen.
+func TestSuspectWaitsForItsRecord(t *testing.T) {
+	c := newCrashSite(t, 14)
+	c.submit(c.ms, testJob(jobID, jobs.Step{Count: 1, CPU: 1000, EstimateMS: 1000}))
+	starts := 0
+	for outage := range 4 {
+		for range 30 { // no flush is stored
+			c.ms += 100
+			c.list()
+			for _, name := range c.names {
+				c.s.HandlePoll(at(c.ms), name, at(c.ms), &site.VMStatus{Born: c.born[name], ClockMS: int64(c.ms) + 1000})
+			}
+			for _, x := range c.starts(c.ms) {
+				starts++
+				c.crash(x.VM, x.VM)
+				c.list()
+			}
+		}
+		assert.Assert(t, starts <= outage+1, "outage %d: started %d times without a record", outage, starts)
+		c.takeover(c.ms)
+		c.list()
+		c.pollAll()
+	}
+}
--- a/internal/sched/explain.go
+++ b/internal/sched/explain.go
@@ -75,6 +75,8 @@
 		return "its last run has just ended"
 	case t.verdict() != blame.None:
 		return "VMs crash while they run it; it is not started again"
+	case t.awaitsRecord():
+		return "a VM crashed while it ran it, and the job log does not hold that yet"
 	case t.unverified && s.mayBeRunning(t):
 		return "it may be running on a VM that has not answered since the takeover"
 	case !s.quotaAllows(now, t, startedTogether(t.step)):
--- a/internal/sched/flush.go
+++ b/internal/sched/flush.go
@@ -33,6 +33,7 @@
 	cursors     []Cursor              // run ends that may be acknowledged once the flush is stored
 	recordedVMs []string              // VMs that the record under vmsKey names
 	states      map[string]jobs.State // states of the jobs whose progress is in the flush, by job ID
+	lost        map[string]int        // losses that count in the progress of the jobs in the flush, by job ID
 	addedJobs   []string              // IDs of new jobs in the flush
 	hasHandover bool                  // contains the handover record
 }
@@ -40,7 +41,7 @@
 // Flush collects the changes since the last flush, or returns nil if there are none. Only
 // one flush may be under way; it ends with a call of Flushed or FlushRefused.
 func (s *Scheduler) Flush(now time.Time, maxBytes int) (*Flush, error) {
-	f := &Flush{Records: s.dropFinalJobs(now), states: map[string]jobs.State{}}
+	f := &Flush{Records: s.dropFinalJobs(now), states: map[string]jobs.State{}, lost: map[string]int{}}
 	size, deferred := 0, 0
 	var held *job
 	for _, j := range s.jobs {
@@ -118,7 +119,7 @@
 		f.Records = append(f.Records, site.Record{Key: progressKeyPrefix + j.ID, Value: data})
 		size += len(data)
 	}
-	f.states[j.ID] = j.state
+	f.states[j.ID], f.lost[j.ID] = j.state, j.lost
 	j.dirty = false
 	return size, nil
 }
@@ -147,7 +148,7 @@
 	}
 	for id, state := range f.states {
 		if j := s.jobs[id]; j != nil {
-			j.storedState = state
+			j.storedState, j.lostStored = state, f.lost[id]
 		}
 	}
 	for _, id := range f.recordedVMs {
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -22,6 +22,8 @@
 	flushing    bool                // the job is in a flush whose outcome is not known yet
 	dirty       bool                // has progress that is not in a flush yet
 	storedState jobs.State          // state that the job log holds; shown to callers
+	lost        int                 // losses of VMs that count against its tasks, as seen by this owner
+	lostStored  int                 // those of them that the job log holds
 	reason      string              // why the job was given up; empty if it was not
 	finalMS     int64               // Unix milliseconds at which the state became final
 	occurrences map[int]*occurrence // open ones, which are created and not done, by number
--- a/internal/sched/loss.go
+++ b/internal/sched/loss.go
@@ -172,6 +172,9 @@
 		t.job.dirty, t.suspectSince = true, now
 		s.losses.suspects[t] = true
 	}
+	for j := range index {
+		j.lost++
+	}
 }
 
 // checkLostTogether records a loss. If it is one of several with one cause, such as the loss of a rack, the
@@ -247,6 +250,13 @@
 	}
 }
 
+// awaitsRecord reports whether a task waits until the job log holds its crashes: an owner that is lost with them
+// in an outage of the log would be followed by one that counts from zero. A long-running task does not wait,
+// since it is missed meanwhile.
+func (t *task) awaitsRecord() bool {
+	return len(t.crashes) > 0 && !t.step.Lasts && t.job.lostStored < t.job.lost
+}
+
 // verdict returns whether the record of a task calls for its job to be given up or, if it is long-running, for
 // the task not to be started again.
 func (t *task) verdict() blame.Verdict {
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -222,7 +222,7 @@
 // startable reports whether a task has no run and may get one. A task that may still be
 // running under an earlier owner's order may not.
 func (s *Scheduler) startable(now time.Time, t *task) bool {
-	if t.done || len(t.runs) > 0 || now.Before(t.readyAt) || t.verdict() != blame.None {
+	if t.done || len(t.runs) > 0 || now.Before(t.readyAt) || t.verdict() != blame.None || t.awaitsRecord() {
 		return false
 	}
 	return !t.unverified || (!s.recoveredHeld && !s.mayBeRunning(t))
