sched: a suspect waits ten seconds at most for its pool to have room

In a pool that stays full, the jobs of others that were lost with a deadly task would never have run again; found by reading. TestSuspectWaitsNotForEver failed before.

--- a/internal/sched/trial.go
+++ b/internal/sched/trial.go
@@ -15,7 +15,8 @@
 	maxTrial        = time.Second            // a VM gets runs of other jobs after this also if the suspect is not cleared yet
 	trialPatience   = 2 * time.Second        // a suspect waits no longer than this for a trial to end
 	apartPatience   = 10 * time.Second       // a task under which two VMs have crashed waits no longer than this for a VM of its own
-	lastingPatience = time.Second            // a long-running task waits no longer than this for either, since it is missed
+	lastingPatience = time.Second            // a long-running task waits no longer than this for either
+	fullPatience    = 10 * time.Second       // a suspect waits no longer than this for its pool to have room
 	trialPolls      = 100 * time.Millisecond // between two status polls of a VM on trial
 	fullFor         = 200 * time.Millisecond // a pool counts as full for this long after a task found no room
 	crashDowntime   = 3 * time.Second        // that a VM is expected to be out of service after a crash
@@ -44,27 +45,14 @@
 	return list
 }
 
-// placeSuspect starts a suspect, unless too many VMs are on trial.
+// placeSuspect starts a suspect, unless it has to wait.
 func (s *Scheduler) placeSuspect(now time.Time, t *task, cands []*candidate) {
-	trials := 0
-	for _, c := range cands {
-		if c.trial != nil && c.trial != t.job {
-			trials++
-		}
-	}
-	patience, apart := trialPatience, apartPatience
-	if t.step.Lasts {
-		patience, apart = lastingPatience, lastingPatience
-	}
 	waited := now.Sub(t.suspectSince)
-	if !t.step.Lasts && now.Sub(s.pool(t.job.Pool).fullAt) < fullFor {
-		return
-	}
-	if trials > len(cands)/vmsPerTrial && waited < patience {
+	if s.trialsWouldCrowd(now, t, waited, cands) {
 		return
 	}
 	c := s.bestCandidate(now, t, withoutOthers(t.job, cands))
-	if c == nil && len(t.crashes) > 1 && waited < apart {
+	if c == nil && len(t.crashes) > 1 && waited < t.patience(apartPatience) {
 		if !s.emptyForTrial(now, t, cands) {
 			s.pool(t.job.Pool).trialsWait = now
 		}
@@ -79,6 +67,29 @@
 	}
 }
 
+// trialsWouldCrowd reports whether a suspect waits since its pool is full, or since too many VMs are on trial.
+func (s *Scheduler) trialsWouldCrowd(now time.Time, t *task, waited time.Duration, cands []*candidate) bool {
+	if !t.step.Lasts && waited < fullPatience && now.Sub(s.pool(t.job.Pool).fullAt) < fullFor {
+		return true
+	}
+	trials := 0
+	for _, c := range cands {
+		if c.trial != nil && c.trial != t.job {
+			trials++
+		}
+	}
+	return trials > len(cands)/vmsPerTrial && waited < t.patience(trialPatience)
+}
+
+// patience returns how long a suspect waits. A long-running task, which is missed meanwhile, waits a second at
+// most.
+func (t *task) patience(d time.Duration) time.Duration {
+	if t.step.Lasts {
+		return min(d, lastingPatience)
+	}
+	return d
+}
+
 // withoutOthers returns the candidates that run nothing but tasks of a job.
 func withoutOthers(j *job, cands []*candidate) []*candidate {
 	var list []*candidate
--- a/internal/sched/trial_test.go
+++ b/internal/sched/trial_test.go
@@ -47,6 +47,24 @@
 	}
 }
 
+// TestSuspectWaitsNotForEver guards against a suspect that is never started since its pool stays full.
+func TestSuspectWaitsNotForEver(t *testing.T) {
+	const suspect, waiting = "00000000000000b1", "00000000000000b2"
+	r := newFixture(t, testVM("a"))
+	r.submit(0, testJob(jobID, jobs.Step{Count: 7, CPU: 1000, EstimateMS: 60_000}))
+	r.submit(0, testJob(waiting, jobs.Step{Count: 1, CPU: 2000, EstimateMS: 60_000}))
+	assert.Equal(t, len(r.starts(10)), 7)
+	r.submit(20, testJob(suspect, jobs.Step{Count: 1, CPU: 1000, EstimateMS: 1000}))
+	r.suspect(20, suspect)
+	patience := int(fullPatience.Milliseconds())
+	for ms := 100; ms < patience; ms += 100 {
+		r.pollRuns(ms, "a")
+		assert.Equal(t, len(r.starts(ms)), 0)
+	}
+	r.pollRuns(patience+100, "a")
+	assert.Equal(t, len(r.starts(patience+100)), 1)
+}
+
 // TestTrialLeavesNoDoubt guards against a suspect that is tried beside a run that has just started: a crash would
 // not tell which of them caused it.
 func TestTrialLeavesNoDoubt(t *testing.T) {
