drive: quotas are allocated to owners that have none without waiting for the planner

After a loss of all entries no task of an account with a limit starts before the quota coordinator has granted its owner a fraction. The coordinator's calls travelled with the mover's rounds, of which the first is 0.8 s after the start and the next 0.15 s later: on the shifted deployment, with all entries lost from second 13 to 15, the owners were there at 15.15 to 15.38, the grants at 16.0, and 239 of 262 VMs of the pool in its turn stood empty meanwhile. The mover now makes rounds of quotas only, each 40 ms, while an owner holds nothing of this coordinator.

TestQuotasDoNotWaitForThePlanner failed before.

--- a/internal/drive/cluster_test.go
+++ b/internal/drive/cluster_test.go
@@ -26,6 +26,7 @@
 	cancels  []context.CancelFunc
 	done     []chan struct{}
 	adjust   func(*site.Bounds) // changes the settings of entries; nil for no change
+	prepare  func(*Node)        // changes an entry before it runs; nil for no change
 }
 
 // newCluster starts an emulated platform, with the given number of machines by pool, and entries,
@@ -107,6 +108,9 @@
 // run runs an entry with the given settings.
 func (c *cluster) run(i int, set *site.Settings) {
 	n := New(set)
+	if c.prepare != nil {
+		c.prepare(n)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	c.nodes[i], c.cancels[i], c.done[i] = n, cancel, done
--- a/internal/drive/fleet.go
+++ b/internal/drive/fleet.go
@@ -27,6 +27,7 @@
 	cordonTTL         = 3 * time.Second        // a cordon that is not renewed expires after this
 	orderRetention    = 10 * time.Second       // how long orders stay in the stored record; longer than the platform's minimum time between orders of two movers (turn-ms) plus clock skew
 	startupDelay      = 800 * time.Millisecond // from the process start to the first plan, while other entries still join
+	grantInterval     = 40 * time.Millisecond  // between two rounds of quotas while the owner of a partition has none
 )
 
 // reportCall asks for a pool's report and, unless ReadOnly, sets the pool's cordons and
@@ -94,10 +95,25 @@
 		m.planner.Freeze(machine, now.Add(minOrderGap-ordered.age(now)))
 	}
 	logrus.WithFields(logrus.Fields{"restored-orders": len(m.part.restored.orderTimes), "frozen": m.planner.Frozen(now)}).Info("mover started")
-	sleep(ctx, startupDelay-time.Since(m.part.node.startedAt))
+	m.allocateUntil(ctx, m.part.node.startedAt.Add(m.part.node.planDelay))
 	for ctx.Err() == nil {
 		m.round(ctx, time.Now())
-		sleep(ctx, planInterval)
+		m.allocateUntil(ctx, time.Now().Add(planInterval))
+	}
+}
+
+// allocateUntil waits until the given time. Meanwhile it allocates quotas to owners that have none, as after a loss of
+// all entries: no task of an account with a limit starts before that.
+func (m *mover) allocateUntil(ctx context.Context, end time.Time) {
+	for ctx.Err() == nil {
+		cfg, now := m.part.node.Config(), time.Now()
+		if !now.Before(end) {
+			return
+		}
+		if cfg != nil && m.quotas.pending(cfg) {
+			m.allocateQuotas(ctx, cfg)
+		}
+		sleep(ctx, min(grantInterval, time.Until(end)))
 	}
 }
 
@@ -135,7 +151,10 @@
 	}
 	m.mu.Unlock()
 	m.quotas.addRequests(time.Now(), cfg, calls)
-	reports := m.fetchReports(ctx, calls)
+	reports, failed := m.fetchReports(ctx, calls)
+	for pool, err := range failed {
+		logrus.WithError(err).WithField("pool", pool).Info("no report of the pool; its machines are not moved")
+	}
 	m.quotas.handleReplies(time.Now(), calls, reports)
 	m.mu.Lock()
 	if m.handingOver {
@@ -214,14 +233,9 @@
 	return n.vms[vm].Born
 }
 
-// fetchReports fetches the reports of all pools concurrently. Pools without an answer are
-// missing from the result.
-func (m *mover) fetchReports(ctx context.Context, calls []*reportCall) map[string]*sched.Report {
-	reports, failed := collectReports(calls, len(calls), func(c *reportCall) (*sched.Report, error) { return m.part.node.report(ctx, c) })
-	for pool, err := range failed {
-		logrus.WithError(err).WithField("pool", pool).Info("no report of the pool; its machines are not moved")
-	}
-	return reports
+// fetchReports fetches the reports of all pools concurrently. failed holds the errors of those without one.
+func (m *mover) fetchReports(ctx context.Context, calls []*reportCall) (reports map[string]*sched.Report, failed map[string]error) {
+	return collectReports(calls, len(calls), func(c *reportCall) (*sched.Report, error) { return m.part.node.report(ctx, c) })
 }
 
 // handOver stops sending orders and adds records to the last flush: the ages of recent orders,
--- a/internal/drive/node.go
+++ b/internal/drive/node.go
@@ -42,6 +42,7 @@
 	policy          sched.Policy
 	address         string // host:port of the peer interface
 	startedAt       time.Time
+	planDelay       time.Duration // from the start to the first plan of the mover
 	incarnation     string
 	config          atomic.Pointer[site.Config]
 	confirmed       confirmation // of the configuration
@@ -83,7 +84,7 @@
 // New returns a node; Run starts it.
 func New(settings *site.Settings) *Node {
 	return &Node{
-		settings: settings, startedAt: time.Now(), address: settings.AnnouncedAddress(), incarnation: settings.Entry + "-" + uuid.NewString()[:8],
+		settings: settings, startedAt: time.Now(), planDelay: startupDelay, address: settings.AnnouncedAddress(), incarnation: settings.Entry + "-" + uuid.NewString()[:8],
 		policy:     schedPolicy(settings),
 		partitions: map[int]*ownedPartition{}, peers: map[string]*peer.Client{}, vms: map[string]site.VM{}, waves: map[int64]seenWave{}, queueMovedAt: map[string]time.Time{},
 		assignmentRefresh: make(chan struct{}, 1), rejoin: make(chan struct{}, 1), aborted: make(chan struct{}),
--- a/internal/drive/quota.go
+++ b/internal/drive/quota.go
@@ -33,11 +33,21 @@
 	return &quotaRounds{coordinator: quota.NewCoordinator(epoch)}
 }
 
+// needed reports whether there are quotas to allocate.
+func (q *quotaRounds) needed(cfg *site.Config) bool {
+	limited := slices.ContainsFunc(cfg.Accounts, func(a site.Account) bool { return a.Limit != (site.Resources{}) })
+	return limited || q.coordinator.Accounts() > 0
+}
+
+// pending reports whether the owner of a partition waits for its quotas.
+func (q *quotaRounds) pending(cfg *site.Config) bool {
+	return q.needed(cfg) && q.coordinator.Pending()
+}
+
 // addRequests adds the coordinator's requests to the calls, one for each partition. Without accounts
 // that have a limit there are none.
 func (q *quotaRounds) addRequests(now time.Time, cfg *site.Config, calls []*reportCall) {
-	limited := slices.ContainsFunc(cfg.Accounts, func(a site.Account) bool { return a.Limit != (site.Resources{}) })
-	if !limited && q.coordinator.Accounts() == 0 {
+	if !q.needed(cfg) {
 		return
 	}
 	var partitions []int
@@ -96,7 +106,7 @@
 	}
 }
 
-// allocateQuotas makes a round of calls for the quotas only, while the inventory does not answer.
+// allocateQuotas makes a round of calls for the quotas only.
 func (m *mover) allocateQuotas(ctx context.Context, cfg *site.Config) {
 	var calls []*reportCall
 	for _, p := range cfg.Pools {
@@ -106,7 +116,8 @@
 	}
 	m.quotas.addRequests(time.Now(), cfg, calls)
 	calls = slices.DeleteFunc(calls, func(c *reportCall) bool { return c.Quota == nil })
-	m.quotas.handleReplies(time.Now(), calls, m.fetchReports(ctx, calls))
+	reports, _ := m.fetchReports(ctx, calls)
+	m.quotas.handleReplies(time.Now(), calls, reports)
 }
 
 // handleQuota passes a request of the quota coordinator to the scheduler. An owner without a
--- a/internal/drive/quota_test.go
+++ b/internal/drive/quota_test.go
@@ -140,3 +140,19 @@
 	assert.Assert(t, c.peak("") <= quotaTasks, "%d tasks ran at once", c.peak(""))
 	assert.Equal(t, c.emulator.Ledger.FirstViolation(), "")
 }
+
+// TestQuotasDoNotWaitForThePlanner guards against tasks of accounts with a limit that wait, after a loss of all
+// entries, until the mover begins to plan.
+func TestQuotasDoNotWaitForThePlanner(t *testing.T) {
+	c := newQuotaCluster(t, 2)
+	for i := range c.nodes {
+		c.kill(i)
+	}
+	c.prepare = func(n *Node) { n.planDelay = time.Hour }
+	for i := range c.nodes {
+		c.run(i, c.nodes[i].settings)
+	}
+	c.await("entry ready", c.nodes[0].Ready)
+	c.submitWithKey(0, "q", "aaaaaaaa00000000")
+	c.await("tasks run", func() bool { return c.peak("aaaaaaaa") > 0 })
+}
--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -35,6 +35,7 @@
 	listed      bool      // it has pools
 	since       time.Time // when it was first listed, or last was
 	known       bool      // its owner has replied to this coordinator
+	adopted     bool      // that owner holds fractions of this coordinator
 	epoch       int64     // of the owner
 	confirmed   int64     // sequence number of the last reply
 	sent        int64     // sequence number of the last request
@@ -157,6 +158,7 @@
 	}
 	otherOwner := !p.known || r.PartitionEpoch != p.epoch
 	p.known, p.epoch, p.confirmed, p.repliedAt = true, r.PartitionEpoch, r.Sequence, now
+	p.adopted = r.Adopted
 	latest := r.Sequence == p.sent
 	if r.Adopted && !otherOwner {
 		if latest {
@@ -330,5 +332,20 @@
 	return n
 }
 
+// Pending reports whether the owner of a partition with pools has not yet confirmed fractions of this coordinator, or
+// none is listed. Until then it holds none, or those of a former coordinator.
+func (c *Coordinator) Pending() bool {
+	listed := false
+	for _, p := range c.partitions {
+		if p != nil && p.listed {
+			listed = true
+			if !p.adopted {
+				return true
+			}
+		}
+	}
+	return !listed && !c.fenced
+}
+
 // Accounts counts the accounts that do not have the default fractions.
 func (c *Coordinator) Accounts() int { return len(c.order) }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -125,3 +125,27 @@
 		run()
 	}
 }
+
+// TestPending guards against an owner that waits for a planning round for its first fractions, and against rounds
+// without end once all owners have theirs.
+func TestPending(t *testing.T) {
+	c, now := NewCoordinator(1), testStart
+	owners := map[int]*Holder{0: {}}
+	round := func() {
+		now = now.Add(40 * time.Millisecond)
+		exchangeAll(c, now, []int{0, 1}, oneAccount(), owners, nil)
+	}
+	assert.Assert(t, c.Pending(), "before the first round")
+	for range 3 {
+		round()
+		assert.Assert(t, c.Pending(), "the owner of partition 1 has not replied")
+	}
+	owners[1] = &Holder{}
+	round()
+	assert.Assert(t, c.Pending(), "the owner of partition 1 has replied, but holds nothing yet")
+	round()
+	assert.Assert(t, !c.Pending(), "all owners hold fractions")
+	owners[0] = &Holder{}
+	round()
+	assert.Assert(t, c.Pending(), "partition 0 has an owner that holds nothing yet")
+}
