drive: partitions are claimed once the assignment has settled

After a loss of all entries the first one that joined the group was assigned all partitions, claimed them, and gave most of them to the others within 0.2 s; each pool waited for two claims. An entry now joins twice, 30 ms apart, before it claims: the second answer knows the others that started with it.

--- a/internal/drive/cluster_test.go
+++ b/internal/drive/cluster_test.go
@@ -227,3 +227,14 @@
 	}
 	return ids
 }
+
+// epochs returns the epochs of the latest claims that the entries know, by partition.
+func (c *cluster) epochs() map[int]int64 {
+	epochs := map[int]int64{}
+	for _, n := range c.nodes {
+		for p, claim := range n.owners.claims() {
+			epochs[p] = max(epochs[p], claim.Epoch)
+		}
+	}
+	return epochs
+}
--- a/internal/drive/member.go
+++ b/internal/drive/member.go
@@ -15,6 +15,7 @@
 const (
 	joinInterval           = 300 * time.Millisecond  // three joins fit into memberTTL
 	startupPhase           = 3 * time.Second         // after the process starts; other entries may be starting too
+	settleDelay            = 30 * time.Millisecond   // from the first join to the next, after which the partitions are claimed; others that start at the same time join meanwhile
 	minJoinTimeout         = 200 * time.Millisecond  // a lost join is repeated within memberTTL
 	memberTTL              = 1000 * time.Millisecond // a silent entry loses its partitions after this; the shortest time that the log allows
 	handoverTimeout        = 400 * time.Millisecond  // for storing the last changes of a partition
@@ -70,6 +71,7 @@
 	self := member{address: n.address, cores: n.settings.Cores}
 	timeout := newTimeout(minJoinTimeout)
 	left := false // has left the group to entries with more cores
+	joins := 0    // that the log has answered
 	sleep(ctx, firstJoinDelay(self.cores))
 	for ctx.Err() == nil {
 		starting := time.Since(n.startedAt) < startupPhase
@@ -98,13 +100,17 @@
 		}
 		recordAttempt(timeout, began, false, err)
 		n.recordLogResult(dep, err)
-		releaseBegan := false
-		if err == nil {
-			m.Generation = share.Generation
-			releaseBegan = n.setOwned(share.Partitions)
-			n.assignmentKnown.Store(true)
+		if err != nil {
+			n.waitForJoin(ctx)
+			continue
+		}
+		m.Generation = share.Generation
+		n.assignmentKnown.Store(true)
+		if joins++; joins == 1 {
+			sleep(ctx, n.settleDelay)
+			continue
 		}
-		if !releaseBegan {
+		if !n.setOwned(share.Partitions) {
 			n.waitForJoin(ctx)
 		}
 	}
--- a/internal/drive/node.go
+++ b/internal/drive/node.go
@@ -43,6 +43,7 @@
 	address         string // host:port of the peer interface
 	startedAt       time.Time
 	planDelay       time.Duration // from the start to the first plan of the mover
+	settleDelay     time.Duration // from the first join of the group to the next one
 	incarnation     string
 	config          atomic.Pointer[site.Config]
 	confirmed       confirmation // of the configuration
@@ -84,7 +85,7 @@
 // New returns a node; Run starts it.
 func New(settings *site.Settings) *Node {
 	return &Node{
-		settings: settings, startedAt: time.Now(), planDelay: startupDelay, address: settings.AnnouncedAddress(), incarnation: settings.Entry + "-" + uuid.NewString()[:8],
+		settings: settings, startedAt: time.Now(), planDelay: startupDelay, settleDelay: settleDelay, address: settings.AnnouncedAddress(), incarnation: settings.Entry + "-" + uuid.NewString()[:8],
 		policy:     schedPolicy(settings),
 		partitions: map[int]*ownedPartition{}, peers: map[string]*peer.Client{}, vms: map[string]site.VM{}, waves: map[int64]seenWave{}, queueMovedAt: map[string]time.Time{},
 		assignmentRefresh: make(chan struct{}, 1), rejoin: make(chan struct{}, 1), aborted: make(chan struct{}),
--- a/internal/drive/owners_test.go
+++ b/internal/drive/owners_test.go
@@ -89,3 +89,22 @@
 	assert.Equal(t, parseMember(memberName("edge-1", "10.1.0.9:7060", 0.192)), member{address: "10.1.0.9:7060", cores: 0.192})
 	assert.Equal(t, parseMember("edge-1@10.1.0.9:7060"), member{address: "10.1.0.9:7060"})
 }
+
+// TestPartitionsSettleOnce guards against partitions that the first of several entries claims and has to give to the
+// others within the same second, as after a loss of all entries.
+func TestPartitionsSettleOnce(t *testing.T) {
+	c := newCluster(t, 3, map[string]int{"alpha": 2})
+	for i := range c.nodes {
+		c.kill(i)
+	}
+	before := c.epochs()
+	time.Sleep(memberTTL) // the group forgets the entries
+	c.prepare = func(n *Node) { n.settleDelay = 500 * time.Millisecond }
+	for i := range c.nodes {
+		c.run(i, c.nodes[i].settings)
+	}
+	c.await("all partitions owned", func() bool { return c.ownedPartitions() == partitions })
+	for p, epoch := range c.epochs() {
+		assert.Equal(t, epoch, before[p]+1, "partition %d", p)
+	}
+}
