--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,7 @@
 RED = $(shell [ -s KNOWN-RED.txt ] && awk '!/^#/ && NF {print $$1}' KNOWN-RED.txt | paste -sd'|')
 test:
 	go test -count=1 $(if $(RED),-skip '^($(RED))$$') ./...
+	cd tools && go test -count=1 ./...
 
 $(BIN)/gofumpt $(BIN)/revive $(BIN)/ogen $(BIN)/enumer &: tools/go.mod tools/go.sum
 	mkdir -p $(BIN)
@@ -29,6 +30,7 @@
 
 lint: $(BIN)/gofumpt $(BIN)/revive
 	go vet ./...
+	cd tools && go vet ./...
 	@out=$$($(BIN)/gofumpt -l $(GO_FILES)); if [ -n "$$out" ]; then echo "gofumpt would change:"; echo "$$out"; exit 1; fi
 	$(BIN)/revive -config revive.toml -set_exit_status $(addprefix ./,$(sort $(dir $(GO_FILES))))
 
