drive: owners and the mover tell how long after a takeover they serve again

After a loss of all entries operators saw when a partition was claimed, but not when it served: whether it waited for VMs, for quotas or for machines could be had from single lines only.

--- a/internal/drive/fleet.go
+++ b/internal/drive/fleet.go
@@ -51,6 +51,7 @@
 	planner             *moves.Planner
 	lives               moves.Lives
 	quotas              *quotaRounds
+	recovery            recovery             // of the mover and the quota coordinator
 	fleet               *platform.Fleet      // for reading the inventory
 	orderConns          chan *platform.Fleet // idle connections for orders
 	statusLog           *platform.Log
@@ -69,7 +70,7 @@
 func newMover(part *ownedPartition) *mover {
 	settings := part.node.settings
 	m := &mover{
-		part: part, planner: moves.New(movesPolicy(settings)),
+		part: part, recovery: recovery{log: part.log, startedAt: part.node.startedAt, claimedAt: time.Now()}, planner: moves.New(movesPolicy(settings)),
 		fleet: platform.NewFleet(settings), statusLog: platform.NewLog(settings), writtenStates: map[int64]string{}, storedStarted: map[int64]int{}, waveStart: map[int64]time.Time{},
 		orderConns: make(chan *platform.Fleet, maxOrderConns),
 		orderedAt:  map[string]time.Time{}, inventoryDependency: &dependency{name: "machine inventory"},
@@ -167,6 +168,9 @@
 	record := m.recordOrders(orders)
 	m.mu.Unlock()
 	m.storeAndSend(ctx, orders, record)
+	if len(orders) > 0 {
+		m.recovery.reach(time.Now(), firstOrder)
+	}
 	m.logPools(time.Now(), states)
 	m.publishWaves(ctx, states)
 }
--- a/internal/drive/partition.go
+++ b/internal/drive/partition.go
@@ -60,6 +60,7 @@
 	pendingRecords []controlRecord // records of the mover, for the next flush
 	restored       restoredFleet   // control records read by the claim, for the mover; set before loaded is closed
 	mover          *mover          // nil unless this is the fleet partition
+	recovery       recovery        // since the claim
 	roundTime      time.Duration   // duration of the last round, capped
 	lastStats      sched.Stats     // already added to the metrics
 	cordonedAt     time.Time       // when cordons were last renewed
@@ -100,6 +101,7 @@
 	if part.scheduler.HoldRecovered() {
 		go part.collectShown(ctx)
 	}
+	part.recovery = recovery{log: part.log, startedAt: part.node.startedAt, claimedAt: time.Now()}
 	close(part.loaded)
 	part.node.announceClaim(part.number, part.scheduler.Epoch)
 	if part.number == fleetPartition {
@@ -156,11 +158,25 @@
 	stats := part.scheduler.Stats()
 	countRuns(part.lastStats, stats)
 	part.lastStats = stats
+	part.recordRecovery(now)
 	if !part.flushing && now.Sub(part.flushedAt) >= minFlushInterval && !now.Before(part.nextAppendAt) {
 		part.flush(now)
 	}
 }
 
+// recordRecovery records the stages of the recovery that the scheduler has reached.
+func (part *ownedPartition) recordRecovery(now time.Time) {
+	const most = 0.9 // of the VMs
+	if part.lastStats.Started > 0 {
+		part.recovery.reach(now, firstStart)
+	}
+	if part.recovery.awaits(now, vmsReached) {
+		if reached, all := part.scheduler.ReachedVMs(); all > 0 && float64(reached) >= most*float64(all) {
+			part.recovery.reach(now, vmsReached)
+		}
+	}
+}
+
 func (part *ownedPartition) execute(ctx context.Context, now time.Time, a sched.Action) {
 	switch a := a.(type) {
 	case sched.StartRun:
--- a/internal/drive/quota.go
+++ b/internal/drive/quota.go
@@ -118,6 +118,9 @@
 	calls = slices.DeleteFunc(calls, func(c *reportCall) bool { return c.Quota == nil })
 	reports, _ := m.fetchReports(ctx, calls)
 	m.quotas.handleReplies(time.Now(), calls, reports)
+	if len(calls) > 0 && !m.quotas.coordinator.Pending() {
+		m.recovery.reach(time.Now(), quotasGranted)
+	}
 }
 
 // handleQuota passes a request of the quota coordinator to the scheduler. An owner without a
--- a/internal/sched/vm.go
+++ b/internal/sched/vm.go
@@ -187,6 +187,20 @@
 	return list
 }
 
+// ReachedVMs returns how many of the VMs that the platform lists have answered a status poll of this owner.
+func (s *Scheduler) ReachedVMs() (reached, all int) {
+	for _, v := range s.vms {
+		if !v.listed {
+			continue
+		}
+		all++
+		if v.polled {
+			reached++
+		}
+	}
+	return reached, all
+}
+
 // VMAddresses returns the addresses of the VMs to poll, by VM ID.
 func (s *Scheduler) VMAddresses() map[string]string {
 	list := map[string]string{}
