sched: a job is accepted if it may begin a fifth later than its objective allows

A refused caller returns after a second at the earliest and is then mostly late, so a refusal helps only where the predicted wait is certainly too long; it is predicted from the work ahead and the machines on their way, and mostly somewhat too long. The default of queue-factor is 1.2 instead of 1.

On a pool that cannot grow and is asked for four times what it can do (TestOverloadServesInTimeWhatThePoolCanDo), 155 jobs in time instead of 151; above 1.2 it serves fewer, and the test fails from 1.25 on.

--- a/internal/sched/policy.go
+++ b/internal/sched/policy.go
@@ -56,6 +56,6 @@
 		TailHigh:            0.8,
 		TailLow:             0.6,
 		CopyShare:           0.05, // 3 stragglers in 100 tasks need 0.03 of the work of the others
-		QueueFactor:         1,
+		QueueFactor:         1.2,
 	}
 }
