--- a/tools/compare/main.go
+++ b/tools/compare/main.go
@@ -12,6 +12,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"path/filepath"
 	"strings"
 )
 
@@ -24,6 +25,7 @@
 
 // options are the command's flags and arguments.
 type options struct {
+	root     string // of this repository
 	bench    string
 	sites    []string // site files
 	days     []string // names of days or files with one
@@ -78,7 +80,7 @@
 	fs.IntVar(&o.jobs, "jobs", 3, "plays at a time")
 	fs.BoolVar(&o.cpu, "cpu", false, "charge processor time")
 	fs.StringVar(&o.why, "why", "compare", "a line for the journal")
-	fs.StringVar(&o.copies, "copies", "out/compare", "folder for the commits' copies")
+	fs.StringVar(&o.copies, "copies", "out/compare", "folder for the commits' copies, in the repository")
 	fs.StringVar(&o.table, "table", "", "file for the table; standard output if empty")
 	fs.StringVar(&o.plot, "plot", "", "file for a plot of the share served by second, as SVG; none if empty")
 	if err := fs.Parse(args); err != nil {
@@ -88,6 +90,13 @@
 	if o.bench == "" || sites == "" || days == "" || fs.NArg() < 2 {
 		return nil, fmt.Errorf("-bench, -sites, -days and at least two commits are needed, got %d commits", fs.NArg())
 	}
+	var err error
+	if o.root, err = git(".", "rev-parse", "--show-toplevel"); err != nil {
+		return nil, err
+	}
+	if !filepath.IsAbs(o.copies) {
+		o.copies = filepath.Join(o.root, o.copies)
+	}
 	for _, arg := range fs.Args() {
 		label, rev, ok := strings.Cut(arg, "=")
 		if !ok {
--- a/tools/compare/play.go
+++ b/tools/compare/play.go
@@ -33,7 +33,7 @@
 		if _, err := os.Stat(dir); err == nil {
 			continue
 		}
-		if _, err := git(".", "clone", "-q", ".", dir); err != nil {
+		if _, err := git(o.root, "clone", "-q", ".", dir); err != nil {
 			return err
 		}
 		if _, err := git(dir, "checkout", "-q", "--detach", v.commit); err != nil {
@@ -103,7 +103,7 @@
 	close(jobs)
 	wg.Wait()
 	for _, v := range o.versions {
-		if err := addEntries(filepath.Join(o.copies, v.commit, "journal"), "journal"); err != nil {
+		if err := addEntries(filepath.Join(o.copies, v.commit, "journal"), filepath.Join(o.root, "journal")); err != nil {
 			return err
 		}
 	}
