--- a/internal/drive/fleet.go
+++ b/internal/drive/fleet.go
@@ -107,14 +107,18 @@
 // all entries: no task of an account with a limit starts before that.
 func (m *mover) allocateUntil(ctx context.Context, end time.Time) {
 	for ctx.Err() == nil {
-		cfg, now := m.part.node.Config(), time.Now()
-		if !now.Before(end) {
+		wait := time.Until(end)
+		if wait <= 0 {
 			return
 		}
+		cfg := m.part.node.Config()
 		if cfg != nil && m.quotas.pending(cfg) {
 			m.allocateQuotas(ctx, cfg)
 		}
-		sleep(ctx, min(grantInterval, time.Until(end)))
+		if cfg == nil || m.quotas.pending(cfg) {
+			wait = grantInterval
+		}
+		sleep(ctx, min(wait, time.Until(end)))
 	}
 }
 
--- a/tools/compare/journal.go
+++ b/tools/compare/journal.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -102,8 +101,6 @@
 	return p, true
 }
 
-var numbers = regexp.MustCompile(`^-?[0-9.]+$`)
-
 // readSeconds reads the bench's table of what became of the requests of each two seconds.
 func readSeconds(digest string) []second {
 	const header, worthColumn = "from second", 7
@@ -114,7 +111,7 @@
 	var list []second
 	for _, line := range strings.Split(rest, "\n")[1:] {
 		f := strings.Fields(line)
-		if len(f) <= worthColumn || !numbers.MatchString(f[0]) {
+		if len(f) <= worthColumn {
 			break
 		}
 		at, err := strconv.ParseFloat(f[0], 64)
