--- a/tools/compare/play.go
+++ b/tools/compare/play.go
@@ -13,14 +13,19 @@
 // cells returns the days to play, interleaved, so that an interrupted comparison has some seeds of each.
 func (o *options) cells() []cell {
 	var list []cell
+	o.each(func(site, day, seed string) { list = append(list, cell{base(site), base(day), seed}) })
+	return list
+}
+
+// each calls f with each site, day and seed as given to the bench.
+func (o *options) each(f func(site, day, seed string)) {
 	for _, seed := range o.seeds {
 		for _, site := range o.sites {
 			for _, day := range o.days {
-				list = append(list, cell{base(site), base(day), seed})
+				f(site, day, seed)
 			}
 		}
 	}
-	return list
 }
 
 // base returns the name of a site or day by its file, or a name as it is.
@@ -51,23 +56,22 @@
 
 // missing returns the plays that the copies' journals do not have, those of one cell together.
 func missing(o *options, plays []play) []job {
-	done := map[string]bool{}
+	type key struct {
+		cell
+		commit string
+	}
+	done := map[key]bool{}
 	for i := range plays {
-		p := &plays[i]
-		done[fmt.Sprint(p.cell, p.commit)] = true
+		done[key{plays[i].cell, plays[i].commit}] = true
 	}
 	var jobs []job
-	for _, seed := range o.seeds {
-		for _, site := range o.sites {
-			for _, day := range o.days {
-				for _, v := range o.versions {
-					if !done[fmt.Sprint(cell{base(site), base(day), seed}, v.commit)] {
-						jobs = append(jobs, job{v, site, day, seed})
-					}
-				}
+	o.each(func(site, day, seed string) {
+		for _, v := range o.versions {
+			if !done[key{cell{base(site), base(day), seed}, v.commit}] {
+				jobs = append(jobs, job{v, site, day, seed})
 			}
 		}
-	}
+	})
 	return jobs
 }
 
