drive: replies to the quota coordinator are handled in one place

The mover handled them in its rounds and between them, and told of granted quotas only in the second case; a takeover after the start is granted quotas by a round. The wait between rounds asks once whether an owner waits, and the mover's recovery counts from the claim, as its partition's does. Starts, grants and orders stay as they are.

--- a/internal/drive/fleet.go
+++ b/internal/drive/fleet.go
@@ -70,7 +70,7 @@
 func newMover(part *ownedPartition) *mover {
 	settings := part.node.settings
 	m := &mover{
-		part: part, recovery: recovery{log: part.log, startedAt: part.node.startedAt, claimedAt: time.Now()}, planner: moves.New(movesPolicy(settings)),
+		part: part, recovery: part.recovery, planner: moves.New(movesPolicy(settings)),
 		fleet: platform.NewFleet(settings), statusLog: platform.NewLog(settings), writtenStates: map[int64]string{}, storedStarted: map[int64]int{}, waveStart: map[int64]time.Time{},
 		orderConns: make(chan *platform.Fleet, maxOrderConns),
 		orderedAt:  map[string]time.Time{}, inventoryDependency: &dependency{name: "machine inventory"},
@@ -112,10 +112,11 @@
 			return
 		}
 		cfg := m.part.node.Config()
-		if cfg != nil && m.quotas.pending(cfg) {
+		switch {
+		case cfg == nil:
+			wait = grantInterval
+		case m.quotas.pending(cfg):
 			m.allocateQuotas(ctx, cfg)
-		}
-		if cfg == nil || m.quotas.pending(cfg) {
 			wait = grantInterval
 		}
 		sleep(ctx, min(wait, time.Until(end)))
@@ -160,7 +161,7 @@
 	for pool, err := range failed {
 		logrus.WithError(err).WithField("pool", pool).Info("no report of the pool; its machines are not moved")
 	}
-	m.quotas.handleReplies(time.Now(), calls, reports)
+	m.handleQuotaReplies(calls, reports)
 	m.mu.Lock()
 	if m.handingOver {
 		m.mu.Unlock()
--- a/internal/drive/quota.go
+++ b/internal/drive/quota.go
@@ -117,9 +117,15 @@
 	m.quotas.addRequests(time.Now(), cfg, calls)
 	calls = slices.DeleteFunc(calls, func(c *reportCall) bool { return c.Quota == nil })
 	reports, _ := m.fetchReports(ctx, calls)
-	m.quotas.handleReplies(time.Now(), calls, reports)
-	if len(calls) > 0 && !m.quotas.coordinator.Pending() {
-		m.recovery.reach(time.Now(), quotasGranted)
+	m.handleQuotaReplies(calls, reports)
+}
+
+// handleQuotaReplies passes the owners' replies to the quota coordinator.
+func (m *mover) handleQuotaReplies(calls []*reportCall, reports map[string]*sched.Report) {
+	now := time.Now()
+	m.quotas.handleReplies(now, calls, reports)
+	if !m.quotas.coordinator.Pending() {
+		m.recovery.reach(now, quotasGranted)
 	}
 }
 
