--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 command=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/system.toml)
 [ -x review/bin/stand ] && [ -x "${command%% *}" ] || { echo "build the programs first: the deploy file's, and review/build.sh"; exit 2; }
-exec review/bin/stand moved review/4/record.txt "$command"
+exec review/bin/stand standing review/4/record.txt "$command"
--- a/review/stand/cloud.go
+++ b/review/stand/cloud.go
@@ -13,6 +13,7 @@
 const (
 	moveTime   = 1500 * time.Millisecond
 	upkeepTime = 2 * time.Second
+	rackSize   = 4 // machines
 )
 
 func text(rec *record, what, task string, a, b *run) string {
@@ -41,6 +42,7 @@
 
 type machineState struct {
 	name, pool, state string
+	rack              string
 	cpu, mem          int
 	waves             map[int64]bool
 	w                 *worker
@@ -61,7 +63,7 @@
 func (c *cloud) add(name, pool string, cpu, mem int) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	m := &machineState{name: name, pool: pool, state: "up", cpu: cpu, mem: mem, waves: map[int64]bool{}}
+	m := &machineState{name: name, pool: pool, state: "up", rack: fmt.Sprintf("r1-%d", 1+len(c.machines)/rackSize), cpu: cpu, mem: mem, waves: map[int64]bool{}}
 	c.machines = append(c.machines, m)
 	return c.boot(m)
 }
@@ -74,7 +76,7 @@
 	}
 	c.lives++
 	var err error
-	m.w, err = newWorker(fmt.Sprintf("w%d", c.lives), m.name, m.pool, m.cpu, m.mem, c.rejects[m.pool], c.floor, c.store)
+	m.w, err = newWorker(fmt.Sprintf("w%d", c.lives), m.name, m.pool, m.rack, m.cpu, m.mem, c.rejects[m.pool], c.floor, c.store)
 	return err
 }
 
@@ -128,7 +130,7 @@
 			id = m.w.id
 		}
 		rows = append(rows, map[string]any{
-			"machine": m.name, "pool": m.pool, "state": m.state, "zone": "z1", "labels": []string{"a", "r1-1"},
+			"machine": m.name, "pool": m.pool, "state": m.state, "zone": "z1", "labels": []string{"a", m.rack},
 			"capacity": map[string]int{"cpu": m.cpu, "memMb": m.mem}, "id": id,
 		})
 	}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -34,11 +34,11 @@
 
 // cases holds the script of each case by its name. A script returns the breaks of its rule.
 var cases = map[string]func(s *scene) ([]string, error){
+	"deadly":   playDeadly,
 	"ends":     playEnds,
 	"gang":     playGang,
 	"standing": playStanding,
 	"moved":    playMoved,
-	"large":    playLarge,
 }
 
 func main() { os.Exit(play()) }
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -25,7 +26,8 @@
 	work     time.Duration
 	lasts    bool
 	saves    bool
-	gang     int // members of the gang; 0 for a unit that works by itself
+	deadly   time.Duration // after which it crashes its worker; 0 for never
+	gang     int           // members of the gang; 0 for a unit that works by itself
 }
 
 // run is one run of a work unit on a worker.
@@ -56,6 +58,7 @@
 	units map[string][]unit // by job: the unit of each step
 	runs  []*run
 	gangs map[string]*gang // by step and run
+	crash func(w *worker)  // ends a worker that a work unit crashes
 }
 
 func (f *floor) unit(task string) unit {
@@ -99,6 +102,7 @@
 // worker is one life of a machine.
 type worker struct {
 	id, machine, service string
+	rack                 string
 	cpu, mem             int
 	rejects              bool
 	floor                *floor
@@ -120,13 +124,13 @@
 	draining bool
 }
 
-func newWorker(id, machine, service string, cpu, mem int, rejects bool, f *floor, s *store) (*worker, error) {
+func newWorker(id, machine, service, rack string, cpu, mem int, rejects bool, f *floor, s *store) (*worker, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	w := &worker{
-		id: id, machine: machine, service: service, cpu: cpu, mem: mem, rejects: rejects, floor: f, store: s, ln: ln, born: time.Now(), address: ln.Addr().String(),
+		id: id, machine: machine, service: service, rack: rack, cpu: cpu, mem: mem, rejects: rejects, floor: f, store: s, ln: ln, born: time.Now(), address: ln.Addr().String(),
 		running: map[string]*run{}, highest: map[string]int64{}, changed: make(chan struct{}), gone: make(chan struct{}),
 	}
 	w.server = &http.Server{Handler: w, ReadHeaderTimeout: time.Minute}
@@ -199,7 +203,7 @@
 	w.mu.Unlock()
 	w.store.put("keyed.servers", w.id, map[string]any{
 		"service": w.service, "address": w.address, "zone": "z1", "version": "1", "slots": 8, "state": state, "coldLeftMs": 0, "seq": time.Now().UnixMilli() - w.born.UnixMilli(),
-		"capacity": map[string]int{"cpu": w.cpu, "memMb": w.mem}, "labels": []string{"a", "r1-1"}, "machine": w.machine, "born": w.born.UnixMilli(),
+		"capacity": map[string]int{"cpu": w.cpu, "memMb": w.mem}, "labels": []string{"a", w.rack}, "machine": w.machine, "born": w.born.UnixMilli(),
 	})
 }
 
@@ -324,6 +328,9 @@
 		writeJSON(rw, map[string]any{"clockMs": w.clock()})
 		return
 	}
+	if u.deadly > 0 {
+		time.AfterFunc(u.deadly+time.Duration(rand.Int64N(int64(u.deadly)/3)), func() { w.floor.crash(w) })
+	}
 	work := u.work
 	if u.lasts {
 		work = time.Hour
