--- a/review/stand/entry.go
+++ b/review/stand/entry.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -27,29 +28,24 @@
 	done     chan struct{}
 }
 
-// freePorts returns the first of n ports in a row that are free.
+// freePorts returns the first of n ports in a row that are free. They lie below those that the system gives to
+// outgoing connections, which could take them before the entry listens.
 func freePorts(n int) (int, error) {
+	const lowest, highest = 12_000, 30_000
 	for range 200 {
+		first := lowest + rand.IntN(highest-lowest)
 		var held []net.Listener
-		first := 0
 		for i := range n {
-			address := "127.0.0.1:0"
-			if i > 0 {
-				address = fmt.Sprintf("127.0.0.1:%d", first+i)
-			}
-			ln, err := net.Listen("tcp", address)
+			ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+i))
 			if err != nil {
 				break
 			}
 			held = append(held, ln)
-			if i == 0 {
-				first = ln.Addr().(*net.TCPAddr).Port
-			}
 		}
 		for _, ln := range held {
 			ln.Close()
 		}
-		if len(held) == n && first+n < 65536 {
+		if len(held) == n {
 			return first, nil
 		}
 	}
--- a/review/stand/gang.go
+++ b/review/stand/gang.go
@@ -146,7 +146,7 @@
 func playGang(s *scene) ([]string, error) {
 	const (
 		members = 3
-		workers = 5
+		workers = 8 // one of them is a share of 0.125
 		budget  = 3 * time.Second
 		work    = 6 * time.Second
 		down    = 4500 * time.Millisecond
