sched: a run left out of a cut list of run ends is not started again

Callers saw tasks run up to four times although they had ended as done: with the log away, an owner acknowledges no run end, and more than 500 wait on a VM, which lists 500 at a time. A run that a poll listed nowhere was released as not on the VM.

A poll's result now says whether the list may be cut off. Such a run stays until its end is listed, or its VM's leases have expired, after which the platform voids the end. A VM is verified after a takeover, and drained, by a complete list only. An unlisted run is neither stalled nor available, and no crash of its VM counts against its task.

--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -237,7 +237,7 @@
 	if t.done || len(t.runs) != 1 || len(t.crashes) > 0 || len(t.failedRuns)+2 > t.job.MaxAttempts || (t.unverified && s.mayBeRunning(t)) {
 		return nil
 	}
-	if r := t.runs[0]; r.phase == working && now.Sub(r.vm.lastAnswer) < s.policy.SilentAfter {
+	if r := t.runs[0]; r.phase == working && !r.endUnknown && now.Sub(r.vm.lastAnswer) < s.policy.SilentAfter {
 		return r
 	}
 	return nil
--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -40,10 +40,10 @@
 // once the leases of an earlier owner's runs have expired.
 func (s *Scheduler) expireLeases(now time.Time) {
 	for id, until := range s.unverified {
-		if now.After(until) {
+		if v := s.vms[id]; now.After(until) && (v == nil || now.After(v.leasesEnd)) {
 			s.log.WithField("vm", id).Info("VM that may hold runs of an earlier owner did not answer; its leases have expired")
 			delete(s.unverified, id)
-			if v := s.vms[id]; v != nil {
+			if v != nil {
 				s.loseVM(now, v, "does not answer and its leases have expired")
 				v.lapsed = true
 			}
@@ -70,7 +70,7 @@
 	case startUnverified, stopping:
 		s.sendStop(now, r)
 	case working:
-		if now.Sub(r.progressAt) > s.stallLimit(r) && now.Sub(r.vm.lastAnswer) < s.policy.SilentAfter && (r.percent < 100 || !r.step().Lasts) {
+		if !r.endUnknown && now.Sub(r.progressAt) > s.stallLimit(r) && now.Sub(r.vm.lastAnswer) < s.policy.SilentAfter && (r.percent < 100 || !r.step().Lasts) {
 			s.stats.Stalled++
 			r.task.avoidVM = r.vm.ID
 			s.recordStall(now, r.vm)
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -102,6 +102,7 @@
 	stopInFlight   bool      // a stop order is under way
 	stopConfirmed  bool      // the VM has confirmed a stop order
 	stopReason     string    // shown to operators
+	endUnknown     bool      // it has ended, and the VM has not listed its end yet
 	startedAt      time.Time
 	startInFlight  bool      // the start order is under way, also after a stop was decided
 	percent        int       // of the work, as last reported
--- a/internal/sched/loss.go
+++ b/internal/sched/loss.go
@@ -104,7 +104,9 @@
 func (s *Scheduler) tasksOn(v *vm) []lostTask {
 	var list []lostTask
 	for _, r := range v.runs {
-		list = append(list, lostTask{r.task, r.startedAt})
+		if !r.endUnknown {
+			list = append(list, lostTask{r.task, r.startedAt})
+		}
 	}
 	for _, name := range s.losses.presumed[v.ID] {
 		id, err := jobs.ParseTaskID(name)
--- a/internal/sched/model_test.go
+++ b/internal/sched/model_test.go
@@ -332,7 +332,8 @@
 	for name, run := range v.running {
 		status.Running = append(status.Running, site.Run{Task: name, Run: run, Percent: 50})
 	}
-	status.Ended = append(status.Ended, v.ends...)
+	status.Ended = append(status.Ended, v.ends[:min(len(v.ends), maxSimEnds)]...)
+	status.EndsCut = len(status.Ended) == maxSimEnds
 	if rapid.IntRange(0, 5).Draw(t, "lost look") == 0 {
 		m.verify[id] = true
 		m.s.HandlePollFailure(m.now, id, errors.New("no answer"))
--- a/internal/sched/observe.go
+++ b/internal/sched/observe.go
@@ -44,7 +44,7 @@
 func (s *Scheduler) handleNewIncarnation(now time.Time, v *vm, born int64) {
 	s.loseVM(now, v, "VM restarted")
 	s.releaseAnswered(v, "VM restarted")
-	v.Born, v.seenSeq, v.storedSeq, v.polled, v.ended = born, 0, 0, false, false
+	v.Born, v.seenSeq, v.storedSeq, v.polled, v.ended, v.endsCut = born, 0, 0, false, false, false
 	v.leasesEnd, v.clockMS, v.clockAt, v.failedAt, v.lapsed = time.Time{}, 0, time.Time{}, time.Time{}, false
 	if len(v.runs) > 0 {
 		v.leasesEnd = now.Add(s.policy.localDuration(s.policy.MaxLease))
@@ -125,24 +125,60 @@
 		running[status.Running[i].Task] = true
 		s.handleListedRun(now, v, &status.Running[i])
 	}
+	s.setEndsCut(v, status.EndsCut)
+	s.handleUnlistedRuns(v, pollStart, running)
 	s.clearOutlived(v, pollStart)
+	if !v.polled {
+		s.log.WithFields(logrus.Fields{"vm": id, "pool": v.Pool, "born": v.Born, "running": len(status.Running), "ended": len(status.Ended)}).Info("VM answered a status poll and is in service")
+	}
+	v.polled = true
+	s.verifyVM(now, v)
+	s.recordVM(v)
+}
+
+// setEndsCut records whether the last reply to a status poll listed all run ends of a VM.
+func (s *Scheduler) setEndsCut(v *vm, cut bool) {
+	if v.endsCut != cut {
+		s.log.WithFields(logrus.Fields{"vm": v.ID, "pool": v.Pool, "all-listed": !cut, "stored": v.storedSeq, "seen": v.seenSeq, "runs": len(v.runs)}).Info("list of run ends changed between complete and cut off")
+	}
+	v.endsCut = cut
+}
+
+// handleUnlistedRuns handles the runs that a VM lists neither as running nor as ended. Their ends may be
+// among those that a cut list of ends leaves out: such a run has ended, but nobody knows how.
+func (s *Scheduler) handleUnlistedRuns(v *vm, pollStart time.Time, running map[string]bool) {
 	for name, r := range v.runs {
-		if !running[name] && r.endsWhenUnlisted() && r.answeredAt.Before(pollStart) {
-			s.stats.Lost++
-			s.releaseRun(r, "not on the VM")
+		r.endUnknown = false
+		if running[name] || !r.endsWhenUnlisted() || !r.answeredAt.Before(pollStart) {
+			continue
+		}
+		if v.endsCut {
+			r.endUnknown, r.availableSince = true, time.Time{}
+			continue
 		}
+		s.stats.Lost++
+		s.releaseRun(r, "not on the VM")
+	}
+	if v.endsCut {
+		return
 	}
 	for name := range v.orphans {
 		if !running[name] {
 			delete(v.orphans, name)
 		}
 	}
-	if !v.polled {
-		s.log.WithFields(logrus.Fields{"vm": id, "pool": v.Pool, "born": v.Born, "running": len(status.Running), "ended": len(status.Ended)}).Info("VM answered a status poll and is in service")
+}
+
+// verifyVM marks a VM as verified once it has listed all that runs of earlier owners may have left there. As
+// long as its list of run ends is cut off, any task of an earlier owner may have ended there.
+func (s *Scheduler) verifyVM(now time.Time, v *vm) {
+	if !v.endsCut {
+		delete(s.unverified, v.ID)
+		return
+	}
+	if _, unverified := s.unverified[v.ID]; unverified {
+		s.unverified[v.ID] = now.Add(s.policy.localDuration(s.policy.Lease) + leaseMargin)
 	}
-	v.polled = true
-	delete(s.unverified, id)
-	s.recordVM(v)
 }
 
 // endsWhenUnlisted reports whether a run has ended if a later status poll does not list it.
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -187,7 +187,7 @@
 			v := newVM(rec.VM)
 			s.vms[v.ID] = v
 			s.recordedVMs[v.ID], v.recorded = true, true
-			wait := s.policy.localDuration(s.policy.Lease) + 300*time.Millisecond // 300 ms exceed the margin in grantLease, by which a lease of the previous owner may end later
+			wait := s.policy.localDuration(s.policy.Lease) + leaseMargin
 			s.unverified[v.ID] = now.Add(wait)
 			v.leasesEnd = now.Add(wait)
 		}
--- a/internal/sched/simvm_test.go
+++ b/internal/sched/simvm_test.go
@@ -6,6 +6,9 @@
 	"github.com/greengagelane/greengagelane/pkg/site"
 )
 
+// maxSimEnds is the number of run ends that the reply to a status poll lists at most.
+const maxSimEnds = 1
+
 // simVM is a simulated VM. It carries out orders as the platform specifies.
 type simVM struct {
 	id           string
--- a/internal/sched/trial.go
+++ b/internal/sched/trial.go
@@ -215,7 +215,7 @@
 		return
 	}
 	for _, r := range v.runs {
-		if t := r.task; len(t.crashes) > 0 && r.phase == working && pollStart.Sub(r.startedAt) >= t.crashes.ClearedAfter() {
+		if t := r.task; len(t.crashes) > 0 && r.phase == working && !r.endUnknown && pollStart.Sub(r.startedAt) >= t.crashes.ClearedAfter() {
 			s.losses.set(t, nil)
 		}
 	}
--- a/internal/sched/vm.go
+++ b/internal/sched/vm.go
@@ -25,6 +25,7 @@
 	lapsed              bool             // its runs were released when its leases expired; it may be cut off or gone
 	recorded            bool             // the job log names it as a VM that may hold runs; required before a start
 	runs                map[string]*run  // by task name
+	endsCut             bool             // its last list of run ends was cut off; others may have ended that this owner does not know of
 	orphans             map[string]int64 // numbers of runs that this owner does not track, by task name
 	clockMS             int64            // the VM's clock at clockAt; 0 before the first poll
 	clockAt             time.Time        // when clockMS was received
@@ -74,9 +75,9 @@
 	return r
 }
 
-// drained reports whether the VM is cordoned and certainly holds no run.
+// drained reports whether the VM is cordoned and certainly holds no run, nor the end of one.
 func (v *vm) drained() bool {
-	return v.cordoned && v.polled && !v.pollFailed && len(v.runs) == 0 && len(v.orphans) == 0
+	return v.cordoned && v.polled && !v.pollFailed && !v.endsCut && len(v.runs) == 0 && len(v.orphans) == 0
 }
 
 // usable reports whether the VM may get new runs.
@@ -125,6 +126,10 @@
 	return v.clockMS + now.Sub(v.clockAt).Milliseconds()
 }
 
+// leaseMargin is added to the time after which the leases of an earlier owner have expired. It exceeds the
+// margin in grantLease, by which a lease may end later.
+const leaseMargin = 300 * time.Millisecond
+
 // grantLease returns the end of a lease that begins now, on the VM's clock, and extends
 // leasesEnd accordingly.
 func (v *vm) grantLease(now time.Time, p *Policy) int64 {
--- a/internal/stand/emul/worker.go
+++ b/internal/stand/emul/worker.go
@@ -62,6 +62,8 @@
 	VMCPU          = 8000
 	vmMemMB        = 16000 // memory in MB
 	initialClockMS = 1000  // clock reading at start, milliseconds
+	maxListedEnds  = 500   // run ends that the reply to a status poll lists at most
+	maxLease       = 10 * time.Second
 )
 
 // activeRun is a run that has not ended.
@@ -263,10 +265,10 @@
 	reply(rw, map[string]any{"clockMs": w.clockMS(), "reason": why})
 }
 
-// renewLease extends the VM's lease to the time untilMS of the VM's own clock, and never
+// renewLease extends the VM's lease to the time untilMS of the VM's own clock, by maxLease at most, and never
 // shortens it. An untilMS of 0, as in a call that carries no lease, has no effect; w.mu is held.
 func (w *Worker) renewLease(untilMS int64) {
-	remaining := time.Duration(float64(untilMS-w.clockMS())/(1-w.clockDrift)) * time.Millisecond
+	remaining := time.Duration(float64(min(untilMS-w.clockMS(), maxLease.Milliseconds()))/(1-w.clockDrift)) * time.Millisecond
 	if until := time.Now().Add(remaining); untilMS > 0 && until.After(w.leaseEnd) {
 		w.leaseEnd = until
 	}
@@ -345,7 +347,7 @@
 
 // poll serves a status poll: it renews the lease, drops the run ends that the cursor
 // acknowledges, waits up to WaitMS for a run to end if none is pending, and returns the active
-// runs and the pending run ends.
+// runs and the first of the pending run ends.
 func (w *Worker) poll(rw http.ResponseWriter, r *http.Request, b *workerRequest) {
 	w.mu.Lock()
 	w.renewLease(b.UntilMS)
@@ -374,7 +376,7 @@
 		// Task, run, checkpoint, percent of the task done, CPU in use. The emulator does not simulate the last three.
 		running = append(running, []any{name, a.taskRun.Run, "", percent, 1000})
 	}
-	for _, e := range w.runEnds {
+	for _, e := range w.runEnds[:min(len(w.runEnds), maxListedEnds)] {
 		// Sequence number, task, run, outcome, checkpoint.
 		ended = append(ended, []any{e.sequence, e.task, e.run, e.how, ""})
 	}
--- a/internal/stand/soak/caller.go
+++ b/internal/stand/soak/caller.go
@@ -207,6 +207,10 @@
 
 // submit submits a job of a random shape.
 func (c *caller) submit(ctx context.Context) {
+	c.submitJob(ctx, c.randomJob())
+}
+
+func (c *caller) randomJob() *Job {
 	shape := shapes[c.r.IntN(len(shapes))]
 	if c.account == floodAccount {
 		shape = shapes[0]
@@ -217,10 +221,19 @@
 	if shape.name == crashingShape && c.r.IntN(crashingJobs) > 0 {
 		shape = shapes[0] // else most VMs would be down
 	}
-	j := &Job{
+	return c.newJob(shape.name, shape.steps(c.r))
+}
+
+// newJob returns a job for a random queue.
+func (c *caller) newJob(shape string, steps []step) *Job {
+	return &Job{
 		ID: fmt.Sprintf("%016x", c.r.Uint64()), Account: c.account, Queue: c.harness.queues[c.r.IntN(len(c.harness.queues))].Name,
-		Shape: shape.name, Steps: shape.steps(c.r), Spec: fmt.Sprintf("spec-%d", c.r.IntN(1000)),
+		Shape: shape, Steps: steps, Spec: fmt.Sprintf("spec-%d", c.r.IntN(1000)),
 	}
+}
+
+// submitJob submits a job until it is accepted, for several attempts at most.
+func (c *caller) submitJob(ctx context.Context, j *Job) {
 	body, err := json.Marshal(map[string]any{"spec": j.Spec, "steps": j.Steps})
 	if err != nil {
 		return
--- a/internal/stand/soak/fault.go
+++ b/internal/stand/soak/fault.go
@@ -247,6 +247,7 @@
 	length := harness.cfg.Duration/8 + randomDuration(r, harness.cfg.Duration/8)
 	silent, kill := r.IntN(2) == 0, harness.cfg.Seed%2 == 0
 	sleep(ctx, begin)
+	harness.submitShortTasks(ctx)
 	harness.log("outage of the log for %s, silent: %t, an entry is killed: %t", length.Round(time.Millisecond), silent, kill)
 	end := harness.injectLogFault(func(s *emul.Store) { s.Down, s.Silent = true, silent }, func(s *emul.Store) { s.Down, s.Silent = false, false })
 	defer end()
@@ -260,6 +261,18 @@
 	sleep(ctx, length/2)
 }
 
+// submitShortTasks submits jobs that end more runs on a VM than the reply to a status poll lists.
+func (harness *Harness) submitShortTasks(ctx context.Context) {
+	const jobs, tasks, cpu = 3, 700, 10
+	for i := range jobs {
+		c := newCaller(harness, harness.cfg.Seed, 1<<33+uint64(i))
+		c.submitJob(ctx, c.newJob("short-tasks", []step{{Count: tasks, CPU: cpu, EstimateMS: 600, duration: 500*time.Millisecond + randomDuration(c.r, time.Second)}}))
+		harness.mu.Lock()
+		harness.extraCallers = append(harness.extraCallers, c)
+		harness.mu.Unlock()
+	}
+}
+
 // shrinkVM reduces a VM's capacity to a part.
 func shrinkVM(harness *Harness, r *rand.Rand) func() {
 	cpu := 1000 * r.IntN(6)
--- a/internal/stand/soak/soak.go
+++ b/internal/stand/soak/soak.go
@@ -61,6 +61,7 @@
 	version         int64        // of the newest configuration
 	keys            []rotatedKey // of rotatedAccount, in the order of their versions
 	waveCount       int          // maintenance waves requested
+	extraCallers    []*caller    // of jobs that belong to a fault
 	faultCount      int          // faults injected; only injectFaults writes it, without mu
 }
 
@@ -182,7 +183,7 @@
 		harness.injectFaults(ctx)
 	}
 	active.Wait()
-	return callers
+	return append(callers, harness.extraCallers...)
 }
 
 // injectFaults injects faults, several at a time, until ctx is done, and returns when all have
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -104,7 +104,8 @@
 	ClockMS int64 // the VM's monotonic clock
 	Born    int64 // start of the incarnation, Unix milliseconds; 0 if not reported
 	Running []Run
-	Ended   []RunEnd
+	Ended   []RunEnd // in the order of their sequence numbers
+	EndsCut bool     // there may be more run ends, with higher sequence numbers, that the reply does not list
 }
 
 // Run is a run of a task in progress.
