sched: room is reserved only where it can come free, and is backfilled

Callers' jobs were accepted and never started: each waiting long-running task that fitted nowhere reserved the VM with the most free cores, also where only long-running tasks, which do not end, were in its way.

Room is now reserved where the runs that end leave enough of each resource, at the VM where that is expected soonest, and on half of a pool's VMs at most. Tasks that end before the room is complete, or that fit beside the long-running task, may start there. In a pool of which less than half is in use, a task waits 2 s for reserved room at most. job show names it.

The emulator's VMs have memory, and every third seed of the soak has more long-running tasks than they have memory for.

--- a/internal/sched/explain.go
+++ b/internal/sched/explain.go
@@ -85,6 +85,8 @@
 		return "no VM of the pool is in service"
 	case t.crashes.Suspect():
 		return "a VM crashed while it ran it; it waits until the pool has room, or for a VM of its own"
+	case !t.step.heldSince.IsZero():
+		return "the room for it is reserved for a long-running task"
 	case s.bestCandidate(now, t, cands) == nil:
 		return "it fits on no VM now"
 	}
--- a/internal/sched/gangs.go
+++ b/internal/sched/gangs.go
@@ -28,7 +28,9 @@
 			return
 		}
 	}
-	s.startGang(now, st, number, cands)
+	if !s.startGang(now, st, number, cands) {
+		s.recordHeld(now, st.tasks[0], cands)
+	}
 }
 
 // racks returns the candidates' racks, the preferred one first.
@@ -76,10 +78,11 @@
 			}
 			return false
 		}
-		c.allocate(st.Step)
+		s.allocate(now, t, c)
 		perVM[c.vm]++
 		chosen = append(chosen, c)
 	}
+	st.heldSince = time.Time{}
 	for i, t := range st.tasks {
 		s.start(now, t, chosen[i].vm, number)
 	}
--- a/internal/sched/idle.go
+++ b/internal/sched/idle.go
@@ -17,8 +17,12 @@
 func (p *pool) recordIdle(round int64, cands []*candidate) {
 	p.leftIdle, p.placedRound = p.leftIdle[:0], round
 	for _, c := range cands {
-		if !c.reserved && c.free.cpu > 0 {
-			p.leftIdle = append(p.leftIdle, idleVM{c.vm, c.free})
+		free := c.free
+		if c.reserved {
+			free = free.min(c.spare)
+		}
+		if free.cpu > 0 {
+			p.leftIdle = append(p.leftIdle, idleVM{c.vm, free})
 		}
 	}
 }
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -53,6 +53,7 @@
 	tasks         []*task
 	done          int               // number of tasks that are done
 	withoutRun    int               // number of tasks that are neither running nor done
+	heldSince     time.Time         // since when reserved room alone keeps its tasks from starting; zero if it does not
 	longestRun    time.Duration     // of the tasks that are done, as seen by this owner
 	unknownRun    bool              // the time of a task is not known, or is that of a slow VM
 	runTimes      []time.Duration   // of the tasks that are done; only of steps that allow copies
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -20,14 +20,12 @@
 
 // candidate is a VM with the resources that are still free in this round.
 type candidate struct {
-	vm      *vm
-	free    resources
-	usedCPU int // thousandths of a core in use, including best-effort tasks
-	// reserved excludes tasks that are not long-running, so that enough resources come
-	// free for a long-running task.
-	reserved bool
-	exposure float64 // crashLoss per core
-	trial    *job    // on trial there, or for which it is emptied; excludes tasks of other jobs
+	vm          *vm
+	free        resources
+	usedCPU     int     // thousandths of a core in use, including best-effort tasks
+	reservation         // for a long-running task
+	exposure    float64 // crashLoss per core
+	trial       *job    // on trial there, or for which it is emptied; excludes tasks of other jobs
 }
 
 // place starts the tasks that are ready, pool by pool.
@@ -59,6 +57,7 @@
 	if len(cands) == 0 {
 		return
 	}
+	p.mostlyIdle = isMostlyIdle(cands)
 	p.placeCores = 0
 	for _, c := range cands {
 		p.placeCores += float64(c.vm.CPU) / 1000
@@ -188,37 +187,21 @@
 		c := s.bestCandidate(now, t, cands)
 		if c == nil {
 			if st.Lasts && !j.order.excess {
-				s.reserve(t, cands)
+				s.reserve(now, t, cands)
 			}
 			if !st.Lasts && !st.Fills {
 				s.pool(j.Pool).fullAt = now
 			}
-			unplaced.add(j, st.Step)
+			if s.recordHeld(now, t, cands); st.heldSince.IsZero() { // reserved room depends on the run time too
+				unplaced.add(j, st.Step)
+			}
 			return
 		}
+		st.heldSince = time.Time{}
 		s.startOn(now, t, c, s.nextRunNumber(t))
 	}
 }
 
-// reserve keeps the candidate with the most free CPU for a long-running task that fits on
-// no VM. Otherwise smaller tasks would take each core as it comes free.
-func (s *Scheduler) reserve(t *task, cands []*candidate) {
-	var best *candidate
-	for _, c := range cands {
-		st := t.step
-		if c.reserved || c.trial != nil || !c.vm.holds(st.Step) ||
-			(st.PerVM > 0 && c.vm.countSameStep(t) >= st.PerVM) {
-			continue
-		}
-		if best == nil || c.free.cpu > best.free.cpu {
-			best = c
-		}
-	}
-	if best != nil {
-		best.reserved = true
-	}
-}
-
 // startable reports whether a task has no run and may get one. A task that may still be
 // running under an earlier owner's order may not.
 func (s *Scheduler) startable(now time.Time, t *task) bool {
@@ -231,12 +214,16 @@
 // startOn starts a task on a candidate and allocates its resources.
 func (s *Scheduler) startOn(now time.Time, t *task, c *candidate, number int64) {
 	s.start(now, t, c.vm, number)
-	c.allocate(t.step.Step)
+	s.allocate(now, t, c)
 }
 
-func (c *candidate) allocate(st *jobs.Step) {
-	c.free.allocate(st)
-	c.usedCPU += st.CPU
+// allocate allocates a task's resources on a candidate, and its part of what is spare beside reserved room.
+func (s *Scheduler) allocate(now time.Time, t *task, c *candidate) {
+	c.free.allocate(t.step.Step)
+	c.usedCPU += t.step.CPU
+	if c.reserved && s.outlasts(now, t, &c.reservation) {
+		c.spare.allocate(t.step.Step)
+	}
 }
 
 func (c *candidate) fits(st *jobs.Step) bool { return c.free.fits(st) }
@@ -250,6 +237,20 @@
 	r.gpu -= st.GPU
 }
 
+// min returns the smaller of each resource.
+func (r resources) min(x resources) resources {
+	return resources{cpu: min(r.cpu, x.cpu), mem: min(r.mem, x.mem), gpu: min(r.gpu, x.gpu)}
+}
+
+// release returns what a task reserved.
+func (r *resources) release(st *jobs.Step) {
+	if !st.Fills {
+		r.cpu += st.CPU
+	}
+	r.mem += st.MemMB
+	r.gpu += st.GPU
+}
+
 // fits reports whether a task can reserve what it needs.
 func (r *resources) fits(st *jobs.Step) bool {
 	return (st.Fills || r.cpu >= st.CPU) && r.mem >= st.MemMB && r.gpu >= st.GPU
@@ -272,8 +273,16 @@
 
 // allowed reports whether a task may run on a candidate.
 func (s *Scheduler) allowed(now time.Time, t *task, c *candidate) bool {
+	if (c.trial != nil && c.trial != t.job) || !c.fits(t.step.Step) || !s.suits(now, t, c) {
+		return false
+	}
+	return !c.reserved || t.step.Lasts || s.mayUseReserved(now, t, c)
+}
+
+// suits reports whether a task may run on a candidate, apart from the room there.
+func (s *Scheduler) suits(now time.Time, t *task, c *candidate) bool {
 	st := t.step
-	if (c.reserved && !st.Lasts) || (c.trial != nil && c.trial != t.job) || !c.fits(st.Step) || (st.Label != "" && !c.vm.Has(st.Label)) {
+	if st.Label != "" && !c.vm.Has(st.Label) {
 		return false
 	}
 	if st.PerVM > 0 && c.vm.countSameStep(t) >= st.PerVM {
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -93,6 +93,7 @@
 	idleBefore        []idleVM       // buffer of fitsIdle
 	leftIdle          []idleVM       // as of placedRound
 	fullAt            time.Time      // when a task of another than a suspect's job last found no room
+	mostlyIdle        bool           // as of the last round that had jobs in the pool
 	trialsWait        time.Time      // when a suspect last found no VM without long-running tasks
 	placedRound       int64          // number of the last round that had jobs in the pool
 
--- a/internal/stand/emul/worker.go
+++ b/internal/stand/emul/worker.go
@@ -36,6 +36,7 @@
 	startedAt      time.Time
 	clockDrift     float64 // fraction by which its clock is slow; 0.01 loses 10 ms per second
 	usedCPU        int     // thousandths of a core
+	usedMemMB      int
 	capacity       []capacityChange
 	onCrash        func(*Worker)
 	mu             sync.Mutex
@@ -167,6 +168,7 @@
 	a.timer.Stop()
 	delete(w.running, name)
 	w.usedCPU -= a.task.CPU
+	w.usedMemMB -= a.task.MemMB
 	w.ledger.end(a.taskRun, how, w.healthy())
 	w.lastSequence++
 	w.runEnds = append(w.runEnds, runEnd{w.lastSequence, name, a.taskRun.Run, how, a.taskRun})
@@ -276,7 +278,7 @@
 
 // start handles an order to start a run. It renews the lease, also if it refuses the order. It
 // refuses the order if UntilMS has passed (late), if the run has ended or was ordered to stop, or
-// another run of the task is active (old), or if the VM has too little free CPU (room). A repeated
+// another run of the task is active (old), or if the VM has too little free CPU or memory (room). A repeated
 // order for an active run succeeds.
 func (w *Worker) start(rw http.ResponseWriter, b *workerRequest) {
 	w.mu.Lock()
@@ -292,7 +294,7 @@
 	case w.running[b.Task] != nil:
 	default:
 		task := w.lookup(b.Task)
-		if !w.Unguarded && w.usedCPU+task.CPU > w.cpu() {
+		if !w.Unguarded && (w.usedCPU+task.CPU > w.cpu() || w.usedMemMB+task.MemMB > vmMemMB) {
 			w.refuse(rw, "room")
 			return
 		}
@@ -315,6 +317,7 @@
 	}
 	a := &activeRun{taskRun: taskRun, task: task}
 	w.usedCPU += task.CPU
+	w.usedMemMB += task.MemMB
 	w.running[b.Task] = a
 	if task.CrashesVM {
 		taskRun.CrashesVM = true
--- a/internal/stand/soak/account.go
+++ b/internal/stand/soak/account.go
@@ -18,6 +18,7 @@
 const (
 	floodAccount   = "flood"
 	rotatedAccount = "rotated"
+	waitingAccount = "standing"             // of jobs that are submitted at once; its weight keeps them within its share
 	quotaOverage   = 0.1                    // fraction above its quota that an account may have running
 	floodCPU       = 12_000                 // quota of floodAccount, in thousandths of a core
 	revokeLimit    = 5 * time.Second        // after which a strict entry without news refuses keyed calls
@@ -50,6 +51,7 @@
 		{Name: rotatedAccount, Keys: []string{key}, Weight: 5},
 		{Name: floodAccount, Keys: []string{lastingKey(floodAccount)}, Weight: 5, Limit: emul.Resources{CPU: floodCPU}},
 	}
+	accounts = append(accounts, emul.Account{Name: waitingAccount, Keys: []string{lastingKey(waitingAccount)}, Weight: 500})
 	for _, name := range callerAccounts {
 		accounts = append(accounts, emul.Account{Name: name, Keys: []string{lastingKey(name)}, Weight: 20})
 	}
--- a/internal/stand/soak/caller.go
+++ b/internal/stand/soak/caller.go
@@ -20,6 +20,7 @@
 type step struct {
 	Count       int   `json:"count"`
 	CPU         int   `json:"cpu,omitempty"` // of each task, in thousandths of a core
+	MemMB       int   `json:"memMb,omitempty"`
 	EstimateMS  int64 `json:"estimateMs,omitempty"`
 	After       []int `json:"after,omitempty"`
 	LongRunning bool  `json:"longRunning,omitempty"`
@@ -39,7 +40,8 @@
 	Queue         string
 	Spec          string
 	Steps         []step
-	Shape         string // name in shapes
+	Shape         string // name in shapes, or of the load that the job belongs to
+	mayWait       bool   // the VMs have no room for all its tasks
 	mu            sync.Mutex
 	acceptedAt    time.Time // when the submission was acknowledged
 	refusedAt     time.Time // when the caller gave up after refusals only, which say that the job has not run
@@ -127,7 +129,7 @@
 		return emul.Task{}
 	}
 	st := &j.Steps[id.Step]
-	return emul.Task{Account: j.Account, CPU: st.CPU, Duration: st.duration, LongRunning: st.LongRunning, FailingRuns: st.failingRuns, CrashesVM: st.crashesVM && id.Index == 0}
+	return emul.Task{Account: j.Account, CPU: st.CPU, MemMB: st.MemMB, Duration: st.duration, LongRunning: st.LongRunning, FailingRuns: st.failingRuns, CrashesVM: st.crashesVM && id.Index == 0}
 }
 
 // caller submits, queries and cancels jobs over one persistent connection.
--- a/internal/stand/soak/fault.go
+++ b/internal/stand/soak/fault.go
@@ -273,6 +273,25 @@
 	}
 }
 
+// submitWaiting submits more long-running tasks than the VMs have memory for, in every third seed. They need
+// few cores, so that the other jobs have as much room as without them.
+func (harness *Harness) submitWaiting(ctx context.Context) {
+	const jobs, cpu, memMB = 24, 50, 9000
+	if harness.cfg.Seed%3 != 0 {
+		return
+	}
+	c := newCaller(harness, harness.cfg.Seed, 1<<34)
+	c.account, c.key = waitingAccount, lastingKey(waitingAccount)
+	for range jobs {
+		j := c.newJob("waiting", []step{{Count: 1, CPU: cpu, MemMB: memMB, LongRunning: true, MayMiss: 1}})
+		j.mayWait = true
+		c.submitJob(ctx, j)
+	}
+	harness.mu.Lock()
+	defer harness.mu.Unlock()
+	harness.extraCallers = append(harness.extraCallers, c)
+}
+
 // shrinkVM reduces a VM's capacity to a part.
 func shrinkVM(harness *Harness, r *rand.Rand) func() {
 	cpu := 1000 * r.IntN(6)
--- a/internal/stand/soak/settle.go
+++ b/internal/stand/soak/settle.go
@@ -75,7 +75,7 @@
 }
 
 // unfinishedReason returns why a job is not finished, empty if it is. A long-running job
-// that is not cancelled counts as finished while all its tasks run. For a cancelled job, it
+// that is not cancelled counts as finished while all its tasks run, or if there is no room for them. For a cancelled job, it
 // sends the cancellation again.
 func (harness *Harness) unfinishedReason(c *caller, j *Job, h history) string {
 	j.mu.Lock()
@@ -94,7 +94,7 @@
 	for s := range j.Steps {
 		for i := range j.Steps[s].Count {
 			running := isRunning(h[formatTaskID(j, s, i)])
-			if mustHaveEnded := cancelled || !j.longRunning(); running == mustHaveEnded {
+			if mustHaveEnded := cancelled || !j.longRunning(); running == mustHaveEnded && (running || !j.mayWait) {
 				return fmt.Sprintf("task %s: running is %t, but the job is reported as %s", formatTaskID(j, s, i), running, state)
 			}
 		}
--- a/internal/stand/soak/soak.go
+++ b/internal/stand/soak/soak.go
@@ -155,6 +155,7 @@
 func (harness *Harness) applyLoad() []*caller {
 	ctx, stop := context.WithTimeout(context.Background(), harness.cfg.Duration)
 	defer stop()
+	harness.submitWaiting(ctx)
 	var callers []*caller
 	var active sync.WaitGroup
 	for i := range harness.cfg.Callers {
--- a/internal/stand/soak/soak_test.go
+++ b/internal/stand/soak/soak_test.go
@@ -35,6 +35,7 @@
 		{1112, false, "the check counted the end of a run as acknowledged although the lease of its VM had expired before"},
 		{1021, false, "the check excused delayed orders by the time of the check instead of that of the run's start"},
 		{1120, false, "a VM on probation got no further run if its first one was of a long-running task"},
+		{3, false, "waiting long-running tasks kept all others of their pool from starting"},
 		{7, false, "fresh"},
 	}
 	program := buildProgram(t)
