drive: a job is looked up wherever its queue may have had its pool

Callers' jobs ran twice: a queue is dropped and added with another pool, a repeated submission arrives, and the new pool's partition accepts the job anew. An entry knew of a move only if the configuration just before had the queue with another pool.

An entry remembers the pools of dropped queues, and after its start asks the owners of all partitions which queues their jobs have; until an owner has answered, jobs are looked up there before they are accepted. The owner that is asked answers undecided for a job that is not stored yet, accepts no job for 10 s after another partition has looked it up, and none of a queue that has moved away by a newer configuration than the sender's. The new field and the new call are skipped by the version before, and an entry of the new version looks jobs up at it for as long as it does not know better.

The soak drops queues and adds them with another pool, and its callers repeat submissions over new connections; its probe takes status 404 for a queue that was dropped lately, as the platform says that no such queue exists then.

--- a/internal/drive/node.go
+++ b/internal/drive/node.go
@@ -59,15 +59,15 @@
 	incomingUntil   atomic.Int64  // Unix nanoseconds; until then VMs are expected to join a pool of this entry
 	assignmentKnown atomic.Bool   // the partitions are assigned, to this entry or to others; required for readiness
 
-	mu           sync.Mutex
-	partitions   map[int]*ownedPartition
-	peers        map[string]*peer.Client
-	vms          map[string]site.VM
-	vmsReadAt    time.Time          // when the VM list was last read; zero before
-	waves        map[int64]seenWave // by wave number
-	shown        shown.Notes
-	logRestored  restoration
-	queueMovedAt map[string]time.Time // when a queue last changed its pool, by queue name
+	mu          sync.Mutex
+	partitions  map[int]*ownedPartition
+	peers       map[string]*peer.Client
+	vms         map[string]site.VM
+	vmsReadAt   time.Time          // when the VM list was last read; zero before
+	waves       map[int64]seenWave // by wave number
+	shown       shown.Notes
+	logRestored restoration
+	queues      *queueHistory
 
 	assignmentRefresh chan struct{} // holds a pending request to read the partition assignment
 	rejoin            chan struct{} // signals that another entry has left the group: this entry joins again, to be assigned some of that entry's partitions
@@ -87,7 +87,8 @@
 	return &Node{
 		settings: settings, startedAt: time.Now(), planDelay: startupDelay, settleDelay: settleDelay, address: settings.AnnouncedAddress(), incarnation: settings.Entry + "-" + uuid.NewString()[:8],
 		policy:     schedPolicy(settings),
-		partitions: map[int]*ownedPartition{}, peers: map[string]*peer.Client{}, vms: map[string]site.VM{}, waves: map[int64]seenWave{}, queueMovedAt: map[string]time.Time{},
+		partitions: map[int]*ownedPartition{}, peers: map[string]*peer.Client{}, vms: map[string]site.VM{}, waves: map[int64]seenWave{},
+		queues:            newQueueHistory(time.Now(), settings.Log.Partitions, schedPolicy(settings).KeepFinal),
 		assignmentRefresh: make(chan struct{}, 1), rejoin: make(chan struct{}, 1), aborted: make(chan struct{}),
 	}
 }
@@ -124,6 +125,7 @@
 	go n.watchOperator(workCtx)
 	go n.watchVMs(workCtx)
 	go n.watchAssignment(workCtx)
+	go n.learnQueues(workCtx)
 	go n.syncWithPeers(workCtx)
 	memberDone := make(chan struct{})
 	memberCtx, leave := context.WithCancel(workCtx)
@@ -227,7 +229,7 @@
 			return
 		}
 		if n.config.CompareAndSwap(old, c) {
-			n.recordQueueMoves(old, c, time.Now())
+			n.queues.configure(time.Now(), c)
 			n.accountLabels.setAccounts(c.Accounts)
 			logrus.WithFields(logrus.Fields{"version": c.Version, "from": from, "routes": len(c.Routes), "accounts": len(c.Accounts)}).Info("configuration in force")
 			return
@@ -313,6 +315,9 @@
 	peer.Handle(s, yieldKind, func(ctx context.Context, _ string, c *yieldCall) (*yieldReply, error) {
 		return &yieldReply{Yielded: n.yield(ctx, c)}, nil
 	})
+	peer.Handle(s, queuesKind, func(ctx context.Context, _ string, c *queuesCall) (*queuesReply, error) {
+		return n.queuesLocal(ctx, c)
+	})
 	n.handleShownCalls(s)
 	peer.Handle(s, announceKind, func(_ context.Context, _ string, a *announcement) (*empty, error) {
 		n.handleClaim(a.Partition, a.Owner, "announcement")
--- a/internal/drive/partition.go
+++ b/internal/drive/partition.go
@@ -48,12 +48,13 @@
 	sessions     map[string]*vmSession
 	sessionCount atomic.Int64         // len(sessions), for other goroutines
 	waiters      map[string][]*waiter // by job identifier
-	flushing     bool                 // an append is in progress
-	flushedAt    time.Time            // start of the last append
-	logDownSince time.Time            // start of the current series of failed appends; zero if the last one succeeded
-	nextAppendAt time.Time            // no append starts earlier
-	handedOver   chan struct{}        // closed once the handover record is stored
-	releasing    atomic.Bool          // the partition is no longer assigned to this entry, which serves it until the handover
+	lookUps      lookUps
+	flushing     bool          // an append is in progress
+	flushedAt    time.Time     // start of the last append
+	logDownSince time.Time     // start of the current series of failed appends; zero if the last one succeeded
+	nextAppendAt time.Time     // no append starts earlier
+	handedOver   chan struct{} // closed once the handover record is stored
+	releasing    atomic.Bool   // the partition is no longer assigned to this entry, which serves it until the handover
 
 	lastRoundAt    time.Time       // zero before the first round
 	unconfirmed    bool            // no decisions until the log has confirmed the ownership
@@ -73,7 +74,7 @@
 		node: n, number: partition, store: platform.NewLog(n.settings), ctx: ctx, cancel: cancel,
 		log:           logrus.WithField("partition", partition),
 		appendTimeout: newTimeout(minAppendTimeout), events: make(chan func(time.Time), eventBuffer), done: make(chan struct{}), loaded: make(chan struct{}), handedOver: make(chan struct{}),
-		vmCalls: vmcall.NewGroup(), sessions: map[string]*vmSession{}, waiters: map[string][]*waiter{},
+		vmCalls: vmcall.NewGroup(), sessions: map[string]*vmSession{}, waiters: map[string][]*waiter{}, lookUps: lookUps{},
 	}
 	go part.run()
 	return part
--- a/internal/drive/proto.go
+++ b/internal/drive/proto.go
@@ -29,6 +29,7 @@
 	reportKind    = "pool-report" // the mover's request for a pool's report
 	shownNoteKind = "shown-notes" // jobs that are shown as completed, to another entry than their owner
 	shownKind     = "shown-jobs"  // a new owner's request for such jobs
+	queuesKind    = "queues"      // a request for the queues of a partition's jobs, to its owner
 	explainKind   = "explain"     // an operator's request to show a job, to the owner of its partition
 )
 
@@ -43,6 +44,9 @@
 	// BeforeSubmit marks the look-up of a job that is about to be submitted. A job of another account
 	// is then not hidden, but refused as the submission would be.
 	BeforeSubmit bool
+	// ConfigVersion is that of the configuration by which the entry has chosen the partition; 0 from earlier
+	// versions of the program.
+	ConfigVersion int64
 }
 
 // syncCall asks another entry for its configuration, if newer, and its known owners.
--- /dev/null
+++ b/internal/drive/queues.go
@@ -0,0 +1,218 @@
+package drive
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/greengagelane/greengagelane/internal/peer"
+	"github.com/greengagelane/greengagelane/pkg/site"
+)
+
+const (
+	queuesInterval = 50 * time.Millisecond  // between two attempts to learn the queues of all partitions
+	queuesTimeout  = 300 * time.Millisecond // for an owner to name the queues of its jobs
+	lookUpWindow   = 10 * time.Second       // for which a job is not accepted after another partition was about to; longer than callers retry
+	maxLookUps     = 10_000                 // remembered by a partition
+)
+
+// queuesCall asks a partition's owner for the queues of its jobs.
+type queuesCall struct{ Partition int }
+
+// queuesReply names the queues of the jobs that the partition holds. Owner is false if the entry does not own it.
+type queuesReply struct {
+	Owner  bool
+	Queues []string
+}
+
+// queueHistory tells which queues may have jobs in the partitions of former pools. A new entry learns that from
+// the owners of all partitions; until each of them has answered, any queue may. A queue that is dropped is
+// remembered, since a later configuration may add it with another pool.
+type queueHistory struct {
+	mu         sync.Mutex
+	partitions int
+	keep       time.Duration           // how long jobs are known after their end
+	unknown    map[int]bool            // partitions whose owners have not answered yet
+	startedAt  time.Time               // of the entry; later moves are known from its configurations
+	pools      map[string]formerPool   // by host and path prefix of a queue
+	movedAt    map[string]time.Time    // when a queue last changed its pool, by queue name
+	heldIn     map[string]map[int]bool // partitions that held jobs of a queue when this entry started, by queue name
+}
+
+// formerPool is the last pool of a queue. droppedAt is zero while the queue is in the configuration.
+type formerPool struct {
+	pool      string
+	droppedAt time.Time
+}
+
+func newQueueHistory(now time.Time, partitions int, keep time.Duration) *queueHistory {
+	h := &queueHistory{
+		partitions: partitions, keep: keep, startedAt: now, unknown: map[int]bool{}, pools: map[string]formerPool{}, movedAt: map[string]time.Time{}, heldIn: map[string]map[int]bool{},
+	}
+	for p := range partitions {
+		h.unknown[p] = true
+	}
+	return h
+}
+
+// configure records the queues of a new configuration.
+func (h *queueHistory) configure(now time.Time, c *site.Config) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	present := map[string]bool{}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		key := r.Host + r.Prefix
+		present[key] = true
+		if last, known := h.pools[key]; known && last.pool != r.Pool {
+			h.movedAt[r.Name] = now
+		}
+		h.pools[key] = formerPool{pool: r.Pool}
+	}
+	for key, last := range h.pools {
+		switch {
+		case present[key]:
+		case last.droppedAt.IsZero():
+			h.pools[key] = formerPool{pool: last.pool, droppedAt: now}
+		case now.Sub(last.droppedAt) > h.keep:
+			delete(h.pools, key)
+		}
+	}
+}
+
+// learn records the queues of the jobs in a partition.
+func (h *queueHistory) learn(partition int, queues []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.unknown, partition)
+	for _, q := range queues {
+		if h.heldIn[q] == nil {
+			h.heldIn[q] = map[int]bool{}
+		}
+		h.heldIn[q][partition] = true
+	}
+}
+
+// missing returns the partitions whose queues are not known yet; none once the jobs of that time are forgotten.
+func (h *queueHistory) missing(now time.Time) []int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if now.Sub(h.startedAt) > h.keep {
+		return nil
+	}
+	var list []int
+	for p := range h.unknown {
+		list = append(list, p)
+	}
+	slices.Sort(list)
+	return list
+}
+
+// elsewhere returns the partitions, other than the given one, that may hold jobs of a queue.
+func (h *queueHistory) elsewhere(now time.Time, queue string, partition int) []int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	at, moved := h.movedAt[queue]
+	moved = moved && now.Sub(at) < h.keep
+	started := now.Sub(h.startedAt) < h.keep
+	var list []int
+	for p := range h.partitions {
+		if p != partition && (moved || (started && (h.unknown[p] || h.heldIn[queue][p]))) {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
+// learnQueues asks the owners of all partitions for the queues of their jobs until each has answered.
+func (n *Node) learnQueues(ctx context.Context) {
+	for ctx.Err() == nil {
+		missing := n.queues.missing(time.Now())
+		if len(missing) == 0 {
+			logrus.WithField("took-ms", time.Since(n.startedAt).Milliseconds()).Info("queues of all partitions known")
+			return
+		}
+		for _, p := range missing {
+			if r := n.askQueues(ctx, p); r != nil && r.Owner {
+				n.queues.learn(p, r.Queues)
+			}
+		}
+		sleep(ctx, queuesInterval)
+	}
+}
+
+// askQueues asks a partition's owner for the queues of its jobs; the reply is nil if none answers.
+func (n *Node) askQueues(ctx context.Context, partition int) *queuesReply {
+	c := &queuesCall{Partition: partition}
+	ctx, cancel := context.WithTimeout(ctx, queuesTimeout)
+	defer cancel()
+	if r, err := n.queuesLocal(ctx, c); err == nil && r.Owner {
+		return r
+	}
+	for _, address := range n.owners.addresses(partition) {
+		if address == n.address {
+			continue
+		}
+		r, err := peer.Call[queuesCall, queuesReply](ctx, n.peer(address), queuesKind, c)
+		if err != nil {
+			logrus.WithError(err).WithFields(logrus.Fields{"peer": address, "partition": partition}).Debug("owner did not name the queues of its jobs")
+			continue
+		}
+		if r.Owner {
+			return r
+		}
+	}
+	return nil
+}
+
+// queuesLocal names the queues of the jobs in a partition of this entry.
+func (n *Node) queuesLocal(ctx context.Context, c *queuesCall) (*queuesReply, error) {
+	part := n.lookupPartition(c.Partition)
+	if part == nil || !part.isLoaded() {
+		return &queuesReply{}, nil
+	}
+	return runOnPartition(ctx, part, func(part *ownedPartition, _ time.Time) *queuesReply {
+		return &queuesReply{Owner: !part.scheduler.Retired() && !part.scheduler.Fenced(), Queues: part.scheduler.Queues()}
+	})
+}
+
+// lookUps are the jobs that other partitions have looked up before they accept them.
+type lookUps map[string]time.Time
+
+// record records a look-up of a job that this partition does not hold.
+func (l lookUps) record(now time.Time, id string) {
+	if len(l) >= maxLookUps {
+		for x, at := range l {
+			if now.Sub(at) > lookUpWindow {
+				delete(l, x)
+			}
+		}
+	}
+	if len(l) < maxLookUps {
+		l[id] = now
+	}
+}
+
+// recent reports whether another partition may have accepted a job.
+func (l lookUps) recent(now time.Time, id string) bool {
+	at, found := l[id]
+	return found && now.Sub(at) < lookUpWindow
+}
+
+// movedAway reports whether a queue belongs to another partition by a configuration that is newer than the one
+// by which a request was sent here.
+func (part *ownedPartition) movedAway(c *jobCall) bool {
+	cfg := part.node.Config()
+	if cfg == nil || c.ConfigVersion == 0 || cfg.Version <= c.ConfigVersion {
+		return false
+	}
+	for i := range cfg.Routes {
+		if cfg.Routes[i].Name == c.Queue {
+			return part.node.partitionOf(cfg.Routes[i].Pool) != part.number
+		}
+	}
+	return true
+}
--- a/internal/drive/requests.go
+++ b/internal/drive/requests.go
@@ -98,7 +98,14 @@
 	}
 	switch c.Kind {
 	case site.SubmitJob:
-		part.submit(now, c.Job, w)
+		switch {
+		case !part.scheduler.Known(c.ID) && part.lookUps.recent(now, c.ID):
+			w.answer(site.Reply{Outcome: site.Undecided, Reason: "another partition may have accepted the job"})
+		case !part.scheduler.Known(c.ID) && part.movedAway(c):
+			w.answer(site.Reply{Outcome: site.NotOwner, Reason: "the queue has another pool now"})
+		default:
+			part.submit(now, c.Job, w)
+		}
 	case site.CancelJob:
 		if !part.scheduler.Cancel(now, c.ID) {
 			w.answer(site.Reply{Outcome: site.NoSuchJob})
@@ -107,7 +114,14 @@
 		part.addWaiter(w)
 	case site.ShowJob:
 		state, ok := part.scheduler.JobState(c.ID)
+		if !ok && c.BeforeSubmit && part.scheduler.Known(c.ID) {
+			w.answer(site.Reply{Outcome: site.Undecided, Reason: "the job log does not hold the job yet"})
+			return
+		}
 		if !ok {
+			if c.BeforeSubmit {
+				part.lookUps.record(now, c.ID)
+			}
 			w.answer(site.Reply{Outcome: site.NoSuchJob})
 			return
 		}
--- a/internal/drive/route.go
+++ b/internal/drive/route.go
@@ -28,6 +28,9 @@
 		req.Job.SubmittedMS = began.UnixMilli()
 	}
 	c := &jobCall{Partition: n.partitionOf(req.Route.Pool), Kind: req.Kind, Access: *access, ID: req.ID, Job: req.Job}
+	if cfg := n.Config(); cfg != nil {
+		c.ConfigVersion = cfg.Version
+	}
 	r := n.refuseUnconfirmed(req.Route, access, began)
 	if r == nil {
 		reply := n.dispatch(ctx, c, began)
@@ -52,14 +55,15 @@
 }
 
 // dispatch sends a request to the owner of its partition and, if the job is not known there,
-// to the owners of the other partitions. If the queue has recently changed its pool, the former
-// pool's partition may already hold a job that is submitted now. dispatch looks it up there
-// first, so that the job is not accepted twice.
+// to the owners of the other partitions. If another partition may hold jobs of the queue, it may
+// already hold a job that is submitted now. dispatch looks it up there first, so that the job is
+// not accepted twice.
 func (n *Node) dispatch(ctx context.Context, c *jobCall, now time.Time) site.Reply {
-	if c.Kind == site.SubmitJob && n.movedRecently(c.Queue, now) {
+	if c.Kind == site.SubmitJob {
 		show := *c
 		show.Kind, show.Job, show.BeforeSubmit = site.ShowJob, nil, true
-		switch r := n.tryOtherPartitions(ctx, &show, site.Reply{Outcome: site.NoSuchJob}); r.Outcome {
+		elsewhere := n.queues.elsewhere(now, c.Queue, c.Partition)
+		switch r := n.tryPartitions(ctx, &show, elsewhere, site.Reply{Outcome: site.NoSuchJob}); r.Outcome {
 		case site.NoSuchJob:
 		case site.OK:
 			return site.Reply{Outcome: site.OK}
@@ -74,41 +78,21 @@
 	return r
 }
 
-// movedRecently reports whether a queue changed its pool so recently that the former pool's
-// partition may still know its jobs.
-func (n *Node) movedRecently(queue string, now time.Time) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	at, moved := n.queueMovedAt[queue]
-	return moved && now.Sub(at) < n.policy.KeepFinal
-}
-
-// recordQueueMoves records the queues that a new configuration moves to another pool.
-func (n *Node) recordQueueMoves(old, c *site.Config, now time.Time) {
-	if old == nil {
-		return
-	}
-	pools := map[string]string{}
-	for i := range old.Routes {
-		pools[old.Routes[i].Host+old.Routes[i].Prefix] = old.Routes[i].Pool
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for i := range c.Routes {
-		r := &c.Routes[i]
-		if pool, known := pools[r.Host+r.Prefix]; known && pool != r.Pool {
-			n.queueMovedAt[r.Name] = now
-		}
-	}
-}
-
 // tryOtherPartitions sends a request to the other partitions: the job's queue may have had
 // another pool when the job was accepted. It returns notFound if none of them knows the job.
 func (n *Node) tryOtherPartitions(ctx context.Context, c *jobCall, notFound site.Reply) site.Reply {
+	var others []int
 	for p := range n.settings.Log.Partitions {
-		if p == c.Partition {
-			continue
+		if p != c.Partition {
+			others = append(others, p)
 		}
+	}
+	return n.tryPartitions(ctx, c, others, notFound)
+}
+
+// tryPartitions sends a request to partitions until one of them knows the job.
+func (n *Node) tryPartitions(ctx context.Context, c *jobCall, list []int, notFound site.Reply) site.Reply {
+	for _, p := range list {
 		other := *c
 		other.Partition = p
 		if r := n.callOwner(ctx, &other); r.Outcome != site.NoSuchJob {
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -219,6 +221,15 @@
 	return jobs.Queued, true
 }
 
+// Queues returns the names of the queues of all known jobs, in order.
+func (s *Scheduler) Queues() []string {
+	names := map[string]bool{}
+	for _, j := range s.jobs {
+		names[j.Queue] = true
+	}
+	return slices.Sorted(maps.Keys(names))
+}
+
 // Waiting counts the accepted jobs of a queue of which no task has started.
 func (s *Scheduler) Waiting(queue string) int {
 	n := 0
--- a/internal/stand/soak/account.go
+++ b/internal/stand/soak/account.go
@@ -138,8 +138,9 @@
 func (p *probe) sendInvalidKey(key, what string) {
 	p.key = key
 	method, body := p.randomRequest()
-	path := "/" + p.randomQueue() + "/" + fmt.Sprintf("%016x", p.r.Uint64())
-	if status, reply, _ := p.send(method, path, body); status != http.StatusUnauthorized && !noAnswer(status) {
+	queue := p.randomQueue()
+	path := "/" + queue + "/" + fmt.Sprintf("%016x", p.r.Uint64())
+	if status, reply, _ := p.send(method, path, body); status != http.StatusUnauthorized && !noAnswer(status) && !p.harness.isDropped(queue, status) {
 		p.harness.reportViolation("%s %s with a key %s got status %d from %s: %s", method, path, what, status, p.harness.entryName(p.entry), reply)
 	}
 }
@@ -166,7 +167,7 @@
 	if method == http.MethodPost {
 		want = http.StatusServiceUnavailable
 	}
-	if status, reply, _ := p.send(method, "/"+j.Queue+"/"+j.ID, body); status != want && !noAnswer(status) {
+	if status, reply, _ := p.send(method, "/"+j.Queue+"/"+j.ID, body); status != want && !noAnswer(status) && !p.harness.isDropped(j.Queue, status) {
 		p.harness.reportViolation("%s of job %s of account %s with the key of %s got status %d from %s: %s", method, j.ID, j.Account, p.account, status, p.harness.entryName(p.entry), reply)
 	}
 }
--- a/internal/stand/soak/caller.go
+++ b/internal/stand/soak/caller.go
@@ -198,6 +198,8 @@
 			c.submit(ctx)
 		case x < 5:
 			c.cancel(c.accepted[c.r.IntN(len(c.accepted))])
+		case x < 6:
+			c.repeatSubmission(c.accepted[c.r.IntN(len(c.accepted))])
 		default:
 			c.queryState(c.accepted[c.r.IntN(len(c.accepted))])
 		}
@@ -259,6 +261,11 @@
 		case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		case 0, http.StatusBadGateway, http.StatusGatewayTimeout:
 			onlyRefusals = false
+		case http.StatusNotFound:
+			if !c.harness.isDropped(j.Queue, status) {
+				c.harness.reportViolation("submission of job %s to queue %s got status 404", j.ID, j.Queue)
+				return
+			}
 		default:
 			c.harness.reportViolation("submission of job %s got the unexpected reply %d %s", j.ID, status, reply)
 			return
@@ -272,6 +279,17 @@
 	}
 }
 
+// repeatSubmission sends the submission of an accepted job once more, over a new connection.
+func (c *caller) repeatSubmission(j *Job) {
+	body, err := json.Marshal(map[string]any{"spec": j.Spec, "steps": j.Steps})
+	if err != nil {
+		return
+	}
+	c.client.CloseIdleConnections()
+	c.client, c.entry = newClient(), nil
+	c.send(http.MethodPost, "/"+j.Queue+"/"+j.ID, body)
+}
+
 func (c *caller) hasLongRunning() bool {
 	for _, j := range c.accepted {
 		if j.longRunning() && j.cancelSentAt.IsZero() {
--- a/internal/stand/soak/check.go
+++ b/internal/stand/soak/check.go
@@ -12,6 +12,7 @@
 // Time limits of the invariants.
 const (
 	visibilityLimit = 3 * time.Second         // longest time from the acceptance of a job until every entry knows the job
+	dropLimit       = 15 * time.Second        // after a queue has moved, until which an entry that was cut off may not know it
 	cancelLimit     = 3 * time.Second         // longest time from the acknowledgement of a cancellation until the last start of a run of the job
 	absenceLimit    = 4500 * time.Millisecond // a long-running task without a run is unavailable after this time
 )
--- a/internal/stand/soak/fault.go
+++ b/internal/stand/soak/fault.go
@@ -51,6 +51,7 @@
 	{"VM crashes", 4, crashVM},
 	{"VM has less room", 4, shrinkVM},
 	{"configuration changes", 2, func(harness *Harness, _ *rand.Rand) func() { harness.configure(); return nil }},
+	{"queue moves to another pool", 2, func(harness *Harness, r *rand.Rand) func() { harness.moveQueue(r); return nil }},
 	{"maintenance wave", 1, func(harness *Harness, r *rand.Rand) func() { harness.requestWave(r); return nil }},
 }
 
--- a/internal/stand/soak/soak.go
+++ b/internal/stand/soak/soak.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
@@ -49,7 +50,7 @@
 	platform *emul.Platform
 	entries  []*Entry
 	registry *JobRegistry
-	queues   []emul.Queue // that callers submit to
+	queues   []emul.Queue // that callers submit to; publishing guards their pools
 
 	publishing sync.Mutex // held while a version of the configuration is made and published
 
@@ -58,11 +59,12 @@
 	links           map[string]*Link       // by VM
 	orderFaultTimes map[string][]time.Time // by VM: when faults that delay orders to it started and ended
 	readyEntries    []*Entry
-	version         int64        // of the newest configuration
-	keys            []rotatedKey // of rotatedAccount, in the order of their versions
-	waveCount       int          // maintenance waves requested
-	extraCallers    []*caller    // of jobs that belong to a fault
-	faultCount      int          // faults injected; only injectFaults writes it, without mu
+	version         int64                // of the newest configuration
+	keys            []rotatedKey         // of rotatedAccount, in the order of their versions
+	waveCount       int                  // maintenance waves requested
+	extraCallers    []*caller            // of jobs that belong to a fault
+	movedAt         map[string]time.Time // when a queue was last moved, by queue
+	faultCount      int                  // faults injected; only injectFaults writes it, without mu
 }
 
 // pools are the pools of the configuration, apart from the spare pool rest.
@@ -77,7 +79,7 @@
 // RunSeed runs the soak with one seed and writes the event log to out.
 func RunSeed(cfg Config, out io.Writer) (*Result, error) {
 	harness := &Harness{
-		cfg: cfg, out: out, began: time.Now(), registry: &JobRegistry{jobs: map[string]*Job{}}, links: map[string]*Link{}, orderFaultTimes: map[string][]time.Time{},
+		cfg: cfg, out: out, began: time.Now(), registry: &JobRegistry{jobs: map[string]*Job{}}, links: map[string]*Link{}, orderFaultTimes: map[string][]time.Time{}, movedAt: map[string]time.Time{},
 		queues: []emul.Queue{{Name: "qa", Pool: "alpha"}, {Name: "qb", Pool: "beta"}},
 	}
 	defer harness.close()
@@ -255,12 +257,47 @@
 func (harness *Harness) configure() {
 	harness.publishing.Lock() // versions reach the log in their order
 	defer harness.publishing.Unlock()
+	harness.publish(harness.queues)
+}
+
+// moveQueue drops a random queue and adds it again with another pool.
+func (harness *Harness) moveQueue(r *rand.Rand) {
+	harness.publishing.Lock()
+	defer harness.publishing.Unlock()
+	i, pause := r.IntN(len(harness.queues)), randomDuration(r, time.Second)
+	q := &harness.queues[i]
+	harness.log("queue %s of pool %s is dropped, and added with another pool after %s", q.Name, q.Pool, pause)
+	harness.setMoved(q.Name)
+	harness.publish(slices.Delete(slices.Clone(harness.queues), i, i+1))
+	time.Sleep(pause)
+	q.Pool = pools[(slices.Index(pools, q.Pool)+1)%len(pools)]
+	harness.publish(harness.queues)
+	harness.setMoved(q.Name)
+}
+
+// setMoved records that a queue is being moved.
+func (harness *Harness) setMoved(queue string) {
+	harness.mu.Lock()
+	defer harness.mu.Unlock()
+	harness.movedAt[queue] = time.Now()
+}
+
+// isDropped reports whether a status says that an entry does not know a queue, which was dropped lately.
+func (harness *Harness) isDropped(queue string, status int) bool {
+	harness.mu.Lock()
+	defer harness.mu.Unlock()
+	at, moved := harness.movedAt[queue]
+	return status == http.StatusNotFound && moved && time.Since(at) < dropLimit
+}
+
+// publish writes the next version of the configuration with the given queues; harness.publishing is held.
+func (harness *Harness) publish(queues []emul.Queue) {
 	harness.mu.Lock()
 	harness.version += 2
 	version := harness.version
 	accounts := harness.rotateKey(version)
 	harness.mu.Unlock() // the platform locks it too, to open links to new VMs
-	queues := append([]emul.Queue{{Name: fmt.Sprintf("extra-%d", version), Pool: "alpha"}}, harness.queues...)
+	queues = append([]emul.Queue{{Name: fmt.Sprintf("extra-%d", version), Pool: "alpha"}}, queues...)
 	if err := harness.platform.Publish(&emul.Configuration{Version: version, Queues: queues, Pools: pools, Accounts: accounts}); err != nil {
 		harness.reportViolation("%v", err)
 	}
