platform: odd records of lists name no VM and hide no other

Other operators saw processes end, or stop following the list, at one odd record among those of the VMs. Here no process ended, but records with a port out of range, or with numbers that no VM reports, were taken for VMs, a key that is not valid UTF-8 made a read of the list endless, and a row of the inventory that could not be decoded stopped all moves and maintenance.

The emulator always has ten odd records in its VM list.

--- a/internal/stand/emul/platform.go
+++ b/internal/stand/emul/platform.go
@@ -95,6 +95,7 @@
 			}
 		}
 	}
+	p.putOddRecords()
 	go p.renewVMRecords()
 	return p, nil
 }
