sched: a gang starts from one checkpoint

Callers' gangs that save their progress did no more work after the crash of one VM: checkpoints were kept for each task, and the gang was started from different ones, with which its members wait for one another and end alone. A gang has one checkpoint now, that of the member that was furthest when last heard of; records of earlier versions are made equal.

Before the change TestGangStartsFromOneCheckpoint fails in five of six rows and TestStoredCheckpointsOfGangAreUnified fails.

--- a/internal/sched/copyruns.go
+++ b/internal/sched/copyruns.go
@@ -25,11 +25,15 @@
 }
 
 // keepCheckpoint stores a checkpoint of a run, unless another run of the task is further. r is nil if
-// the run is not tracked.
-func (t *task) keepCheckpoint(r *run, checkpoint string) {
+// the run is not tracked. progress is that of the run at the time, see gangProgress.
+func (t *task) keepCheckpoint(r *run, number int64, progress int, checkpoint string) {
 	if checkpoint == "" {
 		return
 	}
+	if t.step.Gang {
+		t.step.keepGangCheckpoint(number, progress, checkpoint)
+		return
+	}
 	for _, other := range t.runs {
 		if t.step.copyable() && r != other && (r == nil || other.percent >= r.percent) {
 			return
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -55,6 +55,7 @@
 	withoutRun    int               // number of tasks that are neither running nor done
 	heldSince     time.Time         // since when reserved room alone keeps its tasks from starting; zero if it does not
 	deadly        bool              // a task of a long-running step was proved to crash its VMs
+	saved         gangProgress      // of a gang, when its checkpoint was made
 	longestRun    time.Duration     // of the tasks that are done, as seen by this owner
 	unknownRun    bool              // the time of a task is not known, or is that of a slow VM
 	runTimes      []time.Duration   // of the tasks that are done; only of steps that allow copies
--- a/internal/sched/observe.go
+++ b/internal/sched/observe.go
@@ -307,7 +307,7 @@
 		r.availableSince = now
 	}
 	r.reportedTailMS = x.Load
-	r.task.keepCheckpoint(r, x.Checkpoint)
+	r.task.keepCheckpoint(r, r.number, x.Percent, x.Checkpoint)
 }
 
 // handleRunEnd processes a run end that a VM reports.
@@ -338,7 +338,7 @@
 		return
 	}
 	t.lastRun = max(t.lastRun, e.Run)
-	t.keepCheckpoint(r, e.Checkpoint)
+	t.keepCheckpoint(r, e.Run, endProgress(e.How), e.Checkpoint)
 	s.recordOutcome(now, v, id.Job, e.How)
 	s.markBegan(now, j)
 	switch e.How {
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -143,6 +143,7 @@
 	for id, j := range s.jobs {
 		if p := progress[id]; p != nil {
 			j.restore(p)
+			s.unifyCheckpoints(j)
 			s.losses.restore(now, j, p)
 		}
 	}
