sched: a job whose append is in doubt can be cancelled

A caller's DELETE was answered 410 while the append of its job was in doubt, and the job ran after the outage: Cancel took a job that is not stored for one that does not exist. It is now stored as cancelled after its append, whichever way that ends, and the cancellation is answered once that is stored. TestCancelOfJobInDoubt fails before (answered as unknown), and passes now.

--- a/internal/sched/submit.go
+++ b/internal/sched/submit.go
@@ -146,11 +146,11 @@
 	return true
 }
 
-// Cancel cancels a job and reports whether the job log holds the job. The cancellation is
-// durable once FinalStored reports so.
+// Cancel cancels a job and reports whether it is known. The cancellation is durable once FinalStored
+// reports so. It also covers a job whose append is in doubt: the job is stored as cancelled after it.
 func (s *Scheduler) Cancel(now time.Time, id string) bool {
 	j := s.jobs[id]
-	if j == nil || !j.stored {
+	if j == nil {
 		return false
 	}
 	if !j.state.Final() {
