sched: records of jobs fit into the job log

A job with a record beyond the log's limit stopped its partition: the append was refused and repeated without end. Such a job is refused with 413 now, schedules open as many occurrences as fit, and progress that still does not fit is stored without checkpoints or, as the last resort, fails its own job. Before, nothing bounded the records: the parts of TestRecordsFitTheJobLog fail without the checks (the schedule writes a progress record of several times the limit). The emulator's log refuses what exceeds the platform's limits.

--- a/internal/drive/metrics.go
+++ b/internal/drive/metrics.go
@@ -37,6 +37,7 @@
 	add("stalled", current.Stalled-last.Stalled)
 	metrics.GetOrCreateCounter(`greengagelane_vms_lost_total`).Add(current.LostVMs - last.LostVMs)
 	metrics.GetOrCreateCounter(`greengagelane_jobs_given_up_total`).Add(current.GivenUp - last.GivenUp)
+	metrics.GetOrCreateCounter(`greengagelane_jobs_too_large_total`).Add(current.TooLarge - last.TooLarge)
 	add("copy-started", current.Copies-last.Copies)
 	add("copy-won", current.CopiesWon-last.CopiesWon)
 	metrics.GetOrCreateCounter(`greengagelane_copy_core_ms_total`).Add(current.CopyCoreMS - last.CopyCoreMS)
--- a/internal/drive/policy.go
+++ b/internal/drive/policy.go
@@ -27,6 +27,7 @@
 	override(&p.QueueFactor, overrides.QueueFactor)
 	override(&p.TailHigh, overrides.TailHigh)
 	override(&p.TailLow, overrides.TailLow)
+	p.RecordBytes = s.Log.RecordBytes
 	return p
 }
 
--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -26,7 +26,7 @@
 	s.pollTrials(now)
 	for _, j := range s.jobs {
 		if !j.state.Final() && j.stored {
-			j.createDueOccurrences(now)
+			j.createDueOccurrences(now, s.maxOpen(j))
 		}
 	}
 	s.place(now)
--- a/internal/sched/flush.go
+++ b/internal/sched/flush.go
@@ -55,14 +55,14 @@
 			deferred++
 			continue
 		}
-		n, err := f.addJob(j)
+		n, err := s.addJob(now, f, j)
 		if err != nil {
 			return nil, err
 		}
 		size += n
 	}
 	if held != nil && len(f.Records) == 0 {
-		if _, err := f.addJob(held); err != nil {
+		if _, err := s.addJob(now, f, held); err != nil {
 			return nil, err
 		}
 	}
@@ -99,8 +99,8 @@
 	return f, nil
 }
 
-// addJob adds the records of a job and returns their size in bytes.
-func (f *Flush) addJob(j *job) (size int, err error) {
+// addJob adds the records of a job to a flush and returns their size in bytes.
+func (s *Scheduler) addJob(now time.Time, f *Flush, j *job) (size int, err error) {
 	if !j.stored {
 		data, err := jobs.Encode(j.Job)
 		if err != nil {
@@ -112,7 +112,7 @@
 		j.flushing = true
 	}
 	if j.stored || j.began || j.state.Final() {
-		data, err := jobs.EncodeProgress(j.progress())
+		data, err := s.encodeProgress(now, j)
 		if err != nil {
 			return 0, err
 		}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -128,9 +128,9 @@
 	return &job{Job: j, occurrences: map[int]*occurrence{}, objective: j.Objective(), copies: copies}
 }
 
-// createDueOccurrences creates the occurrences that are due.
-func (j *job) createDueOccurrences(now time.Time) {
-	for j.createdOccs < j.Occurrences() && now.UnixMilli() >= j.DueMS(j.createdOccs) {
+// createDueOccurrences creates the occurrences that are due, as long as no more than maxOpen are open.
+func (j *job) createDueOccurrences(now time.Time, maxOpen int) {
+	for j.createdOccs < j.Occurrences() && len(j.occurrences) < maxOpen && now.UnixMilli() >= j.DueMS(j.createdOccs) {
 		j.addOccurrence(j.createdOccs)
 		j.createdOccs++
 	}
--- a/internal/sched/policy.go
+++ b/internal/sched/policy.go
@@ -20,6 +20,7 @@
 	CapacityNotice      time.Duration // age of the VM list up to which VMs that do not guard their capacity get runs: it may have shrunk since
 	StopGrace           time.Duration // longest time that a VM takes to stop a run
 	KeepFinal           time.Duration // time for which final jobs can be queried
+	RecordBytes         int           // limit of the job log for a record; 0 for none
 	Backoff             time.Duration // before a refused or failed order is repeated
 	StallAfter          time.Duration // time without progress after which a run is restarted
 	SilentAfter         time.Duration // time without an answer after which a VM's runs count as unavailable; from 1 s after that, the VM gets no new runs
--- a/internal/sched/quota.go
+++ b/internal/sched/quota.go
@@ -203,7 +203,7 @@
 		}
 	}
 	if !j.state.Final() {
-		j.createDueOccurrences(now)
+		j.createDueOccurrences(now, s.maxOpen(j))
 	}
 	for _, o := range j.occurrences {
 		if j.state.Final() {
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -64,6 +64,7 @@
 	Started, Done, Failed, Stopped, Lost, Refused, Stalled int
 	LostVMs                                                int // incarnations of VMs that were lost with runs
 	GivenUp                                                int // jobs that were given up because a task crashed VMs
+	TooLarge                                               int // jobs that failed because the job log could not hold their progress
 	RefusedByShare                                         int // of Refused: the account's work exceeds its share
 	RefusedByRate                                          int // of Refused: the job is beyond the rate of its account
 
--- a/internal/stand/emul/store.go
+++ b/internal/stand/emul/store.go
@@ -194,6 +194,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.Appends++
+	if tooLarge(body) {
+		return http.StatusRequestEntityTooLarge, `{"reason":"size"}`
+	}
 	q := r.URL.Query()
 	p := s.partition(q.Get("topic"), int(queryInt(r, "part")))
 	if q.Get("producer") != "" {
@@ -223,6 +226,26 @@
 	return http.StatusOK, fmt.Sprintf(`{"offset":0,"end":%d}`, len(p.records))
 }
 
+// Limits of the log.
+const (
+	maxRecordBytes = 1 << 18
+	maxCallBytes   = 1 << 21
+)
+
+// tooLarge reports whether the records of an append exceed the limits.
+func tooLarge(body []byte) bool {
+	total := 0
+	for len(body) >= 4 {
+		n := int(binary.BigEndian.Uint32(body))
+		if n > maxRecordBytes || n > len(body)-4 {
+			return true
+		}
+		total += n
+		body = body[4+n:]
+	}
+	return total > maxCallBytes
+}
+
 // decodeRecords decodes records of the form: length of key and value plus one (4 bytes),
 // length of the key (1 byte), key, value.
 func decodeRecords(body []byte) []record {
--- a/pkg/site/call.go
+++ b/pkg/site/call.go
@@ -17,6 +17,7 @@
 	BadRequest
 	NotOwner     // another entry owns the partition; nothing was done
 	Unauthorized // the request carries no key of a client account
+	TooLarge     // the job log cannot hold the job
 )
 
 //go:generate ../../.bin/enumer -type=CallKind -transform=kebab -output=callkind_enumer.go
--- a/pkg/site/outcome_enumer.go
+++ b/pkg/site/outcome_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _OutcomeName = "undecidedokrefusedno-such-jobno-such-queuebad-requestnot-ownerunauthorized"
+const _OutcomeName = "undecidedokrefusedno-such-jobno-such-queuebad-requestnot-ownerunauthorizedtoo-large"
 
-var _OutcomeIndex = [...]uint8{0, 9, 11, 18, 29, 42, 53, 62, 74}
+var _OutcomeIndex = [...]uint8{0, 9, 11, 18, 29, 42, 53, 62, 74, 83}
 
-const _OutcomeLowerName = "undecidedokrefusedno-such-jobno-such-queuebad-requestnot-ownerunauthorized"
+const _OutcomeLowerName = "undecidedokrefusedno-such-jobno-such-queuebad-requestnot-ownerunauthorizedtoo-large"
 
 func (i Outcome) String() string {
 	if i < 0 || i >= Outcome(len(_OutcomeIndex)-1) {
@@ -24,17 +24,18 @@
 // Re-run the stringer command to generate them again.
 func _OutcomeNoOp() {
 	var x [1]struct{}
-	_ = x[Undecided-0]
-	_ = x[OK-1]
-	_ = x[Refused-2]
-	_ = x[NoSuchJob-3]
-	_ = x[NoSuchQueue-4]
-	_ = x[BadRequest-5]
-	_ = x[NotOwner-6]
-	_ = x[Unauthorized-7]
+	_ = x[Undecided-(0)]
+	_ = x[OK-(1)]
+	_ = x[Refused-(2)]
+	_ = x[NoSuchJob-(3)]
+	_ = x[NoSuchQueue-(4)]
+	_ = x[BadRequest-(5)]
+	_ = x[NotOwner-(6)]
+	_ = x[Unauthorized-(7)]
+	_ = x[TooLarge-(8)]
 }
 
-var _OutcomeValues = []Outcome{Undecided, OK, Refused, NoSuchJob, NoSuchQueue, BadRequest, NotOwner, Unauthorized}
+var _OutcomeValues = []Outcome{Undecided, OK, Refused, NoSuchJob, NoSuchQueue, BadRequest, NotOwner, Unauthorized, TooLarge}
 
 var _OutcomeNameToValueMap = map[string]Outcome{
 	_OutcomeName[0:9]:   Undecided,
@@ -45,6 +46,7 @@
 	_OutcomeName[42:53]: BadRequest,
 	_OutcomeName[53:62]: NotOwner,
 	_OutcomeName[62:74]: Unauthorized,
+	_OutcomeName[74:83]: TooLarge,
 }
 
 var _OutcomeLowerNameToValueMap = map[string]Outcome{
@@ -56,6 +58,7 @@
 	_OutcomeLowerName[42:53]: BadRequest,
 	_OutcomeLowerName[53:62]: NotOwner,
 	_OutcomeLowerName[62:74]: Unauthorized,
+	_OutcomeLowerName[74:83]: TooLarge,
 }
 
 var _OutcomeNames = []string{
@@ -67,6 +70,7 @@
 	_OutcomeName[42:53],
 	_OutcomeName[53:62],
 	_OutcomeName[62:74],
+	_OutcomeName[74:83],
 }
 
 // OutcomeString retrieves an enum value from the enum constants string name.
