--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -60,6 +60,7 @@
 	unknownRun    bool              // the time of a task is not known, or is that of a slow VM
 	runTimes      []time.Duration   // of the tasks that are done; only of steps that allow copies
 	tickets       map[string]string // of the placement policy, by VM ID
+	denied        map[string]bool   // VMs that the placement policy does not allow, by ID
 	advicePending bool              // a request to the placement policy is under way
 	adviceRetryAt time.Time         // no request to the placement policy before
 	adviceExpires time.Time         // end of the tickets' validity
