sched: a long-running suspect gets a VM of its own only if it probably crashes VMs

A suspect with a small share of one crash kept other jobs off its VM for twice the age of its run, and waited up to 4 s for such a VM. Both take a chance of 0.2 now, or its last start.

--- a/internal/sched/trial.go
+++ b/internal/sched/trial.go
@@ -19,6 +19,7 @@
 	lastingPatience = time.Second            // a long-running task waits no longer than this for either, unless one of the next two applies
 	returnPatience  = 4 * time.Second        // it waits for this long for VMs that were lost to return, which are then empty
 	finalPatience   = 30 * time.Second       // it waits for this long for a VM of its own before its last start
+	probable        = 0.2                    // chance that a task crashes VMs, from which it probably does
 	maxLastingTrial = 2 * blame.ForgetAfter  // a VM gets runs of other jobs after this also if a long-running suspect is not cleared yet
 	fullPatience    = 10 * time.Second       // a suspect waits no longer than this for its pool to have room
 	trialPolls      = 100 * time.Millisecond // between two status polls of a VM on trial
@@ -42,7 +43,7 @@
 
 // trialTime returns how long a suspect's VM gets no runs of other jobs.
 func (t *task) trialTime() time.Duration {
-	if t.step.Lasts && (t.crashes.Likely() || t.lastStart()) {
+	if t.mayBeLastTrial() {
 		return min(t.crashes.ClearedAfter(), maxLastingTrial)
 	}
 	return maxTrial
@@ -106,6 +107,12 @@
 	return trials > len(cands)/vmsPerTrial && waited < t.patience(trialPatience)
 }
 
+// mayBeLastTrial reports whether another crash under a long-running task may settle whether it crashes VMs. A VM
+// of its own for the whole trial is worth its cost then.
+func (t *task) mayBeLastTrial() bool {
+	return t.step.Lasts && (t.crashes.Chance() >= probable || t.lastStart())
+}
+
 // onTrial reports whether a suspect of a job runs and is not cleared yet.
 func (j *job) onTrial(now time.Time) bool {
 	for _, o := range j.occurrences {
@@ -126,7 +133,7 @@
 	switch {
 	case t.lastStart():
 		return finalPatience
-	case now.Sub(s.pool(t.job.Pool).lostAt) < returnPatience:
+	case t.mayBeLastTrial() && now.Sub(s.pool(t.job.Pool).lostAt) < returnPatience:
 		return returnPatience
 	}
 	return 0
