soak: queues move between partitions while a job runs; VMs report progress

The soak did not show the fault of a queue that comes back elsewhere: its two pools were in one partition, and jobs had ended before their submission was repeated.

--- a/internal/stand/emul/worker.go
+++ b/internal/stand/emul/worker.go
@@ -381,11 +381,12 @@
 	defer w.mu.Unlock()
 	running, ended := [][]any{}, [][]any{}
 	for name, a := range w.running {
-		percent := 50
-		if a.task.LongRunning {
-			percent = 100
+		percent := 100
+		if !a.task.LongRunning {
+			percent = int(min(100*time.Since(a.taskRun.Start)/max(a.task.Duration, 1), 99))
 		}
-		// Task, run, checkpoint, percent of the task done, CPU in use. The emulator does not simulate the last three.
+		// Task, run, checkpoint, percent of the task done, CPU in use. The emulator simulates neither checkpoints nor
+		// CPU in use.
 		running = append(running, []any{name, a.taskRun.Run, "", percent, 1000})
 	}
 	for _, e := range w.runEnds[:min(len(w.runEnds), maxListedEnds)] {
--- a/internal/stand/soak/caller.go
+++ b/internal/stand/soak/caller.go
@@ -199,7 +199,7 @@
 		case x < 5:
 			c.cancel(c.accepted[c.r.IntN(len(c.accepted))])
 		case x < 6:
-			c.repeatSubmission(c.accepted[c.r.IntN(len(c.accepted))])
+			c.repeatSubmission(c.accepted[c.r.IntN(len(c.accepted))], nil)
 		default:
 			c.queryState(c.accepted[c.r.IntN(len(c.accepted))])
 		}
@@ -279,14 +279,15 @@
 	}
 }
 
-// repeatSubmission sends the submission of an accepted job once more, over a new connection.
-func (c *caller) repeatSubmission(j *Job) {
+// repeatSubmission sends the submission of an accepted job once more, over a new connection to an entry; nil for
+// any.
+func (c *caller) repeatSubmission(j *Job, e *Entry) {
 	body, err := json.Marshal(map[string]any{"spec": j.Spec, "steps": j.Steps})
 	if err != nil {
 		return
 	}
 	c.client.CloseIdleConnections()
-	c.client, c.entry = newClient(), nil
+	c.client, c.entry = newClient(), e
 	c.send(http.MethodPost, "/"+j.Queue+"/"+j.ID, body)
 }
 
--- a/internal/stand/soak/soak.go
+++ b/internal/stand/soak/soak.go
@@ -68,7 +68,7 @@
 }
 
 // pools are the pools of the configuration, apart from the spare pool rest.
-var pools = []string{"alpha", "beta"}
+var pools = []string{"alpha", "delta"}
 
 // Result is the result of one seed.
 type Result struct {
@@ -80,7 +80,7 @@
 func RunSeed(cfg Config, out io.Writer) (*Result, error) {
 	harness := &Harness{
 		cfg: cfg, out: out, began: time.Now(), registry: &JobRegistry{jobs: map[string]*Job{}}, links: map[string]*Link{}, orderFaultTimes: map[string][]time.Time{}, movedAt: map[string]time.Time{},
-		queues: []emul.Queue{{Name: "qa", Pool: "alpha"}, {Name: "qb", Pool: "beta"}},
+		queues: []emul.Queue{{Name: "qa", Pool: "alpha"}, {Name: "qb", Pool: "delta"}},
 	}
 	defer harness.close()
 	if err := harness.start(); err != nil {
@@ -119,8 +119,8 @@
 func (harness *Harness) start() error {
 	var err error
 	harness.platform, err = emul.Start(emul.Options{
-		Pools: map[string]int{"alpha": 4, "beta": 4, "rest": 3}, MoveTime: moveTime, Lookup: harness.registry.Lookup, Address: harness.addVMLink, Drift: 0.02,
-		RepairTime: repairTime, Unguarded: map[string]bool{"beta": true},
+		Pools: map[string]int{"alpha": 4, "delta": 4, "rest": 3}, MoveTime: moveTime, Lookup: harness.registry.Lookup, Address: harness.addVMLink, Drift: 0.02,
+		RepairTime: repairTime, Unguarded: map[string]bool{"delta": true},
 	})
 	if err != nil {
 		return err
@@ -260,11 +260,32 @@
 	harness.publish(harness.queues)
 }
 
-// moveQueue drops a random queue and adds it again with another pool.
+// moveQueue drops a random queue and adds it again with another pool, while a job of it runs whose submission is
+// then repeated at all entries.
 func (harness *Harness) moveQueue(r *rand.Rand) {
+	const pauseAtEntries = 300 * time.Millisecond
+	i, pause := r.IntN(len(harness.queues)), randomDuration(r, time.Second)
+	c := newCaller(harness, r.Uint64(), 0)
+	j := c.newJob("moved", []step{{Count: 3, CPU: 200, EstimateMS: 4000, duration: 4 * time.Second}})
+	j.Queue = harness.queues[i].Name
+	c.submitJob(context.Background(), j)
+	harness.dropAndAdd(i, pause)
+	if len(c.accepted) == 0 {
+		return
+	}
+	for _, e := range harness.entries {
+		time.Sleep(pauseAtEntries)
+		c.repeatSubmission(j, e)
+	}
+	harness.mu.Lock()
+	defer harness.mu.Unlock()
+	harness.extraCallers = append(harness.extraCallers, c)
+}
+
+// dropAndAdd drops a queue and adds it with another pool after a pause.
+func (harness *Harness) dropAndAdd(i int, pause time.Duration) {
 	harness.publishing.Lock()
 	defer harness.publishing.Unlock()
-	i, pause := r.IntN(len(harness.queues)), randomDuration(r, time.Second)
 	q := &harness.queues[i]
 	harness.log("queue %s of pool %s is dropped, and added with another pool after %s", q.Name, q.Pool, pause)
 	harness.setMoved(q.Name)
