--- a/internal/sched/trial.go
+++ b/internal/sched/trial.go
@@ -19,7 +19,7 @@
 	lastingPatience = time.Second            // a long-running task waits no longer than this for either, unless one of the next two applies
 	returnPatience  = 4 * time.Second        // it waits for this long for VMs that were lost to return, which are then empty
 	finalPatience   = 30 * time.Second       // it waits for this long for a VM of its own before its last start
-	probable        = 0.2                    // chance that a task crashes VMs, from which it probably does
+	longTrialChance = 0.2                    // chance that a long-running task crashes VMs, from which its trial lasts until it is cleared
 	maxLastingTrial = 2 * blame.ForgetAfter  // a VM gets runs of other jobs after this also if a long-running suspect is not cleared yet
 	fullPatience    = 10 * time.Second       // a suspect waits no longer than this for its pool to have room
 	trialPolls      = 100 * time.Millisecond // between two status polls of a VM on trial
@@ -43,7 +43,7 @@
 
 // trialTime returns how long a suspect's VM gets no runs of other jobs.
 func (t *task) trialTime() time.Duration {
-	if t.mayBeLastTrial() {
+	if t.hasLongTrial() {
 		return min(t.crashes.ClearedAfter(), maxLastingTrial)
 	}
 	return maxTrial
@@ -107,10 +107,10 @@
 	return trials > len(cands)/vmsPerTrial && waited < t.patience(trialPatience)
 }
 
-// mayBeLastTrial reports whether another crash under a long-running task may settle whether it crashes VMs. A VM
-// of its own for the whole trial is worth its cost then.
-func (t *task) mayBeLastTrial() bool {
-	return t.step.Lasts && (t.crashes.Chance() >= probable || t.lastStart())
+// hasLongTrial reports whether a suspect has its VM to itself until it is cleared. Only long-running tasks have
+// that: what another crash under them tells is worth the VM.
+func (t *task) hasLongTrial() bool {
+	return t.step.Lasts && (t.crashes.Chance() >= longTrialChance || t.lastStart())
 }
 
 // onTrial reports whether a suspect of a job runs and is not cleared yet.
@@ -133,7 +133,7 @@
 	switch {
 	case t.lastStart():
 		return finalPatience
-	case t.mayBeLastTrial() && now.Sub(s.pool(t.job.Pool).lostAt) < returnPatience:
+	case t.hasLongTrial() && now.Sub(s.pool(t.job.Pool).lostAt) < returnPatience:
 		return returnPatience
 	}
 	return 0
@@ -148,20 +148,25 @@
 				if !st.Lasts || st.Gang || st.withoutRun == 0 || !o.stepReady(st) || (j.Advice && !s.hasAdvice(now, st, cands)) {
 					continue
 				}
-				for _, t := range st.tasks {
-					if !t.suspected() || !s.startable(now, t) || !s.quotaAllows(now, t, 1) || s.trialsWouldCrowd(now, t, 0, cands) {
-						continue
-					}
-					if c := s.bestCandidate(now, t, withoutOthers(j, cands)); c != nil {
-						s.startOn(now, t, c, s.nextRunNumber(t))
-						c.trial = j
-					}
-				}
+				s.placeTrialsOf(now, st, cands)
 			}
 		}
 	}
 }
 
+// placeTrialsOf starts the suspects of a long-running step for which there is a VM without other runs.
+func (s *Scheduler) placeTrialsOf(now time.Time, st *step, cands []*candidate) {
+	for _, t := range st.tasks {
+		if !t.suspected() || !s.startable(now, t) || !s.quotaAllows(now, t, 1) || s.trialsWouldCrowd(now, t, 0, cands) {
+			continue
+		}
+		if c := s.bestCandidate(now, t, withoutOthers(t.job, cands)); c != nil {
+			s.startOn(now, t, c, s.nextRunNumber(t))
+			c.trial = t.job
+		}
+	}
+}
+
 // patience returns how long a suspect waits. A long-running task, which is missed meanwhile, waits a second at
 // most.
 func (t *task) patience(d time.Duration) time.Duration {
