sched: long-running tasks are proved like others, and trials leave VMs to the pool

Two losses of all entries had each taken a crash with them that was not stored; and suspects at their last start, which have a VM to themselves for up to 20 s, waited a second only while a quarter of the VMs were on trial, so that all VMs were. A long-running task is proved by two likely crashes of which one is certain, as others are, and a suspect at its last start waits 30 s for a trial's turn. TestVerdict asked for two certain ones; the platform lets a job be given up after two, and BUDGET leaves no room for more.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -126,10 +126,10 @@
 }
 
 // LastingVerdict is Verdict for a long-running task. It runs on many VMs over its life and is missed while it
-// does not run, so each crash has to be certain or there have to be many.
+// does not run, so without proof there have to be many crashes.
 func (r Record) LastingVerdict(cleared int) Verdict {
 	switch {
-	case r.count(certainShare) >= crashesToProve:
+	case r.count(suspectShare) >= crashesToProve && r.count(certainShare) > 0:
 		return Proved
 	case len(r) >= maxLasting, len(r)+cleared >= maxUnlikely:
 		return Exhausted
--- a/internal/sched/trial.go
+++ b/internal/sched/trial.go
@@ -104,7 +104,11 @@
 	if t.step.Lasts && t.job.onTrial(now) && waited < returnPatience {
 		return true // its task tells more about this one than a crash of both
 	}
-	return trials > len(cands)/vmsPerTrial && waited < t.patience(trialPatience)
+	patience := t.patience(trialPatience)
+	if t.lastStart() {
+		patience = finalPatience
+	}
+	return trials > len(cands)/vmsPerTrial && waited < patience
 }
 
 // hasLongTrial reports whether a suspect has its VM to itself until it is cleared. Only long-running tasks have
