--- a/internal/drive/requests.go
+++ b/internal/drive/requests.go
@@ -142,11 +142,14 @@
 		w.answer(site.Reply{Outcome: site.BadRequest, Reason: "the job is missing or invalid"})
 		return
 	}
-	if err := part.scheduler.CheckRecord(j); err != nil && !part.scheduler.Known(j.ID) {
-		w.answer(site.Reply{Outcome: site.TooLarge, Reason: err.Error()})
-		return
+	known := part.scheduler.Known(j.ID)
+	if !known {
+		if err := part.scheduler.CheckRecord(j); err != nil {
+			w.answer(site.Reply{Outcome: site.TooLarge, Reason: err.Error()})
+			return
+		}
 	}
-	if part.logDown(now) && !part.scheduler.Known(j.ID) && !part.scheduler.MayBeInTime(now, j) {
+	if part.logDown(now) && !known && !part.scheduler.MayBeInTime(now, j) {
 		w.answer(part.logDownReply(now))
 		return
 	}
