--- a/pkg/site/outcome_enumer.go
+++ b/pkg/site/outcome_enumer.go
@@ -24,15 +24,15 @@
 // Re-run the stringer command to generate them again.
 func _OutcomeNoOp() {
 	var x [1]struct{}
-	_ = x[Undecided-(0)]
-	_ = x[OK-(1)]
-	_ = x[Refused-(2)]
-	_ = x[NoSuchJob-(3)]
-	_ = x[NoSuchQueue-(4)]
-	_ = x[BadRequest-(5)]
-	_ = x[NotOwner-(6)]
-	_ = x[Unauthorized-(7)]
-	_ = x[TooLarge-(8)]
+	_ = x[Undecided-0]
+	_ = x[OK-1]
+	_ = x[Refused-2]
+	_ = x[NoSuchJob-3]
+	_ = x[NoSuchQueue-4]
+	_ = x[BadRequest-5]
+	_ = x[NotOwner-6]
+	_ = x[Unauthorized-7]
+	_ = x[TooLarge-8]
 }
 
 var _OutcomeValues = []Outcome{Undecided, OK, Refused, NoSuchJob, NoSuchQueue, BadRequest, NotOwner, Unauthorized, TooLarge}
