--- a/internal/drive/cluster_test.go
+++ b/internal/drive/cluster_test.go
@@ -94,7 +94,7 @@
 	set := &site.Settings{
 		Entry: name, IP: "127.0.0.1", Ports: ports[:2],
 		Callers: fmt.Sprintf("127.0.0.1:%d", ports[2]), Ready: fmt.Sprintf("127.0.0.1:%d", ports[3]),
-		Log:   site.LogSettings{Address: logAddress, Partitions: partitions, RecordBytes: 1 << 18, CallBytes: 1 << 21, MinTTLMS: 1000},
+		Log:   site.LogSettings{Address: logAddress, Partitions: partitions, RecordBytes: emul.MaxRecordBytes, CallBytes: emul.MaxCallBytes, MinTTLMS: 1000},
 		Fleet: site.FleetSettings{Address: c.emulator.FleetAddr}, Cores: 1,
 		Bounds: site.Bounds{HoldMS: 10000, StopGraceMS: 400, ShutdownGraceS: 6, KeepFinalS: 120, MoveS: 0.2, TurnMS: 300},
 	}
--- a/internal/stand/emul/store.go
+++ b/internal/stand/emul/store.go
@@ -228,8 +228,8 @@
 
 // Limits of the log.
 const (
-	maxRecordBytes = 1 << 18
-	maxCallBytes   = 1 << 21
+	MaxRecordBytes = 1 << 18
+	MaxCallBytes   = 1 << 21
 )
 
 // tooLarge reports whether the records of an append exceed the limits.
@@ -237,13 +237,13 @@
 	total := 0
 	for len(body) >= 4 {
 		n := int(binary.BigEndian.Uint32(body))
-		if n > maxRecordBytes || n > len(body)-4 {
+		if n > MaxRecordBytes || n > len(body)-4 {
 			return true
 		}
 		total += n
 		body = body[4+n:]
 	}
-	return total > maxCallBytes
+	return total > MaxCallBytes
 }
 
 // decodeRecords decodes records of the form: length of key and value plus one (4 bytes),
--- a/internal/stand/emul/worker.go
+++ b/internal/stand/emul/worker.go
@@ -62,11 +62,13 @@
 
 const (
 	// VMCPU is the capacity of a VM, in thousandths of a core.
-	VMCPU          = 8000
+	VMCPU = 8000
+	// MaxLease is the longest lease on a VM.
+	MaxLease = 10 * time.Second
+
 	vmMemMB        = 16000 // memory in MB
 	initialClockMS = 1000  // clock reading at start, milliseconds
 	maxListedEnds  = 500   // run ends that the reply to a status poll lists at most
-	maxLease       = 10 * time.Second
 )
 
 // activeRun is a run that has not ended.
@@ -269,10 +271,10 @@
 	reply(rw, map[string]any{"clockMs": w.clockMS(), "reason": why})
 }
 
-// renewLease extends the VM's lease to the time untilMS of the VM's own clock, by maxLease at most, and never
+// renewLease extends the VM's lease to the time untilMS of the VM's own clock, by MaxLease at most, and never
 // shortens it. An untilMS of 0, as in a call that carries no lease, has no effect; w.mu is held.
 func (w *Worker) renewLease(untilMS int64) {
-	remaining := time.Duration(float64(min(untilMS-w.clockMS(), maxLease.Milliseconds()))/(1-w.clockDrift)) * time.Millisecond
+	remaining := time.Duration(float64(min(untilMS-w.clockMS(), MaxLease.Milliseconds()))/(1-w.clockDrift)) * time.Millisecond
 	if until := time.Now().Add(remaining); untilMS > 0 && until.After(w.leaseEnd) {
 		w.leaseEnd = until
 	}
--- a/internal/stand/soak/account.go
+++ b/internal/stand/soak/account.go
@@ -50,8 +50,8 @@
 	accounts := []emul.Account{
 		{Name: rotatedAccount, Keys: []string{key}, Weight: 5},
 		{Name: floodAccount, Keys: []string{lastingKey(floodAccount)}, Weight: 5, Limit: emul.Resources{CPU: floodCPU}},
+		{Name: waitingAccount, Keys: []string{lastingKey(waitingAccount)}, Weight: 500},
 	}
-	accounts = append(accounts, emul.Account{Name: waitingAccount, Keys: []string{lastingKey(waitingAccount)}, Weight: 500})
 	for _, name := range callerAccounts {
 		accounts = append(accounts, emul.Account{Name: name, Keys: []string{lastingKey(name)}, Weight: 20})
 	}
--- a/internal/stand/soak/entry.go
+++ b/internal/stand/soak/entry.go
@@ -55,9 +55,9 @@
 	}
 	settings := site.Settings{
 		Entry: name, DataCentre: "z", IP: "127.0.0.1", Ports: ports[:2], Callers: loopback(ports[2]), Ready: e.readyAddress, Announce: e.Peers.Address,
-		Log:   site.LogSettings{Address: e.Log.Address, Partitions: 4, RecordBytes: 1 << 18, CallBytes: 1 << 21, MinTTLMS: 1000},
+		Log:   site.LogSettings{Address: e.Log.Address, Partitions: 4, RecordBytes: emul.MaxRecordBytes, CallBytes: emul.MaxCallBytes, MinTTLMS: 1000},
 		Fleet: site.FleetSettings{Address: e.Fleet.Address}, Cores: 0.4,
-		Bounds: site.Bounds{HoldMS: maxLeaseMS, StopGraceMS: 400, ShutdownGraceS: shutdownGrace.Seconds(), KeepFinalS: 120, MoveS: moveTime.Seconds(), TurnMS: 1000, RevokeStrict: revokeStrict, RevokeMS: int(revokeLimit.Milliseconds())},
+		Bounds: site.Bounds{HoldMS: int(emul.MaxLease.Milliseconds()), StopGraceMS: 400, ShutdownGraceS: shutdownGrace.Seconds(), KeepFinalS: 120, MoveS: moveTime.Seconds(), TurnMS: 1000, RevokeStrict: revokeStrict, RevokeMS: int(revokeLimit.Milliseconds())},
 	}
 	data, err := json.Marshal(&settings)
 	if err != nil {
--- a/internal/stand/soak/fault.go
+++ b/internal/stand/soak/fault.go
@@ -268,9 +268,7 @@
 	for i := range jobs {
 		c := newCaller(harness, harness.cfg.Seed, 1<<33+uint64(i))
 		c.submitJob(ctx, c.newJob("short-tasks", []step{{Count: tasks, CPU: cpu, EstimateMS: 600, duration: 500*time.Millisecond + randomDuration(c.r, time.Second)}}))
-		harness.mu.Lock()
-		harness.extraCallers = append(harness.extraCallers, c)
-		harness.mu.Unlock()
+		harness.addCaller(c)
 	}
 }
 
@@ -288,9 +286,7 @@
 		j.mayWait = true
 		c.submitJob(ctx, j)
 	}
-	harness.mu.Lock()
-	defer harness.mu.Unlock()
-	harness.extraCallers = append(harness.extraCallers, c)
+	harness.addCaller(c)
 }
 
 // crashingTasks is the number of tasks of the job that submitCrashing submits. They crash as many VMs of a rack at
@@ -310,9 +306,7 @@
 	j.mayWait = true
 	harness.log("job %s of queue %s: %d long-running tasks crash their VMs after %s", j.ID, j.Queue, j.Steps[0].Count, after)
 	c.submitJob(ctx, j)
-	harness.mu.Lock()
-	defer harness.mu.Unlock()
-	harness.extraCallers = append(harness.extraCallers, c)
+	harness.addCaller(c)
 }
 
 // shrinkVM reduces a VM's capacity to a part.
--- a/internal/stand/soak/soak.go
+++ b/internal/stand/soak/soak.go
@@ -18,7 +18,6 @@
 const (
 	requestDeadline = 3 * time.Second        // sent with each request of a caller
 	shutdownGrace   = 6 * time.Second        // from SIGTERM to SIGKILL
-	maxLeaseMS      = 10_000                 // longest lease on a VM
 	moveTime        = 500 * time.Millisecond // how long a machine is out of service during a move
 	repairTime      = 2 * time.Second        // until a VM that a task has crashed is back
 	checkInterval   = 300 * time.Millisecond // between checks of the runs, and between readiness checks of the entries
@@ -190,6 +189,13 @@
 	return append(callers, harness.extraCallers...)
 }
 
+// addCaller adds the caller of jobs that belong to a fault to those whose jobs are checked.
+func (harness *Harness) addCaller(c *caller) {
+	harness.mu.Lock()
+	defer harness.mu.Unlock()
+	harness.extraCallers = append(harness.extraCallers, c)
+}
+
 // injectFaults injects faults, several at a time, until ctx is done, and returns when all have
 // ended.
 func (harness *Harness) injectFaults(ctx context.Context) {
@@ -277,9 +283,7 @@
 		time.Sleep(pauseAtEntries)
 		c.repeatSubmission(j, e)
 	}
-	harness.mu.Lock()
-	defer harness.mu.Unlock()
-	harness.extraCallers = append(harness.extraCallers, c)
+	harness.addCaller(c)
 }
 
 // dropAndAdd drops a queue and adds it with another pool after a pause.
