--- a/internal/sched/record_size_test.go
+++ b/internal/sched/record_size_test.go
@@ -13,16 +13,9 @@
 // flushChecked flushes and checks that the job log can hold each record.
 func (r *fixture) flushChecked(ms, limit int) {
 	r.t.Helper()
-	f, err := r.s.Flush(at(ms), 1<<20)
-	assert.NilError(r.t, err)
-	if f == nil {
-		return
-	}
-	for _, rec := range f.Records {
+	for _, rec := range r.flush(ms) {
 		assert.Assert(r.t, len(rec.Key)+len(rec.Value)+5 <= limit, "record %s has %d bytes", rec.Key, len(rec.Value))
-		r.jobLog[rec.Key] = rec.Value
 	}
-	r.s.Flushed(f)
 }
 
 // TestRecordsFitTheJobLog guards against a job whose record the job log refuses, which stops the log of its
--- a/internal/sched/scheduler_test.go
+++ b/internal/sched/scheduler_test.go
@@ -66,17 +66,18 @@
 	r.flush(ms)
 }
 
-func (r *fixture) flush(ms int) {
+func (r *fixture) flush(ms int) []site.Record {
 	r.t.Helper()
 	f, err := r.s.Flush(at(ms), 1<<20)
 	assert.NilError(r.t, err)
 	if f == nil {
-		return
+		return nil
 	}
 	for _, rec := range f.Records {
 		r.jobLog[rec.Key] = rec.Value
 	}
 	r.s.Flushed(f)
+	return f.Records
 }
 
 // takeover replaces the scheduler by that of the next owner, which has only the job log.
