--- a/internal/stand/emul/worker.go
+++ b/internal/stand/emul/worker.go
@@ -359,54 +359,6 @@
 	reply(rw, map[string]any{"clockMs": w.clockMS()})
 }
 
-// poll serves a status poll: it renews the lease, drops the run ends that the cursor
-// acknowledges, waits up to WaitMS for a run to end if none is pending, and returns the active
-// runs and the first of the pending run ends.
-func (w *Worker) poll(rw http.ResponseWriter, r *http.Request, b *workerRequest) {
-	w.mu.Lock()
-	w.renewLease(b.UntilMS)
-	for len(w.runEnds) > 0 && w.runEnds[0].sequence <= b.Cursor {
-		w.acknowledge(w.runEnds[0].taskRun)
-		w.runEnds = w.runEnds[1:]
-	}
-	runEnded, pending := w.runEnded, len(w.runEnds) > 0
-	w.mu.Unlock()
-	if !pending && b.WaitMS > 0 {
-		select {
-		case <-runEnded:
-		case <-time.After(time.Duration(b.WaitMS) * time.Millisecond):
-		case <-r.Context().Done():
-			return
-		}
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	running, ended := [][]any{}, [][]any{}
-	for name, a := range w.running {
-		percent := 100
-		if !a.task.LongRunning {
-			percent = int(min(100*time.Since(a.taskRun.Start)/max(a.task.Duration, 1), 99))
-		}
-		// Task, run, checkpoint, percent of the task done, CPU in use. The emulator simulates neither checkpoints nor
-		// CPU in use.
-		running = append(running, []any{name, a.taskRun.Run, "", percent, 1000})
-	}
-	for _, e := range w.runEnds[:min(len(w.runEnds), maxListedEnds)] {
-		// Sequence number, task, run, outcome, checkpoint.
-		ended = append(ended, []any{e.sequence, e.task, e.run, e.how, ""})
-	}
-	reply(rw, map[string]any{"clockMs": w.clockMS(), "born": w.startedAt.UnixMilli(), "running": running, "ended": ended})
-}
-
-// acknowledge records that the owner has acknowledged the end of a run. By the platform's
-// rules the acknowledgement does not count if the VM's lease expired after the run ended, so
-// the task may then run again; w.mu is held.
-func (w *Worker) acknowledge(r *TaskRun) {
-	w.ledger.mu.Lock()
-	defer w.ledger.mu.Unlock()
-	r.Acknowledged = r.Acknowledged || !w.leaseExpiredAt.After(r.End)
-}
-
 // SetFaults runs change under the VM's lock, to change the exported fault fields.
 func (w *Worker) SetFaults(change func(w *Worker)) {
 	w.mu.Lock()
