--- a/internal/sched/gang_checkpoint_test.go
+++ b/internal/sched/gang_checkpoint_test.go
@@ -24,6 +24,12 @@
 		e.Checkpoint = saved
 		p.poll(ms, p.runs[i].VM, site.VMStatus{Ended: []site.RunEnd{e}})
 	}
+	// crash crashes the third task's VM, by which the others end as broken.
+	crash := func(p *play, saved0, saved1 string) {
+		p.s.EndVM(at(200), site.Incarnation{VM: p.runs[2].VM, Born: 1})
+		ended(p, 0, 210, site.Broken, saved0)
+		ended(p, 1, 210, site.Broken, saved1)
+	}
 	tests := []struct {
 		name string
 		play func(p *play)
@@ -33,20 +39,14 @@
 			running(p, 0, 100, 20, "1")
 			running(p, 1, 100, 20, "1")
 			running(p, 2, 100, 20, "1")
-			p.s.EndVM(at(200), site.Incarnation{VM: p.runs[2].VM, Born: 1})
-			ended(p, 0, 210, site.Broken, "2")
-			ended(p, 1, 210, site.Broken, "2")
+			crash(p, "2", "2")
 		}, "2"},
 		{"one task has saved nothing yet", func(p *play) {
 			running(p, 0, 100, 20, "1")
-			p.s.EndVM(at(200), site.Incarnation{VM: p.runs[2].VM, Born: 1})
-			ended(p, 0, 210, site.Broken, "")
-			ended(p, 1, 210, site.Broken, "")
+			crash(p, "", "")
 		}, "1"},
 		{"none has saved anything", func(p *play) {
-			p.s.EndVM(at(200), site.Incarnation{VM: p.runs[2].VM, Born: 1})
-			ended(p, 0, 210, site.Broken, "")
-			ended(p, 1, 210, site.Broken, "")
+			crash(p, "", "")
 		}, ""},
 		{"one task is stopped", func(p *play) {
 			ended(p, 0, 100, site.Stopped, "2b")
