--- a/internal/drive/claim.go
+++ b/internal/drive/claim.go
@@ -24,6 +24,13 @@
 	maxReadTimeout = 3200 * time.Millisecond
 )
 
+// claimedTable describes the table from which a claim has restored the scheduler.
+type claimedTable struct {
+	lastEpoch int64 // of the previous owner
+	tableEnd  int64 // offset after its last record
+	records   int
+}
+
 // claim makes this entry the owner of the partition and restores the scheduler from its
 // records. It retries until the context ends, then returns false.
 func (part *ownedPartition) claim(ctx context.Context) bool {
@@ -31,7 +38,7 @@
 	for ctx.Err() == nil {
 		err := part.tryClaim(ctx)
 		if err == nil {
-			part.log.WithFields(logrus.Fields{"epoch": part.scheduler.Epoch, "after-ms": time.Since(began).Milliseconds()}).Info("partition claimed")
+			part.logClaim(time.Since(began))
 			return true
 		}
 		part.log.WithError(err).Info("claim of the partition failed; retrying")
@@ -40,6 +47,16 @@
 	return false
 }
 
+// logClaim logs what the claim has restored.
+func (part *ownedPartition) logClaim(took time.Duration) {
+	r := part.scheduler.Restored()
+	part.log.WithFields(logrus.Fields{
+		"epoch": part.scheduler.Epoch, "after-ms": took.Milliseconds(), "last-epoch": part.claimed.lastEpoch,
+		"table-end": part.claimed.tableEnd, "records": part.claimed.records, "handed-over": part.scheduler.Inherited(),
+		"jobs": r.Jobs, "final": r.Final, "completed": r.Completed, "tasks-done": r.TasksDone,
+	}).Info("partition claimed")
+}
+
 // tryClaim attempts one claim. It reads the partition and asks the last owner to yield. If that
 // owner does not, it is fenced off by a record under the new epoch. Then the owner record makes
 // this entry the owner, provided that nothing was appended since the partition was read.
@@ -84,6 +101,7 @@
 	}
 	part.scheduler = sched.New(epoch, part.node.policy, part.log)
 	part.scheduler.Restore(time.Now(), last.Epoch, table.Records)
+	part.claimed = claimedTable{lastEpoch: last.Epoch, tableEnd: table.End, records: len(table.Records)}
 	vms, readAt := part.node.vmsOf(part.number)
 	part.scheduler.SetVMs(time.Now(), vms)
 	part.scheduler.VMsReadAt(readAt)
--- a/internal/drive/partition.go
+++ b/internal/drive/partition.go
@@ -61,6 +61,7 @@
 	pendingRecords []controlRecord // records of the mover, for the next flush
 	restored       restoredFleet   // control records read by the claim, for the mover; set before loaded is closed
 	mover          *mover          // nil unless this is the fleet partition
+	claimed        claimedTable    // set by the claim
 	recovery       recovery        // since the claim
 	roundTime      time.Duration   // duration of the last round, capped
 	lastStats      sched.Stats     // already added to the metrics
--- a/internal/drive/route.go
+++ b/internal/drive/route.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/greengagelane/greengagelane/internal/peer"
+	"github.com/greengagelane/greengagelane/pkg/jobs"
 	"github.com/greengagelane/greengagelane/pkg/site"
 )
 
@@ -41,11 +42,14 @@
 	if cfg := n.Config(); cfg != nil && cfg.HasAccounts {
 		countAccountRequest(n.accountLabels.label(req.Account), r.Outcome.String())
 	}
-	if req.Kind == site.SubmitJob || req.Kind == site.CancelJob || r.Outcome != site.OK {
+	if req.Kind == site.SubmitJob || req.Kind == site.CancelJob || r.Outcome != site.OK || finalState(r.State) {
 		fields := logrus.Fields{
 			"job": req.ID, "queue": c.Queue, "kind": req.Kind.String(), "outcome": r.Outcome.String(), "reason": r.Reason,
 			"retry-ms": r.RetryMS, "took-ms": time.Since(began).Milliseconds(), "partition": c.Partition,
 		}
+		if r.State != "" {
+			fields["state"] = r.State
+		}
 		if c.Account != "" {
 			fields["account"] = c.Account
 		}
@@ -54,6 +58,12 @@
 	return *r
 }
 
+// finalState reports whether a reply shows a final state of a job.
+func finalState(name string) bool {
+	s, err := jobs.StateString(name)
+	return err == nil && s.Final()
+}
+
 // dispatch sends a request to the owner of its partition and, if the job is not known there,
 // to the owners of the other partitions. If another partition may hold jobs of the queue, it may
 // already hold a job that is submitted now. dispatch looks it up there first, so that the job is
--- a/internal/drive/shown.go
+++ b/internal/drive/shown.go
@@ -87,7 +87,9 @@
 	}
 	if !n.shown.Show(time.Now(), shown.Entry{Owner: local, Stopping: n.stopping.Load()}, c.Partition, c.ID, tell) {
 		r.State = jobs.Running.String()
+		return
 	}
+	logrus.WithFields(logrus.Fields{"job": c.ID, "partition": c.Partition, "epoch": n.owners.latestClaim(c.Partition).Epoch, "owner": local}).Info("job shown as completed before that is stored")
 }
 
 // tellOthers tells other entries but some of jobs until as many as wanted have taken note, and returns how many
--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -249,6 +249,7 @@
 // VM has enough free resources and deduct them from the candidate.
 func (s *Scheduler) start(now time.Time, t *task, v *vm, number int64) {
 	r := &run{task: t, vm: v, number: number, phase: starting, startInFlight: true, answeredAt: now, startedAt: now, progressAt: now, speedPercent: 100, startedFrom: t.nextCheckpoint()}
+	s.logStart(t, number, v)
 	t.lastRun = number
 	t.unverified = false
 	if len(t.runs) == 0 {
--- a/internal/sched/flush.go
+++ b/internal/sched/flush.go
@@ -148,6 +148,10 @@
 	}
 	for id, state := range f.states {
 		if j := s.jobs[id]; j != nil {
+			if state.Final() && !j.storedState.Final() {
+				j.storedState = state
+				s.logStored(j)
+			}
 			j.storedState, j.lostStored = state, f.lost[id]
 		}
 	}
--- a/internal/sched/handover.go
+++ b/internal/sched/handover.go
@@ -43,6 +43,9 @@
 // Retired reports whether Retire has been called.
 func (s *Scheduler) Retired() bool { return s.retired }
 
+// Inherited reports whether the previous owner has left a handover record.
+func (s *Scheduler) Inherited() bool { return s.inherited != nil }
+
 // HandedOver reports whether all progress and the handover record, or the tombstone in its
 // place, are stored.
 func (s *Scheduler) HandedOver() bool { return s.handedOver }
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -32,6 +32,7 @@
 	// recovered is set on jobs of an earlier owner, whose tasks may be running on
 	// unverified VMs.
 	recovered    bool
+	beganBefore  bool          // it had begun when the job log was read
 	beyondRate   bool          // beyond the rate of its account when it was accepted, as seen by this owner
 	consideredIn int64         // number of the last scheduling round that considered it
 	copies       bool          // has a step whose tasks may have copies
@@ -225,6 +226,7 @@
 // restore loads the progress that the job log holds.
 func (j *job) restore(p *jobs.Progress) {
 	j.state, j.storedState, j.began, j.finalMS, j.reason = p.State, p.State, p.Began, p.FinalMS, p.Reason
+	j.beganBefore = p.Began
 	j.createdOccs, j.doneOccs = p.Created, p.DoneOccurrences
 	for _, n := range p.Open {
 		j.addOccurrence(n)
--- a/internal/sched/observe.go
+++ b/internal/sched/observe.go
@@ -44,7 +44,7 @@
 func (s *Scheduler) handleNewIncarnation(now time.Time, v *vm, born int64) {
 	s.loseVM(now, v, "VM restarted")
 	s.releaseAnswered(v, "VM restarted")
-	v.Born, v.seenSeq, v.storedSeq, v.polled, v.ended, v.endsCut = born, 0, 0, false, false, false
+	v.Born, v.seenSeq, v.storedSeq, v.ackedSeq, v.polled, v.ended, v.endsCut = born, 0, 0, 0, false, false, false
 	v.leasesEnd, v.clockMS, v.clockAt, v.failedAt, v.lapsed = time.Time{}, 0, time.Time{}, time.Time{}, false
 	if len(v.runs) > 0 {
 		v.leasesEnd = now.Add(s.policy.localDuration(s.policy.MaxLease))
@@ -85,6 +85,7 @@
 	if verify || v.clockMS == 0 {
 		poll.AckCursor = 0
 	}
+	s.logAcknowledged(now, v, poll.AckCursor)
 	if v.clockMS != 0 && len(v.runs) > 0 && !verify {
 		poll.UntilMS = v.grantLease(now, &s.policy)
 	}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -56,6 +56,7 @@
 	// could exceed a step's MayMiss.
 	evacuateFrom time.Time
 	stats        Stats
+	acks         ackLog
 }
 
 // Stats holds the counters for the metrics. Refused and GivenUp count jobs, LostVMs VMs, the others runs. Lost
--- a/internal/sched/shown.go
+++ b/internal/sched/shown.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/greengagelane/greengagelane/pkg/jobs"
 )
 
@@ -32,6 +34,7 @@
 func (s *Scheduler) CompleteShown(now time.Time, ids []string) {
 	for _, id := range ids {
 		if j := s.jobs[id]; j != nil && !j.state.Final() {
+			s.log.WithFields(logrus.Fields{"job": id, "epoch": s.Epoch}).Info("job was shown as completed by an earlier owner")
 			s.finalize(now, j, jobs.Completed)
 		}
 	}
