sched, drive: a job is shown as completed only once the job log holds that

The reply rested on the memory of processes; however many take note, the loss of any number of entries at once takes all notes.

Entries of the version before may run beside this one. Their notes are kept, handed on and used at takeovers; the answer to a note says that it may not be shown, and an older owner's unstored reply is relayed as running. An owner after which nothing unstored was shown leaves its epoch under a key of its own, so that the next one neither asks nor waits. A later version needs none of that.

--- a/internal/drive/control_records.go
+++ b/internal/drive/control_records.go
@@ -12,7 +12,8 @@
 // clock skew to allow for when another entry reads them.
 const (
 	ownerKey      = "owner"
-	epochKey      = "epoch" // stored by a claimant to fence off the last owner if it did not yield
+	epochKey      = "epoch"       // stored by a claimant to fence off the last owner if it did not yield
+	storedOnlyKey = "stored-only" // holds an owner's epoch: what was shown as completed up to then, and by that owner, is stored
 	waveKeyPrefix = "wave/"
 	ordersKey     = "orders"
 	maxClockSkew  = 2 * time.Second // between the wall clocks of two entries
@@ -70,9 +71,10 @@
 }
 
 // readControlRecords sets part.restored from the records of waves and orders and returns the
-// last owner, whose epoch is 0 if there is none.
+// last owner, whose epoch is 0 if there is none. It sets part.storedOnly too.
 func (part *ownedPartition) readControlRecords(records []site.Record) ownerRecord {
 	var last ownerRecord
+	var storedOnlyEpoch int64
 	part.restored = restoredFleet{waves: map[int64]waveRecord{}}
 	for _, r := range records {
 		switch {
@@ -82,6 +84,12 @@
 			} else {
 				last = *o
 			}
+		case r.Key == storedOnlyKey:
+			if e, err := jobs.Decode[int64](r.Value); err != nil {
+				part.log.WithError(err).Warn("skipping the epoch of an owner that shows what is stored: it cannot be decoded")
+			} else {
+				storedOnlyEpoch = *e
+			}
 		case strings.HasPrefix(r.Key, waveKeyPrefix):
 			if w, err := jobs.Decode[waveRecord](r.Value); err != nil {
 				part.log.WithError(err).Warn("skipping a wave record that cannot be decoded")
@@ -96,5 +104,6 @@
 			}
 		}
 	}
+	part.storedOnly = storedOnlyEpoch == last.Epoch
 	return last
 }
--- a/internal/drive/partition.go
+++ b/internal/drive/partition.go
@@ -40,6 +40,7 @@
 	cancel         context.CancelFunc
 	loaded         chan struct{}    // closed once the partition is claimed and its records are read
 	nextSequence   int64            // sequence number of the next append
+	storedOnly     bool             // what the last owner and those before have shown as completed is stored; set by the claim
 	lastTriedEpoch int64            // epoch of the last claim attempt; its records may be stored although it failed
 	appendTimeout  *retry.Estimator // used by the claim, then by the append in progress
 	readTimeout    time.Duration    // for the next attempt to read the partition in a claim
@@ -100,8 +101,10 @@
 	if !part.claim(ctx) {
 		return
 	}
-	if part.scheduler.HoldRecovered() {
+	if !part.storedOnly && part.scheduler.HoldRecovered() {
 		go part.collectShown(ctx)
+	} else {
+		part.recordStoredOnly()
 	}
 	part.recovery = recovery{log: part.log, startedAt: part.node.startedAt, claimedAt: time.Now()}
 	close(part.loaded)
--- a/internal/drive/requests.go
+++ b/internal/drive/requests.go
@@ -125,11 +125,7 @@
 			w.answer(site.Reply{Outcome: site.NoSuchJob})
 			return
 		}
-		r := site.Reply{Outcome: site.OK, State: state.String()}
-		if !part.logDownSince.IsZero() && part.scheduler.CompletedUnstored(c.ID) && part.node.shown.Record(now, part.number, c.ID) {
-			r.State, r.Unstored = jobs.Completed.String(), true
-		}
-		w.answer(r)
+		w.answer(site.Reply{Outcome: site.OK, State: state.String()})
 	case site.CountWaiting:
 		w.answer(site.Reply{Outcome: site.OK, Waiting: part.scheduler.Waiting(c.Queue)})
 	}
--- a/internal/drive/route.go
+++ b/internal/drive/route.go
@@ -159,7 +159,6 @@
 		r := n.callLocal(callCtx, c)
 		cancel()
 		maybeExecuted = r.Outcome == site.Undecided
-		n.beforeShown(ctx, c, &r, true)
 		if r.Outcome != site.NotOwner {
 			return &r, maybeExecuted
 		}
@@ -179,7 +178,7 @@
 		case r.Outcome == site.Undecided:
 			return r, true
 		case r.Outcome != site.NotOwner:
-			n.beforeShown(ctx, c, r, false)
+			showStored(r)
 			return r, maybeExecuted
 		default:
 			reply = r
--- a/internal/drive/syncpeers.go
+++ b/internal/drive/syncpeers.go
@@ -76,6 +76,13 @@
 	delete(s.known, oldest)
 }
 
+// knownEntries returns the peer addresses of all other entries that this one has heard of.
+func (n *Node) knownEntries() []string {
+	list := append(n.owners.peers(n.address), n.syncPeers.addresses()...)
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
 // addresses returns the peer addresses of all known entries.
 func (s *syncPeers) addresses() []string {
 	s.mu.Lock()
--- a/internal/sched/policy.go
+++ b/internal/sched/policy.go
@@ -6,7 +6,7 @@
 // VM lists, status polls and replies, with the time, and carries out the actions that
 // Decide returns. Flush returns the records that the job log has to store next. Callers
 // see accepted jobs and final states, and VMs get their run ends acknowledged, only once
-// these records are stored and Flushed is called; CompletedUnstored names the exception.
+// these records are stored and Flushed is called.
 package sched
 
 import "time"
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -209,7 +209,7 @@
 func (s *Scheduler) Stats() Stats { return s.stats }
 
 // JobState returns the state of a job as callers see it. A final state is shown only
-// once the job log holds it; see also CompletedUnstored.
+// once the job log holds it.
 func (s *Scheduler) JobState(id string) (jobs.State, bool) {
 	j := s.jobs[id]
 	if j == nil || !j.stored {
--- a/internal/sched/shown.go
+++ b/internal/sched/shown.go
@@ -10,17 +10,9 @@
 	"github.com/greengagelane/greengagelane/pkg/jobs"
 )
 
-// CompletedUnstored reports whether all tasks of a stored job have ended as done, and the job log does not
-// hold that yet. While the log does not answer, callers may be shown the job as completed once another entry
-// knows: the next owner asks the other entries for such jobs. Without them it would learn the ends from the
-// VMs, which still list them, and start again the tasks of a VM that is lost by then.
-func (s *Scheduler) CompletedUnstored(id string) bool {
-	j := s.jobs[id]
-	return j != nil && j.stored && j.state == jobs.Completed && !j.storedState.Final()
-}
-
 // HoldRecovered holds the tasks of an earlier owner's jobs back until ReleaseRecovered is called, unless that
-// owner has handed its jobs over: then it has stored which ones are completed. It reports whether it does.
+// owner has handed its jobs over: then it has stored which ones are completed. It reports whether it does. It is for
+// owners of the version before, which showed jobs as completed before that was stored.
 func (s *Scheduler) HoldRecovered() bool {
 	open := slices.ContainsFunc(slices.Collect(maps.Values(s.jobs)), func(j *job) bool { return !j.state.Final() })
 	s.recoveredHeld = s.inherited == nil && open
--- a/internal/shown/notes.go
+++ b/internal/shown/notes.go
@@ -1,12 +1,10 @@
-// Package shown keeps note of the jobs that callers were shown as completed while the job log did not answer.
+// Package shown keeps note of the jobs that entries of the version before have shown to callers as completed while the
+// job log did not answer.
 //
-// It answers outages of the log in which owners, witnesses and the VMs that list the ends of runs are lost one
-// after the other, as in a rolling stop of all entries: the next owner must not start the tasks of such a job
-// again. An owner takes note of a job before it says that the job is completed, and so does the entry that
-// relays the reply to the caller; an owner that replies itself, and a relay that is stopping, tell another
-// entry first. An entry that stops hands its notes on. A job is shown as running where that cannot be had. So
-// two entries know of each job, and a note is lost only if two entries are killed, or if planned stops leave fewer
-// than two entries.
+// It answers upgrades during an outage: the next owner must not start the tasks of such a job again. This version
+// shows a job as completed only once the log holds that, and makes no notes of its own; it keeps those that older
+// entries send, hands them on when it stops, and honours them when it takes over. The version after this one needs
+// neither the package nor the calls.
 //
 // The package uses no clock and no network. Package drive tells the entries of each other's notes.
 package shown
@@ -20,10 +18,10 @@
 
 const (
 	retention = 60 * time.Second // longer than an outage of the log and the takeover after it
-	maxJobs   = 10_000           // bounds the memory; beyond it, jobs are shown as completed only once that is stored
+	maxJobs   = 10_000           // bounds the memory
 )
 
-// Notes are the jobs that an entry knows to have been shown, or to be about to be. Its zero value is ready for
+// Notes are the jobs that an entry knows to have been shown. Its zero value is ready for
 // use. Its methods may be called concurrently.
 type Notes struct {
 	mu          sync.Mutex
@@ -85,18 +83,3 @@
 	}
 	return list
 }
-
-// Entry is the part that an entry has in showing a job.
-type Entry struct {
-	Owner    bool // owns the partition of the job, and has taken note
-	Stopping bool // its notes are lost soon
-}
-
-// Show decides whether an entry may show a job as completed to a caller, after it has taken note where that
-// lasts. tell has another entry than these two take note, one that is not stopping, and reports whether one has.
-func (s *Notes) Show(now time.Time, e Entry, partition int, id string, tell func() bool) bool {
-	if noted := e.Owner || s.Record(now, partition, id); !noted {
-		return false
-	}
-	return (!e.Owner && !e.Stopping) || tell()
-}
--- a/internal/stand/emul/store.go
+++ b/internal/stand/emul/store.go
@@ -72,11 +72,18 @@
 }
 
 // Get returns the newest value of a key in partition 0 of a topic.
-func (s *Store) Get(topic, key string) []byte {
+func (s *Store) Get(topic, key string) []byte { return s.get(topic, 0, key) }
+
+// JobRecord returns the newest value of a key in a partition of the job topic.
+func (s *Store) JobRecord(partition int, key string) []byte {
+	return s.get("keyed.jobs", partition, key)
+}
+
+func (s *Store) get(topic string, n int, key string) []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var value []byte
-	for _, r := range s.partition(topic, 0).records {
+	for _, r := range s.partition(topic, n).records {
 		if r.key == key {
 			value = r.value
 		}
--- a/pkg/site/call.go
+++ b/pkg/site/call.go
@@ -46,7 +46,7 @@
 type Reply struct {
 	Outcome  Outcome
 	State    string // state of the job, for ShowJob
-	Unstored bool   // the job log does not hold State yet; an entry other than the owner has to take note before the caller sees it
+	Unstored bool   // the job log does not hold State yet; only owners of the version before say so
 	Waiting  int    // number of jobs in the queue that have not started, for CountWaiting
 	RetryMS  int64  // delay before the caller should retry, for Refused
 	Reason   string // why the outcome is not OK; may be empty
