relay: an owner that the log turns away has its appends sent by another entry

In a partial outage of the log the owner of a partition could store nothing, while other entries were served: jobs waited or were refused, completed jobs stayed unshown, and the next owner, which the log serves, found no handover record.

The same append, under the same epoch and sequence number, is now given to an entry that the log serves. The log carries it out once however often and late it arrives, and refuses it after a later owner's claim, so a relay that is late, paused or ending does no harm. The one place that gives a sequence number to other records is a flush that returns to the scheduler after nothing was stored: an append that a relay may have sent counts as perhaps stored, and keeps its number.

Before each first append an entry is asked whether the log serves it. It knows that from its own calls and makes none for the answer, so a total outage costs an owner at most four such questions a second for a partition. Claims and joins of the group are not relayed.

TestOwnerStoresThroughAnotherEntry without the relay:

assertion failed: 2 (c.epochs()[partition] int64) != 1 (epoch int64): another entry has taken over

--- a/internal/drive/flush.go
+++ b/internal/drive/flush.go
@@ -53,7 +53,7 @@
 }
 
 // append stores a flush. It retries under the same sequence number while an earlier attempt
-// may have been stored. If for requeueAfter every attempt was refused or not sent, nothing is
+// may have been stored, or may be. If for requeueAfter every attempt was refused or not sent, nothing is
 // stored, and the flush returns to the scheduler.
 func (part *ownedPartition) append(f *sched.Flush, control []controlRecord, seq int64) {
 	a := &site.Append{Partition: part.number, Epoch: part.scheduler.Epoch, Sequence: seq, ExpectEnd: -1, Records: f.Records}
@@ -61,8 +61,9 @@
 		a.Records = append(a.Records, x.record)
 	}
 	began, nothingStored := time.Now(), true
-	for n := 0; part.ctx.Err() == nil; n++ {
-		err := part.tryAppend(part.ctx, a, n > 0)
+	var failed attempts
+	for part.ctx.Err() == nil {
+		err := part.attempt(part.ctx, a, &failed)
 		if err == nil {
 			appendDuration.UpdateDuration(began)
 			for _, x := range control {
--- a/internal/drive/member.go
+++ b/internal/drive/member.go
@@ -52,9 +52,11 @@
 // recordLogResult records the result of a call to the log. The first answer after an outage interrupts the other
 // calls to the log.
 func (n *Node) recordLogResult(d *dependency, err error) {
+	at := &n.logAnsweredAt
 	if err != nil {
-		n.logFailedAt.Store(time.Now().UnixNano())
+		at = &n.logFailedAt
 	}
+	at.Store(time.Now().UnixNano())
 	if d.recordResult(err) {
 		n.logRestored.announce()
 	}
--- a/internal/drive/node.go
+++ b/internal/drive/node.go
@@ -56,6 +56,7 @@
 	stopping        atomic.Bool
 	aborted         chan struct{} // closed to exit without a handover, as after SIGKILL
 	logFailedAt     atomic.Int64  // Unix nanoseconds; when a call to the log last failed
+	logAnsweredAt   atomic.Int64  // Unix nanoseconds; when the log last answered a call
 	incomingUntil   atomic.Int64  // Unix nanoseconds; until then VMs are expected to join a pool of this entry
 	assignmentKnown atomic.Bool   // the partitions are assigned, to this entry or to others; required for readiness
 
@@ -66,6 +67,7 @@
 	vmsReadAt   time.Time          // when the VM list was last read; zero before
 	waves       map[int64]seenWave // by wave number
 	shown       shown.Notes
+	relayLogs   map[int]*relayLog // by partition
 	logRestored restoration
 	queues      *queueHistory
 
@@ -87,7 +89,7 @@
 	return &Node{
 		settings: settings, startedAt: time.Now(), planDelay: startupDelay, settleDelay: settleDelay, address: settings.AnnouncedAddress(), incarnation: settings.Entry + "-" + uuid.NewString()[:8],
 		policy:     schedPolicy(settings),
-		partitions: map[int]*ownedPartition{}, peers: map[string]*peer.Client{}, vms: map[string]site.VM{}, waves: map[int64]seenWave{},
+		partitions: map[int]*ownedPartition{}, peers: map[string]*peer.Client{}, vms: map[string]site.VM{}, relayLogs: map[int]*relayLog{}, waves: map[int64]seenWave{},
 		queues:            newQueueHistory(time.Now(), settings.Log.Partitions, schedPolicy(settings).KeepFinal),
 		assignmentRefresh: make(chan struct{}, 1), rejoin: make(chan struct{}, 1), aborted: make(chan struct{}),
 	}
@@ -108,6 +110,7 @@
 		return fmt.Errorf("listen on the peer address: %w", err)
 	}
 	defer ln.Close()
+	defer n.closeRelayLogs()
 	defer ps.Close()
 	go func() { failed <- ps.Serve(workCtx, ln) }()
 	callersLn, err := net.Listen("tcp", n.settings.Callers)
@@ -319,6 +322,7 @@
 		return n.queuesLocal(ctx, c)
 	})
 	n.handleShownCalls(s)
+	n.handleRelayCalls(s)
 	peer.Handle(s, announceKind, func(_ context.Context, _ string, a *announcement) (*empty, error) {
 		n.handleClaim(a.Partition, a.Owner, "announcement")
 		return &empty{}, nil
--- a/internal/drive/partition.go
+++ b/internal/drive/partition.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/greengagelane/greengagelane/internal/relay"
 	"github.com/greengagelane/greengagelane/internal/retry"
 	"github.com/greengagelane/greengagelane/internal/sched"
 	"github.com/greengagelane/greengagelane/internal/vmcall"
@@ -43,6 +44,7 @@
 	storedOnly     bool             // what the last owner and those before have shown as completed is stored; set by the claim
 	lastTriedEpoch int64            // epoch of the last claim attempt; its records may be stored although it failed
 	appendTimeout  *retry.Estimator // used by the claim, then by the append in progress
+	relays         relay.Peers      // used by the append in progress
 	readTimeout    time.Duration    // for the next attempt to read the partition in a claim
 
 	vmCalls      *vmcall.Group
--- a/internal/drive/proto.go
+++ b/internal/drive/proto.go
@@ -21,16 +21,17 @@
 
 // Kinds of calls between entries.
 const (
-	jobCallKind   = "job-call"    // a caller's request, to the owner of its partition
-	syncKind      = "sync"        // a request for the configuration and the known owners
-	announceKind  = "announce"    // the sender has become the owner of a partition
-	yieldKind     = "yield"       // a request to an owner to give up its partition
-	leftKind      = "left"        // the sender has left the platform's group of entries; its partitions are reassigned
-	reportKind    = "pool-report" // the mover's request for a pool's report
-	shownNoteKind = "shown-notes" // jobs that are shown as completed, to another entry than their owner
-	shownKind     = "shown-jobs"  // a new owner's request for such jobs
-	queuesKind    = "queues"      // a request for the queues of a partition's jobs, to its owner
-	explainKind   = "explain"     // an operator's request to show a job, to the owner of its partition
+	jobCallKind   = "job-call"     // a caller's request, to the owner of its partition
+	syncKind      = "sync"         // a request for the configuration and the known owners
+	announceKind  = "announce"     // the sender has become the owner of a partition
+	yieldKind     = "yield"        // a request to an owner to give up its partition
+	leftKind      = "left"         // the sender has left the platform's group of entries; its partitions are reassigned
+	reportKind    = "pool-report"  // the mover's request for a pool's report
+	shownNoteKind = "shown-notes"  // jobs that are shown as completed, to another entry than their owner
+	shownKind     = "shown-jobs"   // a new owner's request for such jobs
+	relayKind     = "relay-append" // an append to the job log, to an entry that the log may serve
+	queuesKind    = "queues"       // a request for the queues of a partition's jobs, to its owner
+	explainKind   = "explain"      // an operator's request to show a job, to the owner of its partition
 )
 
 // jobCall is a caller's request, forwarded to the owner of its partition.
