--- a/internal/drive/partition.go
+++ b/internal/drive/partition.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/greengagelane/greengagelane/internal/relay"
 	"github.com/greengagelane/greengagelane/internal/retry"
 	"github.com/greengagelane/greengagelane/internal/sched"
 	"github.com/greengagelane/greengagelane/internal/vmcall"
@@ -40,8 +41,10 @@
 	cancel         context.CancelFunc
 	loaded         chan struct{}    // closed once the partition is claimed and its records are read
 	nextSequence   int64            // sequence number of the next append
+	storedOnly     bool             // what the last owner and those before have shown as completed is stored; set by the claim
 	lastTriedEpoch int64            // epoch of the last claim attempt; its records may be stored although it failed
 	appendTimeout  *retry.Estimator // used by the claim, then by the append in progress
+	relays         relay.Peers      // used by the append in progress
 	readTimeout    time.Duration    // for the next attempt to read the partition in a claim
 
 	vmCalls      *vmcall.Group
@@ -61,6 +64,7 @@
 	pendingRecords []controlRecord // records of the mover, for the next flush
 	restored       restoredFleet   // control records read by the claim, for the mover; set before loaded is closed
 	mover          *mover          // nil unless this is the fleet partition
+	claimed        claimedTable    // set by the claim
 	recovery       recovery        // since the claim
 	roundTime      time.Duration   // duration of the last round, capped
 	lastStats      sched.Stats     // already added to the metrics
@@ -99,8 +103,10 @@
 	if !part.claim(ctx) {
 		return
 	}
-	if part.scheduler.HoldRecovered() {
+	if !part.storedOnly && part.scheduler.HoldRecovered() {
 		go part.collectShown(ctx)
+	} else {
+		part.recordStoredOnly()
 	}
 	part.recovery = recovery{log: part.log, startedAt: part.node.startedAt, claimedAt: time.Now()}
 	close(part.loaded)
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -56,6 +56,7 @@
 	// could exceed a step's MayMiss.
 	evacuateFrom time.Time
 	stats        Stats
+	acks         ackLog
 }
 
 // Stats holds the counters for the metrics. Refused and GivenUp count jobs, LostVMs VMs, the others runs. Lost
@@ -208,7 +209,7 @@
 func (s *Scheduler) Stats() Stats { return s.stats }
 
 // JobState returns the state of a job as callers see it. A final state is shown only
-// once the job log holds it; see also CompletedUnstored.
+// once the job log holds it.
 func (s *Scheduler) JobState(id string) (jobs.State, bool) {
 	j := s.jobs[id]
 	if j == nil || !j.stored {
