--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -79,6 +79,8 @@
 	Born  int64         // start of the VM's incarnation, Unix milliseconds
 	Age   time.Duration // of the task's run
 	Share float64       // of the task's job in the blame
+	// Unconfirmed is set if the VM had not confirmed the run: it may not have begun it.
+	Unconfirmed bool
 }
 
 // Record is the evidence against a task: the crashes of VMs while they ran it. The zero value is that of a
--- a/internal/sched/crash_notes.go
+++ b/internal/sched/crash_notes.go
@@ -12,7 +12,11 @@
 func crashTexts(r blame.Record) []string {
 	var list []string
 	for _, c := range r {
-		list = append(list, fmt.Sprintf("VM %s (born %d) after %d ms, share of the blame %.2f", c.VM, c.Born, c.Age.Milliseconds(), c.Share))
+		text := fmt.Sprintf("VM %s (born %d) after %d ms, share of the blame %.2f", c.VM, c.Born, c.Age.Milliseconds(), c.Share)
+		if c.Unconfirmed {
+			text += ", run not confirmed"
+		}
+		list = append(list, text)
 	}
 	return list
 }
--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -248,7 +248,7 @@
 // start adds a run of a task on a VM and emits its start order. Its callers check that the
 // VM has enough free resources and deduct them from the candidate.
 func (s *Scheduler) start(now time.Time, t *task, v *vm, number int64) {
-	r := &run{task: t, vm: v, number: number, phase: starting, startInFlight: true, answeredAt: now, startedAt: now, progressAt: now, speedPercent: 100, startedFrom: t.nextCheckpoint()}
+	r := &run{task: t, vm: v, number: number, phase: starting, startInFlight: true, answeredAt: now, startedAt: now, progressAt: now, speedPercent: 100, startedFrom: t.nextCheckpoint(), heardAt: v.heardAt}
 	t.lastRun = number
 	t.unverified = false
 	if len(t.runs) == 0 {
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -103,6 +103,8 @@
 	number         int64
 	phase          phase
 	answeredAt     time.Time // when the last order was answered; polls begun later show its effect
+	confirmedAt    time.Time // when the VM first accepted or listed it; zero if it may not have begun
+	heardAt        time.Time // when the VM had last answered a call before the start was ordered
 	nextStopAt     time.Time // no stop order is sent before this time
 	stopInFlight   bool      // a stop order is under way
 	stopConfirmed  bool      // the VM has confirmed a stop order
--- a/internal/sched/loss.go
+++ b/internal/sched/loss.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -13,12 +12,11 @@
 )
 
 const (
-	maxLoggedRuns = 8                      // runs that the log line of a lost VM names
-	rackWindow    = 500 * time.Millisecond // within which VMs of one rack fail for one cause
-	rackVMs       = 3                      // VMs of a rack lost within rackWindow, if they are half of it at least, that were lost with the rack
-	fleetWindow   = 50 * time.Millisecond  // within which VMs of all racks fail for one cause
-	fleetVMs      = 4                      // VMs lost within fleetWindow that were lost for one cause
-	verdictDelay  = 200 * time.Millisecond // from a crash until a job is given up for it; the loss of other VMs of its rack is known by then
+	rackWindow   = 500 * time.Millisecond // within which VMs of one rack fail for one cause
+	rackVMs      = 3                      // VMs of a rack lost within rackWindow, if they are half of it at least, that were lost with the rack
+	fleetWindow  = 50 * time.Millisecond  // within which VMs of all racks fail for one cause
+	fleetVMs     = 4                      // VMs lost within fleetWindow that were lost for one cause
+	verdictDelay = 200 * time.Millisecond // from a crash until a job is given up for it; the loss of other VMs of its rack is known by then
 )
 
 // losses holds what the scheduler knows of VMs that were lost with their runs.
@@ -118,15 +116,16 @@
 // lostTask is a task that a lost VM may have been running. since is when its run was started, zero if this
 // owner does not know.
 type lostTask struct {
-	task  *task
-	since time.Time
+	task      *task
+	since     time.Time
+	confirmed bool // the VM has begun the run
 }
 
 // tasksOn returns the tasks that run on a VM, or may do so by the records of an earlier owner, ordered by task.
 func (s *Scheduler) tasksOn(v *vm) []lostTask {
 	var list []lostTask
 	for _, r := range v.runs {
-		list = append(list, lostTask{r.task, r.startedAt})
+		list = append(list, lostTask{r.task, r.startedAt, !r.confirmedAt.IsZero()})
 	}
 	for _, x := range s.losses.presumed[v.ID] {
 		id, err := jobs.ParseTaskID(x.task)
@@ -134,36 +133,13 @@
 			continue
 		}
 		if t := s.jobs[id.Job].findTask(id); t != nil && !t.done && len(t.runs) == 0 {
-			list = append(list, lostTask{t, x.startedAt})
+			list = append(list, lostTask{t, x.startedAt, false})
 		}
 	}
 	slices.SortFunc(list, func(a, b lostTask) int { return a.task.id.Compare(b.task.id) })
 	return list
 }
 
-// logLostVM logs the loss of a VM's incarnation with its runs, the youngest first: a task that crashes its VM
-// does so soon after its start.
-func (s *Scheduler) logLostVM(now time.Time, v *vm, why string) {
-	runs := make([]*run, 0, len(v.runs))
-	for _, r := range v.runs {
-		runs = append(runs, r)
-	}
-	slices.SortFunc(runs, func(a, b *run) int {
-		if c := b.startedAt.Compare(a.startedAt); c != 0 {
-			return c
-		}
-		return a.task.id.Compare(b.task.id)
-	})
-	var youngest []string
-	for _, r := range runs[:min(len(runs), maxLoggedRuns)] {
-		youngest = append(youngest, fmt.Sprintf("%s run %d, %d ms", r.task.id, r.number, now.Sub(r.startedAt).Milliseconds()))
-	}
-	s.log.WithFields(logrus.Fields{
-		"vm": v.ID, "pool": v.Pool, "born": v.Born, "why": why, "silent-ms": now.Sub(v.lastAnswer).Milliseconds(),
-		"cordoned": v.cordoned, "draining": v.Draining, "runs": len(runs), "presumed": len(s.losses.presumed[v.ID]), "youngest": youngest,
-	}).Info("VM lost with its runs")
-}
-
 // blame adds the crash of a VM to the records of the tasks that it ran, and returns the jobs that are likely
 // to have caused it.
 func (s *Scheduler) blame(now, failedAt time.Time, v *vm, lost []lostTask) (likely []*job) {
@@ -191,7 +167,7 @@
 		if t.crashes.Has(v.ID, v.Born) || age(x) >= blame.MaxAge {
 			continue // in the first case, its start order was under way when the loss was first seen
 		}
-		t.crashes = append(t.crashes, blame.Crash{VM: v.ID, Born: v.Born, Age: age(x), Share: shares[index[t.job]]})
+		t.crashes = append(t.crashes, blame.Crash{VM: v.ID, Born: v.Born, Age: age(x), Share: shares[index[t.job]], Unconfirmed: !x.confirmed})
 		t.job.dirty, t.suspectSince = true, now
 		s.losses.suspects[t] = true
 	}
@@ -339,7 +315,7 @@
 		if verdict == blame.None || now.Sub(t.suspectSince) < verdictDelay || t.job.state.Final() || t.heldFor == len(crashes) {
 			continue
 		}
-		log := s.log.WithFields(logrus.Fields{"job": t.job.ID, "task": t.id.String(), "verdict": verdict.String(), "crashes": crashTexts(crashes)})
+		log := s.log.WithFields(logrus.Fields{"job": t.job.ID, "task": t.id.String(), "verdict": verdict.String(), "crashes": crashTexts(crashes), "racks": s.rackTexts(crashes)})
 		if t.step.Lasts {
 			log.Warn("long-running task is not started again: VMs crash while they run it")
 			t.heldFor = len(crashes)
--- a/internal/sched/observe.go
+++ b/internal/sched/observe.go
@@ -108,7 +108,7 @@
 		}
 		s.handleNewIncarnation(now, v, status.Born)
 	}
-	v.clockMS, v.clockAt, v.lastAnswer, v.pollFailed, v.failedAt = status.ClockMS, now, now, false, time.Time{}
+	v.clockMS, v.clockAt, v.lastAnswer, v.heardAt, v.pollFailed, v.failedAt = status.ClockMS, now, now, now, false, time.Time{}
 	if v.lapsed { // it was cut off, and has not crashed
 		v.lapsed = false
 		s.losses.withdraw(v.ID, v.Born)
@@ -184,7 +184,7 @@
 	case x.Run < t.lastRun && !s.mayBeCopy(t, x):
 		return "a later run has been seen"
 	}
-	r := &run{task: t, vm: v, number: x.Run, phase: working, answeredAt: now, startedAt: s.losses.presumedStart(now, v.ID, x.Task), progressAt: now, speedPercent: 100, adopted: true}
+	r := &run{task: t, vm: v, number: x.Run, phase: working, answeredAt: now, confirmedAt: now, startedAt: s.losses.presumedStart(now, v.ID, x.Task), progressAt: now, speedPercent: 100, adopted: true}
 	t.lastRun = max(t.lastRun, x.Run)
 	if len(t.runs) == 0 {
 		t.step.withoutRun--
@@ -226,9 +226,17 @@
 	}
 }
 
+// confirm records that the VM has begun a run.
+func (r *run) confirm(now time.Time) {
+	if r.confirmedAt.IsZero() {
+		r.confirmedAt = now
+	}
+}
+
 // updateProgress updates a run from a status poll. A listed run is working even if its start
 // order was not answered. A long-running run is available at 100 percent.
 func (s *Scheduler) updateProgress(now time.Time, r *run, x *site.Run) {
+	r.confirm(now)
 	if r.phase == starting || (r.phase == startUnverified && !r.stopConfirmed) {
 		r.phase = working
 		r.answeredAt = now
--- a/internal/sched/replies.go
+++ b/internal/sched/replies.go
@@ -18,16 +18,23 @@
 	if v == nil {
 		return
 	}
+	if err == nil {
+		v.heardAt = now
+	}
 	r := v.runs[a.Order.Task]
 	if r == nil || r.number != a.Order.Run {
 		return
 	}
 	r.answeredAt, r.startInFlight = now, false
+	accepted := err == nil && (refusal == site.Accepted || (a.Repeated && refusal == site.RefusedOld))
+	if accepted {
+		r.confirm(now)
+	}
 	switch {
 	case v.ended:
 		s.stats.Lost++
 		s.releaseRun(r, "machine is down")
-	case err == nil && (refusal == site.Accepted || (a.Repeated && refusal == site.RefusedOld)):
+	case accepted:
 		if r.phase == starting {
 			r.phase = working // or ended already; a poll that begins later shows which
 		}
@@ -69,6 +76,9 @@
 	if v == nil {
 		return
 	}
+	if err == nil {
+		v.heardAt = now
+	}
 	if err == nil && refusal == site.RefusedFence {
 		s.fenced = true
 		return
--- a/internal/sched/vm.go
+++ b/internal/sched/vm.go
@@ -30,6 +30,7 @@
 	clockMS             int64            // the VM's clock at clockAt; 0 before the first poll
 	clockAt             time.Time        // when clockMS was received
 	lastAnswer          time.Time        // when a poll was last answered
+	heardAt             time.Time        // when a poll or an order was last answered; zero if none was
 	leasesEnd           time.Time        // by then all leases granted so far have expired, on the local clock
 	seenSeq             int64            // run ends up to this sequence number are processed
 	storedSeq           int64            // run ends up to this sequence number have their effect in the job log
