sched: a crash proves nothing against a task whose run the VM had not confirmed

What callers saw: an accepted job shown as failed though no task of it had failed so often nor crashed two VMs (rule LOST).

Cause: all runs that the scheduler had on a lost VM counted as begun. A rack goes dark; a task is lost with one VM and ordered on another one of the rack that is down too, but not yet known to be. That order is never answered, and it is the youngest one on the VM: all of the blame is its own, and two likely crashes with one certain prove it.

The VM's answer to the start order, or a list of its runs, tells that it had begun a run. A crash without either counts towards the limits of starts only: proof takes two crashes of confirmed runs. A refusal or a reply of another incarnation that arrives after the loss is known removes the crash from the record, an answer of the lost VM confirms it.

The doubt is stored after the progress under a key of its own, which the version before skips (TestProgressIsReadByBothVersions); its records are read as confirmed.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -31,6 +31,7 @@
 	crashesToProve = 2                     // crashes under one task, each likely by it, that may prove it the cause
 	maxCrashes     = 3                     // crashes under one task, one likely by it, after which its job is given up without proof
 	maxUnlikely    = 5                     // crashes under one task after which its job is given up in any case: the platform allows two starts after the third
+	maxDoubtful    = 4                     // crashes under one task that may not have happened under it, after which its job is given up; one less than maxUnlikely, as one may be lost with the owner that saw it
 	maxLasting     = 4                     // crashes on the record of a long-running task after which it is not started again; one less, as one may be lost with the owner that saw it
 )
 
@@ -79,10 +80,13 @@
 	Born  int64         // start of the VM's incarnation, Unix milliseconds
 	Age   time.Duration // of the task's run
 	Share float64       // of the task's job in the blame
-	// Unconfirmed is set if the VM had not confirmed the run: it may not have begun it.
+	// Unconfirmed is set if the VM had not confirmed the run: it may not have begun it. Such a crash proves nothing.
 	Unconfirmed bool
 }
 
+// doubtful reports whether the crash may not have happened under the task.
+func (c *Crash) doubtful() bool { return c.Unconfirmed }
+
 // Record is the evidence against a task: the crashes of VMs while they ran it. The zero value is that of a
 // task without any.
 type Record []Crash
@@ -100,7 +104,7 @@
 func (r Record) Suspect() bool { return r.count(suspectShare) > 0 || len(r) >= crashesToProve }
 
 // Likely reports whether the task is likely to have caused one of the crashes.
-func (r Record) Likely() bool { return r.count(suspectShare) > 0 }
+func (r Record) Likely() bool { return r.countCertain(suspectShare) > 0 }
 
 //go:generate ../../.bin/enumer -type=Verdict -transform=kebab -output=verdict_enumer.go
 
@@ -117,11 +121,13 @@
 // Verdict returns whether the task's job is given up. cleared is the number of crashes that the record no
 // longer holds.
 func (r Record) Verdict(cleared int) Verdict {
-	likely, certain := r.count(suspectShare), r.count(certainShare)
+	likely, happened := r.countCertain(suspectShare), r.countCertain(0)
 	switch {
-	case likely >= crashesToProve && certain > 0:
+	case r.proved():
 		return Proved
-	case len(r) >= maxCrashes && likely > 0, len(r)+cleared >= maxUnlikely:
+	case len(r) >= maxCrashes && likely > 0 && happened >= crashesToProve:
+		return Exhausted
+	case len(r)-happened >= maxDoubtful, len(r)+cleared >= maxUnlikely:
 		return Exhausted
 	}
 	return None
@@ -131,7 +137,7 @@
 // does not run, so without proof there have to be many crashes.
 func (r Record) LastingVerdict(cleared int) Verdict {
 	switch {
-	case r.count(suspectShare) >= crashesToProve && r.count(certainShare) > 0:
+	case r.proved():
 		return Proved
 	case len(r) >= maxLasting, len(r)+cleared >= maxUnlikely:
 		return Exhausted
@@ -144,6 +150,28 @@
 	return len(r) > 0 && (len(r)+1 >= maxLasting || len(r)+cleared+1 >= maxUnlikely)
 }
 
+// proved reports whether the task is likely to have caused two crashes, and certain to have caused one of them.
+func (r Record) proved() bool {
+	return r.countCertain(suspectShare) >= crashesToProve && r.countCertain(certainShare) > 0
+}
+
+// Unconfirmed reports whether the task may not have run on one of the VMs that crashed.
+func (r Record) Unconfirmed() bool {
+	return slices.ContainsFunc(r, func(c Crash) bool { return c.Unconfirmed })
+}
+
+// countCertain returns the number of crashes that certainly happened under the task, with at least the given
+// share of the blame.
+func (r Record) countCertain(share float64) int {
+	n := 0
+	for i := range r {
+		if r[i].Share >= share && !r[i].doubtful() {
+			n++
+		}
+	}
+	return n
+}
+
 // count returns the number of crashes with at least the given share of the blame.
 func (r Record) count(share float64) int {
 	n := 0
@@ -191,6 +219,17 @@
 	return explained
 }
 
+// Confirmed returns the record after a VM that crashed has turned out to have begun the run.
+func (r Record) Confirmed(vm string, born int64) Record {
+	confirmed := slices.Clone(r)
+	for i := range confirmed {
+		if c := &confirmed[i]; c.VM == vm && c.Born == born {
+			c.Unconfirmed = false
+		}
+	}
+	return confirmed
+}
+
 // Without returns the record without the crash of an incarnation of a VM, which has turned out not to have
 // ended.
 func (r Record) Without(vm string, born int64) Record {
--- a/internal/blame/blame_test.go
+++ b/internal/blame/blame_test.go
@@ -89,6 +89,29 @@
 	for _, tt := range lasting {
 		assert.Equal(t, tt.record.LastingVerdict(0), tt.want, tt.name)
 	}
+	unconfirmed := func(r Record, doubtful ...int) Record {
+		for _, i := range doubtful {
+			r[i].Unconfirmed = true
+		}
+		return r
+	}
+	doubtful := []struct {
+		name   string
+		record Record
+		want   Verdict
+	}{
+		{"alone twice, once unconfirmed", unconfirmed(crashes(1, 1), 1), None},
+		{"alone three times, twice unconfirmed", unconfirmed(crashes(1, 1, 1), 0, 2), None},
+		{"alone three times, once unconfirmed", unconfirmed(crashes(1, 1, 1), 0), Proved},
+		{"shared three times, once unconfirmed", unconfirmed(crashes(0.3, 0.3, 0.3), 1), Exhausted},
+		{"shared three times, twice unconfirmed", unconfirmed(crashes(0.3, 0.3, 0.3), 1, 2), None},
+		{"always unconfirmed, three times", unconfirmed(crashes(1, 1, 1), 0, 1, 2), None},
+		{"always unconfirmed, too often", unconfirmed(crashes(1, 1, 1, 1), 0, 1, 2, 3), Exhausted},
+		{"explained by others or unconfirmed, too often", unconfirmed(crashes(0, 0, 1, 1, 1), 2, 3, 4), Exhausted},
+	}
+	for _, tt := range doubtful {
+		assert.Equal(t, tt.record.Verdict(0), tt.want, tt.name)
+	}
 	for cleared := range maxUnlikely {
 		assert.Equal(t, crashes(0.02).Verdict(cleared) == Exhausted, cleared+1 == maxUnlikely, "%d crashes cleared", cleared)
 		assert.Equal(t, crashes(0.02).LastingVerdict(cleared) == Exhausted, cleared+1 == maxUnlikely, "%d crashes cleared", cleared)
--- a/internal/sched/loss_test.go
+++ b/internal/sched/loss_test.go
@@ -37,3 +37,12 @@
 }
 
 func onePlainTask() jobs.Step { return jobs.Step{Count: 1, CPU: 1000, EstimateMS: 9000} }
+
+// pollUp has the VMs that are not known to have ended answer a status poll with their runs.
+func (r *fixture) pollUp(ms int) {
+	for _, v := range r.s.sortedVMs("pool") {
+		if !v.ended {
+			r.pollRuns(ms, v.ID)
+		}
+	}
+}
--- a/internal/sched/replies.go
+++ b/internal/sched/replies.go
@@ -14,6 +14,10 @@
 // start was refused, since the earlier attempt may still be carried out. A repeated start is refused
 // as old if the run has been on the VM and has ended.
 func (s *Scheduler) HandleStart(now time.Time, a *StartRun, refusal site.Refusal, err error) {
+	notBegun := !a.Repeated && ((err == nil && refusal != site.Accepted) || errors.Is(err, site.ErrNotDone) || errors.Is(err, site.ErrOtherIncarnation))
+	if notBegun && errors.Is(err, site.ErrOtherIncarnation) {
+		s.releaseNotBegun(a)
+	}
 	v := s.answeringVM(now, a.VM, err)
 	if v == nil {
 		return
@@ -33,6 +37,7 @@
 	switch {
 	case v.ended:
 		s.stats.Lost++
+		s.settleLost(r, accepted, notBegun)
 		s.releaseRun(r, "machine is down")
 	case accepted:
 		if r.phase == starting {
@@ -40,7 +45,7 @@
 		}
 	case err == nil && refusal == site.RefusedFence:
 		s.fenced = true
-	case !a.Repeated && (err == nil || errors.Is(err, site.ErrNotDone)):
+	case notBegun:
 		s.handleRefusedStart(now, r, refusal, err)
 	case r.phase == starting:
 		r.phase = startUnverified
@@ -51,6 +56,28 @@
 	}
 }
 
+// releaseNotBegun releases a run whose start order another incarnation of the VM has turned away: the loss of the
+// earlier one does not count against its task.
+func (s *Scheduler) releaseNotBegun(a *StartRun) {
+	if v := s.vms[a.VM]; v != nil {
+		if r := v.runs[a.Order.Task]; r != nil && r.number == a.Order.Run && r.confirmedAt.IsZero() {
+			s.releaseRun(r, "another incarnation of the VM answered")
+		}
+	}
+}
+
+// settleLost handles the reply to a start order whose VM is known to have ended: it tells whether the crash happened
+// under the run.
+func (s *Scheduler) settleLost(r *run, begun, notBegun bool) {
+	t, v := r.task, r.vm
+	switch {
+	case begun:
+		s.losses.set(t, t.crashes.Confirmed(v.ID, v.Born))
+	case notBegun && r.confirmedAt.IsZero():
+		s.losses.set(t, t.crashes.Without(v.ID, v.Born))
+	}
+}
+
 // handleRefusedStart releases a run whose start was refused or certainly not carried out.
 // After RefusedLate, the estimate of the VM's clock may be wrong, so the VM is used again only
 // after a poll.
--- a/internal/sched/trial.go
+++ b/internal/sched/trial.go
@@ -23,6 +23,7 @@
 	maxLastingTrial = 2 * blame.ForgetAfter  // a VM gets runs of other jobs after this also if a long-running suspect is not cleared yet
 	fullPatience    = 10 * time.Second       // a suspect waits no longer than this for its pool to have room
 	trialPolls      = 100 * time.Millisecond // between two status polls of a VM on trial
+	recentAnswer    = 200 * time.Millisecond // a VM that has answered within this time is not taken for one that has fallen silent
 	fullFor         = 200 * time.Millisecond // a pool counts as full for this long after a task found no room
 	crashDowntime   = 3 * time.Second        // that a VM is expected to be out of service after a crash
 	lastingLoss     = 10.0                   // core-seconds that a crash costs a long-running task for each of its cores
@@ -84,12 +85,26 @@
 	if c == nil {
 		c = s.leastExposed(now, t, cands)
 	}
-	if c != nil {
+	if c != nil && s.answers(now, t, c.vm) {
 		s.startOn(now, t, c, s.nextRunNumber(t))
 		c.trial = t.job
 	}
 }
 
+// answers reports whether a suspect may be started on a VM. If it is not known whether the VMs that were lost had
+// begun its earlier runs, it is started only on a VM that has just answered: so the loss of a VM that had
+// fallen silent before the order does not count against it. The VM is polled otherwise.
+func (s *Scheduler) answers(now time.Time, t *task, v *vm) bool {
+	if !t.crashes.Unconfirmed() || now.Sub(v.heardAt) <= recentAnswer {
+		return true
+	}
+	if now.Sub(v.trialPolledAt) >= trialPolls {
+		v.trialPolledAt = now
+		s.emit(PollVM{VM: v.ID})
+	}
+	return false
+}
+
 // trialsWouldCrowd reports whether a suspect waits since its pool is full, or since too many VMs are on trial.
 func (s *Scheduler) trialsWouldCrowd(now time.Time, t *task, waited time.Duration, cands []*candidate) bool {
 	if !t.step.Lasts && waited < fullPatience && now.Sub(s.pool(t.job.Pool).fullAt) < fullFor {
@@ -164,7 +179,7 @@
 		if !t.suspected() || !s.startable(now, t) || !s.quotaAllows(now, t, 1) || s.trialsWouldCrowd(now, t, 0, cands) {
 			continue
 		}
-		if c := s.bestCandidate(now, t, withoutOthers(t.job, cands)); c != nil {
+		if c := s.bestCandidate(now, t, withoutOthers(t.job, cands)); c != nil && s.answers(now, t, c.vm) {
 			s.startOn(now, t, c, s.nextRunNumber(t))
 			c.trial = t.job
 		}
--- a/pkg/jobs/progress.go
+++ b/pkg/jobs/progress.go
@@ -55,12 +55,24 @@
 	Born     int64 // start of the VM's incarnation, Unix milliseconds
 	AgeMS    int64 // of the task's run
 	Percent  int   // share of the blame, 0 to 100
+
+	Unconfirmed bool `msgpack:"-"` // the VM may not have begun the run; see progressExtension
 }
 
 // progressExtension follows a Progress in its record. Versions before it read the Progress and ignore what follows;
 // they cannot read one with more fields.
 type progressExtension struct {
-	Tasks []taskExtension
+	Tasks    []taskExtension
+	Doubtful []crashExtension `msgpack:",omitempty"` // ignored by versions before it
+}
+
+// crashExtension holds fields of the crash notes of the TaskProgress with the same occurrence, step and index.
+type crashExtension struct {
+	_msgpack    struct{} `msgpack:",as_array"` //nolint:unused // encodes fields by position
+	Occurrence  int
+	Step        int
+	Index       int
+	Unconfirmed []int // positions of the crashes in TaskProgress.Crashes
 }
 
 // taskExtension holds fields of the TaskProgress with the same occurrence, step and index.
@@ -84,8 +96,11 @@
 		if n := &p.Notes[i]; n.StartedMS != 0 || n.Cleared != 0 {
 			x.Tasks = append(x.Tasks, taskExtension{Occurrence: n.Occurrence, Step: n.Step, Index: n.Index, StartedMS: n.StartedMS, Cleared: n.Cleared})
 		}
+		if c := p.Notes[i].crashExtension(); c != nil {
+			x.Doubtful = append(x.Doubtful, *c)
+		}
 	}
-	if len(x.Tasks) == 0 {
+	if len(x.Tasks)+len(x.Doubtful) == 0 {
 		return data, nil
 	}
 	extension, err := Encode(&x)
@@ -95,6 +110,29 @@
 	return append(data, extension...), nil
 }
 
+// crashExtension returns what is stored of the crash notes outside of the TaskProgress, nil if there is nothing.
+func (n *TaskProgress) crashExtension() *crashExtension {
+	x := crashExtension{Occurrence: n.Occurrence, Step: n.Step, Index: n.Index}
+	for i := range n.Crashes {
+		if n.Crashes[i].Unconfirmed {
+			x.Unconfirmed = append(x.Unconfirmed, i)
+		}
+	}
+	if len(x.Unconfirmed) == 0 {
+		return nil
+	}
+	return &x
+}
+
+// apply sets the fields of crash notes that an extension holds.
+func (x *crashExtension) apply(notes []CrashNote) {
+	for _, i := range x.Unconfirmed {
+		if i >= 0 && i < len(notes) {
+			notes[i].Unconfirmed = true
+		}
+	}
+}
+
 // DecodeProgress decodes a value that EncodeProgress of this or an earlier version encoded.
 func DecodeProgress(data []byte) (*Progress, error) {
 	dec := msgpack.NewDecoder(bytes.NewReader(data))
@@ -115,11 +153,19 @@
 		t := &x.Tasks[i]
 		byTask[key{t.Occurrence, t.Step, t.Index}] = t
 	}
+	doubtful := map[key]*crashExtension{}
+	for i := range x.Doubtful {
+		c := &x.Doubtful[i]
+		doubtful[key{c.Occurrence, c.Step, c.Index}] = c
+	}
 	for i := range p.Notes {
 		n := &p.Notes[i]
 		if t := byTask[key{n.Occurrence, n.Step, n.Index}]; t != nil {
 			n.StartedMS, n.Cleared = t.StartedMS, t.Cleared
 		}
+		if c := doubtful[key{n.Occurrence, n.Step, n.Index}]; c != nil {
+			c.apply(n.Crashes)
+		}
 	}
 	return p, nil
 }
--- a/pkg/jobs/progress_compat_test.go
+++ b/pkg/jobs/progress_compat_test.go
@@ -1,9 +1,11 @@
 package jobs
 
 import (
+	"bytes"
 	"fmt"
 	"testing"
 
+	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
 )
 
@@ -32,10 +34,15 @@
 	On         string
 }
 
+// earlierExtension is what versions before doubtful crashes store after the progress.
+type earlierExtension struct {
+	Tasks []taskExtension
+}
+
 // TestProgressIsReadByBothVersions guards against an entry of the version before, or of this one, that cannot read
 // the progress that the other has stored while both run side by side.
 func TestProgressIsReadByBothVersions(t *testing.T) {
-	crashes := []CrashNote{{VM: "w1", Born: 5, AgeMS: 300, Percent: 70}}
+	crashes := []CrashNote{{VM: "w1", Born: 5, AgeMS: 300, Percent: 70}, {VM: "w4", Unconfirmed: true}}
 	data, err := EncodeProgress(&Progress{State: Running, Began: true, Created: 1, Open: []int{0}, Reason: "r", Notes: []TaskProgress{
 		{Index: 1, Failed: []int64{2}, Checkpoint: "c", Crashes: crashes, On: "w2", StartedMS: 7, Cleared: 3},
 		{Index: 2, On: "w3", StartedMS: 8},
@@ -53,6 +60,12 @@
 	assert.Equal(t, p.Notes[0].StartedMS, int64(7))
 	assert.Equal(t, p.Notes[0].Cleared, 3)
 	assert.Equal(t, p.Notes[1].StartedMS, int64(8))
+	assert.Equal(t, fmt.Sprintf("%t %t", p.Notes[0].Crashes[0].Unconfirmed, p.Notes[0].Crashes[1].Unconfirmed), "false true")
+	var x earlierExtension
+	dec := msgpack.NewDecoder(bytes.NewReader(data))
+	assert.NilError(t, dec.Skip())
+	assert.NilError(t, dec.Decode(&x))
+	assert.Equal(t, len(x.Tasks), 2)
 	data, err = Encode(earlier)
 	assert.NilError(t, err)
 	p, err = DecodeProgress(data)
--- a/pkg/jobs/state_enumer.go
+++ b/pkg/jobs/state_enumer.go
@@ -25,11 +25,11 @@
 // Re-run the stringer command to generate them again.
 func _StateNoOp() {
 	var x [1]struct{}
-	_ = x[Queued-(0)]
-	_ = x[Running-(1)]
-	_ = x[Completed-(2)]
-	_ = x[Failed-(3)]
-	_ = x[Cancelled-(4)]
+	_ = x[Queued-0]
+	_ = x[Running-1]
+	_ = x[Completed-2]
+	_ = x[Failed-3]
+	_ = x[Cancelled-4]
 }
 
 var _StateValues = []State{Queued, Running, Completed, Failed, Cancelled}
