sched: a VM whose leases have run out is no proof against a task until it has ended

Cause: while the inventory does not show a machine as down, its VM counts as crashed once its leases have run out. It may as well be cut off. When it answered again the crash was withdrawn, but a job had been given up for it before.

Such a crash counts towards the limits of starts only, until the inventory, another incarnation or the VM list shows that the incarnation has ended (TestLapsedVMCountsOnceItHasEnded, also by the next owner). The doubt is stored with that of unconfirmed runs.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -82,10 +82,12 @@
 	Share float64       // of the task's job in the blame
 	// Unconfirmed is set if the VM had not confirmed the run: it may not have begun it. Such a crash proves nothing.
 	Unconfirmed bool
+	// Lapsed is set if only the VM's leases are known to have ended: it may be cut off. Such a crash proves nothing.
+	Lapsed bool
 }
 
 // doubtful reports whether the crash may not have happened under the task.
-func (c *Crash) doubtful() bool { return c.Unconfirmed }
+func (c *Crash) doubtful() bool { return c.Unconfirmed || c.Lapsed }
 
 // Record is the evidence against a task: the crashes of VMs while they ran it. The zero value is that of a
 // task without any.
@@ -230,6 +232,17 @@
 	return confirmed
 }
 
+// Ended returns the record after it has become known that an incarnation of a VM has ended.
+func (r Record) Ended(vm string, born int64) Record {
+	ended := slices.Clone(r)
+	for i := range ended {
+		if c := &ended[i]; c.VM == vm && c.Born == born {
+			c.Lapsed = false
+		}
+	}
+	return ended
+}
+
 // Without returns the record without the crash of an incarnation of a VM, which has turned out not to have
 // ended.
 func (r Record) Without(vm string, born int64) Record {
--- a/internal/sched/crash_notes.go
+++ b/internal/sched/crash_notes.go
@@ -16,6 +16,9 @@
 		if c.Unconfirmed {
 			text += ", run not confirmed"
 		}
+		if c.Lapsed {
+			text += ", VM may be cut off"
+		}
 		list = append(list, text)
 	}
 	return list
@@ -25,7 +28,7 @@
 func (t *task) crashNotes() []jobs.CrashNote {
 	var notes []jobs.CrashNote
 	for _, c := range t.crashes {
-		notes = append(notes, jobs.CrashNote{VM: c.VM, Born: c.Born, AgeMS: c.Age.Milliseconds(), Percent: int(100*c.Share + 0.5), Unconfirmed: c.Unconfirmed})
+		notes = append(notes, jobs.CrashNote{VM: c.VM, Born: c.Born, AgeMS: c.Age.Milliseconds(), Percent: int(100*c.Share + 0.5), Unconfirmed: c.Unconfirmed, Lapsed: c.Lapsed})
 	}
 	return notes
 }
@@ -55,6 +58,6 @@
 func (t *task) restoreCrashes(notes []jobs.CrashNote) {
 	t.crashes = nil
 	for _, n := range notes {
-		t.crashes = append(t.crashes, blame.Crash{VM: n.VM, Born: n.Born, Age: time.Duration(n.AgeMS) * time.Millisecond, Share: float64(n.Percent) / 100, Unconfirmed: n.Unconfirmed})
+		t.crashes = append(t.crashes, blame.Crash{VM: n.VM, Born: n.Born, Age: time.Duration(n.AgeMS) * time.Millisecond, Share: float64(n.Percent) / 100, Unconfirmed: n.Unconfirmed, Lapsed: n.Lapsed})
 	}
 }
--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -44,7 +44,7 @@
 			s.log.WithField("vm", id).Info("VM that may hold runs of an earlier owner did not answer; its leases have expired")
 			delete(s.unverified, id)
 			if v != nil {
-				s.loseVM(now, v, "does not answer and its leases have expired")
+				s.loseVM(now, v, false, "does not answer and its leases have expired")
 				v.lapsed = true
 			}
 		}
@@ -52,7 +52,7 @@
 	for _, v := range s.vms {
 		silent := now.Sub(v.lastAnswer) > s.policy.Lease
 		if silent && now.After(v.leasesEnd) && len(v.runs) > 0 {
-			s.loseVM(now, v, "does not answer and its leases have expired")
+			s.loseVM(now, v, false, "does not answer and its leases have expired")
 			s.releaseRuns(v, "lease expired")
 			v.polled, v.lapsed = false, true
 		}
--- a/internal/sched/ended.go
+++ b/internal/sched/ended.go
@@ -9,11 +9,12 @@
 // EndVM handles the end of a VM's incarnation that the inventory shows. It releases its runs long before their
 // leases expire.
 func (s *Scheduler) EndVM(now time.Time, e site.Incarnation) {
+	s.losses.end(e.VM, e.Born)
 	v := s.vms[e.VM]
 	if v == nil || v.Born != e.Born || v.ended {
 		return
 	}
-	s.loseVM(now, v, "its machine is down")
+	s.loseVM(now, v, true, "its machine is down")
 	s.releaseAnswered(v, "machine is down")
 	v.ended, v.endedAt, v.polled = true, now, false
 	delete(s.unverified, v.ID)
@@ -26,7 +27,7 @@
 	if v == nil {
 		return
 	}
-	s.loseVM(now, v, "another incarnation answers at its address")
+	s.loseVM(now, v, true, "another incarnation answers at its address")
 	s.releaseRuns(v, "VM incarnation ended")
 	s.forgetVM(v)
 }
--- a/internal/sched/innocent_test.go
+++ b/internal/sched/innocent_test.go
@@ -20,7 +20,7 @@
 }
 
 // TestJobIsNotGivenUpForUnconfirmedCrashes guards against a job that is shown as failed although no two VMs have
-// crashed under a task of it: a VM had been silent before the order.
+// crashed under a task of it: a VM had been silent before the order, or was cut off.
 func TestJobIsNotGivenUpForUnconfirmedCrashes(t *testing.T) {
 	vms := func() []site.VM { return []site.VM{testVM("a"), testVM("b"), testVM("c")} }
 	tests := []struct {
@@ -119,6 +119,22 @@
 			r.endVM(400, r.orderOne(100).VM)
 			return 400
 		}},
+		{"VMs are cut off until their leases have run out", onePlainTask(), func(r *fixture) int {
+			for i := range 2 {
+				ms := 6000 * i
+				for _, id := range []string{"a", "b", "c"} {
+					if v := r.s.vms[id]; !v.lapsed {
+						r.pollRuns(ms, id)
+					}
+				}
+				x := r.starts(ms + 10)
+				assert.Equal(r.t, len(x), 1)
+				r.s.HandlePollFailure(at(ms+900), x[0].VM, errNoAnswer)
+				r.s.Decide(at(ms + 5000))
+				r.flush(ms + 5000)
+			}
+			return 11_000
+		}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -212,3 +228,42 @@
 	r.pollUp(710)
 	r.orderOne(720)
 }
+
+// TestLapsedVMCountsOnceItHasEnded guards against a task that crashes its VMs and is not given up, since their leases
+// run out before it is known that they have crashed.
+func TestLapsedVMCountsOnceItHasEnded(t *testing.T) {
+	tests := []struct {
+		name string
+		end  func(r *fixture, ms int, vm string)
+	}{
+		{"machine is down", func(r *fixture, ms int, vm string) { r.endVM(ms, vm) }},
+		{"another incarnation answers", func(r *fixture, ms int, vm string) {
+			r.s.HandlePollFailure(at(ms), vm, site.ErrOtherIncarnation)
+		}},
+		{"restarts under the same ID", func(r *fixture, ms int, vm string) {
+			r.s.HandlePoll(at(ms), vm, at(ms), &site.VMStatus{Born: 2, ClockMS: 1})
+		}},
+		{"takeover before", func(r *fixture, ms int, vm string) {
+			r.flush(ms)
+			r.takeover(ms, testVM("a"), testVM("b"), testVM("c"))
+			r.endVM(ms, vm)
+		}},
+	}
+	for _, tt := range tests {
+		r := newFixture(t, testVM("a"), testVM("b"), testVM("c"))
+		r.submit(0, testJob(jobID, onePlainTask()))
+		r.crashUnderRun(10)
+		r.pollUp(100)
+		x := r.starts(110)
+		assert.Equal(t, len(x), 1)
+		r.s.HandlePollFailure(at(120), x[0].VM, errNoAnswer)
+		r.s.Decide(at(5000))
+		r.flush(5000)
+		r.s.Decide(at(5300))
+		assert.Assert(t, !r.s.jobs[jobID].state.Final(), "%s: given up before the VM is known to have ended", tt.name)
+		tt.end(r, 5400, x[0].VM)
+		r.s.Decide(at(5700))
+		r.s.Decide(at(6000))
+		assert.Equal(t, r.s.jobs[jobID].state, jobs.Failed, tt.name)
+	}
+}
--- a/internal/sched/loss.go
+++ b/internal/sched/loss.go
@@ -91,8 +91,11 @@
 }
 
 // loseVM logs the loss of a VM's incarnation and splits the blame for it among the jobs that it ran, unless
-// the VM was about to leave.
-func (s *Scheduler) loseVM(now time.Time, v *vm, why string) {
+// the VM was about to leave. ended is set if the incarnation has certainly ended, and is not cut off.
+func (s *Scheduler) loseVM(now time.Time, v *vm, ended bool, why string) {
+	if ended {
+		s.losses.end(v.ID, v.Born)
+	}
 	lost := s.tasksOn(v)
 	delete(s.losses.presumed, v.ID)
 	if len(lost) == 0 {
@@ -109,7 +112,7 @@
 	}
 	s.pool(v.Pool).lostAt = now
 	suspect := slices.ContainsFunc(lost, func(x lostTask) bool { return x.task.suspected() })
-	likely := s.blame(now, failedAt, v, lost)
+	likely := s.blame(now, failedAt, v, ended, lost)
 	s.checkLostTogether(loss{vm: v.ID, rack: v.rack(), born: v.Born, at: failedAt, suspect: suspect, likely: likely})
 }
 
@@ -142,7 +145,7 @@
 
 // blame adds the crash of a VM to the records of the tasks that it ran, and returns the jobs that are likely
 // to have caused it.
-func (s *Scheduler) blame(now, failedAt time.Time, v *vm, lost []lostTask) (likely []*job) {
+func (s *Scheduler) blame(now, failedAt time.Time, v *vm, ended bool, lost []lostTask) (likely []*job) {
 	var list []blame.Job
 	index := map[*job]int{}
 	age := func(x lostTask) time.Duration {
@@ -167,7 +170,7 @@
 		if t.crashes.Has(v.ID, v.Born) || age(x) >= blame.MaxAge {
 			continue // in the first case, its start order was under way when the loss was first seen
 		}
-		t.crashes = append(t.crashes, blame.Crash{VM: v.ID, Born: v.Born, Age: age(x), Share: shares[index[t.job]], Unconfirmed: !x.confirmed})
+		t.crashes = append(t.crashes, blame.Crash{VM: v.ID, Born: v.Born, Age: age(x), Share: shares[index[t.job]], Unconfirmed: !x.confirmed, Lapsed: !ended})
 		t.job.dirty, t.suspectSince = true, now
 		s.losses.suspects[t] = true
 	}
@@ -239,6 +242,13 @@
 	}
 }
 
+// end records that an incarnation of a VM has ended, if its leases had run out before.
+func (l *losses) end(vm string, born int64) {
+	for t := range l.suspects {
+		l.set(t, t.crashes.Ended(vm, born))
+	}
+}
+
 // withdraw removes the loss of a VM's incarnation, which has turned out not to have ended, from all records.
 func (l *losses) withdraw(vm string, born int64) {
 	for t := range l.suspects {
--- a/internal/sched/observe.go
+++ b/internal/sched/observe.go
@@ -42,7 +42,7 @@
 // in flight may reach the new incarnation, which cannot tell that it was meant for the
 // earlier one, so its run stays until the reply and a later poll are known.
 func (s *Scheduler) handleNewIncarnation(now time.Time, v *vm, born int64) {
-	s.loseVM(now, v, "VM restarted")
+	s.loseVM(now, v, true, "VM restarted")
 	s.releaseAnswered(v, "VM restarted")
 	v.Born, v.seenSeq, v.storedSeq, v.polled, v.ended, v.endsCut = born, 0, 0, false, false, false
 	v.leasesEnd, v.clockMS, v.clockAt, v.failedAt, v.lapsed = time.Time{}, 0, time.Time{}, time.Time{}, false
--- a/pkg/jobs/progress.go
+++ b/pkg/jobs/progress.go
@@ -57,6 +57,7 @@
 	Percent  int   // share of the blame, 0 to 100
 
 	Unconfirmed bool `msgpack:"-"` // the VM may not have begun the run; see progressExtension
+	Lapsed      bool `msgpack:"-"` // the VM may be cut off; see progressExtension
 }
 
 // progressExtension follows a Progress in its record. Versions before it read the Progress and ignore what follows;
@@ -73,6 +74,7 @@
 	Step        int
 	Index       int
 	Unconfirmed []int // positions of the crashes in TaskProgress.Crashes
+	Lapsed      []int // likewise
 }
 
 // taskExtension holds fields of the TaskProgress with the same occurrence, step and index.
@@ -117,8 +119,11 @@
 		if n.Crashes[i].Unconfirmed {
 			x.Unconfirmed = append(x.Unconfirmed, i)
 		}
+		if n.Crashes[i].Lapsed {
+			x.Lapsed = append(x.Lapsed, i)
+		}
 	}
-	if len(x.Unconfirmed) == 0 {
+	if len(x.Unconfirmed)+len(x.Lapsed) == 0 {
 		return nil
 	}
 	return &x
@@ -131,6 +136,11 @@
 			notes[i].Unconfirmed = true
 		}
 	}
+	for _, i := range x.Lapsed {
+		if i >= 0 && i < len(notes) {
+			notes[i].Lapsed = true
+		}
+	}
 }
 
 // DecodeProgress decodes a value that EncodeProgress of this or an earlier version encoded.
--- a/pkg/jobs/progress_compat_test.go
+++ b/pkg/jobs/progress_compat_test.go
@@ -42,7 +42,7 @@
 // TestProgressIsReadByBothVersions guards against an entry of the version before, or of this one, that cannot read
 // the progress that the other has stored while both run side by side.
 func TestProgressIsReadByBothVersions(t *testing.T) {
-	crashes := []CrashNote{{VM: "w1", Born: 5, AgeMS: 300, Percent: 70}, {VM: "w4", Unconfirmed: true}}
+	crashes := []CrashNote{{VM: "w1", Born: 5, AgeMS: 300, Percent: 70}, {VM: "w4", Unconfirmed: true}, {VM: "w5", Lapsed: true}}
 	data, err := EncodeProgress(&Progress{State: Running, Began: true, Created: 1, Open: []int{0}, Reason: "r", Notes: []TaskProgress{
 		{Index: 1, Failed: []int64{2}, Checkpoint: "c", Crashes: crashes, On: "w2", StartedMS: 7, Cleared: 3},
 		{Index: 2, On: "w3", StartedMS: 8},
@@ -60,7 +60,7 @@
 	assert.Equal(t, p.Notes[0].StartedMS, int64(7))
 	assert.Equal(t, p.Notes[0].Cleared, 3)
 	assert.Equal(t, p.Notes[1].StartedMS, int64(8))
-	assert.Equal(t, fmt.Sprintf("%t %t", p.Notes[0].Crashes[0].Unconfirmed, p.Notes[0].Crashes[1].Unconfirmed), "false true")
+	assert.Equal(t, fmt.Sprintf("%t %t %t %t", p.Notes[0].Crashes[0].Unconfirmed, p.Notes[0].Crashes[1].Unconfirmed, p.Notes[0].Crashes[1].Lapsed, p.Notes[0].Crashes[2].Lapsed), "false true false true")
 	var x earlierExtension
 	dec := msgpack.NewDecoder(bytes.NewReader(data))
 	assert.NilError(t, dec.Skip())
