sched: the loss of a rack is seen by the silence of its VMs, also of those that run nothing

What callers saw: two losses of one dark rack counted as two crashes under a task, each with a share of the blame.

Cause: losses were taken for one cause only if at least half of the rack's VMs had been lost with runs within 500 ms of each other. VMs that run nothing did not count among the lost ones but among those of the rack, and the times at which silence is noticed lie up to the wait and the timeout of a poll apart.

A VM was lost between its last answer and the first failure to answer. Losses of a rack may have one cause if these spans share a moment; VMs without runs and VMs that do not answer count as well, and no job can have caused the loss of a VM that ran nothing. Losses are remembered for 10 s, and looked at again before blame is split and before a job is given up, as the other VMs may become known later. VMs that had been down before do not count as VMs of the rack. The crashes count towards the limits of starts as before.

--- a/internal/sched/loss.go
+++ b/internal/sched/loss.go
@@ -12,8 +12,6 @@
 )
 
 const (
-	rackWindow   = 500 * time.Millisecond // within which VMs of one rack fail for one cause
-	rackVMs      = 3                      // VMs of a rack lost within rackWindow, if they are half of it at least, that were lost with the rack
 	fleetWindow  = 50 * time.Millisecond  // within which VMs of all racks fail for one cause
 	fleetVMs     = 4                      // VMs lost within fleetWindow that were lost for one cause
 	verdictDelay = 200 * time.Millisecond // from a crash until a job is given up for it; the loss of other VMs of its rack is known by then
@@ -23,7 +21,7 @@
 type losses struct {
 	suspects map[*task]bool           // tasks with a record of crashes
 	presumed map[string][]presumedRun // tasks that may be running on VMs that this owner has not polled, by VM
-	recent   []loss                   // the last losses without a known cause
+	recent   []loss                   // the losses within lossMemory
 	ages     blame.Ages               // of tasks that were proved to crash VMs
 }
 
@@ -38,7 +36,9 @@
 type loss struct {
 	vm, rack string
 	born     int64
-	at       time.Time // when the VM first failed to answer
+	heardAt  time.Time // when the VM last answered; zero if it never did
+	at       time.Time // when it first failed to answer
+	ran      bool      // it ran a task
 	suspect  bool      // it ran a suspect; several of these may crash their VMs at once
 	likely   []*job    // jobs that may have caused it
 }
@@ -98,22 +98,23 @@
 	}
 	lost := s.tasksOn(v)
 	delete(s.losses.presumed, v.ID)
-	if len(lost) == 0 {
-		return
+	if len(lost) > 0 {
+		s.stats.LostVMs++
+		s.logLostVM(now, v, why)
 	}
-	s.stats.LostVMs++
-	s.logLostVM(now, v, why)
-	failedAt := v.failedAt
-	if failedAt.IsZero() {
-		failedAt = now
+	x := loss{vm: v.ID, rack: v.rack(), born: v.Born, heardAt: v.heardAt, at: v.failedAt, ran: len(lost) > 0}
+	if x.at.IsZero() {
+		x.at = now
 	}
-	if v.Draining || (v.cordoned && v.cordonedAt.Before(failedAt)) {
+	if v.Draining || (v.cordoned && v.cordonedAt.Before(x.at)) {
 		return
 	}
-	s.pool(v.Pool).lostAt = now
-	suspect := slices.ContainsFunc(lost, func(x lostTask) bool { return x.task.suspected() })
-	likely := s.blame(now, failedAt, v, ended, lost)
-	s.checkLostTogether(loss{vm: v.ID, rack: v.rack(), born: v.Born, at: failedAt, suspect: suspect, likely: likely})
+	if x.ran {
+		s.pool(v.Pool).lostAt = now
+		x.suspect = slices.ContainsFunc(lost, func(y lostTask) bool { return y.task.suspected() })
+		x.likely = s.blame(now, x.at, v, ended, lost)
+	}
+	s.checkLostTogether(now, x)
 }
 
 // lostTask is a task that a lost VM may have been running. since is when its run was started, zero if this
@@ -146,6 +147,9 @@
 // blame adds the crash of a VM to the records of the tasks that it ran, and returns the jobs that are likely
 // to have caused it.
 func (s *Scheduler) blame(now, failedAt time.Time, v *vm, ended bool, lost []lostTask) (likely []*job) {
+	for _, x := range lost {
+		s.explainRecent(x.task)
+	}
 	var list []blame.Job
 	index := map[*job]int{}
 	age := func(x lostTask) time.Duration {
@@ -183,55 +187,6 @@
 	return likely
 }
 
-// checkLostTogether records a loss. If it is one of several with one cause, such as the loss of a rack, the
-// blame for all of them is withdrawn, but from a job that may have caused each of them.
-func (s *Scheduler) checkLostTogether(x loss) {
-	l := &s.losses
-	l.recent = slices.DeleteFunc(l.recent, func(old loss) bool { return x.at.Sub(old.at) > rackWindow })
-	l.recent = append(l.recent, x)
-	var sameRack, sameTime []loss
-	rackLosses := 0 // that no suspect explains
-	for _, y := range l.recent {
-		if y.rack == x.rack && x.rack != "" {
-			sameRack = append(sameRack, y)
-			if !y.suspect {
-				rackLosses++
-			}
-		}
-		if x.at.Sub(y.at).Abs() <= fleetWindow && !y.suspect {
-			sameTime = append(sameTime, y)
-		}
-	}
-	inRack := 0
-	for _, v := range s.vms {
-		if v.rack() == x.rack {
-			inRack++
-		}
-	}
-	if rackLosses >= rackVMs && 2*len(sameRack) >= inRack {
-		l.explainAll(sameRack)
-	}
-	if len(sameTime) >= fleetVMs {
-		l.explainAll(sameTime)
-	}
-}
-
-// explainAll withdraws the blame for losses with one cause, unless a job is likely to be the cause of each. The
-// losses still count: tasks of several jobs may have crashed their VMs at the same time.
-func (l *losses) explainAll(list []loss) {
-	common := slices.Clone(list[0].likely)
-	for _, x := range list[1:] {
-		common = slices.DeleteFunc(common, func(j *job) bool { return !slices.Contains(x.likely, j) })
-	}
-	for t := range l.suspects {
-		for _, x := range list {
-			if !slices.Contains(common, t.job) {
-				l.set(t, t.crashes.Explained(x.vm, x.born))
-			}
-		}
-	}
-}
-
 // explain clears all tasks of the loss of a VM's incarnation but the one that was proved to have caused it.
 func (l *losses) explain(vm string, born int64, cause *task) {
 	for t := range l.suspects {
@@ -321,6 +276,9 @@
 		t.recordDeadly()
 	}
 	for t := range s.losses.suspects {
+		if t.verdict() != blame.None && t.heldFor != len(t.crashes) {
+			s.explainRecent(t)
+		}
 		verdict, crashes := t.verdict(), t.crashes
 		if verdict == blame.None || now.Sub(t.suspectSince) < verdictDelay || t.job.state.Final() || t.heldFor == len(crashes) {
 			continue
