--- a/internal/sched/crash_notes.go
+++ b/internal/sched/crash_notes.go
@@ -12,7 +12,14 @@
 func crashTexts(r blame.Record) []string {
 	var list []string
 	for _, c := range r {
-		list = append(list, fmt.Sprintf("VM %s (born %d) after %d ms, share of the blame %.2f", c.VM, c.Born, c.Age.Milliseconds(), c.Share))
+		text := fmt.Sprintf("VM %s (born %d) after %d ms, share of the blame %.2f", c.VM, c.Born, c.Age.Milliseconds(), c.Share)
+		if c.Unconfirmed {
+			text += ", run not confirmed"
+		}
+		if c.Lapsed {
+			text += ", VM may be cut off"
+		}
+		list = append(list, text)
 	}
 	return list
 }
@@ -21,7 +28,7 @@
 func (t *task) crashNotes() []jobs.CrashNote {
 	var notes []jobs.CrashNote
 	for _, c := range t.crashes {
-		notes = append(notes, jobs.CrashNote{VM: c.VM, Born: c.Born, AgeMS: c.Age.Milliseconds(), Percent: int(100*c.Share + 0.5)})
+		notes = append(notes, jobs.CrashNote{VM: c.VM, Born: c.Born, AgeMS: c.Age.Milliseconds(), Percent: int(100*c.Share + 0.5), Unconfirmed: c.Unconfirmed, Lapsed: c.Lapsed})
 	}
 	return notes
 }
@@ -51,6 +58,6 @@
 func (t *task) restoreCrashes(notes []jobs.CrashNote) {
 	t.crashes = nil
 	for _, n := range notes {
-		t.crashes = append(t.crashes, blame.Crash{VM: n.VM, Born: n.Born, Age: time.Duration(n.AgeMS) * time.Millisecond, Share: float64(n.Percent) / 100})
+		t.crashes = append(t.crashes, blame.Crash{VM: n.VM, Born: n.Born, Age: time.Duration(n.AgeMS) * time.Millisecond, Share: float64(n.Percent) / 100, Unconfirmed: n.Unconfirmed, Lapsed: n.Lapsed})
 	}
 }
--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -44,7 +44,7 @@
 			s.log.WithField("vm", id).Info("VM that may hold runs of an earlier owner did not answer; its leases have expired")
 			delete(s.unverified, id)
 			if v != nil {
-				s.loseVM(now, v, "does not answer and its leases have expired")
+				s.loseVM(now, v, false, "does not answer and its leases have expired")
 				v.lapsed = true
 			}
 		}
@@ -52,7 +52,7 @@
 	for _, v := range s.vms {
 		silent := now.Sub(v.lastAnswer) > s.policy.Lease
 		if silent && now.After(v.leasesEnd) && len(v.runs) > 0 {
-			s.loseVM(now, v, "does not answer and its leases have expired")
+			s.loseVM(now, v, false, "does not answer and its leases have expired")
 			s.releaseRuns(v, "lease expired")
 			v.polled, v.lapsed = false, true
 		}
@@ -248,7 +248,7 @@
 // start adds a run of a task on a VM and emits its start order. Its callers check that the
 // VM has enough free resources and deduct them from the candidate.
 func (s *Scheduler) start(now time.Time, t *task, v *vm, number int64) {
-	r := &run{task: t, vm: v, number: number, phase: starting, startInFlight: true, answeredAt: now, startedAt: now, progressAt: now, speedPercent: 100, startedFrom: t.nextCheckpoint()}
+	r := &run{task: t, vm: v, number: number, phase: starting, startInFlight: true, answeredAt: now, startedAt: now, progressAt: now, speedPercent: 100, startedFrom: t.nextCheckpoint(), heardAt: v.heardAt}
 	s.logStart(t, number, v)
 	t.lastRun = number
 	t.unverified = false
--- a/internal/sched/loss.go
+++ b/internal/sched/loss.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -13,19 +12,16 @@
 )
 
 const (
-	maxLoggedRuns = 8                      // runs that the log line of a lost VM names
-	rackWindow    = 500 * time.Millisecond // within which VMs of one rack fail for one cause
-	rackVMs       = 3                      // VMs of a rack lost within rackWindow, if they are half of it at least, that were lost with the rack
-	fleetWindow   = 50 * time.Millisecond  // within which VMs of all racks fail for one cause
-	fleetVMs      = 4                      // VMs lost within fleetWindow that were lost for one cause
-	verdictDelay  = 200 * time.Millisecond // from a crash until a job is given up for it; the loss of other VMs of its rack is known by then
+	fleetWindow  = 50 * time.Millisecond  // within which VMs of all racks fail for one cause
+	fleetVMs     = 4                      // VMs lost within fleetWindow that were lost for one cause
+	verdictDelay = 200 * time.Millisecond // from a crash until a job is given up for it; the loss of other VMs of its rack is known by then
 )
 
 // losses holds what the scheduler knows of VMs that were lost with their runs.
 type losses struct {
 	suspects map[*task]bool           // tasks with a record of crashes
 	presumed map[string][]presumedRun // tasks that may be running on VMs that this owner has not polled, by VM
-	recent   []loss                   // the last losses without a known cause
+	recent   []loss                   // the losses within lossMemory
 	ages     blame.Ages               // of tasks that were proved to crash VMs
 }
 
@@ -40,7 +36,9 @@
 type loss struct {
 	vm, rack string
 	born     int64
-	at       time.Time // when the VM first failed to answer
+	heardAt  time.Time // when the VM last answered; zero if it never did
+	at       time.Time // when it first failed to answer
+	ran      bool      // it ran a task
 	suspect  bool      // it ran a suspect; several of these may crash their VMs at once
 	likely   []*job    // jobs that may have caused it
 }
@@ -93,40 +91,45 @@
 }
 
 // loseVM logs the loss of a VM's incarnation and splits the blame for it among the jobs that it ran, unless
-// the VM was about to leave.
-func (s *Scheduler) loseVM(now time.Time, v *vm, why string) {
+// the VM was about to leave. ended is set if the incarnation has certainly ended, and is not cut off.
+func (s *Scheduler) loseVM(now time.Time, v *vm, ended bool, why string) {
+	if ended {
+		s.losses.end(v.ID, v.Born)
+	}
 	lost := s.tasksOn(v)
 	delete(s.losses.presumed, v.ID)
-	if len(lost) == 0 {
-		return
+	if len(lost) > 0 {
+		s.stats.LostVMs++
+		s.logLostVM(now, v, why)
 	}
-	s.stats.LostVMs++
-	s.logLostVM(now, v, why)
-	failedAt := v.failedAt
-	if failedAt.IsZero() {
-		failedAt = now
+	x := loss{vm: v.ID, rack: v.rack(), born: v.Born, heardAt: v.heardAt, at: v.failedAt, ran: len(lost) > 0}
+	if x.at.IsZero() {
+		x.at = now
 	}
-	if v.Draining || (v.cordoned && v.cordonedAt.Before(failedAt)) {
+	if v.Draining || (v.cordoned && v.cordonedAt.Before(x.at)) {
 		return
 	}
-	s.pool(v.Pool).lostAt = now
-	suspect := slices.ContainsFunc(lost, func(x lostTask) bool { return x.task.suspected() })
-	likely := s.blame(now, failedAt, v, lost)
-	s.checkLostTogether(loss{vm: v.ID, rack: v.rack(), born: v.Born, at: failedAt, suspect: suspect, likely: likely})
+	if x.ran {
+		s.pool(v.Pool).lostAt = now
+		x.suspect = slices.ContainsFunc(lost, func(y lostTask) bool { return y.task.suspected() })
+		x.likely = s.blame(now, x.at, v, ended, lost)
+	}
+	s.checkLostTogether(now, x)
 }
 
 // lostTask is a task that a lost VM may have been running. since is when its run was started, zero if this
 // owner does not know.
 type lostTask struct {
-	task  *task
-	since time.Time
+	task      *task
+	since     time.Time
+	confirmed bool // the VM has begun the run
 }
 
 // tasksOn returns the tasks that run on a VM, or may do so by the records of an earlier owner, ordered by task.
 func (s *Scheduler) tasksOn(v *vm) []lostTask {
 	var list []lostTask
 	for _, r := range v.runs {
-		list = append(list, lostTask{r.task, r.startedAt})
+		list = append(list, lostTask{r.task, r.startedAt, !r.confirmedAt.IsZero()})
 	}
 	for _, x := range s.losses.presumed[v.ID] {
 		id, err := jobs.ParseTaskID(x.task)
@@ -134,39 +137,19 @@
 			continue
 		}
 		if t := s.jobs[id.Job].findTask(id); t != nil && !t.done && len(t.runs) == 0 {
-			list = append(list, lostTask{t, x.startedAt})
+			list = append(list, lostTask{t, x.startedAt, false})
 		}
 	}
 	slices.SortFunc(list, func(a, b lostTask) int { return a.task.id.Compare(b.task.id) })
 	return list
 }
 
-// logLostVM logs the loss of a VM's incarnation with its runs, the youngest first: a task that crashes its VM
-// does so soon after its start.
-func (s *Scheduler) logLostVM(now time.Time, v *vm, why string) {
-	runs := make([]*run, 0, len(v.runs))
-	for _, r := range v.runs {
-		runs = append(runs, r)
-	}
-	slices.SortFunc(runs, func(a, b *run) int {
-		if c := b.startedAt.Compare(a.startedAt); c != 0 {
-			return c
-		}
-		return a.task.id.Compare(b.task.id)
-	})
-	var youngest []string
-	for _, r := range runs[:min(len(runs), maxLoggedRuns)] {
-		youngest = append(youngest, fmt.Sprintf("%s run %d, %d ms", r.task.id, r.number, now.Sub(r.startedAt).Milliseconds()))
-	}
-	s.log.WithFields(logrus.Fields{
-		"vm": v.ID, "pool": v.Pool, "born": v.Born, "why": why, "silent-ms": now.Sub(v.lastAnswer).Milliseconds(),
-		"cordoned": v.cordoned, "draining": v.Draining, "runs": len(runs), "presumed": len(s.losses.presumed[v.ID]), "youngest": youngest,
-	}).Info("VM lost with its runs")
-}
-
 // blame adds the crash of a VM to the records of the tasks that it ran, and returns the jobs that are likely
 // to have caused it.
-func (s *Scheduler) blame(now, failedAt time.Time, v *vm, lost []lostTask) (likely []*job) {
+func (s *Scheduler) blame(now, failedAt time.Time, v *vm, ended bool, lost []lostTask) (likely []*job) {
+	for _, x := range lost {
+		s.explainRecent(x.task)
+	}
 	var list []blame.Job
 	index := map[*job]int{}
 	age := func(x lostTask) time.Duration {
@@ -191,7 +174,7 @@
 		if t.crashes.Has(v.ID, v.Born) || age(x) >= blame.MaxAge {
 			continue // in the first case, its start order was under way when the loss was first seen
 		}
-		t.crashes = append(t.crashes, blame.Crash{VM: v.ID, Born: v.Born, Age: age(x), Share: shares[index[t.job]]})
+		t.crashes = append(t.crashes, blame.Crash{VM: v.ID, Born: v.Born, Age: age(x), Share: shares[index[t.job]], Unconfirmed: !x.confirmed, Lapsed: !ended})
 		t.job.dirty, t.suspectSince = true, now
 		s.losses.suspects[t] = true
 	}
@@ -204,55 +187,6 @@
 	return likely
 }
 
-// checkLostTogether records a loss. If it is one of several with one cause, such as the loss of a rack, the
-// blame for all of them is withdrawn, but from a job that may have caused each of them.
-func (s *Scheduler) checkLostTogether(x loss) {
-	l := &s.losses
-	l.recent = slices.DeleteFunc(l.recent, func(old loss) bool { return x.at.Sub(old.at) > rackWindow })
-	l.recent = append(l.recent, x)
-	var sameRack, sameTime []loss
-	rackLosses := 0 // that no suspect explains
-	for _, y := range l.recent {
-		if y.rack == x.rack && x.rack != "" {
-			sameRack = append(sameRack, y)
-			if !y.suspect {
-				rackLosses++
-			}
-		}
-		if x.at.Sub(y.at).Abs() <= fleetWindow && !y.suspect {
-			sameTime = append(sameTime, y)
-		}
-	}
-	inRack := 0
-	for _, v := range s.vms {
-		if v.rack() == x.rack {
-			inRack++
-		}
-	}
-	if rackLosses >= rackVMs && 2*len(sameRack) >= inRack {
-		l.explainAll(sameRack)
-	}
-	if len(sameTime) >= fleetVMs {
-		l.explainAll(sameTime)
-	}
-}
-
-// explainAll withdraws the blame for losses with one cause, unless a job is likely to be the cause of each. The
-// losses still count: tasks of several jobs may have crashed their VMs at the same time.
-func (l *losses) explainAll(list []loss) {
-	common := slices.Clone(list[0].likely)
-	for _, x := range list[1:] {
-		common = slices.DeleteFunc(common, func(j *job) bool { return !slices.Contains(x.likely, j) })
-	}
-	for t := range l.suspects {
-		for _, x := range list {
-			if !slices.Contains(common, t.job) {
-				l.set(t, t.crashes.Explained(x.vm, x.born))
-			}
-		}
-	}
-}
-
 // explain clears all tasks of the loss of a VM's incarnation but the one that was proved to have caused it.
 func (l *losses) explain(vm string, born int64, cause *task) {
 	for t := range l.suspects {
@@ -263,6 +197,13 @@
 	}
 }
 
+// end records that an incarnation of a VM has ended, if its leases had run out before.
+func (l *losses) end(vm string, born int64) {
+	for t := range l.suspects {
+		l.set(t, t.crashes.Ended(vm, born))
+	}
+}
+
 // withdraw removes the loss of a VM's incarnation, which has turned out not to have ended, from all records.
 func (l *losses) withdraw(vm string, born int64) {
 	for t := range l.suspects {
@@ -335,11 +276,14 @@
 		t.recordDeadly()
 	}
 	for t := range s.losses.suspects {
+		if t.verdict() != blame.None && t.heldFor != len(t.crashes) {
+			s.explainRecent(t)
+		}
 		verdict, crashes := t.verdict(), t.crashes
 		if verdict == blame.None || now.Sub(t.suspectSince) < verdictDelay || t.job.state.Final() || t.heldFor == len(crashes) {
 			continue
 		}
-		log := s.log.WithFields(logrus.Fields{"job": t.job.ID, "task": t.id.String(), "verdict": verdict.String(), "crashes": crashTexts(crashes)})
+		log := s.log.WithFields(logrus.Fields{"job": t.job.ID, "task": t.id.String(), "verdict": verdict.String(), "crashes": crashTexts(crashes), "racks": s.rackTexts(crashes)})
 		if t.step.Lasts {
 			log.Warn("long-running task is not started again: VMs crash while they run it")
 			t.heldFor = len(crashes)
