platform: a part of a partition of the job log is an error

Callers got 410 for jobs that had completed: when a page of newest records did not continue, held a value that is not base64, or was an object without fields, Log.readNewest returned what it had, with a warning or without. JobTail ended at an answer without records although the log named a later end. An entry restored the part, owned the partition on it and took the other jobs for unknown.

The claim is retried; a metric (greengagelane_incomplete_partition_reads_total) and an error line once a second tell operators that the partition has no owner.

--- a/internal/drive/claim.go
+++ b/internal/drive/claim.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -28,18 +29,32 @@
 // records. It retries until the context ends, then returns false.
 func (part *ownedPartition) claim(ctx context.Context) bool {
 	began := time.Now()
+	var incomplete lineLimit
 	for ctx.Err() == nil {
 		err := part.tryClaim(ctx)
 		if err == nil {
 			part.log.WithFields(logrus.Fields{"epoch": part.scheduler.Epoch, "after-ms": time.Since(began).Milliseconds()}).Info("partition claimed")
 			return true
 		}
-		part.log.WithError(err).Info("claim of the partition failed; retrying")
+		part.logFailedClaim(err, &incomplete)
 		sleep(ctx, claimBackoff)
 	}
 	return false
 }
 
+// logFailedClaim logs why a claim failed, and as an error, once a second, that the partition stays without an owner since
+// the log returns only a part of it.
+func (part *ownedPartition) logFailedClaim(err error, lines *lineLimit) {
+	if !errors.Is(err, site.ErrIncomplete) {
+		part.log.WithError(err).Info("claim of the partition failed; retrying")
+		return
+	}
+	incompleteReads.Inc()
+	if ok, suppressed := lines.allow(time.Now(), 1); ok {
+		part.log.WithError(err).WithField("suppressed", suppressed).Error("the log returns only a part of the partition, which has no owner until it returns the whole; retrying")
+	}
+}
+
 // tryClaim attempts one claim. It reads the partition and asks the last owner to yield. If that
 // owner does not, it is fenced off by a record under the new epoch. Then the owner record makes
 // this entry the owner, provided that nothing was appended since the partition was read.
--- a/internal/drive/metrics.go
+++ b/internal/drive/metrics.go
@@ -21,6 +21,7 @@
 	pollsFailed     = metrics.GetOrCreateCounter(`greengagelane_vm_looks_total{outcome="failed"}`)
 	orderDuration   = metrics.GetOrCreateHistogram(`greengagelane_vm_order_seconds`)
 	appendDuration  = metrics.GetOrCreateHistogram(`greengagelane_job_log_append_seconds`)
+	incompleteReads = metrics.GetOrCreateCounter(`greengagelane_incomplete_partition_reads_total`)
 	requestDuration = metrics.GetOrCreateHistogram(`greengagelane_caller_request_seconds`)
 )
 
--- a/internal/stand/emul/group.go
+++ b/internal/stand/emul/group.go
@@ -53,7 +53,7 @@
 	assignedRows := [][]any{} // topic, partition, and a number that entries ignore
 	for p, assignee := range s.assigned {
 		if assignee == b.Member {
-			assignedRows = append(assignedRows, []any{"keyed.jobs", p, 0})
+			assignedRows = append(assignedRows, []any{jobTopic, p, 0})
 		}
 	}
 	reply(w, map[string]any{"generation": s.generation, "parts": assignedRows})
@@ -123,7 +123,7 @@
 	defer s.mu.Unlock()
 	rows := [][]any{} // topic, partition, member, and a number that entries ignore
 	for p, assignee := range s.assigned {
-		rows = append(rows, []any{"keyed.jobs", p, assignee, 0})
+		rows = append(rows, []any{jobTopic, p, assignee, 0})
 	}
 	reply(w, map[string]any{"owners": rows})
 }
--- a/internal/stand/emul/store.go
+++ b/internal/stand/emul/store.go
@@ -19,6 +19,8 @@
 	"time"
 )
 
+const jobTopic = "keyed.jobs"
+
 // Store emulates the platform's log, including the member group that owns its partitions.
 // Its exported fields other than Appends are faults.
 type Store struct {
@@ -37,7 +39,12 @@
 	Delay          time.Duration  // delay before each call takes effect
 	// HangNewestReads is a number n: the next n calls of /v1/log-newest get no reply.
 	HangNewestReads int
-	Appends         int // number of append calls so far
+	// EditNewest replaces the pages of newest records of the job topic; nil for none. It is called without the store's
+	// lock, with the key after which the page begins.
+	EditNewest func(page []byte, after string) []byte
+	// NoTail leaves the records out of the reads of the job topic.
+	NoTail  bool
+	Appends int // number of append calls so far
 }
 
 type partition struct {
@@ -265,9 +272,14 @@
 	deadline := time.After(time.Duration(queryInt(r, "waitMs")) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		p, appended := s.partition(r.URL.Query().Get("topic"), int(queryInt(r, "part"))), s.appended
-		records := p.records
+		topic := r.URL.Query().Get("topic")
+		p, appended := s.partition(topic, int(queryInt(r, "part"))), s.appended
+		records, noTail := p.records, s.NoTail && topic == jobTopic
 		s.mu.Unlock()
+		if noTail {
+			_, _ = w.Write(readHeader(records)) // the client may have closed the connection
+			return
+		}
 		if from < int64(len(records)) || queryInt(r, "waitMs") == 0 {
 			writeRecords(w, records, min(from, int64(len(records))))
 			return
@@ -286,8 +298,7 @@
 // writeRecords writes a response to read: the end offset and the first retained offset (8
 // bytes each), then the records in the form that decodeRecords reads.
 func writeRecords(w io.Writer, records []record, from int64) {
-	out := binary.BigEndian.AppendUint64(nil, uint64(len(records)))
-	out = binary.BigEndian.AppendUint64(out, 0) // the emulated log drops no records
+	out := readHeader(records)
 	for _, r := range records[from:] {
 		out = binary.BigEndian.AppendUint32(out, uint32(1+len(r.key)+len(r.value)))
 		out = append(out, byte(len(r.key)))
@@ -297,12 +308,33 @@
 	_, _ = w.Write(out) // the client may have closed the connection
 }
 
+// readHeader returns the end offset and the first retained offset of a partition.
+func readHeader(records []record) []byte {
+	out := binary.BigEndian.AppendUint64(nil, uint64(len(records)))
+	return binary.BigEndian.AppendUint64(out, 0) // the emulated log drops no records
+}
+
 // newest serves reads of the newest record of each key, sorted by key, in pages. It omits keys
 // whose newest record is a tombstone.
 func (s *Store) newest(w http.ResponseWriter, r *http.Request) {
+	topic, after := r.URL.Query().Get("topic"), r.URL.Query().Get("after")
+	page, edit := s.newestPage(topic, int(queryInt(r, "part")), after)
+	data, err := json.Marshal(page)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	if edit != nil && topic == jobTopic {
+		data = edit(data, after)
+	}
+	_, _ = w.Write(data) // the client may have closed the connection
+}
+
+// newestPage returns a page that begins after a key, and the fault that replaces it.
+func (s *Store) newestPage(topic string, part int, after string) (page map[string]any, edit func([]byte, string) []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := s.partition(r.URL.Query().Get("topic"), int(queryInt(r, "part")))
+	p := s.partition(topic, part)
 	newestIndex := map[string]int{}
 	for i, rec := range p.records {
 		newestIndex[rec.key] = i
@@ -320,10 +352,9 @@
 	}
 	sort.Slice(items, func(i, k int) bool { return items[i].Key < items[k].Key })
 	const pageSize = 20 // far below the platform's page size, so that tests read several pages
-	after := r.URL.Query().Get("after")
 	start := sort.Search(len(items), func(i int) bool { return items[i].Key > after })
 	end := min(start+pageSize, len(items))
-	reply(w, map[string]any{"items": items[start:end], "truncated": end < len(items), "end": len(p.records)})
+	return map[string]any{"items": items[start:end], "truncated": end < len(items), "end": len(p.records)}, s.EditNewest
 }
 
 // reply writes v as JSON.
--- a/pkg/site/log.go
+++ b/pkg/site/log.go
@@ -9,6 +9,8 @@
 	ErrConflict = errors.New("the end of the partition is not at the expected offset")
 	ErrSequence = errors.New("the log expects another sequence number")
 	ErrNotDone  = errors.New("call was refused or not sent; nothing was done")
+	// ErrIncomplete is the error of a read whose answers lack records.
+	ErrIncomplete = errors.New("the answers of the log lack records")
 )
 
 // Record is a key and a value in the platform's log. A later record of a key replaces the
