--- a/internal/stand/emul/ledger.go
+++ b/internal/stand/emul/ledger.go
@@ -14,7 +14,7 @@
 	crashed            = "gone" // outcome of the runs on a VM that crashes
 )
 
-// TaskRun is one run of a task, as recorded by its VM.
+// TaskRun is one run of a task, as recorded by its VM. Once it is in a ledger, the lock of the ledger guards it.
 type TaskRun struct {
 	Task         string
 	Run          int64
--- a/internal/stand/emul/worker.go
+++ b/internal/stand/emul/worker.go
@@ -311,7 +311,7 @@
 // beginRun starts a run of a task; w.mu is held.
 func (w *Worker) beginRun(b *workerRequest, task Task) {
 	taskRun := &TaskRun{
-		Task: b.Task, Run: b.Run, VM: w.ID, Spec: b.Spec, LongRunning: task.LongRunning, Start: time.Now(),
+		Task: b.Task, Run: b.Run, VM: w.ID, Spec: b.Spec, LongRunning: task.LongRunning, Start: time.Now(), CrashesVM: task.CrashesVM,
 		Account: task.Account, Reserved: Resources{CPU: task.CPU, MemMB: task.MemMB, GPU: task.GPU},
 	}
 	failedBefore := w.ledger.add(taskRun)
@@ -324,7 +324,6 @@
 	w.usedMemMB += task.MemMB
 	w.running[b.Task] = a
 	if task.CrashesVM {
-		taskRun.CrashesVM = true
 		time.AfterFunc(max(task.CrashAfter, crashDelay), func() {
 			w.mu.Lock()
 			active := w.running[b.Task] == a
