--- a/internal/stand/emul/failures.go
+++ b/internal/stand/emul/failures.go
@@ -41,10 +41,10 @@
 // checkRoom records a start that brings a VM that does not guard its capacity over it; w.mu is held.
 func (w *Worker) checkRoom(b *workerRequest, task Task) {
 	if w.usedMemMB+task.MemMB > vmMemMB {
-		w.ledger.addViolation(fmt.Sprintf("%s run %d brings VM %s to %d MB, its capacity is %d", b.Task, b.Run, w.ID, w.usedMemMB+task.MemMB, vmMemMB))
+		w.ledger.addViolation(fmt.Sprintf("LIMIT %s run %d brings VM %s to %d MB, its capacity is %d", b.Task, b.Run, w.ID, w.usedMemMB+task.MemMB, vmMemMB))
 	}
 	if known := w.knownCPU(time.Now()); w.usedCPU+task.CPU > known {
-		w.ledger.addViolation(fmt.Sprintf("%s run %d brings VM %s to %d thousandths of a core, its capacity is %d", b.Task, b.Run, w.ID, w.usedCPU+task.CPU, known))
+		w.ledger.addViolation(fmt.Sprintf("LIMIT %s run %d brings VM %s to %d thousandths of a core, its capacity is %d", b.Task, b.Run, w.ID, w.usedCPU+task.CPU, known))
 	}
 }
 
--- a/internal/stand/emul/group.go
+++ b/internal/stand/emul/group.go
@@ -127,3 +127,16 @@
 	}
 	reply(w, map[string]any{"owners": rows})
 }
+
+// Owners returns the members that the partitions of the job topic are assigned to.
+func (s *Store) Owners() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []string
+	for p := range s.partitionCount {
+		if s.assigned[p] != "" {
+			list = append(list, s.assigned[p])
+		}
+	}
+	return list
+}
--- a/internal/stand/emul/ledger.go
+++ b/internal/stand/emul/ledger.go
@@ -21,6 +21,7 @@
 	VM           string
 	Spec         string
 	LongRunning  bool
+	Checkpoint   string // that its start carried; empty if there was none
 	Account      string // client account of the job's caller; empty if it has none
 	Reserved     Resources
 	Start        time.Time
@@ -83,29 +84,46 @@
 	r.End, r.How, r.VMHealthy = time.Now(), how, vmHealthy
 }
 
-// FirstViolation returns a description of the first violation found, in no particular order of
-// tasks, or an empty string. The invariants are that a task has at most one run at a time, and
-// that no run of a task starts after the end of a run with outcome done has been acknowledged, that no start
-// brings a VM over its capacity, and that a task that crashes its VMs is not started without end.
-func (l *Ledger) FirstViolation() string {
+// RunsOf returns copies of the runs of a task in the order of their starts.
+func (l *Ledger) RunsOf(task string) []TaskRun {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.violations) > 0 {
-		return l.violations[0]
+	var out []TaskRun
+	for _, r := range l.byTask[task] {
+		out = append(out, *r)
+	}
+	return out
+}
+
+// FirstViolation returns the first of Violations, or an empty string.
+func (l *Ledger) FirstViolation() string {
+	if list := l.Violations(); len(list) > 0 {
+		return list[0]
 	}
+	return ""
+}
+
+// Violations returns descriptions of all violations, in no particular order of tasks, each with the name of its rule.
+// The invariants are that a task has at most one run at a time, and that no run of a task starts
+// after the end of a run with outcome done has been acknowledged (TWICE), that no start brings a VM over its
+// capacity (LIMIT), and that a task that crashes its VMs is not started without end (CRASHES).
+func (l *Ledger) Violations() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := slices.Clone(l.violations)
 	for task, runs := range l.byTask {
 		if runs[0].CrashesVM && startedAfterCrashes(runs) >= startsAfterCrashes {
-			return fmt.Sprintf("%s: started %d times, though VMs crash while they run it", task, len(runs))
+			list = append(list, fmt.Sprintf("CRASHES %s: started %d times or more after %d VMs had crashed while they ran it", task, startsAfterCrashes, maxCrashes))
 		}
 		for i, later := range runs {
 			for _, earlier := range runs[:i] {
 				if why := violation(earlier, later); why != "" {
-					return why
+					list = append(list, why)
 				}
 			}
 		}
 	}
-	return ""
+	return list
 }
 
 // startedAfterCrashes returns the number of runs of a task that started after maxCrashes VMs had crashed under it.
@@ -132,10 +150,10 @@
 // violation describes how two runs of a task violate an invariant, or returns an empty string.
 func violation(earlier, later *TaskRun) string {
 	if earlier.End.IsZero() || later.Start.Before(earlier.End) {
-		return fmt.Sprintf("%s: run %d on %s started while run %d on %s was still running", earlier.Task, later.Run, later.VM, earlier.Run, earlier.VM)
+		return fmt.Sprintf("TWICE %s: run %d on %s started while run %d on %s was still running", earlier.Task, later.Run, later.VM, earlier.Run, earlier.VM)
 	}
 	if earlier.How == "done" && earlier.Acknowledged {
-		return fmt.Sprintf("%s: run %d on %s started after run %d was acknowledged as done", earlier.Task, later.Run, later.VM, earlier.Run)
+		return fmt.Sprintf("TWICE %s: run %d on %s started %s after the end of run %d, which was acknowledged as done", earlier.Task, later.Run, later.VM, later.Start.Sub(earlier.End).Round(time.Millisecond), earlier.Run)
 	}
 	return ""
 }
--- a/internal/stand/emul/platform.go
+++ b/internal/stand/emul/platform.go
@@ -22,6 +22,11 @@
 	Drift      float64         // fraction by which the clock of every third VM runs slow
 	RepairTime time.Duration   // until a VM that a task has crashed is back
 	Unguarded  map[string]bool // pools whose VMs start what exceeds their capacity
+	Partitions int             // of the job topic; 4 if it is 0
+	RackSize   int             // machines of each pool in a rack; 4 if it is 0
+	RecordLag  time.Duration   // until the record of a crashed VM leaves the VM list; 500 ms if it is 0
+	// DataCentres are the names of the data centres, over which the racks are spread; z if there are none.
+	DataCentres []string
 }
 
 // Platform is an emulated platform: a log, and an inventory of machines in pools whose VMs
@@ -48,16 +53,15 @@
 	cutOff   map[string]bool // entries that the log turns away
 }
 
-// rackSize is the number of machines of a rack.
-const rackSize = 4
-
 // machine is a VM slot, over all incarnations of its VM.
 type machine struct {
-	name  string
-	rack  string
-	pool  string
-	state string  // up, down, moving or upkeep (in maintenance)
-	vm    *Worker // nil while the machine is down or out of service
+	name   string
+	rack   string
+	zone   string // data centre
+	pool   string
+	state  string  // up, down, moving or upkeep (in maintenance)
+	vm     *Worker // nil while the machine is down or out of service
+	keptID string  // of the next incarnation of its VM; empty for a new one
 }
 
 // requestedWave is a maintenance wave that the operator has requested. atOnce is the maximum number
@@ -73,10 +77,11 @@
 	return Start(Options{Pools: pools, MoveTime: moveTime, Lookup: func(string) Task { return Task{Duration: workFor} }})
 }
 
-// Start starts a platform with the given options. Its job topic has 4 partitions.
+// Start starts a platform with the given options.
 func Start(o Options) (*Platform, error) {
+	o.setDefaults()
 	p := &Platform{
-		Store: NewStore(4), Ledger: &Ledger{}, opts: o, waves: map[int64]*requestedWave{}, leaseHolders: map[string]string{}, cutOff: map[string]bool{},
+		Store: NewStore(o.Partitions), Ledger: &Ledger{}, opts: o, waves: map[int64]*requestedWave{}, leaseHolders: map[string]string{}, cutOff: map[string]bool{},
 		machines: map[string]*machine{}, fencingTokens: map[string]int64{}, closed: make(chan struct{}),
 	}
 	var err error
@@ -88,7 +93,8 @@
 	}
 	for pool, n := range o.Pools {
 		for i := range n {
-			m := &machine{name: fmt.Sprintf("m-%s-%d", pool, i), rack: fmt.Sprintf("r1-%d", i/rackSize), pool: pool, state: "up"}
+			rack := i / o.RackSize
+			m := &machine{name: fmt.Sprintf("m-%s-%d", pool, i), rack: fmt.Sprintf("r1-%d", rack), zone: o.DataCentres[rack%len(o.DataCentres)], pool: pool, state: "up"}
 			p.machines[m.name] = m
 			if err := p.boot(m); err != nil {
 				return nil, err
@@ -100,6 +106,21 @@
 	return p, nil
 }
 
+func (o *Options) setDefaults() {
+	if o.Partitions == 0 {
+		o.Partitions = 4
+	}
+	if o.RackSize == 0 {
+		o.RackSize = 4
+	}
+	if o.RecordLag == 0 {
+		o.RecordLag = 500 * time.Millisecond
+	}
+	if len(o.DataCentres) == 0 {
+		o.DataCentres = []string{"z"}
+	}
+}
+
 // serve starts a server for h on a free port of loopback and returns its address.
 func (p *Platform) serve(h http.Handler) (string, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -184,7 +205,11 @@
 // held unless the platform is starting.
 func (p *Platform) boot(m *machine) error {
 	p.incarnations++
-	vm, err := NewWorker(fmt.Sprintf("i-%d", p.incarnations), m.name, m.pool, p.Ledger, p.opts.Lookup)
+	id := fmt.Sprintf("i-%d", p.incarnations)
+	if m.keptID != "" {
+		id, m.keptID = m.keptID, ""
+	}
+	vm, err := NewWorker(id, m.name, m.pool, p.Ledger, p.opts.Lookup)
 	if err != nil {
 		return err
 	}
@@ -196,27 +221,44 @@
 	if p.incarnations%3 == 0 {
 		vm.clockDrift = p.opts.Drift
 	}
-	vm.Rack = m.rack
+	vm.Rack, vm.zone = m.rack, m.zone
 	vm.onCrash, vm.Unguarded = p.crashByTask, p.opts.Unguarded[m.pool]
 	m.vm, m.state = vm, "up"
 	p.Store.Put("keyed.servers", vm.ID, vm.ListRecord("ready"))
 	return nil
 }
 
-// Crash ends a VM without notice. Its record stays in the VM list for another 500 ms, as the
+// Crash ends a VM without notice. Its record stays in the VM list for Options.RecordLag, as the
 // platform's list lags behind the actual state.
-func (p *Platform) Crash(vm *Worker) {
+func (p *Platform) Crash(vm *Worker) { p.crash(vm, false) }
+
+// CrashKeepingID ends a VM as Crash does. The machine's next VM has the same ID.
+func (p *Platform) CrashKeepingID(vm *Worker) { p.crash(vm, true) }
+
+func (p *Platform) crash(vm *Worker, keepID bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, m := range p.machines {
 		if m.vm == vm {
 			vm.Kill(crashed)
 			m.vm, m.state = nil, "down"
-			time.AfterFunc(500*time.Millisecond, func() { p.Store.Put("keyed.servers", vm.ID, nil) })
+			if keepID {
+				m.keptID = vm.ID
+			}
+			time.AfterFunc(p.opts.RecordLag, func() { p.removeRecord(m, vm.ID) })
 		}
 	}
 }
 
+// removeRecord removes a VM's record from the VM list unless the machine has a new VM of the same ID.
+func (p *Platform) removeRecord(m *machine, id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m.vm == nil || m.vm.ID != id {
+		p.Store.Put("keyed.servers", id, nil)
+	}
+}
+
 // Repair boots each machine that is down.
 func (p *Platform) Repair() error {
 	p.mu.Lock()
@@ -261,7 +303,7 @@
 				id = m.vm.ID
 			}
 			rows = append(rows, map[string]any{
-				"machine": m.name, "pool": m.pool, "state": m.state, "zone": "z", "labels": []string{"a", m.rack},
+				"machine": m.name, "pool": m.pool, "state": m.state, "zone": m.zone, "labels": []string{"a", m.rack},
 				"capacity": map[string]int{"cpu": VMCPU, "memMb": vmMemMB}, "id": id,
 			})
 		}
@@ -330,12 +372,12 @@
 func (p *Platform) checkOrder(machine string, wave, fence int64, holder string) {
 	key := fmt.Sprintf("%s %d", machine, fence)
 	if firstHolder := p.leaseHolders[key]; firstHolder != "" && firstHolder != holder {
-		p.violations = append(p.violations, fmt.Sprintf("%s and %s both order machine %s with fencing token %d", firstHolder, holder, machine, fence))
+		p.violations = append(p.violations, fmt.Sprintf("ONE %s and %s both order machine %s with fencing token %d", firstHolder, holder, machine, fence))
 	}
 	p.leaseHolders[key] = holder
 	if requested := p.waves[wave]; requested != nil {
 		if requested.outOfService++; requested.outOfService > requested.atOnce {
-			p.violations = append(p.violations, fmt.Sprintf("wave %d: %d machines are out of service, its limit is %d", wave, requested.outOfService, requested.atOnce))
+			p.violations = append(p.violations, fmt.Sprintf("LIMIT wave %d: %d machines are out of service, its limit is %d", wave, requested.outOfService, requested.atOnce))
 		}
 	}
 }
--- a/internal/stand/emul/poll.go
+++ b/internal/stand/emul/poll.go
@@ -31,15 +31,15 @@
 	for name, a := range w.running {
 		percent := 100
 		if !a.task.LongRunning {
-			percent = int(min(100*time.Since(a.taskRun.Start)/max(a.task.Duration, 1), 99))
+			percent = int(min(100*(a.resumed+time.Since(a.taskRun.Start))/max(a.task.Duration, 1), 99))
 		}
-		// Task, run, checkpoint, percent of the task done, CPU in use. The emulator simulates neither checkpoints nor
+		// Task, run, checkpoint, percent of the task done, CPU in use. The emulator does not simulate the
 		// CPU in use.
-		running = append(running, []any{name, a.taskRun.Run, "", percent, 1000})
+		running = append(running, []any{name, a.taskRun.Run, a.checkpoint(time.Now(), checkpointInterval), percent, 1000})
 	}
 	for _, e := range w.runEnds[:min(len(w.runEnds), maxListedEnds)] {
 		// Sequence number, task, run, outcome, checkpoint.
-		ended = append(ended, []any{e.sequence, e.task, e.run, e.how, ""})
+		ended = append(ended, []any{e.sequence, e.task, e.run, e.how, e.saved})
 	}
 	reply(rw, map[string]any{"clockMs": w.clockMS(), "born": w.startedAt.UnixMilli(), "running": running, "ended": ended})
 }
--- a/internal/stand/emul/quota.go
+++ b/internal/stand/emul/quota.go
@@ -73,7 +73,7 @@
 		}
 		if used.exceeds(limit, r.Reserved, overage) {
 			reported[r.Account] = true
-			list = append(list, fmt.Sprintf("account %s: task %s run %d brought the use to %+v, the quota is %+v", r.Account, r.Task, r.Run, used, limit))
+			list = append(list, fmt.Sprintf("QUOTA account %s: task %s run %d brought the use to %+v, the quota is %+v", r.Account, r.Task, r.Run, used, limit))
 		}
 	})
 	return list
--- a/internal/stand/emul/worker.go
+++ b/internal/stand/emul/worker.go
@@ -17,6 +17,7 @@
 	GPU         int           // reserved accelerators
 	Duration    time.Duration // run time unless it is long-running
 	LongRunning bool          // it runs until stopped
+	Saves       bool          // it writes checkpoints, from which a later run resumes
 	FailingRuns int           // number of its runs that fail before one succeeds
 	CrashesVM   bool          // each of its runs crashes its VM
 	CrashAfter  time.Duration // from the start of such a run to the crash; crashDelay at least
@@ -30,6 +31,7 @@
 	Pool           string
 	Machine        string
 	Rack           string // a label
+	zone           string // data centre
 	address        string // as published in the VM list
 	lookup         func(task string) Task
 	ledger         *Ledger
@@ -75,7 +77,8 @@
 type activeRun struct {
 	taskRun *TaskRun
 	task    Task
-	timer   *time.Timer // ends the run after its duration
+	resumed time.Duration // work that its checkpoint saved
+	timer   *time.Timer   // ends the run after its duration
 }
 
 // runEnd is the end of a run, which status polls report until it is acknowledged.
@@ -84,6 +87,7 @@
 	task     string
 	run      int64
 	how      string // as TaskRun.How
+	saved    string // checkpoint
 	taskRun  *TaskRun
 }
 
@@ -110,7 +114,7 @@
 	cpu := w.cpu()
 	w.mu.Unlock()
 	data, err := json.Marshal(map[string]any{
-		"service": w.Pool, "address": w.address, "zone": "z", "state": state, "slots": 8,
+		"service": w.Pool, "address": w.address, "zone": w.zone, "state": state, "slots": 8,
 		"capacity": map[string]int{"cpu": cpu, "memMb": vmMemMB}, "labels": []string{"a", w.Rack}, "born": w.startedAt.UnixMilli(),
 	})
 	if err != nil {
@@ -175,7 +179,7 @@
 	w.usedMemMB -= a.task.MemMB
 	w.ledger.end(a.taskRun, how, w.healthy())
 	w.lastSequence++
-	w.runEnds = append(w.runEnds, runEnd{w.lastSequence, name, a.taskRun.Run, how, a.taskRun})
+	w.runEnds = append(w.runEnds, runEnd{w.lastSequence, name, a.taskRun.Run, how, a.checkpoint(time.Now(), 1), a.taskRun})
 	w.highestRun[name] = max(w.highestRun[name], a.taskRun.Run)
 	close(w.runEnded)
 	w.runEnded = make(chan struct{})
@@ -190,6 +194,8 @@
 	Spec    string `json:"spec"`
 	Cursor  int64  `json:"ackCursor"`
 	WaitMS  int64  `json:"waitMs"`
+	// Checkpoint is the one from which a run resumes; empty if there is none.
+	Checkpoint string `json:"checkpoint"`
 }
 
 // ServeHTTP serves the calls of the VM.
@@ -311,7 +317,7 @@
 // beginRun starts a run of a task; w.mu is held.
 func (w *Worker) beginRun(b *workerRequest, task Task) {
 	taskRun := &TaskRun{
-		Task: b.Task, Run: b.Run, VM: w.ID, Spec: b.Spec, LongRunning: task.LongRunning, Start: time.Now(), CrashesVM: task.CrashesVM,
+		Task: b.Task, Run: b.Run, VM: w.ID, Spec: b.Spec, LongRunning: task.LongRunning, Checkpoint: b.Checkpoint, Start: time.Now(), CrashesVM: task.CrashesVM,
 		Account: task.Account, Reserved: Resources{CPU: task.CPU, MemMB: task.MemMB, GPU: task.GPU},
 	}
 	failedBefore := w.ledger.add(taskRun)
@@ -319,7 +325,7 @@
 	if w.FailAllRuns || failedBefore < task.FailingRuns {
 		how = "failed"
 	}
-	a := &activeRun{taskRun: taskRun, task: task}
+	a := &activeRun{taskRun: taskRun, task: task, resumed: savedWork(b.Checkpoint)}
 	w.usedCPU += task.CPU
 	w.usedMemMB += task.MemMB
 	w.running[b.Task] = a
@@ -333,7 +339,7 @@
 			}
 		})
 	}
-	duration := task.Duration
+	duration := max(task.Duration-a.resumed, 0)
 	if task.LongRunning {
 		duration = time.Hour // longer than any test
 	}
