--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 #   test        runs the tests but those in KNOWN-RED.txt
 #   generate    regenerates the generated Go files
 #   docs        regenerates docs/REFERENCE.md; docs-check fails if it is out of date
-#   demo, soak  run the program against stand-ins, see below
+#   demo, soak, soak-large  run the program against stand-ins, see below
 GO_FILES = $(shell git ls-files '*.go' | grep -v -e '^internal/oas/.*_gen\.go$$' -e '_enumer\.go$$')
 BIN = .bin
 
@@ -57,8 +57,11 @@
 	bin/standin soak -calm -length 8s -entries 3
 
 # Runs entries as processes that schedule jobs and injects faults. Runs SEEDS seeds from SEED on,
-# each for about 30 s.
+# each for about 30 s. soak-large plays the size and the faults of docs/design/soak.md, about a minute a seed.
 SEEDS ?= 1
-.PHONY: soak
+SOAK_LARGE = -entries 9 -callers 8 -vms 48 -pools 5 -data-centres 4 -rack-size 2 -partitions 8 -burst 10 -series
+.PHONY: soak soak-large
 soak: build
 	bin/standin soak -seed $(SEED) -seeds $(SEEDS)
+soak-large: build
+	bin/standin soak -seed $(SEED) -seeds $(SEEDS) $(SOAK_LARGE)
--- a/internal/stand/soak/caller.go
+++ b/internal/stand/soak/caller.go
@@ -327,7 +327,8 @@
 	}
 	j.mu.Unlock()
 	status, _, _ := c.send(http.MethodDelete, "/"+j.Queue+"/"+j.ID, nil)
-	if status == http.StatusOK {
+	// Status 410 acknowledges the cancellation too, as it says that nothing of the job will run.
+	if status == http.StatusOK || status == http.StatusGone {
 		j.mu.Lock()
 		if j.cancelAckedAt.IsZero() {
 			j.cancelAckedAt = time.Now()
--- a/internal/stand/soak/series.go
+++ b/internal/stand/soak/series.go
@@ -28,6 +28,7 @@
 	{"rack lost", 4, func(ctx context.Context, harness *Harness, r *rand.Rand) { harness.loseRack(ctx, r) }},
 	{"VMs with ends lost", 4, func(ctx context.Context, harness *Harness, r *rand.Rand) { harness.loseVMsWithEnds(ctx, r) }},
 	{"jobs cancelled", 4, func(ctx context.Context, harness *Harness, r *rand.Rand) { harness.cancelJobs(ctx, r) }},
+	{"jobs cancelled after a takeover", 4, func(ctx context.Context, harness *Harness, r *rand.Rand) { harness.cancelAfterTakeover(ctx, r) }},
 	{"queue moves and comes back", 2, moveQueueAndBack},
 	{"maintenance wave", 2, func(_ context.Context, harness *Harness, r *rand.Rand) { harness.requestWave(r) }},
 	{"second outage", 2, func(ctx context.Context, harness *Harness, r *rand.Rand) {
@@ -206,6 +207,19 @@
 	active.Wait()
 }
 
+// cancelAfterTakeover cancels jobs while another entry takes over from a killed owner, and after that.
+func (harness *Harness) cancelAfterTakeover(ctx context.Context, r *rand.Rand) {
+	const rounds = 3
+	e := harness.randomOwner(r)
+	harness.log("kill %s", e.Name)
+	e.Kill()
+	for range rounds {
+		sleep(ctx, randomDuration(r, time.Second))
+		harness.cancelJobs(ctx, r)
+	}
+	harness.restartAfter(e, 0)
+}
+
 // moveQueueAndBack moves a queue to another pool, in which its jobs run, and soon back.
 func moveQueueAndBack(_ context.Context, harness *Harness, r *rand.Rand) {
 	i := r.IntN(len(harness.queues))
