relay: one attempt turns to several entries, and a question may take 150 ms

A question that times out closes the connection on which other calls to that entry are under way; 60 ms is less than a slowed entry takes. In a partial outage the first entry asked may be turned away as well; the owner then waited for its own call, of up to 1.5 s, before it asked the next one. The bound on questions stays. TestRelayedAppend has such an entry beside the one that relays.

--- a/internal/drive/relay.go
+++ b/internal/drive/relay.go
@@ -16,7 +16,8 @@
 )
 
 const (
-	questionTimeout = 60 * time.Millisecond  // for another entry to say whether the log serves it
+	questionTimeout = 150 * time.Millisecond // for another entry to say whether the log serves it
+	relayTries      = 3                      // entries to turn to in one attempt at an append
 	relayTimeout    = 400 * time.Millisecond // for a relayed append; the log may be 60 times slower than usual, and then takes 300 ms
 	relayMargin     = 30 * time.Millisecond  // of relayTimeout, for the calls between the entries
 )
@@ -110,12 +111,27 @@
 	return fmt.Errorf("append not relayed, %s: %w", o, site.ErrNotDone)
 }
 
+// tryRelays turns to other entries until one of them may have sent an append. The error wraps site.ErrNotDone if none
+// has.
+func (part *ownedPartition) tryRelays(ctx context.Context, a *site.Append) error {
+	err := error(site.ErrNotDone)
+	for range relayTries {
+		if err = part.tryRelay(ctx, a); !errors.Is(err, site.ErrNotDone) || errors.Is(err, errNoRelay) {
+			break
+		}
+	}
+	return err
+}
+
+// errNoRelay is the error if no entry is to be asked now.
+var errNoRelay = fmt.Errorf("no entry to relay the append: %w", site.ErrNotDone)
+
 // tryRelay has another entry send an append. The error wraps site.ErrNotDone if that has certainly not been sent, or
 // was refused.
 func (part *ownedPartition) tryRelay(ctx context.Context, a *site.Append) error {
 	address, ask := part.relays.Next(time.Now(), part.node.knownEntries(), part.number)
 	if address == "" {
-		return fmt.Errorf("no entry to relay the append: %w", site.ErrNotDone)
+		return errNoRelay
 	}
 	o := relay.Ready
 	if ask {
@@ -166,7 +182,7 @@
 func (part *ownedPartition) attempt(ctx context.Context, a *site.Append, failed *attempts) error {
 	relayed := error(site.ErrNotDone)
 	if relay.First(part.node.logServes(time.Now()), failed.refused, failed.unanswered) {
-		if relayed = part.tryRelay(ctx, a); decided(relayed) {
+		if relayed = part.tryRelays(ctx, a); decided(relayed) {
 			return relayed
 		}
 	}
--- a/internal/drive/relay_test.go
+++ b/internal/drive/relay_test.go
@@ -87,9 +87,11 @@
 			if tt.earlier {
 				helper = peerNode(t)
 			}
+			away := relayNode(t, emulator, "away", time.Time{}) // the log serves it no more than the owner
 			owner := relayNode(t, emulator, "owner", time.Time{})
 			emulator.CutOff("owner")
 			owner.syncPeers.heardOf(helper.address, time.Now())
+			owner.syncPeers.heardOf(away.address, time.Now())
 			part := &ownedPartition{
 				node: owner, number: 1, log: logrus.WithField("partition", 1), store: platform.NewLog(owner.settings), appendTimeout: newTimeout(minAppendTimeout),
 				scheduler: sched.New(1, owner.policy, logrus.WithField("partition", 1)), ctx: t.Context(), events: make(chan func(time.Time), eventBuffer), done: make(chan struct{}),
