sched: random histories with flushes in doubt

The histories stored or refused each flush at once. Now events, callers' questions and the loss of the owner fall between a flush and its answer, and the next owner finds it in the log or not.

--- a/internal/sched/fuzz_test.go
+++ b/internal/sched/fuzz_test.go
@@ -57,9 +57,68 @@
 	m.s.Flushed(f)
 }
 
+// beginFlush sends the changes to the job log, which leaves open whether it stores them.
+func (m *model) beginFlush(t *rapid.T) {
+	if m.flushing != nil {
+		t.Skip("a flush is under way")
+	}
+	f, err := m.s.Flush(m.now, 1<<20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.flushing = f
+}
+
+// store has the job log carry out the flush under way, at most once.
+func (m *model) store() {
+	for _, r := range m.flushing.Records {
+		m.jobLog[r.Key] = r.Value
+	}
+}
+
+// endFlush lets the owner know that the flush under way is stored, or that nothing of it is.
+func (m *model) endFlush(t *rapid.T) {
+	if m.flushing == nil {
+		t.Skip("no flush is under way")
+	}
+	if rapid.Bool().Draw(t, "refused") {
+		m.s.FlushRefused(m.flushing)
+	} else {
+		m.store()
+		m.s.Flushed(m.flushing)
+	}
+	m.flushing = nil
+}
+
+// answer answers the callers whose jobs and cancellations are stored.
+func (m *model) answer(*rapid.T) {
+	for id := range m.jobs {
+		if state, known := m.s.JobState(id); known {
+			m.accepted[id] = true
+			m.ackedCancels[id] = m.ackedCancels[id] || state == jobs.Cancelled
+		}
+	}
+}
+
+// checkAccepted checks that the owner knows all accepted jobs.
+func (m *model) checkAccepted(t *rapid.T) {
+	m.checkUsage(t)
+	for id := range m.accepted {
+		if !m.s.Known(id) {
+			t.Fatalf("accepted job %s is not known", id)
+		}
+	}
+}
+
 // takeover replaces the owner. The new one has only the job log; orders of the previous one
-// are still in flight.
-func (m *model) takeover(*rapid.T) {
+// are still in flight. A flush under way was carried out before, or is fenced off.
+func (m *model) takeover(t *rapid.T) {
+	if m.flushing != nil {
+		if rapid.Bool().Draw(t, "stored before") {
+			m.store()
+		}
+		m.flushing = nil
+	}
 	for _, a := range m.pending {
 		switch a := a.(type) {
 		case StartRun:
@@ -275,6 +334,31 @@
 	assert.Assert(t, shown > 0, "the histories show no completed job")
 }
 
+// TestSchedulerInvariantsFlushesInDoubt runs random histories in which flushes take a while, or are never answered:
+// the owner goes on, callers ask, and the next owner may find the flush in the log or not. It guards against ends that
+// are acknowledged, jobs that are accepted and states that are shown before the log holds them.
+func TestSchedulerInvariantsFlushesInDoubt(t *testing.T) {
+	inDoubt := 0
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t, false)
+		actions := m.actions()
+		for _, name := range []string{"flush", "flush2", "handover", "handover2"} {
+			delete(actions, name)
+		}
+		actions[""], actions["begin"], actions["begin2"], actions["stored"], actions["stored2"] = m.checkAccepted, m.beginFlush, m.beginFlush, m.endFlush, m.endFlush
+		actions["answer"], actions["answer2"], actions["show"], actions["lose"], actions["crash2"] = m.answer, m.answer, m.show, m.loseAll, m.crash
+		actions["run"], actions["run2"] = m.runJobs, m.runJobs
+		actions["takeover"] = func(t *rapid.T) {
+			if m.flushing != nil {
+				inDoubt++
+			}
+			m.takeover(t)
+		}
+		t.Repeat(actions)
+	})
+	assert.Assert(t, inDoubt > 0, "no owner is lost with a flush under way")
+}
+
 // TestSchedulerInvariantsOlderOwners is TestSchedulerInvariantsShownJobs with owners of the version before, which show
 // jobs as completed that are not stored as such, and whose notes the next owner is told.
 func TestSchedulerInvariantsOlderOwners(t *testing.T) {
--- a/internal/sched/model_test.go
+++ b/internal/sched/model_test.go
@@ -44,6 +44,7 @@
 	copies        bool             // the jobs' first steps allow copies, which a warm queue starts readily
 	copyOrders    map[string]int64 // highest run number ordered as a copy, by task
 	shown         map[string]bool  // jobs that were shown as completed
+	accepted      map[string]bool  // jobs whose callers know that they are accepted
 	olderOwners   bool             // owners are of the version before and show jobs as completed before that is stored
 	told          bool             // this owner was told of the jobs in shown
 	copyRuns      int              // runs that started beside another one of their task
@@ -52,7 +53,7 @@
 func newModel(t *rapid.T, copies bool) *model {
 	m := &model{
 		t: t, now: at(0), copies: copies, earlier: map[string]int64{}, copyOrders: map[string]int64{}, vms: map[string]*simVM{}, jobLog: map[string][]byte{}, verify: map[string]bool{},
-		ackedDone: map[string]bool{}, ackedFailures: map[string]int{}, ackedCancels: map[string]bool{}, done: map[string]bool{}, jobs: map[string]*jobs.Job{}, shown: map[string]bool{}, told: true,
+		ackedDone: map[string]bool{}, ackedFailures: map[string]int{}, ackedCancels: map[string]bool{}, done: map[string]bool{}, jobs: map[string]*jobs.Job{}, shown: map[string]bool{}, accepted: map[string]bool{}, told: true,
 	}
 	m.s = m.newScheduler(1)
 	for i := range 3 {
@@ -220,6 +221,9 @@
 	if m.shown[a.Task.Job] {
 		m.t.Fatalf("%s is ordered to start after its job was shown as completed", a.Order.Task)
 	}
+	if m.ackedCancels[a.Task.Job] {
+		m.t.Fatalf("%s is ordered to start after its job's cancellation was acknowledged", a.Order.Task)
+	}
 	if m.ackedDone[a.Order.Task] {
 		m.t.Fatalf("%s is ordered to start after its completion was acknowledged", a.Order.Task)
 	}
