relay: single lost answers don't count as a log that fails

With a log that loses a third of its answers the last call has often failed, and the owner then gave its appends to other entries, where an answer that is lost as well takes 0.4 s to notice instead of 0.05 s. An entry now counts as not served only after half a second without an answer. TestServes has the row.

--- a/internal/relay/outcome_enumer.go
+++ b/internal/relay/outcome_enumer.go
@@ -24,15 +24,15 @@
 // Re-run the stringer command to generate them again.
 func _OutcomeNoOp() {
 	var x [1]struct{}
-	_ = x[Ready-(0)]
-	_ = x[Stored-(1)]
-	_ = x[LogFails-(2)]
-	_ = x[Refused-(3)]
-	_ = x[Unanswered-(4)]
-	_ = x[Fenced-(5)]
-	_ = x[OutOfSequence-(6)]
-	_ = x[Unreachable-(7)]
-	_ = x[Unsupported-(8)]
+	_ = x[Ready-0]
+	_ = x[Stored-1]
+	_ = x[LogFails-2]
+	_ = x[Refused-3]
+	_ = x[Unanswered-4]
+	_ = x[Fenced-5]
+	_ = x[OutOfSequence-6]
+	_ = x[Unreachable-7]
+	_ = x[Unsupported-8]
 }
 
 var _OutcomeValues = []Outcome{Ready, Stored, LogFails, Refused, Unanswered, Fenced, OutOfSequence, Unreachable, Unsupported}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -33,19 +33,21 @@
 )
 
 const (
-	maxQuestions    = 4                // asked within questionPeriod
-	questionPeriod  = time.Second      // of an owner of one partition
-	refusedPause    = time.Second      // before an entry is asked again which the log did not serve
-	silentPause     = 2 * time.Second  // before an entry is asked again that did not answer
-	earlierPause    = 30 * time.Second // before an entry of an earlier version is asked again; it may have been replaced
-	directFailures  = 2                // unanswered attempts by the owner itself, before an append is relayed
-	answeredWithin  = 2 * time.Second  // since the log has answered an entry, for it to count as served; its calls wait for 0.7 s at most
-	preferredMemory = 5 * time.Second  // for which the entry that stored the last append is taken without a question
+	maxQuestions    = 4                      // asked within questionPeriod
+	questionPeriod  = time.Second            // of an owner of one partition
+	refusedPause    = time.Second            // before an entry is asked again which the log did not serve
+	silentPause     = 2 * time.Second        // before an entry is asked again that did not answer
+	earlierPause    = 30 * time.Second       // before an entry of an earlier version is asked again; it may have been replaced
+	directFailures  = 2                      // unanswered attempts by the owner itself, before an append is relayed
+	answeredWithin  = 2 * time.Second        // since the log has answered an entry, for it to count as served; its calls wait for 0.7 s at most
+	failingFor      = 500 * time.Millisecond // without an answer, for failed calls to count; a log that loses a third of its answers still gives some
+	preferredMemory = 5 * time.Second        // for which the entry that stored the last append is taken without a question
 )
 
 // Serves reports whether the log serves an entry, by the times of the last answered and the last failed call.
 func Serves(now, answered, failed time.Time) bool {
-	return answered.After(failed) && now.Sub(answered) < answeredWithin
+	silent := now.Sub(answered)
+	return silent < failingFor || (answered.After(failed) && silent < answeredWithin)
 }
 
 // First reports whether an append is to be relayed before the owner tries itself. served says whether the log serves
