sched: the end of an incarnation may become known twice

Cause: keeps one loss for each incarnation, but looked for its rack by the time of the later news. The rack then had no loss at that time, and explainAll panicked ("slice bounds out of range [1:0]").

A loss that is known is now looked at as it was remembered.

--- a/internal/sched/rack_loss.go
+++ b/internal/sched/rack_loss.go
@@ -21,12 +21,19 @@
 	return known && !x.heardAt.After(y.at) && !y.heardAt.After(x.at)
 }
 
-// remember adds a loss to the recent ones.
-func (l *losses) remember(now time.Time, x loss) {
+// remember adds a loss to the recent ones, and returns it as remembered: the end of an incarnation may become known
+// more than once.
+func (l *losses) remember(now time.Time, x loss) loss {
 	l.recent = slices.DeleteFunc(l.recent, func(old loss) bool { return now.Sub(old.at) > lossMemory })
-	if !slices.ContainsFunc(l.recent, func(old loss) bool { return old.vm == x.vm && old.born == x.born }) {
+	i := slices.IndexFunc(l.recent, func(old loss) bool { return old.vm == x.vm && old.born == x.born })
+	if i < 0 {
 		l.recent = append(l.recent, x)
+		return x
 	}
+	if old := &l.recent[i]; x.ran {
+		old.ran, old.suspect, old.likely = true, old.suspect || x.suspect, append(old.likely, x.likely...)
+	}
+	return l.recent[i]
 }
 
 // rackState is what is known of a rack at the time of the loss of one of its VMs.
@@ -115,7 +122,7 @@
 // checkLostTogether records a loss. If it is one of several with one cause, such as the loss of a rack, the
 // blame for all of them is withdrawn, but from a job that may have caused each of them.
 func (s *Scheduler) checkLostTogether(now time.Time, x loss) {
-	s.losses.remember(now, x)
+	x = s.losses.remember(now, x)
 	s.explainRack(&x)
 	var sameTime []loss
 	for _, y := range s.losses.recent {
--- a/internal/sched/rack_loss_test.go
+++ b/internal/sched/rack_loss_test.go
@@ -90,3 +90,18 @@
 	r.poll(ms, v.ID, site.VMStatus{})
 	r.flush(ms)
 }
+
+// TestEndOfIncarnationMayBeKnownTwice guards against a panic when a VM whose machine was known to be down restarts under
+// the same ID some time later.
+func TestEndOfIncarnationMayBeKnownTwice(t *testing.T) {
+	list := []site.VM{testVM("a"), testVM("b"), testVM("c")}
+	r := newFixture(t)
+	r.s.SetVMs(at(0), list)
+	r.endVM(100, "a")
+	for _, v := range list {
+		r.s.HandlePollFailure(at(700), v.ID, errNoAnswer)
+	}
+	list[0].Born = 2
+	r.s.SetVMs(at(900), list)
+	assert.Equal(t, len(r.s.losses.recent), 1)
+}
