sched: a start that no VM has confirmed counts as one crash at most

What callers would have seen: a job given up after fewer starts than the limit.

Cause: a start order that is under way keeps its run beyond the restart of its VM under the same ID. Each further restart counted as another crash under the task.

Evidence: TestOrderUnderWayCountsOnce failed before ("2 (int) != 1 (int)").

--- a/internal/sched/innocent_test.go
+++ b/internal/sched/innocent_test.go
@@ -267,3 +267,17 @@
 		assert.Equal(t, r.s.jobs[jobID].state, jobs.Failed, tt.name)
 	}
 }
+
+// TestOrderUnderWayCountsOnce guards against one start that counts as two crashes, since its VM restarts twice before
+// the order is given up on.
+func TestOrderUnderWayCountsOnce(t *testing.T) {
+	r := newFixture(t, testVM("a"))
+	r.submit(0, testJob(jobID, onePlainTask()))
+	x := r.orderOne(10)
+	for born := int64(2); born < 4; born++ {
+		v := testVM("a")
+		v.Born = born
+		r.s.SetVMs(at(100*int(born)), []site.VM{v})
+	}
+	assert.Equal(t, len(r.s.jobs[jobID].findTask(x.Task).crashes), 1)
+}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -104,6 +104,7 @@
 	phase          phase
 	answeredAt     time.Time // when the last order was answered; polls begun later show its effect
 	confirmedAt    time.Time // when the VM first accepted or listed it; zero if it may not have begun
+	lossCounted    bool      // the loss of a VM's incarnation counts against its task
 	heardAt        time.Time // when the VM had last answered a call before the start was ordered
 	nextStopAt     time.Time // no stop order is sent before this time
 	stopInFlight   bool      // a stop order is under way
--- a/internal/sched/loss.go
+++ b/internal/sched/loss.go
@@ -113,6 +113,9 @@
 		s.pool(v.Pool).lostAt = now
 		x.suspect = slices.ContainsFunc(lost, func(y lostTask) bool { return y.task.suspected() })
 		x.likely = s.blame(now, x.at, v, ended, lost)
+		for _, r := range v.runs {
+			r.lossCounted = true
+		}
 	}
 	s.checkLostTogether(now, x)
 }
@@ -129,6 +132,9 @@
 func (s *Scheduler) tasksOn(v *vm) []lostTask {
 	var list []lostTask
 	for _, r := range v.runs {
+		if r.lossCounted && r.confirmedAt.IsZero() {
+			continue // its start order is still under way after the loss of an earlier incarnation
+		}
 		list = append(list, lostTask{r.task, r.startedAt, !r.confirmedAt.IsZero()})
 	}
 	for _, x := range s.losses.presumed[v.ID] {
