sched: the crash of a VM whose leases had run out proves nothing against its tasks

What callers would have seen: a job shown as failed with one crash under it. Found by the model of random histories, not in the record.

Cause: took a lapsed VM for crashed under its runs once its incarnation was known to have ended. A VM that is cut off ends its runs with their leases, and may crash later.

A crash that is known only when the leases have run out stays without proof, also if the inventory shows it then.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -82,7 +82,8 @@
 	Share float64       // of the task's job in the blame
 	// Unconfirmed is set if the VM had not confirmed the run: it may not have begun it. Such a crash proves nothing.
 	Unconfirmed bool
-	// Lapsed is set if only the VM's leases are known to have ended: it may be cut off. Such a crash proves nothing.
+	// Lapsed is set if the VM's leases had run out when its loss became known: it may have been cut off, and the run may
+	// have ended with its lease. Such a crash proves nothing.
 	Lapsed bool
 }
 
@@ -232,17 +233,6 @@
 	return confirmed
 }
 
-// Ended returns the record after it has become known that an incarnation of a VM has ended.
-func (r Record) Ended(vm string, born int64) Record {
-	ended := slices.Clone(r)
-	for i := range ended {
-		if c := &ended[i]; c.VM == vm && c.Born == born {
-			c.Lapsed = false
-		}
-	}
-	return ended
-}
-
 // Without returns the record without the crash of an incarnation of a VM, which has turned out not to have
 // ended.
 func (r Record) Without(vm string, born int64) Record {
--- a/internal/sched/crash_notes.go
+++ b/internal/sched/crash_notes.go
@@ -17,7 +17,7 @@
 			text += ", run not confirmed"
 		}
 		if c.Lapsed {
-			text += ", VM may be cut off"
+			text += ", VM may have been cut off"
 		}
 		list = append(list, text)
 	}
--- a/internal/sched/ended.go
+++ b/internal/sched/ended.go
@@ -9,7 +9,6 @@
 // EndVM handles the end of a VM's incarnation that the inventory shows. It releases its runs long before their
 // leases expire.
 func (s *Scheduler) EndVM(now time.Time, e site.Incarnation) {
-	s.losses.end(e.VM, e.Born)
 	v := s.vms[e.VM]
 	if v == nil || v.Born != e.Born || v.ended {
 		return
--- a/internal/sched/loss.go
+++ b/internal/sched/loss.go
@@ -93,9 +93,6 @@
 // loseVM logs the loss of a VM's incarnation and splits the blame for it among the jobs that it ran, unless
 // the VM was about to leave. ended is set if the incarnation has certainly ended, and is not cut off.
 func (s *Scheduler) loseVM(now time.Time, v *vm, ended bool, why string) {
-	if ended {
-		s.losses.end(v.ID, v.Born)
-	}
 	lost := s.tasksOn(v)
 	delete(s.losses.presumed, v.ID)
 	if len(lost) > 0 {
@@ -112,7 +109,8 @@
 	if x.ran {
 		s.pool(v.Pool).lostAt = now
 		x.suspect = slices.ContainsFunc(lost, func(y lostTask) bool { return y.task.suspected() })
-		x.likely = s.blame(now, x.at, v, ended, lost)
+		lapsed := !ended || now.Sub(v.heardAt) >= s.policy.Lease
+		x.likely = s.blame(now, x.at, v, lapsed, lost)
 		for _, r := range v.runs {
 			r.lossCounted = true
 		}
@@ -152,7 +150,7 @@
 
 // blame adds the crash of a VM to the records of the tasks that it ran, and returns the jobs that are likely
 // to have caused it.
-func (s *Scheduler) blame(now, failedAt time.Time, v *vm, ended bool, lost []lostTask) (likely []*job) {
+func (s *Scheduler) blame(now, failedAt time.Time, v *vm, lapsed bool, lost []lostTask) (likely []*job) {
 	for _, x := range lost {
 		s.explainRecent(x.task)
 	}
@@ -180,7 +178,7 @@
 		if t.crashes.Has(v.ID, v.Born) || age(x) >= blame.MaxAge {
 			continue // in the first case, its start order was under way when the loss was first seen
 		}
-		t.crashes = append(t.crashes, blame.Crash{VM: v.ID, Born: v.Born, Age: age(x), Share: shares[index[t.job]], Unconfirmed: !x.confirmed, Lapsed: !ended})
+		t.crashes = append(t.crashes, blame.Crash{VM: v.ID, Born: v.Born, Age: age(x), Share: shares[index[t.job]], Unconfirmed: !x.confirmed, Lapsed: lapsed})
 		t.job.dirty, t.suspectSince = true, now
 		s.losses.suspects[t] = true
 	}
@@ -203,13 +201,6 @@
 	}
 }
 
-// end records that an incarnation of a VM has ended, if its leases had run out before.
-func (l *losses) end(vm string, born int64) {
-	for t := range l.suspects {
-		l.set(t, t.crashes.Ended(vm, born))
-	}
-}
-
 // withdraw removes the loss of a VM's incarnation, which has turned out not to have ended, from all records.
 func (l *losses) withdraw(vm string, born int64) {
 	for t := range l.suspects {
