sched: a job with a record that cannot be decoded starts nothing

If the progress record of a job could not be decoded, the next owner logged a warning and took the job for one that has not begun: its done tasks started again. Without its job record the job was unknown (410, and accepted anew). Without the list of VMs that may hold runs, no VM was waited for, and a task started beside its run on a VM that the platform did not list at the moment.

Such a job is now held back: no task of it starts, its records are not replaced, and requests for it are answered as undecided, neither as unknown nor as accepted. A cancellation replaces a progress record that cannot be decoded. An error line for each job and the metric greengagelane_unreadable_jobs_total tell operators. Progress without its job counts as such a job. The partition keeps its owner, so that one bad record stops one job. Without the list of VMs, recovered tasks wait until all leases of the former owner's runs have expired.

--- a/internal/drive/claim.go
+++ b/internal/drive/claim.go
@@ -99,6 +99,7 @@
 	}
 	part.scheduler = sched.New(epoch, part.node.policy, part.log)
 	part.scheduler.Restore(time.Now(), last.Epoch, table.Records)
+	unreadableJobs.Add(len(part.scheduler.Unreadable()))
 	vms, readAt := part.node.vmsOf(part.number)
 	part.scheduler.SetVMs(time.Now(), vms)
 	part.scheduler.VMsReadAt(readAt)
--- a/internal/drive/incomplete_test.go
+++ b/internal/drive/incomplete_test.go
@@ -167,3 +167,38 @@
 		})
 	}
 }
+
+// TestUnreadableJobIsNeitherUnknownNorNew guards against callers that are told that their accepted job does not exist, or
+// that it is accepted anew, since a record of it cannot be decoded.
+func TestUnreadableJobIsNeitherUnknownNorNew(t *testing.T) {
+	c := newCluster(t, 1, map[string]int{"alpha": 1})
+	tests := []struct {
+		name, key string
+		cancel    bool // waits until it is stored
+	}{
+		{"progress", "p/", true},
+		{"job", "j/", false},
+	}
+	for i, tt := range tests {
+		ids, log := formerOwner(t, c.nodes[0], 100+i)
+		a := &site.Append{Partition: 100 + i, Epoch: 1, Sequence: 2, ExpectEnd: -1, Records: []site.Record{{Key: tt.key + ids[0], Value: []byte("\xff")}}}
+		assert.NilError(t, log.AppendJobs(t.Context(), a, testTimeout))
+		before := unreadableJobs.Get()
+		part := claimant(t, c.nodes[0], 100+i)
+		part.waiters = map[string][]*waiter{}
+		assert.Assert(t, part.claim(t.Context()))
+		assert.Equal(t, unreadableJobs.Get(), before+1, tt.name)
+		for _, kind := range []site.CallKind{site.ShowJob, site.SubmitJob, site.CancelJob} {
+			job := &jobs.Job{ID: ids[0], Queue: "q", Pool: "alpha", Steps: []jobs.Step{{Count: 1, CPU: 1000}}, MaxAttempts: 1}
+			call := &jobCall{Kind: kind, ID: ids[0], Job: job}
+			w := &waiter{id: ids[0], job: job, isCancel: kind == site.CancelJob, reply: make(chan site.Reply, 1)}
+			part.handle(time.Now(), call, w)
+			select {
+			case r := <-w.reply:
+				assert.Assert(t, r.Outcome == site.Undecided && (kind != site.CancelJob || !tt.cancel), "%s: %s is answered with %s", tt.name, kind, r.Outcome)
+			default:
+				assert.Assert(t, kind == site.CancelJob && tt.cancel, "%s: %s is not answered", tt.name, kind)
+			}
+		}
+	}
+}
--- a/internal/drive/metrics.go
+++ b/internal/drive/metrics.go
@@ -22,6 +22,7 @@
 	orderDuration   = metrics.GetOrCreateHistogram(`greengagelane_vm_order_seconds`)
 	appendDuration  = metrics.GetOrCreateHistogram(`greengagelane_job_log_append_seconds`)
 	incompleteReads = metrics.GetOrCreateCounter(`greengagelane_incomplete_partition_reads_total`)
+	unreadableJobs  = metrics.GetOrCreateCounter(`greengagelane_unreadable_jobs_total`) // counted by each claim
 	requestDuration = metrics.GetOrCreateHistogram(`greengagelane_caller_request_seconds`)
 )
 
--- a/internal/drive/requests.go
+++ b/internal/drive/requests.go
@@ -96,6 +96,10 @@
 		w.answer(replyForbidden(c))
 		return
 	}
+	if unreadable, cancellable := part.scheduler.IsUnreadable(c.ID); unreadable && (c.Kind != site.CancelJob || !cancellable) {
+		w.answer(site.Reply{Outcome: site.Undecided, Reason: "a record of the job cannot be decoded"})
+		return
+	}
 	switch c.Kind {
 	case site.SubmitJob:
 		switch {
--- a/internal/sched/accounts.go
+++ b/internal/sched/accounts.go
@@ -37,11 +37,13 @@
 // AccountOf returns the client account and the queue of a job; known is false if the job is not
 // known.
 func (s *Scheduler) AccountOf(id string) (account, queue string, known bool) {
-	j := s.jobs[id]
-	if j == nil {
-		return "", "", false
+	if j := s.jobs[id]; j != nil {
+		return j.Account, j.Queue, true
 	}
-	return j.Account, j.Queue, true
+	if j := s.unreadable[id]; j != nil {
+		return j.Account, j.Queue, true
+	}
+	return "", "", false
 }
 
 // AccountReport is the load of a client account in a pool.
--- a/internal/sched/explain.go
+++ b/internal/sched/explain.go
@@ -29,6 +29,9 @@
 // Explain returns a job's running tasks and why the others wait; nil for an unknown job.
 func (s *Scheduler) Explain(now time.Time, id string) *JobView {
 	j := s.jobs[id]
+	if unreadable, _ := s.IsUnreadable(id); unreadable {
+		return &JobView{State: "unknown", Why: "a record of the job cannot be decoded"}
+	}
 	if j == nil {
 		return nil
 	}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -32,6 +33,7 @@
 	pools            map[string]*pool
 	queues           map[string]*queueStats
 	listReceivedAt   time.Time                // when the last VM list was received; zero before the first
+	unreadable       map[string]*jobs.Job     // of which a record cannot be decoded, by job ID; nil if it is that of the job itself
 	unverified       map[string]time.Time     // VMs that may hold runs of an earlier owner, with the end of those runs' leases
 	recordedVMs      map[string]bool          // VMs that the record under vmsKey has to name
 	recordedVMsDirty bool                     // recordedVMs has changed since it was last flushed
@@ -119,7 +121,7 @@
 	return &Scheduler{
 		Epoch: epoch, policy: p, log: log,
 		jobs: map[string]*job{}, vms: map[string]*vm{}, pools: map[string]*pool{}, queues: map[string]*queueStats{},
-		unverified: map[string]time.Time{}, recordedVMs: map[string]bool{}, offeredAt: map[string]offer{},
+		unreadable: map[string]*jobs.Job{}, unverified: map[string]time.Time{}, recordedVMs: map[string]bool{}, offeredAt: map[string]offer{},
 		buckets: map[string]*fair.Bucket{}, round: 1, losses: newLosses(),
 	}
 }
@@ -131,16 +133,20 @@
 }
 
 // Restore loads the records of earlier owners; lastEpoch is the epoch of the previous owner.
-// Invalid records are logged and skipped.
+// A job of which a record is invalid is held back; see Unreadable.
 func (s *Scheduler) Restore(now time.Time, lastEpoch int64, records []site.Record) {
 	const reportDelay = 1500 * time.Millisecond // within which a VM reports a run end: a status poll of up to 1 s and the next one
 	s.evacuateFrom = now.Add(s.policy.StopGrace + reportDelay)
 	progress := map[string]*jobs.Progress{}
 	for _, r := range records {
 		if err := s.restore(now, lastEpoch, r, progress); err != nil {
-			s.log.WithError(err).WithField("key", r.Key).Warn("job log record is invalid; skipped")
+			s.restoreFailed(now, r, err)
 		}
 	}
+	if _, unlisted := s.unverified[unlistedVMs]; unlisted {
+		s.inherited = nil // it names VMs of the list
+	}
+	s.holdUnreadable(progress)
 	for id, j := range s.jobs {
 		if p := progress[id]; p != nil {
 			j.restore(p)
@@ -163,6 +169,9 @@
 		if err := j.Check(); err != nil {
 			return err
 		}
+		if j.ID != r.Key[len(jobKeyPrefix):] {
+			return fmt.Errorf("record of job %q is stored as that of %q", j.ID, r.Key)
+		}
 		restored := newJob(j)
 		restored.stored, restored.recovered = true, true
 		s.jobs[j.ID] = restored
@@ -229,6 +238,11 @@
 	for _, j := range s.jobs {
 		names[j.Queue] = true
 	}
+	for _, j := range s.unreadable {
+		if j != nil {
+			names[j.Queue] = true
+		}
+	}
 	return slices.Sorted(maps.Keys(names))
 }
 
--- a/internal/sched/submit.go
+++ b/internal/sched/submit.go
@@ -21,6 +21,9 @@
 	if s.jobs[j.ID] != nil {
 		return Admission{Accepted: true}
 	}
+	if unreadable, _ := s.IsUnreadable(j.ID); unreadable {
+		return Admission{Reason: "a record of the job cannot be decoded"}
+	}
 	first, again := s.firstOffered(now, j)
 	if again {
 		j.SubmittedMS = min(j.SubmittedMS, first.at.UnixMilli()) // its caller has waited since then
@@ -109,7 +112,10 @@
 const maxOfferedJobs = 10_000
 
 // Known reports whether a job was accepted, whether or not it is stored yet.
-func (s *Scheduler) Known(id string) bool { return s.jobs[id] != nil }
+func (s *Scheduler) Known(id string) bool {
+	unreadable, _ := s.IsUnreadable(id)
+	return s.jobs[id] != nil || unreadable
+}
 
 // Stored reports whether the job log holds a job.
 func (s *Scheduler) Stored(id string) bool {
@@ -149,6 +155,7 @@
 // Cancel cancels a job and reports whether it is known. The cancellation is durable once FinalStored
 // reports so. It also covers a job whose append is in doubt: the job is stored as cancelled after it.
 func (s *Scheduler) Cancel(now time.Time, id string) bool {
+	s.takeUnreadable(id)
 	j := s.jobs[id]
 	if j == nil {
 		return false
