--- a/internal/stand/soak/burst.go
+++ b/internal/stand/soak/burst.go
@@ -17,6 +17,7 @@
 	for burst := uint64(0); ctx.Err() == nil && harness.cfg.Load.BurstJobs > 0; burst++ {
 		for i := range harness.cfg.Load.BurstJobs {
 			c := newCaller(harness, harness.cfg.Seed, 1<<37+burst<<16+uint64(i))
+			c.mayGiveUp = true
 			delay := time.Duration(r.Int64N(int64(window)))
 			active.Go(func() {
 				sleep(ctx, delay)
--- a/internal/stand/soak/caller.go
+++ b/internal/stand/soak/caller.go
@@ -146,6 +146,8 @@
 	entry    *Entry // at the other end of the connection, nil if there is none
 	client   *http.Client
 	accepted []*Job // acknowledged jobs of this caller
+	// mayGiveUp is set if the caller cancels some of the jobs whose submission got no verdict.
+	mayGiveUp bool
 }
 
 func newCaller(harness *Harness, seed, number uint64) *caller {
@@ -281,6 +283,11 @@
 		case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		case 0, http.StatusBadGateway, http.StatusGatewayTimeout:
 			onlyRefusals = false
+			// After a complete answer no part of the submission is on its way to an entry any more.
+			if status != 0 && c.mayGiveUp && c.r.IntN(2) == 0 {
+				c.cancelUntilAcknowledged(ctx, j)
+				return
+			}
 		case http.StatusNotFound:
 			if !c.harness.isDropped(j.Queue, status) {
 				c.harness.reportViolation("LOST submission of job %s to queue %s got status 404", j.ID, j.Queue)
--- a/internal/stand/soak/soak_test.go
+++ b/internal/stand/soak/soak_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -21,6 +22,18 @@
 	return program
 }
 
+// seedDir returns the directory for the logs of a seed, which stays if SOAK_TEST_LOGS names the one above it.
+func seedDir(t *testing.T, seed uint64) string {
+	t.Helper()
+	above := os.Getenv("SOAK_TEST_LOGS")
+	if above == "" {
+		return t.TempDir()
+	}
+	dir := filepath.Join(above, fmt.Sprintf("seed-%d", seed))
+	assert.NilError(t, os.MkdirAll(dir, 0o755))
+	return dir
+}
+
 // TestSoak runs the soak for 4 s with each seed. Each row that is not fresh is a regression case:
 // its seed once violated an invariant, for the cause in the row. Seeds marked fresh have not failed before.
 func TestSoak(t *testing.T) {
@@ -50,7 +63,7 @@
 				entries = 4
 			}
 			var events strings.Builder
-			cfg := Config{Seed: tt.seed, Duration: 4 * time.Second, Entries: entries, Callers: 4, Program: program, Dir: t.TempDir(), NoFaults: tt.noFaults, Load: tt.load}
+			cfg := Config{Seed: tt.seed, Duration: 4 * time.Second, Entries: entries, Callers: 4, Program: program, Dir: seedDir(t, tt.seed), NoFaults: tt.noFaults, Load: tt.load}
 			result, err := RunSeed(cfg, &events)
 			assert.NilError(t, err)
 			assert.Equal(t, len(result.Violations), 0, "%s\n%s", tt.cause, events.String())
