--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -31,7 +31,7 @@
 	crashesToProve = 2                     // crashes under one task, each likely by it, that may prove it the cause
 	maxCrashes     = 3                     // crashes under one task, one likely by it, after which its job is given up without proof
 	maxUnlikely    = 5                     // crashes under one task after which its job is given up in any case: the platform allows two starts after the third
-	maxDoubtful    = 4                     // crashes under one task that may not have happened under it, after which its job is given up; one less than maxUnlikely, as one may be lost with the owner that saw it
+	maxDoubtful    = 4                     // crashes under one task, some of which may not have happened under it, after which its job is given up; one less than maxUnlikely, as one may be lost with the owner that saw it
 	maxLasting     = 4                     // crashes on the record of a long-running task after which it is not started again; one less, as one may be lost with the owner that saw it
 )
 
@@ -130,7 +130,7 @@
 		return Proved
 	case len(r) >= maxCrashes && likely > 0 && happened >= crashesToProve:
 		return Exhausted
-	case len(r)-happened >= maxDoubtful, len(r)+cleared >= maxUnlikely:
+	case happened < len(r) && len(r) >= maxDoubtful, len(r)+cleared >= maxUnlikely:
 		return Exhausted
 	}
 	return None
