sched: a suspect is cleared by the age of its run, not of its order

An order that was lost and repeated is old when its run has just begun, and one listing of that run cleared the crashes under its task: a deadly task could be started six times. The age counts from the VM's confirmation. TestOrderAgeClearsNoSuspect failed before (150 ms old at most, after a crash at 100 ms).

--- a/internal/sched/trial.go
+++ b/internal/sched/trial.go
@@ -329,10 +329,11 @@
 }
 
 // clearOutlived clears the tasks whose runs a VM lists in the reply to a status poll, if these had outlived
-// the age at which VMs crashed under them when the poll was sent.
+// the age at which VMs crashed under them when the poll was sent. A run is as old as its confirmation: its order may
+// have been lost and repeated.
 func (s *Scheduler) clearOutlived(v *vm, pollStart time.Time) {
 	for _, r := range v.runs {
-		t, age := r.task, pollStart.Sub(r.startedAt)
+		t, age := r.task, pollStart.Sub(r.confirmedAt)
 		if r.phase != working || r.endUnknown || (len(t.crashes) == 0 && t.cleared == 0) {
 			continue
 		}
