sched: a VM that was cut off and answers again leaves the list of recent losses

Found by a review. The stale loss was kept, and the later loss of the VM with its rack was judged by the time of the first one: a share of 0.49 of the blame instead of none.

--- a/internal/sched/loss.go
+++ b/internal/sched/loss.go
@@ -203,6 +203,7 @@
 
 // withdraw removes the loss of a VM's incarnation, which has turned out not to have ended, from all records.
 func (l *losses) withdraw(vm string, born int64) {
+	l.recent = slices.DeleteFunc(l.recent, func(x loss) bool { return x.vm == vm && x.born == born })
 	for t := range l.suspects {
 		l.set(t, t.crashes.Without(vm, born))
 	}
