sched: tombstones that the log has refused are stored with the next flush

A dropped job's tombstones were forgotten with a refused flush; a job handed in again under the identifier could be shown as completed by the old progress after a takeover.

--- a/internal/sched/flush.go
+++ b/internal/sched/flush.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"github.com/greengagelane/greengagelane/pkg/jobs"
@@ -8,9 +9,11 @@
 )
 
 // dropFinalJobs drops jobs that have been final for KeepFinal and returns tombstones for
-// their records.
+// their records, and those that the log has refused. They go before all other records of a flush: a job may have been
+// submitted again under the identifier of a dropped one.
 func (s *Scheduler) dropFinalJobs(now time.Time) []site.Record {
-	var removed []site.Record
+	removed := s.refusedTombstones
+	s.refusedTombstones = nil
 	for id, j := range s.jobs {
 		if j.storedState.Final() && now.UnixMilli()-j.finalMS > s.policy.KeepFinal.Milliseconds() {
 			delete(s.jobs, id)
@@ -30,6 +33,7 @@
 // Flush is a batch of records for the job log.
 type Flush struct {
 	Records     []site.Record
+	tombstones  []site.Record         // the first of Records, of dropped jobs
 	cursors     []Cursor              // run ends that may be acknowledged once the flush is stored
 	recordedVMs []string              // VMs that the record under vmsKey names
 	states      map[string]jobs.State // states of the jobs whose progress is in the flush, by job ID
@@ -41,7 +45,8 @@
 // Flush collects the changes since the last flush, or returns nil if there are none. Only
 // one flush may be under way; it ends with a call of Flushed or FlushRefused.
 func (s *Scheduler) Flush(now time.Time, maxBytes int) (*Flush, error) {
-	f := &Flush{Records: s.dropFinalJobs(now), states: map[string]jobs.State{}, lost: map[string]int{}}
+	tombstones := s.dropFinalJobs(now)
+	f := &Flush{Records: slices.Clone(tombstones), tombstones: tombstones, states: map[string]jobs.State{}, lost: map[string]int{}}
 	size, deferred := 0, 0
 	var held *job
 	for _, j := range s.jobs {
@@ -169,6 +174,7 @@
 
 // FlushRefused records that the job log has stored nothing of a flush.
 func (s *Scheduler) FlushRefused(f *Flush) {
+	s.refusedTombstones = append(s.refusedTombstones, f.tombstones...)
 	s.recordedVMsDirty = true
 	for _, id := range f.addedJobs {
 		if j := s.jobs[id]; j != nil {
