--- a/internal/drive/shown.go
+++ b/internal/drive/shown.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -23,15 +25,18 @@
 	shownPause    = 50 * time.Millisecond  // before it asks again
 	recentOutage  = 30 * time.Second       // since the log last failed to answer a call
 	handOnTimeout = 500 * time.Millisecond // for handing notes on
-	handOnCopies  = 4                      // entries to which one that stops hands its notes on
+	handOnCopies  = 2                      // entries that are to keep the notes of one that stops
+	handOnBatch   = 4                      // entries that are asked at a time
 )
 
 // shownNote tells another entry of jobs, by partition, that were shown as completed or are about to be.
 type shownNote struct{ Jobs map[int][]string }
 
-// shownNoteReply says whether the job may be shown. An entry of this version takes the note and says no: then the
-// older entry shows the job as running.
-type shownNoteReply struct{ Noted bool }
+// shownNoteReply answers a note.
+type shownNoteReply struct {
+	Noted bool // the job may be shown, says an entry of an earlier version; with false, the older entry that asks shows it as running
+	Kept  bool // the entry, of this version, keeps the note and is not stopping
+}
 
 // shownCall asks another entry for the jobs of a partition that it has taken note of.
 type shownCall struct{ Partition int }
@@ -44,13 +49,13 @@
 
 func (n *Node) handleShownCalls(s *peer.Server) {
 	peer.Handle(s, shownNoteKind, func(_ context.Context, _ string, c *shownNote) (*shownNoteReply, error) {
-		n.shown.RecordAll(time.Now(), c.Jobs)
+		kept := n.shown.RecordAll(time.Now(), c.Jobs) && !n.stopping.Load()
 		for p, ids := range c.Jobs {
 			if part := n.lookupPartition(p); part != nil && part.isLoaded() {
 				part.post(func(now time.Time) { part.scheduler.CompleteShown(now, ids) })
 			}
 		}
-		return &shownNoteReply{}, nil
+		return &shownNoteReply{Kept: kept}, nil
 	})
 	peer.Handle(s, shownKind, func(_ context.Context, _ string, c *shownCall) (*shownReply, error) {
 		return &shownReply{IDs: n.shown.List(c.Partition), Outage: n.recentOutage(time.Now())}, nil
@@ -97,20 +102,38 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, handOnTimeout)
 	defer cancel()
-	entries := n.knownEntries()
-	entries = entries[:min(len(entries), handOnCopies)]
-	for _, address := range entries {
-		n.tell(ctx, address, &shownNote{Jobs: jobs})
+	kept := 0
+	for batch := range slices.Chunk(n.knownEntries(), handOnBatch) {
+		if kept += n.tellAll(ctx, batch, &shownNote{Jobs: jobs}); kept >= handOnCopies {
+			break
+		}
 	}
-	logrus.WithFields(logrus.Fields{"partitions": len(jobs), "entries": len(entries)}).Info("notes of jobs shown as completed handed on")
+	logrus.WithFields(logrus.Fields{"partitions": len(jobs), "entries": kept}).Info("notes of jobs shown as completed handed on")
+}
+
+// tellAll has other entries take notes, all at a time, and returns how many have.
+func (n *Node) tellAll(ctx context.Context, addresses []string, note *shownNote) int {
+	var kept atomic.Int64
+	var wg sync.WaitGroup
+	for _, address := range addresses {
+		wg.Go(func() {
+			if n.tell(ctx, address, note) {
+				kept.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	return int(kept.Load())
 }
 
-// tell has another entry take notes. It tries twice, as the connection may be one to a process that has ended since.
-func (n *Node) tell(ctx context.Context, address string, note *shownNote) {
+// tell has another entry take notes, and reports whether it has. It tries twice, as the connection may be one to a
+// process that has ended since.
+func (n *Node) tell(ctx context.Context, address string, note *shownNote) (kept bool) {
+	var r *shownNoteReply
 	var err error
 	for range 2 {
 		callCtx, cancel := context.WithTimeout(ctx, noteTimeout)
-		_, err = peer.Call[shownNote, shownNoteReply](callCtx, n.peer(address), shownNoteKind, note)
+		r, err = peer.Call[shownNote, shownNoteReply](callCtx, n.peer(address), shownNoteKind, note)
 		cancel()
 		if err == nil || ctx.Err() != nil {
 			break
@@ -118,7 +141,9 @@
 	}
 	if err != nil {
 		logrus.WithError(err).WithField("peer", address).Info("entry not told of the jobs that were shown as completed")
+		return false
 	}
+	return r.Noted || r.Kept
 }
 
 // collectShown asks the known entries for the partition's shown jobs and passes them to the scheduler. After an
