drive: an entry that stops answers all requests before it closes their connections

Requests now have to be answered 0.2 s before the connections are closed, which happens 0.6 s before the end of the grace that the settings give.

--- a/internal/drive/node.go
+++ b/internal/drive/node.go
@@ -26,13 +26,14 @@
 )
 
 const (
-	attemptTimeout  = 1200 * time.Millisecond // for one attempt to get the reply to a caller's request from an owner
-	stopDelay       = 2500 * time.Millisecond // serving continues after SIGTERM until the load balancer has noticed, which takes two failed readiness checks of 1 s
-	inFlightTimeout = 1500 * time.Millisecond // part of the shutdown grace reserved for requests in flight
-	headerTimeout   = 3 * time.Second         // for reading a request's header
-	idleTimeout     = 15 * time.Second        // for a keep-alive connection between requests
-	maxHeaderBytes  = 16 << 10
-	notifyTimeout   = 300 * time.Millisecond // for a message that needs no reply
+	attemptTimeout = 1200 * time.Millisecond // for one attempt to get the reply to a caller's request from an owner
+	stopDelay      = 2500 * time.Millisecond // serving continues after SIGTERM until the load balancer has noticed, which takes two failed readiness checks of 1 s
+	exitMargin     = 600 * time.Millisecond  // of the shutdown grace, for handing notes on and for the exit
+	lastAnswer     = 200 * time.Millisecond  // before the connections of a stopping entry are closed, by which all its requests are answered
+	headerTimeout  = 3 * time.Second         // for reading a request's header
+	idleTimeout    = 15 * time.Second        // for a keep-alive connection between requests
+	maxHeaderBytes = 16 << 10
+	notifyTimeout  = 300 * time.Millisecond // for a message that needs no reply
 )
 
 // Node is one entry. It takes part in assigning the job log's partitions and runs the
@@ -54,6 +55,8 @@
 	unauthorizedLog lineLimit
 	owners          ownerTable
 	stopping        atomic.Bool
+	answering       context.Context // ends when a stopping entry has to answer all requests
+	endAnswers      context.CancelFunc
 	aborted         chan struct{} // closed to exit without a handover, as after SIGKILL
 	logFailedAt     atomic.Int64  // Unix nanoseconds; when a call to the log last failed
 	logAnsweredAt   atomic.Int64  // Unix nanoseconds; when the log last answered a call
@@ -86,7 +89,9 @@
 
 // New returns a node; Run starts it.
 func New(settings *site.Settings) *Node {
+	answering, endAnswers := context.WithCancel(context.Background())
 	return &Node{
+		answering: answering, endAnswers: endAnswers,
 		settings: settings, startedAt: time.Now(), planDelay: startupDelay, settleDelay: settleDelay, address: settings.AnnouncedAddress(), incarnation: settings.Entry + "-" + uuid.NewString()[:8],
 		policy:     schedPolicy(settings),
 		partitions: map[int]*ownedPartition{}, peers: map[string]*peer.Client{}, vms: map[string]site.VM{}, relayLogs: map[int]*relayLog{}, waves: map[int64]seenWave{},
@@ -149,12 +154,14 @@
 	n.stopping.Store(true)
 	callers.BeginStop()
 	stopStart := time.Now()
+	closeAt := stopStart.Add(time.Duration(n.settings.Bounds.ShutdownGraceS*float64(time.Second)) - exitMargin)
+	defer time.AfterFunc(time.Until(closeAt)-lastAnswer, n.endAnswers).Stop()
 	logrus.Info("entry is stopping; handing its partitions over")
 	go n.handOnShown(workCtx) // as early as possible, and again with those shown meanwhile
 	leave()
 	<-memberDone
 	sleep(workCtx, stopDelay-time.Since(stopStart))
-	shutdownCtx, cancelShutdown := context.WithTimeout(workCtx, inFlightTimeout)
+	shutdownCtx, cancelShutdown := context.WithDeadline(workCtx, closeAt)
 	defer cancelShutdown()
 	if err := callers.Shutdown(shutdownCtx); err != nil {
 		logrus.WithError(err).Warn("stopped with requests still in flight")
--- a/internal/drive/route.go
+++ b/internal/drive/route.go
@@ -25,6 +25,9 @@
 // call executes a request on a queue with the given access.
 func (n *Node) call(ctx context.Context, req *site.Call, access *site.Access) site.Reply {
 	began := time.Now()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(n.answering, cancel)()
 	if req.Job != nil {
 		req.Job.SubmittedMS = began.UnixMilli()
 	}
