--- a/internal/sched/loss_play_test.go
+++ b/internal/sched/loss_play_test.go
@@ -236,7 +236,7 @@
 // TestLossPlays guards against innocent jobs that are given up, and against deadly ones that are started without end.
 func TestLossPlays(t *testing.T) {
 	seeds := 5
-	if n, err := strconv.Atoi(os.Getenv("REVIEW_SEEDS")); err == nil {
+	if n, err := strconv.Atoi(os.Getenv("LOSS_PLAYS")); err == nil {
 		seeds = n
 	}
 	for _, lost := range []float64{0, 0.3} {
