sched, drive: a new owner waits until a former one that is cut off has heard of it

Callers saw nothing of this so far; found by reading. An owner that is cut off from the log and the other entries goes on renewing the leases of its runs: it learns of the next owner by its next call to a VM that this one has polled, which may be as late as the longest status poll, 2 s. The next owner took the VMs that it does not reach for lapsed 4.4 s after its claim, up to 2 s before the last lease ended there: two runs at once, or a start beside an end that counts.

A claim now distinguishes an owner that has yielded, has lost the partition or whose process has ended from one that does not answer. After the latter the wait for VMs that have not answered is longer by that time. A VM that answers ends the wait as before.

TestNoStartWhileFormerOwnerRenewsLease failed before in three of four rows: started 10 ms, 0.81 s and 1.81 s before the lease had expired. Not covered: an owner that reaches none of the VMs that the next one reaches learns of nothing.

--- a/internal/drive/claim.go
+++ b/internal/drive/claim.go
@@ -77,7 +77,7 @@
 // this entry the owner, provided that nothing was appended since the partition was read.
 func (part *ownedPartition) tryClaim(ctx context.Context) error {
 	announced := part.node.owners.latestClaim(part.number)
-	probeResult := part.probeOwner(ctx, announced.Address)
+	probe := part.probeOwner(ctx, announced.Address)
 	began := time.Now()
 	table, err := part.readTable(ctx)
 	if err != nil {
@@ -86,9 +86,13 @@
 	readTime := time.Since(began)
 	last := part.readControlRecords(table.Records)
 	if last.Address != announced.Address {
-		probeResult = part.probeOwner(ctx, last.Address)
+		probe = part.probeOwner(ctx, last.Address)
+	}
+	former := awaitProbe(probe)
+	yielded := false
+	if former.owns {
+		yielded, former.ended = part.requestYield(ctx, last.Address, readTime)
 	}
-	yielded := part.requestYield(ctx, last.Address, probeResult, readTime)
 	if yielded {
 		if last, err = part.addTail(ctx, table); err != nil {
 			return err
@@ -116,6 +120,9 @@
 	}
 	part.scheduler = sched.New(epoch, part.node.policy, part.log)
 	part.scheduler.Restore(time.Now(), last.Epoch, table.Records)
+	if last.Epoch > 0 && !former.ended {
+		part.scheduler.FormerOwnerMayContinue()
+	}
 	part.claimed = claimedTable{lastEpoch: last.Epoch, tableEnd: table.End, records: len(table.Records)}
 	unreadableJobs.Add(len(part.scheduler.Unreadable()))
 	vms, readAt := part.node.vmsOf(part.number)
--- a/internal/drive/session.go
+++ b/internal/drive/session.go
@@ -20,7 +20,7 @@
 	maxSenders        = 3                      // connections for orders to one VM
 	addSenderAfter    = 40 * time.Millisecond  // another sender starts if none is idle and no order has left the queue for longer than this
 	senderIdleTimeout = 20 * time.Second       // an additional sender without orders ends after this
-	idlePollWait      = 2 * time.Second        // how long a VM without runs may delay its reply; the longest delay that a VM accepts
+	idlePollWait      = sched.LongestPoll      // how long a VM without runs may delay its reply
 )
 
 // vmSession communicates with one VM of a partition: one connection for status polls, up to
--- a/internal/drive/yield.go
+++ b/internal/drive/yield.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"syscall"
 	"time"
 
 	"github.com/greengagelane/greengagelane/internal/peer"
@@ -55,43 +57,54 @@
 	part.log.Info("partition released")
 }
 
-// requestYield asks the current owner to yield and reports whether it did. It asks only if the
-// probe has confirmed the owner. readTime is how long the claimant took to read the partition:
-// an owner that needs much longer for its last append has probably lost its connection to the
-// log. If requestYield returns false, the owner may still be appending.
-func (part *ownedPartition) requestYield(ctx context.Context, owner string, probeResult <-chan bool, readTime time.Duration) bool {
+// probeAnswer is what is known of an earlier owner. Both fields are false if it does not answer.
+type probeAnswer struct {
+	owns  bool // it owns the partition
+	ended bool // it does not own the partition any more, or its process has ended
+}
+
+// awaitProbe waits for the answer to a probe, for probeExtraWait at most.
+func awaitProbe(probe <-chan probeAnswer) probeAnswer {
 	t := time.NewTimer(probeExtraWait)
 	defer t.Stop()
 	select {
-	case owns := <-probeResult:
-		if !owns {
-			return false
-		}
+	case answer := <-probe:
+		return answer
 	case <-t.C:
-		return false
+		return probeAnswer{}
 	}
+}
+
+// requestYield asks the current owner to yield. It reports whether the owner has stored all changes, and whether its
+// ownership has ended; without the latter it may still be appending. readTime is how long the claimant took to read
+// the partition: an owner that needs much longer for its last append has probably lost its connection to the log.
+func (part *ownedPartition) requestYield(ctx context.Context, owner string, readTime time.Duration) (stored, ended bool) {
 	callCtx, cancel := context.WithTimeout(ctx, min(max(yieldReadFactor*readTime, minYieldTimeout), maxYieldTimeout))
 	defer cancel()
 	r, err := peer.Call[yieldCall, yieldReply](callCtx, part.node.peer(owner), yieldKind, &yieldCall{Partition: part.number})
 	if err != nil || !r.Yielded {
 		part.log.WithError(err).WithField("owner", owner).Info("owner did not yield; claiming the partition anyway")
-		return false
+		return false, err == nil
 	}
-	return true
+	return true, true
 }
 
 // probeOwner asks an entry in the background whether it owns the partition.
-func (part *ownedPartition) probeOwner(ctx context.Context, owner string) <-chan bool {
-	answer := make(chan bool, 1)
+func (part *ownedPartition) probeOwner(ctx context.Context, owner string) <-chan probeAnswer {
+	answer := make(chan probeAnswer, 1)
 	if owner == "" || owner == part.node.address {
-		answer <- false
+		answer <- probeAnswer{ended: true}
 		return answer
 	}
 	go func() {
 		callCtx, cancel := context.WithTimeout(ctx, maxYieldTimeout)
 		defer cancel()
 		r, err := peer.Call[yieldCall, yieldReply](callCtx, part.node.peer(owner), yieldKind, &yieldCall{Partition: part.number, Probe: true})
-		answer <- err == nil && r.Yielded
+		if err != nil {
+			answer <- probeAnswer{ended: errors.Is(err, syscall.ECONNREFUSED)}
+			return
+		}
+		answer <- probeAnswer{owns: r.Yielded, ended: !r.Yielded}
 	}()
 	return answer
 }
--- /dev/null
+++ b/internal/sched/former_owner_test.go
@@ -0,0 +1,67 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/greengagelane/greengagelane/pkg/jobs"
+	"github.com/greengagelane/greengagelane/pkg/site"
+)
+
+// TestNoStartWhileFormerOwnerRenewsLease cuts an owner off from the log and the other entries. It goes on polling its VMs
+// until one that the next owner has reached refuses a call, and the next owner does not reach the VM with the run.
+func TestNoStartWhileFormerOwnerRenewsLease(t *testing.T) {
+	const claimed = 1000 // ms
+	for _, c := range []struct{ lastRenewal time.Duration }{{0}, {200 * time.Millisecond}, {time.Second}, {LongestPoll}} {
+		t.Run(fmt.Sprint(c.lastRenewal), func(t *testing.T) {
+			r := newFixture(t, testVM("a"), testVM("b"))
+			r.submit(0, testJob(jobID, jobs.Step{Count: 1, CPU: 1000, Lasts: true, MayMiss: 1}))
+			run := r.starts(10)[0]
+			r.flush(20)
+			other := map[string]string{"a": "b", "b": "a"}[run.VM]
+			former := r.s
+
+			r.takeover(claimed, testVM("a"), testVM("b"))
+			r.s.FormerOwnerMayContinue()
+			r.poll(claimed+10, other, site.VMStatus{})
+			r.flush(claimed + 10)
+
+			renewed := claimed + int(c.lastRenewal.Milliseconds())
+			status := site.VMStatus{Born: 1, ClockMS: int64(renewed) + 1000, Running: []site.Run{running(run)}}
+			former.HandlePoll(at(renewed), run.VM, at(renewed), &status)
+			_, ok := former.NextPoll(at(renewed), run.VM, false)
+			assert.Assert(t, ok)
+			until := former.vms[run.VM].leasesEnd
+
+			const step, last = 50, claimed + 20000
+			for ms := claimed + 20; ms < last; ms += step {
+				r.poll(ms, other, site.VMStatus{})
+				r.flush(ms)
+				if len(r.starts(ms)) > 0 {
+					assert.Assert(t, at(ms).After(until), "started %s before the lease of the former owner's run had expired", until.Sub(at(ms)))
+					return
+				}
+			}
+			t.Fatal("the task does not run again")
+		})
+	}
+}
+
+// TestNextOwnerWaitsForLeasesOnlyOnceFormerOwnerHasEnded guards against a longer wait after owners that are known to have
+// ended.
+func TestNextOwnerWaitsForLeasesOnlyOnceFormerOwnerHasEnded(t *testing.T) {
+	r := newFixture(t, testVM("a"), testVM("b"))
+	r.submit(0, testJob(jobID, jobs.Step{Count: 1, CPU: 1000, EstimateMS: 500}))
+	run := r.starts(10)[0]
+	other := map[string]string{"a": "b", "b": "a"}[run.VM]
+	r.takeover(100, testVM("a"), testVM("b"))
+	p := testPolicy()
+	wait := int((p.localDuration(p.Lease) + leaseMargin).Milliseconds())
+	r.poll(100+wait, other, site.VMStatus{})
+	r.flush(100 + wait)
+	assert.Equal(t, len(r.starts(100+wait-10)), 0)
+	assert.Equal(t, len(r.starts(100+wait+10)), 1)
+}
--- a/internal/sched/vm.go
+++ b/internal/sched/vm.go
@@ -132,6 +132,24 @@
 // margin in grantLease, by which a lease may end later.
 const leaseMargin = 300 * time.Millisecond
 
+// LongestPoll is the longest time that a VM delays its reply to a status poll.
+const LongestPoll = 2 * time.Second
+
+// formerOwnerNotice is the longest time after a claim for which a former owner that is cut off from the log and the
+// other entries goes on renewing leases: until its next call to a VM that the new owner has polled.
+const formerOwnerNotice = LongestPoll + 500*time.Millisecond
+
+// FormerOwnerMayContinue tells a new owner that the former one may not know that it has lost the partition. Its runs on VMs
+// that this owner does not reach may last longer.
+func (s *Scheduler) FormerOwnerMayContinue() {
+	for id, until := range s.unverified {
+		s.unverified[id] = until.Add(formerOwnerNotice)
+		if v := s.vms[id]; v != nil {
+			v.leasesEnd = v.leasesEnd.Add(formerOwnerNotice)
+		}
+	}
+}
+
 // grantLease returns the end of a lease that begins now, on the VM's clock, and extends
 // leasesEnd accordingly.
 func (v *vm) grantLease(now time.Time, p *Policy) int64 {
