emul: a call to a VM is checked and takes effect as one step

A VM checked the fencing token of a call and whether it was up, and gave its lock back before it began the run or listed its runs. A poll of the next owner could be answered in between: it raised the token and listed no run, and the order of the earlier owner was carried out after it. The next owner then starts the task elsewhere, as it may: TWICE, two runs at once. In the same way a run could begin on a VM that had just crashed, and then went on until its time. The platform's VMs do nothing for a lower token.

--- a/internal/stand/emul/poll.go
+++ b/internal/stand/emul/poll.go
@@ -7,26 +7,16 @@
 
 // poll serves a status poll: it renews the lease, drops the run ends that the cursor
 // acknowledges, waits up to WaitMS for a run to end if none is pending, and returns the active
-// runs and the first of the pending run ends.
+// runs and the first of the pending run ends. w.mu is held, but not during the wait.
 func (w *Worker) poll(rw http.ResponseWriter, r *http.Request, b *workerRequest) {
-	w.mu.Lock()
 	w.renewLease(b.UntilMS)
 	for len(w.runEnds) > 0 && w.runEnds[0].sequence <= b.Cursor {
 		w.acknowledge(w.runEnds[0].taskRun)
 		w.runEnds = w.runEnds[1:]
 	}
-	runEnded, pending := w.runEnded, len(w.runEnds) > 0
-	w.mu.Unlock()
-	if !pending && b.WaitMS > 0 {
-		select {
-		case <-runEnded:
-		case <-time.After(time.Duration(b.WaitMS) * time.Millisecond):
-		case <-r.Context().Done():
-			return
-		}
+	if len(w.runEnds) == 0 && b.WaitMS > 0 && !w.awaitRunEnd(r, time.Duration(b.WaitMS)*time.Millisecond) {
+		return
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
 	running, ended := [][]any{}, [][]any{}
 	for name, a := range w.running {
 		percent := 100
@@ -44,6 +34,21 @@
 	reply(rw, map[string]any{"clockMs": w.clockMS(), "born": w.startedAt.UnixMilli(), "running": running, "ended": ended})
 }
 
+// awaitRunEnd waits until a run ends, at most for the given time, and reports whether the caller still waits for the
+// reply. w.mu is held, but not during the wait.
+func (w *Worker) awaitRunEnd(r *http.Request, wait time.Duration) bool {
+	runEnded := w.runEnded
+	w.mu.Unlock()
+	defer w.mu.Lock()
+	select {
+	case <-runEnded:
+	case <-time.After(wait):
+	case <-r.Context().Done():
+		return false
+	}
+	return true
+}
+
 // acknowledge records that the owner has acknowledged the end of a run. By the platform's
 // rules the acknowledgement does not count if the VM's lease expired after the run ended, so
 // the task may then run again; w.mu is held.
--- a/internal/stand/emul/worker.go
+++ b/internal/stand/emul/worker.go
@@ -243,22 +243,20 @@
 
 // serve handles a call. It does nothing if the VM was killed, and refuses a call whose fencing
 // token is lower than one received before. Orders other than starts and stops succeed without
-// effect.
+// effect. Of two calls, one is checked and takes effect before the other is checked.
 func (w *Worker) serve(rw http.ResponseWriter, r *http.Request, path string, b *workerRequest) {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	select {
 	case <-w.closed:
-		w.mu.Unlock()
 		return
 	default:
 	}
 	if b.Fence < w.fence {
-		w.mu.Unlock()
 		w.refuse(rw, "fence")
 		return
 	}
 	w.fence = b.Fence
-	w.mu.Unlock()
 	switch path {
 	case "/v1/run-start":
 		w.start(rw, b)
@@ -289,10 +287,8 @@
 // start handles an order to start a run. It renews the lease, also if it refuses the order. It
 // refuses the order if UntilMS has passed (late), if the run has ended or was ordered to stop, or
 // another run of the task is active (old), or if the VM has too little free CPU or memory (room). A repeated
-// order for an active run succeeds.
+// order for an active run succeeds. w.mu is held.
 func (w *Worker) start(rw http.ResponseWriter, b *workerRequest) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
 	w.renewLease(b.UntilMS)
 	switch {
 	case b.UntilMS <= w.clockMS():
@@ -353,10 +349,8 @@
 }
 
 // stop handles an order to stop a run. Afterwards runs of the task with the same or a lower
-// number are refused.
+// number are refused. w.mu is held.
 func (w *Worker) stop(rw http.ResponseWriter, b *workerRequest) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
 	w.highestRun[b.Task] = max(w.highestRun[b.Task], b.Run)
 	if a := w.running[b.Task]; a != nil && a.taskRun.Run <= b.Run {
 		w.endRun(b.Task, "stopped")
