soak: pauses of owners around their appends and the claims of others

With -pauses owners are stopped by SIGSTOP between an append and its answer, which is stored at once or held back, and are resumed or killed around the moment at which another entry has claimed the partition, or after 1 to 6 s. A pause ends for the record of disturbances when its process is killed, too: before, an entry that was killed while it was paused counted as disturbed from then on.

--- a/internal/stand/emul/platform.go
+++ b/internal/stand/emul/platform.go
@@ -49,8 +49,9 @@
 	servers        []*http.Server
 	closed         chan struct{}
 
-	cutOffMu sync.Mutex      // of its own, as it is locked while the store's lock is held
-	cutOff   map[string]bool // entries that the log turns away
+	cutOffMu    sync.Mutex            // of its own, as it is locked while the store's lock is held
+	cutOff      map[string]bool       // entries that the log turns away
+	appendHooks map[string]appendHook // by entry; see AtNextAppend
 }
 
 // machine is a VM slot, over all incarnations of its VM.
@@ -81,7 +82,7 @@
 func Start(o Options) (*Platform, error) {
 	o.setDefaults()
 	p := &Platform{
-		Store: NewStore(o.Partitions), Ledger: &Ledger{}, opts: o, waves: map[int64]*requestedWave{}, leaseHolders: map[string]string{}, cutOff: map[string]bool{},
+		Store: NewStore(o.Partitions), Ledger: &Ledger{}, opts: o, waves: map[int64]*requestedWave{}, leaseHolders: map[string]string{}, cutOff: map[string]bool{}, appendHooks: map[string]appendHook{},
 		machines: map[string]*machine{}, fencingTokens: map[string]int64{}, closed: make(chan struct{}),
 	}
 	var err error
@@ -141,7 +142,11 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		p.Store.ServeHTTP(&cutOffWriter{ResponseWriter: w, platform: p, entry: entry}, r)
+		before, after := p.takeAppendHook(entry, r)
+		if before != nil {
+			before()
+		}
+		p.Store.ServeHTTP(&cutOffWriter{ResponseWriter: w, platform: p, entry: entry, beforeReply: after}, r)
 	}))
 }
 
@@ -165,12 +170,17 @@
 // read that waits for new records would still deliver them.
 type cutOffWriter struct {
 	http.ResponseWriter
-	platform *Platform
-	entry    string
+	platform    *Platform
+	entry       string
+	beforeReply func() // called before the reply is written; may be nil
 }
 
 // Write writes data unless the entry has been cut off.
 func (w *cutOffWriter) Write(data []byte) (int, error) {
+	if f := w.beforeReply; f != nil {
+		w.beforeReply = nil
+		f()
+	}
 	if w.platform.isCutOff(w.entry) {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/stand/soak.go
+++ b/internal/stand/soak.go
@@ -25,6 +25,7 @@
 	fs.IntVar(&cfg.Load.RackSize, "rack-size", 0, "number of machines of each pool in a rack, 0 for 4")
 	fs.IntVar(&cfg.Load.Partitions, "partitions", 0, "number of partitions of the job log, 0 for 4")
 	fs.IntVar(&cfg.Load.BurstJobs, "burst", 0, "number of jobs of a burst of submissions, 0 for no bursts")
+	fs.BoolVar(&cfg.Load.Pauses, "pauses", false, "pause owners around their appends and the claims of others")
 	fs.BoolVar(&cfg.Load.Series, "series", false, "inject series of faults around outages of the log")
 	fs.BoolVar(&cfg.NoFaults, "calm", false, "inject no faults")
 	return func(out *verb.IO, _ []string) error {
--- a/internal/stand/soak/entry.go
+++ b/internal/stand/soak/entry.go
@@ -136,8 +136,12 @@
 	_ = e.cmd.Process.Signal(s) // fails if the process has just exited
 }
 
-// recordSignal records the disturbance that a signal is. A pause lasts from SIGSTOP to SIGCONT; e.mu is held.
+// recordSignal records the disturbance that a signal is. A pause lasts from SIGSTOP to SIGCONT or SIGKILL; e.mu is held.
 func (e *Entry) recordSignal(now time.Time, s syscall.Signal) {
+	if s == syscall.SIGKILL && e.resumed != nil {
+		e.resumed(now)
+		e.resumed = nil
+	}
 	switch {
 	case s == syscall.SIGTERM:
 		e.contact.terminate(now, e.Name)
--- a/internal/stand/soak/size.go
+++ b/internal/stand/soak/size.go
@@ -17,6 +17,7 @@
 	RackSize    int  // machines of each pool in a rack
 	BurstJobs   int  // jobs of a burst; 0 for no bursts
 	Series      bool // series of faults that overlap around outages of the log
+	Pauses      bool // pauses of owners around their appends and the claims of others
 }
 
 // queuePools are the names of the pools. They differ in their partition of a job log of eight.
--- a/internal/stand/soak/soak.go
+++ b/internal/stand/soak/soak.go
@@ -206,6 +206,9 @@
 		if harness.cfg.Load.Series {
 			active.Go(func() { harness.injectSeries(ctx) })
 		}
+		if harness.cfg.Load.Pauses {
+			active.Go(func() { harness.injectPauses(ctx) })
+		}
 		harness.injectFaults(ctx)
 	}
 	active.Wait()
--- a/internal/stand/soak/soak_test.go
+++ b/internal/stand/soak/soak_test.go
@@ -53,6 +53,7 @@
 		{7, false, "fresh", Load{}},
 		{57106, false, "fresh, series of faults", series},
 		{57105, false, "fresh, planned work alone", series},
+		{61201, false, "fresh, pauses of owners", Load{Pauses: true}},
 	}
 	program := buildProgram(t)
 	for _, tt := range tests {
