drive: an owner whose machine was suspended confirms its ownership

An owner that was paused for as long as a membership lasts has the log confirm its ownership before it decides anything. It measured the pause with the monotonic clock, which stands still while a machine is suspended: it went on as if nothing had happened, beside an owner that had taken over, and its orders were carried out by VMs that had not heard of that one. The pause is now the larger of the times by the monotonic clock and by the time of day. A time of day that is set forward costs one append.

The rows "suspended" of TestPausedOwnerConfirmsItsOwnership failed before: the owner started a task in its first round. The test of confirmed configurations passes a time as it is after a suspension, too; before, it had no monotonic reading and would have held for any code.

--- a/internal/drive/confirm.go
+++ b/internal/drive/confirm.go
@@ -23,16 +23,20 @@
 	}
 }
 
-// age returns the time since the latest confirmation; known is false before the first. It is
-// the larger of the times by the monotonic clock, which does not count the time for which a
-// machine is suspended, and by the time of day, which may be set back.
+// age returns the time since the latest confirmation; known is false before the first.
 func (c *confirmation) age(now time.Time) (age time.Duration, known bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.at.IsZero() {
 		return 0, false
 	}
-	return max(now.Sub(c.at), now.Round(0).Sub(c.at.Round(0)), 0), true
+	return elapsed(c.at, now), true
+}
+
+// elapsed returns the time from one moment to a later one. It is the larger of the times by the monotonic clock, which
+// does not count the time for which a machine is suspended, and by the time of day, which may be set back.
+func elapsed(from, to time.Time) time.Duration {
+	return max(to.Sub(from), to.Round(0).Sub(from.Round(0)), 0)
 }
 
 // ageMS returns the age in milliseconds, -1 before the first confirmation.
--- a/internal/drive/confirm_test.go
+++ b/internal/drive/confirm_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 	"time"
+	"unsafe"
 
 	"gotest.tools/v3/assert"
 
@@ -52,7 +53,23 @@
 	assert.Assert(t, !known)
 	at := time.Now()
 	c.record(at)
-	c.at = at.Add(-10 * time.Second).Round(0) // as after 10 s of suspension
-	age, _ := c.age(at)
+	age, _ := c.age(afterSuspension(at, 10*time.Second))
 	assert.Assert(t, age >= 10*time.Second, "age is %s", age)
 }
+
+// afterSuspension returns the time after a suspension that began at t: the time of day has gone on, the monotonic clock
+// has not.
+func afterSuspension(t time.Time, length time.Duration) time.Time {
+	later := t.Add(length)
+	// The second word of a time with a monotonic reading is that reading, in nanoseconds.
+	*(*int64)(unsafe.Add(unsafe.Pointer(&later), unsafe.Sizeof(uint64(0)))) -= int64(length)
+	return later
+}
+
+// TestSuspensionStopsMonotonicClock guards against tests of suspensions that test nothing.
+func TestSuspensionStopsMonotonicClock(t *testing.T) {
+	at := time.Now()
+	later := afterSuspension(at, time.Minute)
+	assert.Equal(t, later.Sub(at), time.Duration(0))
+	assert.Equal(t, later.Round(0).Sub(at.Round(0)), time.Minute)
+}
--- a/internal/drive/pause.go
+++ b/internal/drive/pause.go
@@ -13,7 +13,7 @@
 // orders of this one, which takes all VMs for silent after a long pause and starts their tasks
 // elsewhere.
 func (part *ownedPartition) confirmOwnership(now time.Time) bool {
-	pause := now.Sub(part.lastRoundAt)
+	pause := elapsed(part.lastRoundAt, now)
 	paused := !part.lastRoundAt.IsZero() && pause >= memberTTL
 	part.lastRoundAt = now
 	if !paused || part.unconfirmed {
--- a/internal/drive/pause_test.go
+++ b/internal/drive/pause_test.go
@@ -19,21 +19,28 @@
 // twice.
 func TestPausedOwnerConfirmsItsOwnership(t *testing.T) {
 	tests := []struct {
-		name    string
-		pause   time.Duration
-		claimed bool // by a later owner, during the pause
-		held    bool // the round after the pause decides nothing
-		started int  // in the end
+		name      string
+		pause     time.Duration
+		suspended bool // the monotonic clock does not count the pause
+		claimed   bool // by a later owner, during the pause
+		held      bool // the round after the pause decides nothing
+		started   int  // in the end
 	}{
-		{"usual interval", idleInterval, false, false, 1},
-		{"long pause", 4 * time.Second, false, true, 1},
-		{"long pause, later owner", 4 * time.Second, true, true, 0},
+		{"usual interval", idleInterval, false, false, false, 1},
+		{"long pause", 4 * time.Second, false, false, true, 1},
+		{"long pause, later owner", 4 * time.Second, false, true, true, 0},
+		{"suspended", 4 * time.Second, true, false, true, 1},
+		{"suspended, later owner", 4 * time.Second, true, true, true, 0},
 	}
 	c := newCluster(t, 1, map[string]int{"alpha": 1})
 	for i, tt := range tests {
 		part := partitionWithJob(t, c.nodes[0], i)
 		now := time.Now()
 		part.lastRoundAt = now.Add(-tt.pause)
+		if tt.suspended {
+			part.lastRoundAt = now
+			now = afterSuspension(now, tt.pause)
+		}
 		if tt.claimed {
 			value := int64(9)
 			later := &ownedPartition{node: c.nodes[0], number: part.number, store: platform.NewLog(c.nodes[0].settings), appendTimeout: newTimeout(minAppendTimeout), nextSequence: 1}
