drive: an owner that was paused after its claim waits again for the VMs of the earlier owner

A new owner takes a VM that may hold runs of the earlier one for silent once it has not answered for as long as leases last after the claim, and starts its tasks elsewhere. An owner that was paused right after its claim has polled nothing meanwhile: it decided that all VMs were silent before its first poll was answered. The earlier owner, if it was cut off from the log or had the partition reassigned, does not know of the claim and renews leases until a poll of the new owner has raised the fence: two runs at once.

After a pause the wait begins anew. TestPausedOwnerWaitsAgainForUnverifiedVMs failed before in its row "paused after the claim": the task was started. A pause counts from the claim on, not from the first round.

--- a/internal/drive/claim.go
+++ b/internal/drive/claim.go
@@ -115,7 +115,8 @@
 		return fmt.Errorf("claim epoch %d: %w", epoch, err)
 	}
 	part.scheduler = sched.New(epoch, part.node.policy, part.log)
-	part.scheduler.Restore(time.Now(), last.Epoch, table.Records)
+	part.lastRoundAt = time.Now() // a pause counts from here on
+	part.scheduler.Restore(part.lastRoundAt, last.Epoch, table.Records)
 	part.claimed = claimedTable{lastEpoch: last.Epoch, tableEnd: table.End, records: len(table.Records)}
 	unreadableJobs.Add(len(part.scheduler.Unreadable()))
 	vms, readAt := part.node.vmsOf(part.number)
--- a/internal/drive/partition.go
+++ b/internal/drive/partition.go
@@ -59,7 +59,7 @@
 	handedOver   chan struct{} // closed once the handover record is stored
 	releasing    atomic.Bool   // the partition is no longer assigned to this entry, which serves it until the handover
 
-	lastRoundAt    time.Time       // zero before the first round
+	lastRoundAt    time.Time       // the claim before the first round; zero before the claim
 	unconfirmed    bool            // no decisions until the log has confirmed the ownership
 	pendingRecords []controlRecord // records of the mover, for the next flush
 	restored       restoredFleet   // control records read by the claim, for the mover; set before loaded is closed
--- a/internal/drive/pause.go
+++ b/internal/drive/pause.go
@@ -13,9 +13,11 @@
 // orders of this one, which takes all VMs for silent after a long pause and starts their tasks
 // elsewhere.
 func (part *ownedPartition) confirmOwnership(now time.Time) bool {
-	pause := elapsed(part.lastRoundAt, now)
-	paused := !part.lastRoundAt.IsZero() && pause >= memberTTL
+	paused, pause := part.paused(now), elapsed(part.lastRoundAt, now)
 	part.lastRoundAt = now
+	if paused {
+		part.scheduler.RestartVerification(now)
+	}
 	if !paused || part.unconfirmed {
 		return !part.unconfirmed
 	}
@@ -32,3 +34,8 @@
 	})
 	return false
 }
+
+// paused reports whether another entry may have taken the partition over since the last round.
+func (part *ownedPartition) paused(now time.Time) bool {
+	return !part.lastRoundAt.IsZero() && elapsed(part.lastRoundAt, now) >= memberTTL
+}
--- a/internal/drive/pause_test.go
+++ b/internal/drive/pause_test.go
@@ -50,14 +50,7 @@
 		part.round(t.Context(), now)
 		assert.Equal(t, part.scheduler.Stats().Started == 0, tt.held, tt.name)
 		if tt.held {
-			for part.unconfirmed && !part.scheduler.Fenced() {
-				select {
-				case f := <-part.events: // of the append
-					f(now)
-				case <-time.After(testTimeout):
-					t.Fatalf("%s: the append has no result", tt.name)
-				}
-			}
+			awaitConfirmed(t, part, now)
 			if !part.scheduler.Fenced() {
 				part.round(t.Context(), now.Add(idleInterval))
 			}
@@ -69,6 +62,19 @@
 	}
 }
 
+// awaitConfirmed runs a partition's events until its ownership is confirmed or refused.
+func awaitConfirmed(t *testing.T, part *ownedPartition, now time.Time) {
+	t.Helper()
+	for part.unconfirmed && !part.scheduler.Fenced() {
+		select {
+		case f := <-part.events: // of the append
+			f(now)
+		case <-time.After(testTimeout):
+			t.Fatal("the append has no result")
+		}
+	}
+}
+
 // partitionWithJob returns a partition of a topic of its own number that is not running, with a job that
 // waits to be started.
 func partitionWithJob(t *testing.T, n *Node, number int) *ownedPartition {
@@ -81,13 +87,63 @@
 	part.ctx, part.cancel = t.Context(), func() {}
 	now := time.Now()
 	part.scheduler = sched.New(1, n.policy, part.log)
-	part.scheduler.SetVMs(now, []site.VM{{ID: "vm", Born: 1, Pool: "pool", Address: "127.0.0.1:1", CPU: 8000, MemMB: 8000}})
-	part.scheduler.HandlePoll(now, "vm", now, &site.VMStatus{Born: 1, ClockMS: 1000})
-	job := &jobs.Job{ID: "00000000000000a1", Queue: "q", Pool: "pool", Steps: []jobs.Step{{Count: 1, CPU: 1000, EstimateMS: 500}}, MaxAttempts: 1, SubmittedMS: now.UnixMilli()}
-	assert.Assert(t, part.scheduler.Submit(now, job).Accepted)
-	f, err := part.scheduler.Flush(now, 1<<20)
-	assert.NilError(t, err)
-	part.scheduler.Flushed(f)
+	storeJob(t, part.scheduler, now)
 	part.cordonedAt = now
 	return part
 }
+
+// storeJob gives a scheduler a VM and a job that waits to be started, and returns their records.
+func storeJob(t *testing.T, s *sched.Scheduler, now time.Time) []site.Record {
+	t.Helper()
+	s.SetVMs(now, []site.VM{{ID: "vm", Born: 1, Pool: "pool", Address: "127.0.0.1:1", CPU: 8000, MemMB: 8000}})
+	s.HandlePoll(now, "vm", now, &site.VMStatus{Born: 1, ClockMS: 1000})
+	job := &jobs.Job{ID: "00000000000000a1", Queue: "q", Pool: "pool", Steps: []jobs.Step{{Count: 1, CPU: 1000, EstimateMS: 500}}, MaxAttempts: 1, SubmittedMS: now.UnixMilli()}
+	assert.Assert(t, s.Submit(now, job).Accepted)
+	f, err := s.Flush(now, 1<<20)
+	assert.NilError(t, err)
+	s.Flushed(f)
+	return f.Records
+}
+
+// TestPausedOwnerWaitsAgainForUnverifiedVMs guards against an owner that was paused right after its claim and takes the
+// VMs that it could not poll meanwhile for silent: an earlier owner that did not know of the claim may have renewed the
+// leases there, so a task would run twice.
+func TestPausedOwnerWaitsAgainForUnverifiedVMs(t *testing.T) {
+	const lease = 4500 * time.Millisecond // and margins
+	tests := []struct {
+		name    string
+		claimed time.Duration // before the end of the pause
+		pause   time.Duration
+		polled  bool // the VM that may hold a run of the earlier owner answers after the pause
+		started int
+	}{
+		{"paused after the claim", 5 * time.Second, 5 * time.Second, false, 0},
+		{"paused after the claim, VM answers", 5 * time.Second, 5 * time.Second, true, 1},
+		{"leases expired before the pause", 5*time.Second + lease, 5 * time.Second, false, 1},
+	}
+	c := newCluster(t, 1, map[string]int{"alpha": 1})
+	for i, tt := range tests {
+		part := partitionWithJob(t, c.nodes[0], 10+i)
+		now := time.Now()
+		status := &site.VMStatus{Born: 1, ClockMS: 1000}
+		vms := []site.VM{{ID: "vm", Born: 1, Pool: "pool", Address: "127.0.0.1:1", CPU: 8000, MemMB: 8000}, {ID: "free", Born: 1, Pool: "pool", Address: "127.0.0.1:2", CPU: 8000, MemMB: 8000}}
+		part.scheduler = sched.New(2, c.nodes[0].policy, part.log)
+		part.scheduler.Restore(now.Add(-tt.claimed), 1, storeJob(t, sched.New(1, c.nodes[0].policy, part.log), now))
+		part.scheduler.SetVMs(now, vms)
+		part.scheduler.Decide(now.Add(-tt.pause))
+		part.scheduler.HandlePoll(now, "free", now, status)
+		f, err := part.scheduler.Flush(now, 1<<20)
+		assert.NilError(t, err)
+		part.scheduler.Flushed(f)
+		part.lastRoundAt = now.Add(-tt.pause)
+		part.round(t.Context(), now)
+		if tt.polled {
+			part.scheduler.HandlePoll(now, "vm", now, status)
+		}
+		awaitConfirmed(t, part, now)
+		part.round(t.Context(), now.Add(idleInterval))
+		assert.Equal(t, part.scheduler.Stats().Started, tt.started, tt.name)
+		part.cancel()
+		part.store.Close()
+	}
+}
--- a/internal/sched/handover.go
+++ b/internal/sched/handover.go
@@ -94,6 +94,14 @@
 	return site.Record{Key: handoverKey, Value: value}, nil
 }
 
+// RestartVerification begins the wait for the VMs that may hold runs of an earlier owner anew, after a pause in which this
+// owner has not polled them: until such a poll, an earlier owner that does not know of the claim renews leases there.
+func (s *Scheduler) RestartVerification(now time.Time) {
+	for id := range s.unverified {
+		s.unverified[id] = now.Add(s.policy.localDuration(s.policy.Lease) + leaseMargin)
+	}
+}
+
 // mayBeRunning reports whether an unverified task may be running on an unverified VM.
 func (s *Scheduler) mayBeRunning(t *task) bool {
 	switch {
