--- a/internal/drive/claim.go
+++ b/internal/drive/claim.go
@@ -119,7 +119,8 @@
 		return fmt.Errorf("claim epoch %d: %w", epoch, err)
 	}
 	part.scheduler = sched.New(epoch, part.node.policy, part.log)
-	part.scheduler.Restore(time.Now(), last.Epoch, table.Records)
+	part.lastRoundAt = time.Now() // a pause counts from here on
+	part.scheduler.Restore(part.lastRoundAt, last.Epoch, table.Records)
 	if last.Epoch > 0 && !former.ended {
 		part.scheduler.FormerOwnerMayContinue()
 	}
--- a/internal/sched/former_owner_test.go
+++ b/internal/sched/former_owner_test.go
@@ -15,8 +15,12 @@
 // until one that the next owner has reached refuses a call, and the next owner does not reach the VM with the run.
 func TestNoStartWhileFormerOwnerRenewsLease(t *testing.T) {
 	const claimed = 1000 // ms
-	for _, c := range []struct{ lastRenewal time.Duration }{{0}, {200 * time.Millisecond}, {time.Second}, {LongestPoll}} {
-		t.Run(fmt.Sprint(c.lastRenewal), func(t *testing.T) {
+	tests := []struct {
+		lastRenewal time.Duration // after the next owner's first poll
+		pause       time.Duration // of the next owner, after its claim
+	}{{0, 0}, {200 * time.Millisecond, 0}, {time.Second, 0}, {LongestPoll, 0}, {LongestPoll, 3 * time.Second}, {LongestPoll, 9 * time.Second}}
+	for _, c := range tests {
+		t.Run(fmt.Sprintf("%s after a pause of %s", c.lastRenewal, c.pause), func(t *testing.T) {
 			r := newFixture(t, testVM("a"), testVM("b"))
 			r.submit(0, testJob(jobID, jobs.Step{Count: 1, CPU: 1000, Lasts: true, MayMiss: 1}))
 			run := r.starts(10)[0]
@@ -26,18 +30,22 @@
 
 			r.takeover(claimed, testVM("a"), testVM("b"))
 			r.s.FormerOwnerMayContinue()
-			r.poll(claimed+10, other, site.VMStatus{})
-			r.flush(claimed + 10)
+			resumed := claimed + int(c.pause.Milliseconds())
+			if c.pause > 0 {
+				r.s.RestartVerification(at(resumed))
+			}
+			r.poll(resumed+10, other, site.VMStatus{})
+			r.flush(resumed + 10)
 
-			renewed := claimed + int(c.lastRenewal.Milliseconds())
+			renewed := resumed + int(c.lastRenewal.Milliseconds())
 			status := site.VMStatus{Born: 1, ClockMS: int64(renewed) + 1000, Running: []site.Run{running(run)}}
 			former.HandlePoll(at(renewed), run.VM, at(renewed), &status)
 			_, ok := former.NextPoll(at(renewed), run.VM, false)
 			assert.Assert(t, ok)
 			until := former.vms[run.VM].leasesEnd
 
-			const step, last = 50, claimed + 20000
-			for ms := claimed + 20; ms < last; ms += step {
+			const step, last = 50, claimed + 30000
+			for ms := resumed + 20; ms < last; ms += step {
 				r.poll(ms, other, site.VMStatus{})
 				r.flush(ms)
 				if len(r.starts(ms)) > 0 {
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -35,6 +35,7 @@
 	listReceivedAt    time.Time                // when the last VM list was received; zero before the first
 	unreadable        map[string]*jobs.Job     // of which a record cannot be decoded, by job ID; nil if it is that of the job itself
 	unverified        map[string]time.Time     // VMs that may hold runs of an earlier owner, with the end of those runs' leases
+	formerOwnerNotice time.Duration            // for which the former owner may go on renewing these leases after a claim; 0 if it has ended
 	recordedVMs       map[string]bool          // VMs that the record under vmsKey has to name
 	recordedVMsDirty  bool                     // recordedVMs has changed since it was last flushed
 	accounts          map[string]*site.Account // of the configuration, by name
--- a/internal/sched/vm.go
+++ b/internal/sched/vm.go
@@ -142,6 +142,7 @@
 // FormerOwnerMayContinue tells a new owner that the former one may not know that it has lost the partition. Its runs on VMs
 // that this owner does not reach may last longer.
 func (s *Scheduler) FormerOwnerMayContinue() {
+	s.formerOwnerNotice = formerOwnerNotice
 	for id, until := range s.unverified {
 		s.unverified[id] = until.Add(formerOwnerNotice)
 		if v := s.vms[id]; v != nil {
