sched: a VM that came back under its ID gets no runs while a late poll of its earlier life may reach it

Callers would see the tasks of a job run again after they were done. A status poll that a VM leaves unanswered may be carried out seconds later (PROTOCOL.md, Running work units), and a VM may start again under its ID with sequence numbers that begin anew (Service discovery). The call names the VM by that ID alone: no field of it says which life is meant, born is only in the VM's own answers. Such a poll with a cursor acknowledges ends of the new life that its owner has not seen; the run is then on no list, and its task starts again. One that renews leases holds runs for up to the longest lease although the owner has granted less, so that their tasks start elsewhere while the VM is cut off.

A poll carries a cursor only while the VM's last reply lists ends up to it, as ends that are no longer listed need no second acknowledgement. The owner keeps when the last such poll was sent that was not answered. A VM that comes back under its ID gets no run until 15 s after that, and its leases count as that much longer, also if it was forgotten meanwhile. Polls of earlier owners carry a lower fencing token, which the VM refuses after the new owner's first poll.

The emulator carries lost polls out late, also in the next life of a VM that keeps its ID (TestLatePollReachesNextLife).

--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -57,7 +57,7 @@
 			v.polled, v.lapsed = false, true
 		}
 		if !v.listed && len(v.runs) == 0 && silent && now.After(v.leasesEnd) && !s.listReceivedAt.IsZero() {
-			s.forgetVM(v)
+			s.forgetVM(now, v)
 		}
 	}
 }
--- a/internal/sched/ended.go
+++ b/internal/sched/ended.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"maps"
 	"time"
 
 	"github.com/greengagelane/greengagelane/pkg/site"
@@ -28,10 +29,14 @@
 	}
 	s.loseVM(now, v, true, "another incarnation answers at its address")
 	s.releaseRuns(v, "VM incarnation ended")
-	s.forgetVM(v)
+	s.forgetVM(now, v)
 }
 
-func (s *Scheduler) forgetVM(v *vm) {
+func (s *Scheduler) forgetVM(now time.Time, v *vm) {
+	maps.DeleteFunc(s.forgotten, func(_ string, p vmPolls) bool { return now.Sub(p.lastInDoubt()) > s.policy.LateCall })
+	if now.Sub(v.polls.lastInDoubt()) <= s.policy.LateCall {
+		s.forgotten[v.ID] = v.polls
+	}
 	delete(s.vms, v.ID)
 	delete(s.unverified, v.ID)
 	s.unrecordVM(v)
--- a/internal/sched/observe.go
+++ b/internal/sched/observe.go
@@ -21,6 +21,9 @@
 		if v == nil {
 			v = newVM(update)
 			s.vms[update.ID] = v
+			v.polls = s.forgotten[update.ID]
+			delete(s.forgotten, update.ID)
+			s.awaitLateCalls(now, v)
 		}
 		if v.Born != 0 && update.Born > v.Born {
 			s.handleNewIncarnation(now, v, update.Born)
@@ -44,11 +47,9 @@
 func (s *Scheduler) handleNewIncarnation(now time.Time, v *vm, born int64) {
 	s.loseVM(now, v, true, "VM restarted")
 	s.releaseAnswered(v, "VM restarted")
+	s.awaitLateCalls(now, v)
 	v.Born, v.seenSeq, v.storedSeq, v.ackedSeq, v.polled, v.ended, v.endsCut = born, 0, 0, 0, false, false, false
-	v.leasesEnd, v.clockMS, v.clockAt, v.failedAt, v.lapsed = time.Time{}, 0, time.Time{}, time.Time{}, false
-	if len(v.runs) > 0 {
-		v.leasesEnd = now.Add(s.policy.localDuration(s.policy.MaxLease))
-	}
+	v.clockMS, v.clockAt, v.failedAt, v.lapsed = 0, time.Time{}, time.Time{}, false
 	v.quarantinedUntil, v.probation, v.consecutiveFailures, v.quarantineTime, v.speed = time.Time{}, false, 0, 0, 0
 }
 
@@ -72,22 +73,43 @@
 	}
 }
 
+// awaitLateCalls limits the harm of status polls that were sent to the earlier incarnation of a restarted VM and that
+// the new one, which has the same ID, may still carry out: such a poll acknowledges run ends of the new incarnation,
+// whose sequence numbers begin anew, and renews its leases.
+func (s *Scheduler) awaitLateCalls(now time.Time, v *vm) {
+	v.leasesEnd, v.lateAckUntil = time.Time{}, time.Time{}
+	if len(v.runs) > 0 {
+		v.leasesEnd = now.Add(s.policy.localDuration(s.policy.MaxLease))
+	}
+	if until := v.polls.renewals.lastInDoubt().Add(s.policy.LateCall); until.After(now) {
+		v.leasesEnd = until.Add(s.policy.localDuration(s.policy.MaxLease))
+	}
+	if until := v.polls.acks.lastInDoubt().Add(s.policy.LateCall); until.After(now) {
+		v.lateAckUntil = until
+		s.log.WithFields(logrus.Fields{"vm": v.ID, "pool": v.Pool, "for-ms": until.Sub(now).Milliseconds()}).Info("VM restarted under its ID; it gets no runs while it may still carry out an acknowledgement that was sent to its earlier incarnation")
+	}
+	v.polls = vmPolls{}
+}
+
 // NextPoll returns the next status poll of a VM. With verify, which is set after a failed
 // poll, it acknowledges no run ends, since the VM may have restarted, and renews no lease,
-// so that the leases of a VM that does not answer expire. ok is false if the VM is no
-// longer polled.
+// so that the leases of a VM that does not answer expire. Ends that the VM no longer lists are not acknowledged again,
+// since a poll that is carried out late may reach a later incarnation. ok is false if the VM is no longer polled.
 func (s *Scheduler) NextPoll(now time.Time, id string, verify bool) (poll site.StatusPoll, ok bool) {
 	v := s.vms[id]
 	if v == nil {
 		return poll, false
 	}
-	poll = site.StatusPoll{Fence: s.Epoch, AckCursor: v.storedSeq}
-	if verify || v.clockMS == 0 {
-		poll.AckCursor = 0
+	poll = site.StatusPoll{Fence: s.Epoch}
+	verify = verify || v.clockMS == 0
+	if !verify && v.firstListed > 0 && v.firstListed <= v.storedSeq {
+		poll.AckCursor = v.storedSeq
+		v.polls.acks.send(now)
 	}
 	s.logAcknowledged(now, v, poll.AckCursor)
-	if v.clockMS != 0 && len(v.runs) > 0 && !verify {
+	if !verify && len(v.runs) > 0 {
 		poll.UntilMS = v.grantLease(now, &s.policy)
+		v.polls.renewals.send(now)
 	}
 	return poll, true
 }
@@ -110,6 +132,7 @@
 		s.handleNewIncarnation(now, v, status.Born)
 	}
 	v.clockMS, v.clockAt, v.lastAnswer, v.heardAt, v.pollFailed, v.failedAt = status.ClockMS, now, now, now, false, time.Time{}
+	v.settlePolls(status)
 	if v.lapsed { // it was cut off, and has not crashed
 		v.lapsed = false
 		s.losses.withdraw(v.ID, v.Born)
--- a/internal/sched/policy.go
+++ b/internal/sched/policy.go
@@ -19,6 +19,7 @@
 	ClockError          float64       // bound of the relative error of a VM's clock
 	CapacityNotice      time.Duration // age of the VM list up to which VMs that do not guard their capacity get runs: it may have shrunk since
 	StopGrace           time.Duration // longest time that a VM takes to stop a run
+	LateCall            time.Duration // after which a VM no longer carries out a call that it left unanswered
 	KeepFinal           time.Duration // time for which final jobs can be queried
 	RecordBytes         int           // limit of the job log for a record; 0 for none
 	Backoff             time.Duration // before a refused or failed order is repeated
@@ -47,6 +48,7 @@
 		ClockError:          0.02, // guaranteed by the platform
 		CapacityNotice:      3 * time.Second,
 		StopGrace:           stopGrace,
+		LateCall:            15 * time.Second, // the platform says seconds
 		KeepFinal:           keepFinal,
 		Backoff:             300 * time.Millisecond, // several round trips, well below a task's run time
 		StallAfter:          2500 * time.Millisecond,
--- a/internal/sched/replies.go
+++ b/internal/sched/replies.go
@@ -129,6 +129,8 @@
 		return
 	}
 	v.pollFailed = true
+	v.polls.acks.fail()
+	v.polls.renewals.fail()
 	if v.failedAt.IsZero() {
 		v.failedAt = at
 	}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -30,6 +30,7 @@
 	log               *logrus.Entry
 	jobs              map[string]*job
 	vms               map[string]*vm
+	forgotten         map[string]vmPolls // of VMs that are no longer in vms, as they may come back under their IDs
 	pools             map[string]*pool
 	queues            map[string]*queueStats
 	listReceivedAt    time.Time                // when the last VM list was received; zero before the first
@@ -123,7 +124,7 @@
 func New(epoch int64, p Policy, log *logrus.Entry) *Scheduler {
 	return &Scheduler{
 		Epoch: epoch, policy: p, log: log,
-		jobs: map[string]*job{}, vms: map[string]*vm{}, pools: map[string]*pool{}, queues: map[string]*queueStats{},
+		jobs: map[string]*job{}, vms: map[string]*vm{}, forgotten: map[string]vmPolls{}, pools: map[string]*pool{}, queues: map[string]*queueStats{},
 		unreadable: map[string]*jobs.Job{}, unverified: map[string]time.Time{}, recordedVMs: map[string]bool{}, offeredAt: map[string]offer{},
 		buckets: map[string]*fair.Bucket{}, round: 1, losses: newLosses(), encode: jobs.EncodeProgress,
 	}
--- a/internal/sched/vm.go
+++ b/internal/sched/vm.go
@@ -35,6 +35,9 @@
 	seenSeq             int64            // run ends up to this sequence number are processed
 	storedSeq           int64            // run ends up to this sequence number have their effect in the job log
 	ackedSeq            int64            // run ends up to this sequence number were acknowledged to it
+	firstListed         int64            // sequence number of the first run end that its last reply listed; 0 if it listed none
+	polls               vmPolls          // that it may still carry out
+	lateAckUntil        time.Time        // no run is started before this time; see awaitLateCalls
 	backoffUntil        time.Time        // no run is started before this time; set when the VM refuses a start
 	consecutiveFailures int              // failed runs since the last successful one; a stall counts as two
 	failedJob           string           // job of the last failure
@@ -89,7 +92,7 @@
 		return false
 	case now.Sub(v.lastAnswer) > p.SilentAfter+time.Second:
 		return false
-	case now.Before(v.backoffUntil) || now.Before(v.quarantinedUntil):
+	case now.Before(v.backoffUntil) || now.Before(v.quarantinedUntil) || now.Before(v.lateAckUntil):
 		return false
 	}
 	return !v.probation || len(v.runs) == 0
@@ -116,6 +119,8 @@
 		return "holds runs that this owner does not track"
 	case now.Before(v.quarantinedUntil):
 		return "quarantined for another " + v.quarantinedUntil.Sub(now).Round(100*time.Millisecond).String()
+	case now.Before(v.lateAckUntil):
+		return "restarted under its ID; a call to its earlier incarnation may arrive within " + v.lateAckUntil.Sub(now).Round(100*time.Millisecond).String()
 	case now.Before(v.backoffUntil):
 		return "refused a start; none is sent for another " + v.backoffUntil.Sub(now).Round(10*time.Millisecond).String()
 	}
--- a/internal/stand/emul/checkpoint_test.go
+++ b/internal/stand/emul/checkpoint_test.go
@@ -1,6 +1,9 @@
 package emul
 
 import (
+	"context"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -50,3 +53,32 @@
 		p.Close()
 	}
 }
+
+// TestLatePollReachesNextLife guards against an emulator in which a status poll that is carried out late cannot
+// acknowledge ends of a VM that has come back under its ID.
+func TestLatePollReachesNextLife(t *testing.T) {
+	const late = 300 * time.Millisecond
+	for _, keep := range []bool{false, true} {
+		p, err := Start(Options{Pools: map[string]int{"p": 1}, Lookup: func(string) Task { return Task{Duration: time.Millisecond} }, RecordLag: time.Millisecond})
+		assert.NilError(t, err)
+		before := p.VMs()[0]
+		before.SetFaults(func(w *Worker) { w.LosePercent, w.LateBy = 100, late })
+		ctx, cancel := context.WithTimeout(t.Context(), late/10)
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+before.address+"/v1/hold", strings.NewReader(`{"ackCursor":1,"waitMs":2000}`))
+		assert.NilError(t, err)
+		req.Header.Set("X-Expect-Instance", before.ID)
+		_, err = http.DefaultClient.Do(req)
+		assert.ErrorContains(t, err, "deadline")
+		cancel()
+		p.crash(before, keep)
+		assert.NilError(t, p.Repair())
+		after := p.VMs()[0]
+		after.mu.Lock()
+		after.leaseEnd = time.Now().Add(time.Minute)
+		after.beginRun(&workerRequest{Task: "0000000000000001.0.0.0", Run: 1}, Task{Duration: time.Millisecond})
+		after.mu.Unlock()
+		time.Sleep(2 * late)
+		assert.Equal(t, p.Ledger.Runs()[0].Acknowledged, keep, "same ID: %t", keep)
+		p.Close()
+	}
+}
--- a/internal/stand/emul/platform.go
+++ b/internal/stand/emul/platform.go
@@ -55,13 +55,13 @@
 
 // machine is a VM slot, over all incarnations of its VM.
 type machine struct {
-	name   string
-	rack   string
-	zone   string // data centre
-	pool   string
-	state  string  // up, down, moving or upkeep (in maintenance)
-	vm     *Worker // nil while the machine is down or out of service
-	keptID string  // of the next incarnation of its VM; empty for a new one
+	name  string
+	rack  string
+	zone  string // data centre
+	pool  string
+	state string  // up, down, moving or upkeep (in maintenance)
+	vm    *Worker // nil while the machine is down or out of service
+	kept  *Worker // whose ID the next incarnation of its VM has; nil for a new one
 }
 
 // requestedWave is a maintenance wave that the operator has requested. atOnce is the maximum number
@@ -206,8 +206,8 @@
 func (p *Platform) boot(m *machine) error {
 	p.incarnations++
 	id := fmt.Sprintf("i-%d", p.incarnations)
-	if m.keptID != "" {
-		id, m.keptID = m.keptID, ""
+	if m.kept != nil {
+		id = m.kept.ID
 	}
 	vm, err := NewWorker(id, m.name, m.pool, p.Ledger, p.opts.Lookup)
 	if err != nil {
@@ -224,6 +224,10 @@
 	vm.Rack, vm.zone = m.rack, m.zone
 	vm.onCrash, vm.Unguarded = p.crashByTask, p.opts.Unguarded[m.pool]
 	m.vm, m.state = vm, "up"
+	if m.kept != nil {
+		m.kept.SetFaults(func(w *Worker) { w.next = vm })
+		m.kept = nil
+	}
 	p.Store.Put("keyed.servers", vm.ID, vm.ListRecord("ready"))
 	return nil
 }
@@ -243,7 +247,7 @@
 			vm.Kill(crashed)
 			m.vm, m.state = nil, "down"
 			if keepID {
-				m.keptID = vm.ID
+				m.kept = vm
 			}
 			time.AfterFunc(p.opts.RecordLag, func() { p.removeRecord(m, vm.ID) })
 		}
--- a/internal/stand/emul/worker.go
+++ b/internal/stand/emul/worker.go
@@ -55,11 +55,12 @@
 	closed         chan struct{}    // closed when the VM is killed
 	DropOrders     bool             // orders have no effect and get no reply
 	OrderDelay     time.Duration    // orders take effect after this delay and get no reply
-	LosePercent    int              // percentage of calls that get no reply; orders among them take effect after LateBy
+	LosePercent    int              // percentage of calls that get no reply; they take effect after LateBy, polls among them only if that is not 0
 	LateBy         time.Duration    // see LosePercent
 	FailAllRuns    bool             // all runs that it starts fail
 	Unguarded      bool             // it starts what exceeds its capacity
 	calls          int              // received
+	next           *Worker          // the VM that came back under its ID; nil if none has
 }
 
 const (
@@ -213,14 +214,18 @@
 	order := r.URL.Path != "/v1/hold"
 	drop, delay := w.DropOrders && order, w.OrderDelay
 	w.calls++
-	if isLost(w.calls, w.LosePercent) {
+	lost := isLost(w.calls, w.LosePercent)
+	if lost {
 		drop, delay = true, max(delay, w.LateBy)
 	}
 	w.mu.Unlock()
-	if delay > 0 && order {
-		path := r.URL.Path
+	switch path := r.URL.Path; {
+	case delay > 0 && order:
 		time.AfterFunc(delay, func() { w.serve(&discardResponse{}, nil, path, &b) })
 		drop = true
+	case lost && delay > 0:
+		b.WaitMS = 0
+		time.AfterFunc(delay, func() { w.latest().serve(&discardResponse{}, nil, path, &b) })
 	}
 	if drop {
 		<-r.Context().Done()
@@ -229,7 +234,17 @@
 	w.serve(rw, r, r.URL.Path, &b)
 }
 
-// discardResponse is a response writer for delayed orders, whose client gets no reply.
+// latest returns the VM that has this VM's ID now: a call names no more than the ID.
+func (w *Worker) latest() *Worker {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.next == nil {
+		return w
+	}
+	return w.next.latest()
+}
+
+// discardResponse is a response writer for delayed calls, whose client gets no reply.
 type discardResponse struct{}
 
 // Header returns an empty header.
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -104,8 +104,9 @@
 	ClockMS int64 // the VM's monotonic clock
 	Born    int64 // start of the incarnation, Unix milliseconds; 0 if not reported
 	Running []Run
-	Ended   []RunEnd // in the order of their sequence numbers
-	EndsCut bool     // there may be more run ends, with higher sequence numbers, that the reply does not list
+	Ended   []RunEnd   // in the order of their sequence numbers
+	EndsCut bool       // there may be more run ends, with higher sequence numbers, that the reply does not list
+	Answers StatusPoll // the poll
 }
 
 // Run is a run of a task in progress.
