drive: an outcome of a relayed append that is not known leaves it in doubt

Nobody has seen this: it takes a later version that answers with an outcome of its own. This version took any such outcome for a refusal, so that a flush could return to the scheduler and its sequence number go to other records. Had the append been stored, the log would have answered the other records as a repeat, with success and without storing them: ends would have been acknowledged, and states shown, that nothing holds.

relayError lists the outcomes after which nothing was sent; all others leave the append in doubt, and its number stays with its records. TestUnknownRelayOutcomeIsInDoubt failed before in its rows of unknown outcomes.

--- a/internal/drive/relay.go
+++ b/internal/drive/relay.go
@@ -105,10 +105,10 @@
 		return site.ErrFenced
 	case relay.OutOfSequence:
 		return site.ErrSequence
-	case relay.Unanswered:
-		return errors.New("relayed append may have been carried out")
+	case relay.Ready, relay.LogFails, relay.Refused, relay.Unreachable, relay.Unsupported:
+		return fmt.Errorf("append not relayed, %s: %w", o, site.ErrNotDone)
 	}
-	return fmt.Errorf("append not relayed, %s: %w", o, site.ErrNotDone)
+	return fmt.Errorf("relayed append may have been carried out, %s", o) // also after an outcome of a later version
 }
 
 // tryRelays turns to other entries until one of them may have sent an append. The error wraps site.ErrNotDone if none
--- a/internal/drive/relay_test.go
+++ b/internal/drive/relay_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/greengagelane/greengagelane/internal/peer"
+	"github.com/greengagelane/greengagelane/internal/relay"
 	"github.com/greengagelane/greengagelane/internal/sched"
 	"github.com/greengagelane/greengagelane/internal/stand/emul"
 	"github.com/greengagelane/greengagelane/pkg/site"
@@ -128,3 +129,29 @@
 		assert.Equal(t, errors.Is(lessCertain(tt.relayed, tt.direct), site.ErrNotDone), tt.notDone, tt.name)
 	}
 }
+
+// TestUnknownRelayOutcomeIsInDoubt guards against an outcome of a later version that is taken for a refusal: the sequence
+// number would go to other records, which the log would take for a repeat.
+func TestUnknownRelayOutcomeIsInDoubt(t *testing.T) {
+	tests := []struct {
+		outcome relay.Outcome
+		notDone bool
+	}{
+		{relay.Ready, true},
+		{relay.LogFails, true},
+		{relay.Refused, true},
+		{relay.Unreachable, true},
+		{relay.Unsupported, true},
+		{relay.Unanswered, false},
+		{relay.Fenced, false},
+		{relay.OutOfSequence, false},
+		{relay.Unsupported + 1, false},
+		{-1, false},
+	}
+	for _, tt := range tests {
+		err := relayError(tt.outcome)
+		assert.Assert(t, err != nil, tt.outcome)
+		assert.Equal(t, errors.Is(err, site.ErrNotDone), tt.notDone, tt.outcome)
+	}
+	assert.NilError(t, relayError(relay.Stored))
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -16,7 +16,7 @@
 //go:generate ../../.bin/enumer -type=Outcome -transform=kebab -output=outcome_enumer.go
 
 // Outcome is what became of a request to another entry. The log has certainly not carried out the append, and will
-// not, after all but Stored, Unanswered, Fenced and OutOfSequence.
+// not, after Ready, LogFails, Refused, Unreachable and Unsupported.
 type Outcome int
 
 // Outcomes. Those up to OutOfSequence are on the wire between entries; their order must not change.
