httpc: a connection gives no request the response to another one

A response that follows an informational one, or a second response to one request, was taken for that to the next request on the connection: an append could count as refused, or as stored, before the log had carried it out. The platform is not known to send either, and nobody has seen it.

Informational responses are skipped, and a connection with data after a response is closed. Three of the four rows of TestResponseOfAnotherRequest failed before.

--- a/internal/httpc/conn.go
+++ b/internal/httpc/conn.go
@@ -172,7 +172,7 @@
 	if err := awaitFirstByte(conn, r, req.FirstByteTimeout, timeout); err != nil {
 		return nil, err
 	}
-	res, err := http.ReadResponse(r, nil)
+	res, err := readFinalResponse(r)
 	if err != nil {
 		return nil, err
 	}
@@ -184,12 +184,23 @@
 	if len(body) > maxResponseBytes {
 		return nil, fmt.Errorf("the response is longer than %d bytes", maxResponseBytes)
 	}
-	if res.Close {
+	if res.Close || r.Buffered() > 0 { // what follows the response would be taken for that to the next request
 		c.reset()
 	}
 	return &Response{Status: res.StatusCode, Header: res.Header, Body: body}, nil
 }
 
+// readFinalResponse reads a response. It skips informational ones, which precede it.
+func readFinalResponse(r *bufio.Reader) (*http.Response, error) {
+	for {
+		res, err := http.ReadResponse(r, nil)
+		if err != nil || res.StatusCode >= http.StatusOK || res.StatusCode == http.StatusSwitchingProtocols {
+			return res, err
+		}
+		res.Body.Close()
+	}
+}
+
 func (c *Conn) encode(req *Request) []byte {
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", req.Method, req.Path, c.Address)
--- a/internal/httpc/conn_test.go
+++ b/internal/httpc/conn_test.go
@@ -1,6 +1,7 @@
 package httpc
 
 import (
+	"bufio"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -74,3 +75,44 @@
 	_, err = c.Do(t.Context(), &Request{Method: http.MethodGet, Path: "/never", FirstByteTimeout: firstByteTimeout}, time.Hour)
 	assert.ErrorContains(t, err, "timeout")
 }
+
+// TestResponseOfAnotherRequest guards against a response that is taken for that to the next request: a refusal, or a
+// success, of a call that the server has not yet carried out.
+func TestResponseOfAnotherRequest(t *testing.T) {
+	const ok, refused = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+	tests := []struct{ name, first string }{
+		{"one response", ok},
+		{"after an informational one", "HTTP/1.1 100 Continue\r\n\r\n" + ok},
+		{"after two of them", "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + ok},
+		{"with a second one", ok + refused},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer ln.Close()
+			go func() {
+				responses := []string{tt.first, "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"}
+				for n := 0; n < len(responses); {
+					conn, err := ln.Accept()
+					if err != nil {
+						return
+					}
+					for r := bufio.NewReader(conn); n < len(responses); n++ {
+						if _, err := http.ReadRequest(r); err != nil {
+							break
+						}
+						_, _ = conn.Write([]byte(responses[n]))
+					}
+				}
+			}()
+			c := New(ln.Addr().String(), second)
+			defer c.Close()
+			for _, want := range []int{http.StatusOK, http.StatusConflict} {
+				res, err := c.Do(t.Context(), &Request{Method: http.MethodGet, Path: "/"}, 10*second)
+				assert.NilError(t, err)
+				assert.Equal(t, res.Status, want)
+			}
+		})
+	}
+}
