drive: play appends that the log carries out late beside a new owner

Not played so far: an owner's append, its own or one that another entry sends for it, that the log carries out while the next owner claims the partition.

The emulated log now remembers the last five appends of a producer only, as the platform does.

--- a/internal/stand/emul/store.go
+++ b/internal/stand/emul/store.go
@@ -45,6 +45,10 @@
 	// NoTail leaves the records out of the reads of the job topic.
 	NoTail  bool
 	Appends int // number of append calls so far
+	// OnAppend is called, without the store's lock, before an append to the job topic is carried out; nil for nothing.
+	// If it returns true, the append gets no reply and is carried out by ReleaseHeld.
+	OnAppend func(partition int, epoch int64) (hold bool)
+	held     []func() (status int, response string)
 }
 
 type partition struct {
@@ -175,6 +179,10 @@
 	if err != nil {
 		return
 	}
+	if s.hold(r, body) {
+		<-r.Context().Done()
+		return
+	}
 	status, response := s.doAppend(r, body)
 	s.mu.Lock()
 	loseReply := status == http.StatusOK && (s.LoseNextReply || isLost(s.Appends, s.LosePercent))
@@ -194,6 +202,40 @@
 	fmt.Fprint(w, response)
 }
 
+// hold reports whether an append is held back until ReleaseHeld is called.
+func (s *Store) hold(r *http.Request, body []byte) bool {
+	s.mu.Lock()
+	onAppend := s.OnAppend
+	s.mu.Unlock()
+	if onAppend == nil || r.URL.Query().Get("topic") != jobTopic || !onAppend(int(queryInt(r, "part")), queryInt(r, "epoch")) {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held = append(s.held, func() (int, string) { return s.doAppend(r, body) })
+	return true
+}
+
+// Held returns the number of appends that are held back.
+func (s *Store) Held() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.held)
+}
+
+// ReleaseHeld carries out the appends that are held back and returns their responses.
+func (s *Store) ReleaseHeld() (responses []string) {
+	s.mu.Lock()
+	held := s.held
+	s.held = nil
+	s.mu.Unlock()
+	for _, carryOut := range held {
+		_, response := carryOut()
+		responses = append(responses, response)
+	}
+	return responses
+}
+
 // isLost reports whether call number n is among the given percentage of calls that are lost.
 func isLost(n, percent int) bool {
 	const step = 37 // has no common factor with 100, which spreads the lost calls evenly
@@ -233,6 +275,7 @@
 		// The offsets are exact for a single record only; entries read only the status of this response.
 		response := fmt.Sprintf(`{"offset":%d,"end":%d}`, len(p.records), len(p.records)+1)
 		p.replies[seq] = response
+		delete(p.replies, seq-rememberedReplies)
 		s.add(p, decodeRecords(body)...)
 		return http.StatusOK, response
 	}
@@ -242,6 +285,8 @@
 
 // Limits of the log.
 const (
+	rememberedReplies = 5 // of a producer; a repeat of an earlier append is refused
+
 	MaxRecordBytes = 1 << 18
 	MaxCallBytes   = 1 << 21
 )
