drive: a new owner accepts no job that another partition may have looked up before the takeover

Callers saw a job run twice at once: its queue had moved to another pool, an entry that knew of that had looked the job up in the partition of the former pool and had it accepted in the new one, and when the owner of the former pool's partition was lost, the next one accepted the repeated submission of an entry that had not heard of the move.

Who looked the job up had a configuration that the log held before the takeover. A new owner therefore reads the operator's records once after its claim, with a read of a few bytes that does not wait, and for 10 s accepts a new job only if its configuration is confirmed since then and the request was sent by one at least as new. Other submissions get 'not the owner', for which the entry that asks waits and tries again: nothing was done. Reads of a queue that moved away and back are covered too, as an older request is refused whatever the queue's pool is now.

--- a/internal/drive/confirm.go
+++ b/internal/drive/confirm.go
@@ -1,10 +1,14 @@
 package drive
 
 import (
+	"context"
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/greengagelane/greengagelane/pkg/site"
+	"github.com/greengagelane/greengagelane/platform"
 )
 
 // confirmation is the latest time at which this entry is known to have had the newest
@@ -23,6 +27,13 @@
 	}
 }
 
+// since reports whether there was a confirmation after the given time.
+func (c *confirmation) since(t time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.at.After(t)
+}
+
 // age returns the time since the latest confirmation; known is false before the first. It is
 // the larger of the times by the monotonic clock, which does not count the time for which a
 // machine is suspended, and by the time of day, which may be set back.
@@ -44,6 +55,31 @@
 	return age.Milliseconds()
 }
 
+// confirmSince reads the operator's records until the configuration is confirmed after the given time, or lookUpWindow
+// has passed since then. The read that watches them would confirm it only when its wait is over.
+func (n *Node) confirmSince(ctx context.Context, t time.Time) {
+	n.confirmMu.Lock()
+	defer n.confirmMu.Unlock()
+	for ctx.Err() == nil && !n.confirmed.since(t) && time.Since(t) < lookUpWindow {
+		if n.confirmWatch == nil {
+			n.confirmWatch = platform.NewWatch(n.settings, site.Operator, 0)
+		}
+		callCtx, cancel := n.logRestored.callContext(ctx)
+		began := time.Now()
+		changes, _, err := n.confirmWatch.Next(callCtx)
+		cancel()
+		if err != nil {
+			logrus.WithError(err).Info("configuration not confirmed after a takeover; retrying")
+			sleep(ctx, claimBackoff)
+			continue
+		}
+		for _, c := range changes {
+			n.applyOperatorChange(&c)
+		}
+		n.confirmed.record(began)
+	}
+}
+
 // refuseUnconfirmed refuses a call that needs a key if the site requires confirmed keys and the
 // configuration has not been confirmed for too long: the key may have been revoked since. It
 // returns nil if the call may proceed.
--- a/internal/drive/node.go
+++ b/internal/drive/node.go
@@ -77,6 +77,9 @@
 	assignmentRefresh chan struct{} // holds a pending request to read the partition assignment
 	rejoin            chan struct{} // signals that another entry has left the group: this entry joins again, to be assigned some of that entry's partitions
 
+	confirmMu    sync.Mutex      // held during a call of confirmSince
+	confirmWatch *platform.Watch // used by confirmSince; nil before the first call
+
 	adviceMu   sync.Mutex // held during a request to the placement policy service
 	adviceConn *httpc.Conn
 }
--- a/internal/drive/partition.go
+++ b/internal/drive/partition.go
@@ -65,6 +65,7 @@
 	restored       restoredFleet   // control records read by the claim, for the mover; set before loaded is closed
 	mover          *mover          // nil unless this is the fleet partition
 	claimed        claimedTable    // set by the claim
+	claimedAt      time.Time       // when the log confirmed the claim
 	recovery       recovery        // since the claim
 	roundTime      time.Duration   // duration of the last round, capped
 	lastStats      sched.Stats     // already added to the metrics
@@ -108,6 +109,10 @@
 	} else {
 		part.recordStoredOnly()
 	}
+	part.claimedAt = time.Now()
+	if part.claimed.lastEpoch > 0 {
+		go part.node.confirmSince(ctx, part.claimedAt)
+	}
 	part.recovery = recovery{log: part.log, startedAt: part.node.startedAt, claimedAt: time.Now()}
 	close(part.loaded)
 	part.node.announceClaim(part.number, part.scheduler.Epoch)
--- a/internal/drive/queues.go
+++ b/internal/drive/queues.go
@@ -202,6 +202,18 @@
 	return found && now.Sub(at) < lookUpWindow
 }
 
+// lookUpsLost reports whether an earlier owner of the partition may have known a look-up of the job that a request
+// submits, and this owner cannot tell by the configurations that no other partition has accepted the job. Who looked
+// it up had a configuration that the log held before the takeover; so a configuration that was confirmed since is
+// at least as new, and a request that was sent by it has gone to the partition that accepts the job.
+func (part *ownedPartition) lookUpsLost(now time.Time, c *jobCall) bool {
+	if part.claimed.lastEpoch == 0 || now.Sub(part.claimedAt) >= lookUpWindow {
+		return false
+	}
+	cfg := part.node.Config()
+	return !part.node.confirmed.since(part.claimedAt) || (c.ConfigVersion > 0 && cfg != nil && c.ConfigVersion < cfg.Version)
+}
+
 // movedAway reports whether a queue belongs to another partition by a configuration that is newer than the one
 // by which a request was sent here.
 func (part *ownedPartition) movedAway(c *jobCall) bool {
--- a/internal/drive/queues_test.go
+++ b/internal/drive/queues_test.go
@@ -5,8 +5,11 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
+	"github.com/greengagelane/greengagelane/internal/sched"
+	"github.com/greengagelane/greengagelane/pkg/jobs"
 	"github.com/greengagelane/greengagelane/pkg/site"
 )
 
@@ -76,3 +79,54 @@
 	}
 	assert.Assert(t, len(l) <= maxLookUps)
 }
+
+// TestLookUpsLostWithOwner guards against a job that two partitions accept: one looked it up at the other before it
+// accepted it, the owner of the other was lost with that, and the next one accepts a request by an older configuration.
+func TestLookUpsLostWithOwner(t *testing.T) {
+	const before, moved, back = 5, 6, 7 // configurations: queue q in pool alpha, moved to another pool, and back in alpha
+	claimedAt := time.UnixMilli(1_700_000_000_000)
+	tests := []struct {
+		name      string
+		lastEpoch int64
+		version   int64         // of the owner's configuration
+		confirmed time.Duration // after the claim; negative if not since
+		sentBy    int64         // version of the configuration by which the request was sent
+		after     time.Duration // since the claim
+		accepted  bool
+	}{
+		{"neither knows the move", 1, before, -time.Second, before, time.Second, false},
+		{"the owner knows it", 1, moved, time.Millisecond, before, time.Second, false},
+		{"the owner has learnt it before the takeover", 1, moved, -time.Second, before, time.Second, false},
+		{"the queue is back", 1, back, time.Millisecond, before, time.Second, false},
+		{"the queue is back, sent by the move", 1, back, time.Millisecond, moved, time.Second, false},
+		{"both know that it is back", 1, back, time.Millisecond, back, time.Second, true},
+		{"no move", 1, before, time.Millisecond, before, time.Second, true},
+		{"the request knows more", 1, before, time.Millisecond, back, time.Second, true},
+		{"first owner", 0, before, -time.Second, before, time.Second, true},
+		{"callers no longer repeat it", 1, before, -time.Second, before, lookUpWindow, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			n := New(&site.Settings{IP: "127.0.0.1", Ports: []int{1, 2}, Log: site.LogSettings{Partitions: partitions}})
+			pool := map[int64]string{before: "alpha", moved: "delta", back: "alpha"}[tt.version]
+			assert.Assert(t, n.partitionOf("alpha") != n.partitionOf("delta"))
+			n.config.Store(&site.Config{Version: tt.version, Routes: []site.Route{{Name: "q", Pool: pool}}})
+			n.confirmed.record(claimedAt.Add(tt.confirmed))
+			part := &ownedPartition{
+				node: n, number: n.partitionOf("alpha"), claimed: claimedTable{lastEpoch: tt.lastEpoch}, claimedAt: claimedAt, waiters: map[string][]*waiter{},
+				log: logrus.NewEntry(logrus.StandardLogger()), scheduler: sched.New(2, n.policy, logrus.NewEntry(logrus.StandardLogger())),
+			}
+			now := claimedAt.Add(tt.after)
+			part.scheduler.SetVMs(now, []site.VM{{ID: "vm", Born: 1, Pool: "alpha", Address: "127.0.0.1:1", CPU: 8000, MemMB: 8000}})
+			part.scheduler.HandlePoll(now, "vm", now, &site.VMStatus{Born: 1, ClockMS: 1000})
+			id := jobIDs(1)[0]
+			job := &jobs.Job{ID: id, Queue: "q", Pool: "alpha", Steps: []jobs.Step{{Count: 1, CPU: 1000, EstimateMS: 500}}, MaxAttempts: 1, Stretch: 2, TargetMS: 60_000, SubmittedMS: now.UnixMilli()}
+			w := &waiter{id: id, job: job, reply: make(chan site.Reply, 1)}
+			part.handle(now, &jobCall{Kind: site.SubmitJob, Access: site.Access{Queue: "q"}, ID: id, Job: job, ConfigVersion: tt.sentBy}, w)
+			assert.Equal(t, part.scheduler.Known(id), tt.accepted)
+			if !tt.accepted {
+				assert.Equal(t, (<-w.reply).Outcome, site.NotOwner)
+			}
+		})
+	}
+}
--- a/internal/drive/requests.go
+++ b/internal/drive/requests.go
@@ -105,6 +105,8 @@
 		switch {
 		case !part.scheduler.Known(c.ID) && part.lookUps.recent(now, c.ID):
 			w.answer(site.Reply{Outcome: site.Undecided, Reason: "another partition may have accepted the job"})
+		case !part.scheduler.Known(c.ID) && part.lookUpsLost(now, c):
+			w.answer(site.Reply{Outcome: site.NotOwner, Reason: "the configuration is not confirmed since the takeover, or newer than the request's"})
 		case !part.scheduler.Known(c.ID) && part.movedAway(c):
 			w.answer(site.Reply{Outcome: site.NotOwner, Reason: "the queue has another pool now"})
 		default:
--- a/internal/drive/unasked_test.go
+++ b/internal/drive/unasked_test.go
@@ -9,6 +9,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/greengagelane/greengagelane/internal/stand/emul"
+	"github.com/greengagelane/greengagelane/pkg/jobs"
+	"github.com/greengagelane/greengagelane/pkg/site"
 )
 
 // Jobs of TestEndedJobsOfMovedQueueStartNothing.
@@ -140,3 +142,46 @@
 	}
 	return n
 }
+
+// TestLookUpIsLostWithOwner guards against a job that runs twice since two partitions have accepted it: an entry with the
+// newest configuration has looked it up in the partition of its queue's former pool, and that partition's owner is lost
+// before the others hear of that configuration.
+func TestLookUpIsLostWithOwner(t *testing.T) {
+	const version = 5
+	emulator, err := emul.NewPlatform(map[string]int{"alpha": 1, "delta": 1}, 3*time.Second)
+	assert.NilError(t, err)
+	c := newClusterOn(t, emulator, 3, nil)
+	c.publish(version, "alpha", map[string][]string{"north": {"key"}})
+	c.awaitVersion(version, 0, 1, 2)
+	former, present := c.nodes[0].partitionOf("alpha"), c.nodes[0].partitionOf("delta")
+	assert.Assert(t, former != present)
+	c.emulator.Store.SetFaults(func(s *emul.Store) { s.DeafWatches = true })
+	time.Sleep(operatorReadWait) // reads that began before have ended
+	c.publish(version+1, "delta", map[string][]string{"north": {"key"}})
+
+	// An entry that has read it looks the job up, has it accepted, and is lost too.
+	id, owner := jobIDs(1)[0], c.owner()
+	job := &jobs.Job{
+		ID: id, Queue: "q", Pool: "delta", Account: "north", Spec: "x", MaxAttempts: 2, Stretch: 2, TargetMS: 60_000, SubmittedMS: time.Now().UnixMilli(),
+		Steps: []jobs.Step{{Count: 2, CPU: 500, MemMB: 100, EstimateMS: 300}},
+	}
+	call := jobCall{Partition: former, Kind: site.ShowJob, Access: site.Access{Account: "north", Queue: "q"}, ID: id, WaitMS: 1000, BeforeSubmit: true, ConfigVersion: version + 1}
+	assert.Equal(t, c.nodes[owner].lookupPartition(former).call(t.Context(), &call).Outcome, site.NoSuchJob)
+	call.Partition, call.Kind, call.Job, call.BeforeSubmit = present, site.SubmitJob, job, false
+	for _, n := range c.nodes {
+		if part := n.lookupPartition(present); part != nil {
+			assert.Equal(t, part.call(t.Context(), &call).Outcome, site.OK)
+		}
+	}
+	c.await("the job runs", func() bool { return c.startsOf(id) == 2 })
+	c.kill(owner)
+	c.owner()
+	reader := (owner + 1) % len(c.nodes)
+	for range 5 {
+		c.callWithKey(reader, "key", http.MethodPost, "/q/"+id, twoSteps)
+		time.Sleep(100 * time.Millisecond)
+	}
+	time.Sleep(500 * time.Millisecond)
+	assert.Equal(t, c.emulator.Ledger.FirstViolation(), "")
+	assert.Equal(t, c.startsOf(id), 2)
+}
--- a/internal/stand/emul/store.go
+++ b/internal/stand/emul/store.go
@@ -19,7 +19,10 @@
 	"time"
 )
 
-const jobTopic = "keyed.jobs"
+const (
+	jobTopic      = "keyed.jobs"
+	operatorTopic = "keyed.op"
+)
 
 // Store emulates the platform's log, including the member group that owns its partitions.
 // Its exported fields other than Appends are faults.
@@ -42,6 +45,8 @@
 	// EditNewest replaces the pages of newest records of the job topic; nil for none. It is called without the store's
 	// lock, with the key after which the page begins.
 	EditNewest func(page []byte, after string) []byte
+	// DeafWatches leaves the operator's records out of reads that wait for new ones.
+	DeafWatches bool
 	// NoTail leaves the records out of the reads of the job topic.
 	NoTail  bool
 	Appends int // number of append calls so far
@@ -327,12 +332,13 @@
 		topic := r.URL.Query().Get("topic")
 		p, appended := s.partition(topic, int(queryInt(r, "part"))), s.appended
 		records, noTail := p.records, s.NoTail && topic == jobTopic
+		deaf := s.DeafWatches && topic == operatorTopic && queryInt(r, "waitMs") > 0
 		s.mu.Unlock()
 		if noTail {
 			_, _ = w.Write(readHeader(records)) // the client may have closed the connection
 			return
 		}
-		if from < int64(len(records)) || queryInt(r, "waitMs") == 0 {
+		if (from < int64(len(records)) && !deaf) || queryInt(r, "waitMs") == 0 {
 			writeRecords(w, records, min(from, int64(len(records))))
 			return
 		}
