drive: the queues of a partition are learnt from an owner that knows the configuration

Callers could have seen a job accepted twice, and run twice: an entry that starts after a queue has moved asks the owners of all partitions once for the queues of their jobs, instead of looking each job up there. An owner that has not heard of the move yet answers that it has none of the queue, and then accepts a job of it by a request of another such entry; the new entry, whose first configuration shows no move, accepts the repeated submission in the new partition without a look-up.

The answer carries the version of the owner's configuration, a field that the version before skips. Jobs are looked up in a partition until its owner has answered with a configuration at least as new as the first one of the entry that asks: from then on it refuses submissions by older ones. TestQueuesOfOwnerWithOlderConfiguration failed before.

--- a/internal/drive/queues.go
+++ b/internal/drive/queues.go
@@ -26,6 +26,8 @@
 type queuesReply struct {
 	Owner  bool
 	Queues []string
+	// ConfigVersion is that of the owner's configuration; 0 from earlier versions of the program.
+	ConfigVersion int64
 }
 
 // queueHistory tells which queues may have jobs in the partitions of former pools. A new entry learns that from
@@ -37,6 +39,7 @@
 	keep       time.Duration           // how long jobs are known after their end
 	unknown    map[int]bool            // partitions whose owners have not answered yet
 	startedAt  time.Time               // of the entry; later moves are known from its configurations
+	firstSeen  int64                   // version of the first configuration; 0 before it
 	pools      map[string]formerPool   // by host and path prefix of a queue
 	movedAt    map[string]time.Time    // when a queue last changed its pool, by queue name
 	heldIn     map[string]map[int]bool // partitions that held jobs of a queue when this entry started, by queue name
@@ -62,6 +65,9 @@
 func (h *queueHistory) configure(now time.Time, c *site.Config) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.firstSeen == 0 {
+		h.firstSeen = c.Version
+	}
 	present := map[string]bool{}
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -83,12 +89,17 @@
 	}
 }
 
-// learn records the queues of the jobs in a partition.
-func (h *queueHistory) learn(partition int, queues []string) {
+// learn records the queues of the jobs in a partition, by an answer of its owner. An owner with an older configuration
+// than the first one of this entry may still accept jobs of a queue that has moved away before, so its answer does not
+// say which jobs the partition will hold.
+func (h *queueHistory) learn(partition int, r *queuesReply) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.firstSeen == 0 || (r.ConfigVersion > 0 && r.ConfigVersion < h.firstSeen) {
+		return
+	}
 	delete(h.unknown, partition)
-	for _, q := range queues {
+	for _, q := range r.Queues {
 		if h.heldIn[q] == nil {
 			h.heldIn[q] = map[int]bool{}
 		}
@@ -137,7 +148,7 @@
 		}
 		for _, p := range missing {
 			if r := n.askQueues(ctx, p); r != nil && r.Owner {
-				n.queues.learn(p, r.Queues)
+				n.queues.learn(p, r)
 			}
 		}
 		sleep(ctx, queuesInterval)
@@ -175,7 +186,11 @@
 		return &queuesReply{}, nil
 	}
 	return runOnPartition(ctx, part, func(part *ownedPartition, _ time.Time) *queuesReply {
-		return &queuesReply{Owner: !part.scheduler.Retired() && !part.scheduler.Fenced(), Queues: part.scheduler.Queues()}
+		cfg := part.node.Config()
+		if cfg == nil || part.scheduler.Retired() || part.scheduler.Fenced() {
+			return &queuesReply{}
+		}
+		return &queuesReply{Owner: true, Queues: part.scheduler.Queues(), ConfigVersion: cfg.Version}
 	})
 }
 
--- a/internal/drive/queues_test.go
+++ b/internal/drive/queues_test.go
@@ -50,14 +50,14 @@
 		h := newQueueHistory(start, 3, keep)
 		for _, x := range tt.steps {
 			if x.pools != nil {
-				c := &site.Config{}
+				c := &site.Config{Version: int64(1 + x.s)}
 				for name, pool := range x.pools {
 					c.Routes = append(c.Routes, site.Route{Name: name, Host: "h", Prefix: "/" + name + "/", Pool: pool})
 				}
 				h.configure(start.Add(time.Duration(x.s)*time.Second), c)
 			}
 			for p, queues := range x.learn {
-				h.learn(p, queues)
+				h.learn(p, &queuesReply{Owner: true, Queues: queues})
 			}
 		}
 		got := h.elsewhere(start.Add(time.Duration(tt.s)*time.Second), "q", 0)
@@ -65,6 +65,40 @@
 	}
 }
 
+// TestQueuesOfOwnerWithOlderConfiguration guards against a job that two partitions accept: an entry that has started after
+// its queue moved asks the owner of the former partition, which has not heard of the move, for its queues, and that owner
+// accepts the job later.
+func TestQueuesOfOwnerWithOlderConfiguration(t *testing.T) {
+	const before, moved = 5, 6
+	start := time.UnixMilli(1_700_000_000_000)
+	tests := []struct {
+		name    string
+		first   int64 // version of the entry's first configuration; 0 if it has none yet
+		owner   int64 // version of the owner's
+		lookUps string
+	}{
+		{"the owner does not know the move", moved, before, "[1]"},
+		{"the entry has no configuration", 0, before, "[1]"},
+		{"the owner knows it", moved, moved, "[]"},
+		{"the owner knows more", before, moved, "[]"},
+		{"an owner of an earlier version", moved, 0, "[]"},
+	}
+	for _, tt := range tests {
+		h := newQueueHistory(start, 2, time.Minute)
+		configure := func(version int64) {
+			h.configure(start, &site.Config{Version: version, Routes: []site.Route{{Name: "q", Host: "h", Prefix: "/q/", Pool: "delta"}}})
+		}
+		if tt.first > 0 {
+			configure(tt.first)
+		}
+		h.learn(1, &queuesReply{Owner: true, ConfigVersion: tt.owner})
+		if tt.first == 0 {
+			configure(moved)
+		}
+		assert.Equal(t, fmt.Sprint(h.elsewhere(start.Add(time.Second), "q", 0)), tt.lookUps, tt.name)
+	}
+}
+
 // TestLookedUpJobIsNotAccepted guards against a job that two partitions accept: one looks it up at the other
 // before it accepts it, and a request by an older configuration reaches the other one later.
 func TestLookedUpJobIsNotAccepted(t *testing.T) {
