sched: random histories with status polls that are carried out late, also in a VM's next life

TestSchedulerInvariantsLatePolls has VMs come back under their IDs while polls of their earlier lives are still under way. The models now say which poll a reply answers.

--- a/internal/sched/crash_model_test.go
+++ b/internal/sched/crash_model_test.go
@@ -175,7 +175,7 @@
 		m.acknowledge(v.ends[0])
 		v.ends = v.ends[1:]
 	}
-	status := &site.VMStatus{Born: v.born, ClockMS: v.clock(m.now), Ended: slices.Clone(v.ends)}
+	status := &site.VMStatus{Born: v.born, ClockMS: v.clock(m.now), Ended: slices.Clone(v.ends), Answers: poll}
 	for _, task := range slices.Sorted(maps.Keys(v.running)) {
 		status.Running = append(status.Running, site.Run{Task: task, Run: v.running[task], Percent: 50})
 	}
--- a/internal/sched/fuzz_test.go
+++ b/internal/sched/fuzz_test.go
@@ -318,6 +318,19 @@
 	})
 }
 
+// TestSchedulerInvariantsLatePolls runs random histories in which VMs carry out status polls seconds after they were sent,
+// also when they have come back under their IDs meanwhile.
+func TestSchedulerInvariantsLatePolls(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t, false)
+		actions := m.actions()
+		actions["send late look"], actions["late look"], actions["late look2"] = m.sendLatePoll, m.deliverLatePoll, m.deliverLatePoll
+		actions["come back"], actions["come back2"] = m.comeBackBeforeLatePoll, m.comeBackBeforeLatePoll
+		actions["crash2"], actions["run"], actions["run2"], actions["round"] = m.crash, m.runJobs, m.runJobs, m.round
+		t.Repeat(actions)
+	})
+}
+
 // TestSchedulerInvariantsShownJobs runs random histories in which the log refuses most flushes, callers ask for their
 // jobs, and VMs that hold the only record of the ends crash, at times all with the owner. It guards against tasks
 // that start again after their job was shown as completed.
--- a/internal/sched/model_test.go
+++ b/internal/sched/model_test.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -32,6 +34,7 @@
 	jobLog        map[string][]byte
 	pending       []Action
 	delayed       []delayedOrder
+	latePolls     []latePoll
 	verify        map[string]bool // VMs whose last poll got no reply
 	ackedDone     map[string]bool // tasks with a done run whose end was acknowledged
 	ackedFailures map[string]int  // number of acknowledged failed runs, by task
@@ -323,17 +326,11 @@
 		m.s.HandlePollFailure(m.now, id, errors.New("no answer"))
 		return
 	}
-	if nextPoll.Fence < v.fence {
+	if !m.carryOutPoll(v, &nextPoll) {
 		m.s.HandlePollFailure(m.now, id, site.ErrFenced)
 		return
 	}
-	v.fence = nextPoll.Fence
-	v.renew(m.now, nextPoll.UntilMS)
-	for len(v.ends) > 0 && v.ends[0].Sequence <= nextPoll.AckCursor {
-		m.acknowledge(v.ends[0])
-		v.ends = v.ends[1:]
-	}
-	status := &site.VMStatus{ClockMS: v.clock(m.now), Born: v.born}
+	status := &site.VMStatus{ClockMS: v.clock(m.now), Born: v.born, Answers: nextPoll}
 	for name, run := range v.running {
 		status.Running = append(status.Running, site.Run{Task: name, Run: run, Percent: 50})
 	}
@@ -348,6 +345,83 @@
 	m.s.HandlePoll(m.now, id, pollStart, status)
 }
 
+// carryOutPoll carries a status poll out, unless the VM has seen a higher fencing token.
+func (m *model) carryOutPoll(v *simVM, p *site.StatusPoll) bool {
+	if p.Fence < v.fence {
+		return false
+	}
+	v.fence = p.Fence
+	v.renew(m.now, min(p.UntilMS, v.clock(m.now)+testPolicy().MaxLease.Milliseconds()))
+	for len(v.ends) > 0 && v.ends[0].Sequence <= p.AckCursor {
+		m.acknowledge(v.ends[0])
+		v.ends = v.ends[1:]
+	}
+	return true
+}
+
+// latePoll is a status poll that was not answered and may still be carried out.
+type latePoll struct {
+	vm     string
+	sentAt time.Time
+	poll   site.StatusPoll
+}
+
+// sendLatePoll sends a status poll that is not answered; it is carried out later.
+func (m *model) sendLatePoll(t *rapid.T) {
+	id := rapid.SampledFrom(m.vmIDs()).Draw(t, "vm")
+	p, ok := m.s.NextPoll(m.now, id, m.verify[id])
+	if !ok {
+		return
+	}
+	m.latePolls = append(m.latePolls, latePoll{id, m.now, p})
+	m.advance(10 * time.Millisecond)
+	m.verify[id] = true
+	m.s.HandlePollFailure(m.now, id, errors.New("no answer"))
+}
+
+// comeBackBeforeLatePoll has a VM crash after a late poll was sent to it, come back under its ID, and run tasks of which
+// one is done when the poll is carried out.
+func (m *model) comeBackBeforeLatePoll(t *rapid.T) {
+	m.round(t)
+	sent := len(m.latePolls)
+	m.sendLatePoll(t)
+	if len(m.latePolls) == sent {
+		return
+	}
+	p := m.latePolls[sent]
+	m.vms[p.vm].up, m.verify[p.vm] = false, true
+	m.earlier[p.vm] = m.vms[p.vm].born
+	m.boot(p.vm)
+	m.sendVMList()
+	for range rapid.IntRange(1, 3).Draw(t, "rounds") {
+		m.round(t)
+	}
+	v := m.vms[p.vm]
+	for _, task := range slices.Sorted(maps.Keys(v.running)) {
+		m.done[task] = true
+		v.finish(task, site.Done)
+		break
+	}
+	m.latePolls = slices.Delete(m.latePolls, sent, sent+1)
+	if m.now.Sub(p.sentAt) <= testPolicy().LateCall {
+		m.carryOutPoll(v, &p.poll)
+	}
+}
+
+// deliverLatePoll carries a late poll out, in whichever life its VM is.
+func (m *model) deliverLatePoll(t *rapid.T) {
+	m.latePolls = slices.DeleteFunc(m.latePolls, func(p latePoll) bool { return m.now.Sub(p.sentAt) > testPolicy().LateCall })
+	if len(m.latePolls) == 0 {
+		t.Skip("no late poll")
+	}
+	i := rapid.IntRange(0, len(m.latePolls)-1).Draw(t, "late poll")
+	p := m.latePolls[i]
+	m.latePolls = slices.Delete(m.latePolls, i, i+1)
+	if v := m.vms[p.vm]; v.up {
+		m.carryOutPoll(v, &p.poll)
+	}
+}
+
 func (m *model) acknowledge(e site.RunEnd) {
 	switch e.How {
 	case site.Done:
