--- a/internal/drive/queues.go
+++ b/internal/drive/queues.go
@@ -26,6 +26,8 @@
 type queuesReply struct {
 	Owner  bool
 	Queues []string
+	// ConfigVersion is that of the owner's configuration; 0 from earlier versions of the program.
+	ConfigVersion int64
 }
 
 // queueHistory tells which queues may have jobs in the partitions of former pools. A new entry learns that from
@@ -37,6 +39,7 @@
 	keep       time.Duration           // how long jobs are known after their end
 	unknown    map[int]bool            // partitions whose owners have not answered yet
 	startedAt  time.Time               // of the entry; later moves are known from its configurations
+	firstSeen  int64                   // version of the first configuration; 0 before it
 	pools      map[string]formerPool   // by host and path prefix of a queue
 	movedAt    map[string]time.Time    // when a queue last changed its pool, by queue name
 	heldIn     map[string]map[int]bool // partitions that held jobs of a queue when this entry started, by queue name
@@ -62,6 +65,9 @@
 func (h *queueHistory) configure(now time.Time, c *site.Config) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.firstSeen == 0 {
+		h.firstSeen = c.Version
+	}
 	present := map[string]bool{}
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -83,12 +89,17 @@
 	}
 }
 
-// learn records the queues of the jobs in a partition.
-func (h *queueHistory) learn(partition int, queues []string) {
+// learn records the queues of the jobs in a partition, by an answer of its owner. An owner with an older configuration
+// than the first one of this entry may still accept jobs of a queue that has moved away before, so its answer does not
+// say which jobs the partition will hold.
+func (h *queueHistory) learn(partition int, r *queuesReply) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.firstSeen == 0 || (r.ConfigVersion > 0 && r.ConfigVersion < h.firstSeen) {
+		return
+	}
 	delete(h.unknown, partition)
-	for _, q := range queues {
+	for _, q := range r.Queues {
 		if h.heldIn[q] == nil {
 			h.heldIn[q] = map[int]bool{}
 		}
@@ -137,7 +148,7 @@
 		}
 		for _, p := range missing {
 			if r := n.askQueues(ctx, p); r != nil && r.Owner {
-				n.queues.learn(p, r.Queues)
+				n.queues.learn(p, r)
 			}
 		}
 		sleep(ctx, queuesInterval)
@@ -175,7 +186,11 @@
 		return &queuesReply{}, nil
 	}
 	return runOnPartition(ctx, part, func(part *ownedPartition, _ time.Time) *queuesReply {
-		return &queuesReply{Owner: !part.scheduler.Retired() && !part.scheduler.Fenced(), Queues: part.scheduler.Queues()}
+		cfg := part.node.Config()
+		if cfg == nil || part.scheduler.Retired() || part.scheduler.Fenced() {
+			return &queuesReply{}
+		}
+		return &queuesReply{Owner: true, Queues: part.scheduler.Queues(), ConfigVersion: cfg.Version}
 	})
 }
 
@@ -202,6 +217,18 @@
 	return found && now.Sub(at) < lookUpWindow
 }
 
+// lookUpsLost reports whether an earlier owner of the partition may have known a look-up of the job that a request
+// submits, and this owner cannot tell by the configurations that no other partition has accepted the job. Who looked
+// it up had a configuration that the log held before the takeover; so a configuration that was confirmed since is
+// at least as new, and a request that was sent by it has gone to the partition that accepts the job.
+func (part *ownedPartition) lookUpsLost(now time.Time, c *jobCall) bool {
+	if part.claimed.lastEpoch == 0 || now.Sub(part.claimedAt) >= lookUpWindow {
+		return false
+	}
+	cfg := part.node.Config()
+	return !part.node.confirmed.since(part.claimedAt) || (c.ConfigVersion > 0 && cfg != nil && c.ConfigVersion < cfg.Version)
+}
+
 // movedAway reports whether a queue belongs to another partition by a configuration that is newer than the one
 // by which a request was sent here.
 func (part *ownedPartition) movedAway(c *jobCall) bool {
