drive: a confirmation that was under way before a further pause does not count

Callers saw nothing of this so far; found by review. An owner that was paused stores its owner record anew before it decides anything. If it was paused again between the append and its answer, the answer counted all the same when the round after the second pause came before it: the owner went on beside a later one that had claimed the partition meanwhile, took VMs that did not answer during the pause for silent, and started their tasks on VMs that had not heard of the later owner: two runs at once.

Each pause now needs a confirmation of its own.

--- a/internal/drive/partition.go
+++ b/internal/drive/partition.go
@@ -61,6 +61,7 @@
 
 	lastRoundAt    time.Time       // zero before the first round
 	unconfirmed    bool            // no decisions until the log has confirmed the ownership
+	pauses         int             // after which the ownership was, or is to be, confirmed
 	pendingRecords []controlRecord // records of the mover, for the next flush
 	restored       restoredFleet   // control records read by the claim, for the mover; set before loaded is closed
 	mover          *mover          // nil unless this is the fleet partition
--- a/internal/drive/pause.go
+++ b/internal/drive/pause.go
@@ -11,12 +11,12 @@
 // have taken the partition over, its owner record is stored anew first, which the log refuses if a
 // later owner has claimed the partition. VMs that have not heard of that owner would still carry out the
 // orders of this one, which takes all VMs for silent after a long pause and starts their tasks
-// elsewhere.
+// elsewhere. A record that was on its way before a further pause confirms nothing.
 func (part *ownedPartition) confirmOwnership(now time.Time) bool {
 	pause := now.Sub(part.lastRoundAt)
 	paused := !part.lastRoundAt.IsZero() && pause >= memberTTL
 	part.lastRoundAt = now
-	if !paused || part.unconfirmed {
+	if !paused {
 		return !part.unconfirmed
 	}
 	value, err := jobs.Encode(&ownerRecord{Epoch: part.scheduler.Epoch, Address: part.node.address})
@@ -25,10 +25,14 @@
 		return false
 	}
 	part.unconfirmed = true
+	part.pauses++
+	n := part.pauses
 	part.log.WithField("pause-ms", pause.Milliseconds()).Info("partition was paused; confirming its ownership")
 	part.pendingRecords = append(part.pendingRecords, controlRecord{
-		record:   site.Record{Key: ownerKey, Value: value},
-		onStored: func() { part.post(func(time.Time) { part.unconfirmed = false }) },
+		record: site.Record{Key: ownerKey, Value: value},
+		onStored: func() {
+			part.post(func(time.Time) { part.unconfirmed = part.unconfirmed && n < part.pauses })
+		},
 	})
 	return false
 }
--- a/internal/drive/pause_test.go
+++ b/internal/drive/pause_test.go
@@ -84,3 +84,36 @@
 	part.cordonedAt = now
 	return part
 }
+
+// TestConfirmationBeforeSecondPauseDoesNotCount guards against an owner that is paused between the append that confirms its
+// ownership and its answer, for which another entry takes over meanwhile, and that starts tasks all the same.
+func TestConfirmationBeforeSecondPauseDoesNotCount(t *testing.T) {
+	const pause = 4 * time.Second
+	c := newCluster(t, 1, map[string]int{"alpha": 1})
+	part := partitionWithJob(t, c.nodes[0], 20)
+	defer part.store.Close()
+	now := time.Now()
+	part.lastRoundAt = now.Add(-pause)
+	part.round(t.Context(), now)
+	for len(part.events) < 2 { // the answer to the append, which stays unread
+		time.Sleep(time.Millisecond)
+	}
+
+	value := int64(9)
+	later := &ownedPartition{node: c.nodes[0], number: part.number, store: platform.NewLog(c.nodes[0].settings), appendTimeout: newTimeout(minAppendTimeout), nextSequence: 1}
+	defer later.store.Close()
+	assert.NilError(t, appendClaimRecord(t.Context(), later, value, -1, epochKey, &value))
+	now = now.Add(pause)
+	part.scheduler.HandlePoll(now, "vm", now, &site.VMStatus{Born: 1, ClockMS: 1000 + pause.Milliseconds()})
+	part.round(t.Context(), now)
+	for end := time.Now().Add(testTimeout); !part.scheduler.Fenced() && time.Now().Before(end); now = now.Add(idleInterval) {
+		select {
+		case f := <-part.events:
+			f(now)
+		case <-time.After(10 * time.Millisecond):
+		}
+		part.round(t.Context(), now)
+		assert.Equal(t, part.scheduler.Stats().Started, 0, "a task was started under a lower epoch than the later owner's")
+	}
+	assert.Assert(t, part.scheduler.Fenced())
+}
