soak: a form with outages of the log one after the other and a loss in each

It has one size for all and draws its faults at random, so that an outage for all, the loss of all entries and that of VMs with ends rarely meet.

TestSoak has a small case.

--- a/internal/stand/soak.go
+++ b/internal/stand/soak.go
@@ -3,6 +3,8 @@
 import (
 	"flag"
 	"fmt"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/greengagelane/greengagelane/internal/stand/soak"
@@ -26,6 +28,17 @@
 	fs.IntVar(&cfg.Load.Partitions, "partitions", 0, "number of partitions of the job log, 0 for 4")
 	fs.IntVar(&cfg.Load.BurstJobs, "burst", 0, "number of jobs of a burst of submissions, 0 for no bursts")
 	fs.BoolVar(&cfg.Load.Series, "series", false, "inject series of faults around outages of the log")
+	fs.Func("pool-sizes", "number of VMs of each pool, the spare one last, separated by commas; replaces -vms and -pools", func(list string) (err error) {
+		cfg.Load.PoolSizes, err = parseSizes(list)
+		return err
+	})
+	fs.IntVar(&cfg.Load.Queues, "queues", 0, "number of queues, 0 for one a pool")
+	fs.IntVar(&cfg.Load.JobsPerSecond, "jobs-per-second", 0, "jobs submitted a second, each followed by a caller of its own, 0 for none")
+	fs.IntVar(&cfg.Load.FailingShare, "failing-share", 0, "percentage of these jobs of which runs fail")
+	fs.IntVar(&cfg.Load.Outages, "outages", 0, "number of outages of the log, one after the other, instead of other faults and of -length")
+	fs.BoolVar(&cfg.Load.LongLists, "long-lists", false, "submit jobs before each outage of which a VM lists more ends than a reply holds")
+	fs.StringVar(&cfg.Load.LoseEntries, "lose-entries", "all", "entries lost in each outage: none, owner, two, half, all or rolling")
+	fs.StringVar(&cfg.Load.LoseVMs, "lose-vms", "all", "VMs lost with them: none, one, pool-rack, ends, rack or all")
 	fs.BoolVar(&cfg.NoFaults, "calm", false, "inject no faults")
 	return func(out *verb.IO, _ []string) error {
 		violating, err := soak.RunSeeds(cfg, *seeds, out.Out)
@@ -38,3 +51,16 @@
 		return nil
 	}
 }
+
+// parseSizes returns the positive numbers of a list separated by commas.
+func parseSizes(list string) ([]int, error) {
+	var sizes []int
+	for _, s := range strings.Split(list, ",") {
+		n, err := strconv.Atoi(s)
+		if err != nil || n < 1 {
+			return nil, fmt.Errorf("%q is no positive number", s)
+		}
+		sizes = append(sizes, n)
+	}
+	return sizes, nil
+}
--- a/internal/stand/soak/burst.go
+++ b/internal/stand/soak/burst.go
@@ -7,6 +7,12 @@
 	"time"
 )
 
+// Of so many jobs of a load, one is cancelled.
+const (
+	burstCancelledOf  = 4
+	steadyCancelledOf = 20
+)
+
 // submitBursts submits bursts of jobs of many short tasks until ctx is done, so that hundreds of tasks end in any outage.
 // Each job's caller asks for its state until it is completed.
 func (harness *Harness) submitBursts(ctx context.Context) {
@@ -21,7 +27,7 @@
 			delay := time.Duration(r.Int64N(int64(window)))
 			active.Go(func() {
 				sleep(ctx, delay)
-				c.followJob(ctx, c.manyShortTasks())
+				c.followJob(ctx, c.manyShortTasks(), burstCancelledOf)
 			})
 			harness.addCaller(c)
 		}
@@ -44,18 +50,18 @@
 	return c.newJob("many-short-tasks", steps)
 }
 
-// followJob submits a job and asks for its state until it is completed. Every fourth job is cancelled instead.
-func (c *caller) followJob(ctx context.Context, j *Job) {
+// followJob submits a job and asks for its state until it has ended. One of cancelledOf jobs is cancelled instead.
+func (c *caller) followJob(ctx context.Context, j *Job, cancelledOf int) {
 	const interval, cancelWithin = 150 * time.Millisecond, 5 * time.Second
 	cancelAfter := time.Now().Add(time.Duration(c.r.Int64N(int64(cancelWithin))))
-	cancels := c.r.IntN(4) == 0
+	cancels := c.r.IntN(cancelledOf) == 0
 	c.submitJob(ctx, j)
 	for len(c.accepted) > 0 && ctx.Err() == nil {
 		if cancels && time.Now().After(cancelAfter) {
 			c.cancelUntilAcknowledged(ctx, j)
 			return
 		}
-		if c.queryState(j) == "completed" {
+		if state := c.queryState(j); state == "completed" || (state == "failed" && j.hopeless()) {
 			break
 		}
 		sleep(ctx, interval)
--- a/internal/stand/soak/caller.go
+++ b/internal/stand/soak/caller.go
@@ -90,6 +90,9 @@
 	return time.Duration(50+r.IntN(500)) * time.Millisecond
 }
 
+// hopeless reports whether tasks of the job fail in all their attempts.
+func (j *Job) hopeless() bool { return j.Steps[0].failingRuns >= emul.MaxAttempts }
+
 func (j *Job) longRunning() bool { return j.Steps[0].LongRunning }
 
 // JobRegistry holds all submitted jobs of one seed, by ID.
@@ -245,8 +248,8 @@
 	if shape.name == longRunningShape && c.hasLongRunning() {
 		shape = shapes[0] // several long-running jobs of each caller would fill all VMs
 	}
-	if shape.name == crashingShape && c.r.IntN(crashingJobs) > 0 {
-		shape = shapes[0] // else most VMs would be down
+	if shape.name == crashingShape && (c.r.IntN(crashingJobs) > 0 || c.harness.cfg.Load.Outages > 0) {
+		shape = shapes[0] // else most VMs would be down, or VMs be lost apart from outages
 	}
 	return c.newJob(shape.name, shape.steps(c.r))
 }
--- a/internal/stand/soak/fault.go
+++ b/internal/stand/soak/fault.go
@@ -256,7 +256,7 @@
 	length := harness.cfg.Duration/8 + randomDuration(r, harness.cfg.Duration/8)
 	silent, kill := r.IntN(2) == 0, harness.cfg.Seed%2 == 0
 	sleep(ctx, begin)
-	harness.submitShortTasks(ctx)
+	harness.submitShortTasks(ctx, 0)
 	harness.log("outage of the log for %s, silent: %t, an entry is killed: %t", length.Round(time.Millisecond), silent, kill)
 	end := harness.injectLogFault(func(s *emul.Store) { s.Down, s.Silent = true, silent }, func(s *emul.Store) { s.Down, s.Silent = false, false })
 	defer end()
--- a/internal/stand/soak/load.go
+++ b/internal/stand/soak/load.go
@@ -7,10 +7,11 @@
 )
 
 // submitShortTasks submits jobs that end more runs on a VM than the reply to a status poll lists.
-func (harness *Harness) submitShortTasks(ctx context.Context) {
+// number is that of the outage before which it is called.
+func (harness *Harness) submitShortTasks(ctx context.Context, number int) {
 	const jobs, tasks, cpu = 3, 700, 10
 	for i := range jobs {
-		c := newCaller(harness, harness.cfg.Seed, 1<<33+uint64(i))
+		c := newCaller(harness, harness.cfg.Seed, 1<<33+uint64(number*jobs+i))
 		c.submitJob(ctx, c.newJob("short-tasks", []step{{Count: tasks, CPU: cpu, EstimateMS: 600, duration: 500*time.Millisecond + randomDuration(c.r, time.Second)}}))
 		harness.addCaller(c)
 	}
--- a/internal/stand/soak/series.go
+++ b/internal/stand/soak/series.go
@@ -73,8 +73,7 @@
 
 // outage makes the log unavailable for all entries or for some of them.
 func (harness *Harness) outage(ctx context.Context, r *rand.Rand, length time.Duration) {
-	mode := r.IntN(3)
-	name := []string{"refuses calls", "resets connections", "is silent"}[mode]
+	mode := r.IntN(len(outageModes))
 	var affected []*Entry
 	share := []int{100, 100, 30, 60}[r.IntN(4)]
 	for _, e := range harness.entries {
@@ -82,28 +81,43 @@
 			affected = append(affected, e)
 		}
 	}
-	harness.log("series: the log %s for %d of %d entries for %s", name, len(affected), len(harness.entries), length.Round(time.Millisecond))
+	harness.log("series: the log %s for %d of %d entries for %s", outageModes[mode], len(affected), len(harness.entries), length.Round(time.Millisecond))
+	end := harness.beginOutage(mode, affected)
+	defer end()
+	sleep(ctx, length)
+}
+
+// outageModes are the ways in which the log is unavailable, by the number that beginOutage takes.
+var outageModes = []string{"refuses calls", "resets connections", "is silent"}
+
+// beginOutage makes the log unavailable for entries and returns the function that ends that.
+func (harness *Harness) beginOutage(mode int, affected []*Entry) (end func()) {
 	var names []string
+	var ends []func()
 	for _, e := range affected {
 		names = append(names, e.Name)
 		ended := harness.contact.begin(time.Now(), e.Name)
-		defer func() { ended(time.Now()) }()
+		ends = append(ends, func() { ended(time.Now()) })
 		switch mode {
 		case 0:
 			e.Log.Reset()
 		case 1:
 			e.Log.Refuse()
-			defer e.Log.ClearFaults()
+			ends = append(ends, e.Log.ClearFaults)
 		case 2:
 			e.Log.Stall(Upstream, Downstream)
-			defer e.Log.ClearFaults()
+			ends = append(ends, e.Log.ClearFaults)
 		}
 	}
 	if mode == 0 {
 		harness.platform.CutOff(names...)
-		defer harness.platform.CutOff()
+		ends = append(ends, func() { harness.platform.CutOff() })
+	}
+	return func() {
+		for _, end := range slices.Backward(ends) {
+			end()
+		}
 	}
-	sleep(ctx, length)
 }
 
 // randomOwner returns an entry that a random partition is assigned to, any entry if there is none.
@@ -162,13 +176,19 @@
 
 // loseVMsWithEnds crashes the VMs with the most ends that have not been acknowledged.
 func (harness *Harness) loseVMsWithEnds(ctx context.Context, r *rand.Rand) {
+	vms := harness.vmsByEnds()
+	harness.loseVMs(ctx, r, vms[:len(vms)*(1+r.IntN(3))/4])
+}
+
+// vmsByEnds returns the VMs, those with the most ends that have not been acknowledged first.
+func (harness *Harness) vmsByEnds() []*emul.Worker {
 	vms := harness.platform.VMs()
 	ends := map[*emul.Worker]int{}
 	for _, vm := range vms {
 		ends[vm] = vm.PendingEnds()
 	}
 	slices.SortFunc(vms, func(a, b *emul.Worker) int { return ends[b] - ends[a] })
-	harness.loseVMs(ctx, r, vms[:len(vms)*(1+r.IntN(3))/4])
+	return vms
 }
 
 func (harness *Harness) loseVMs(ctx context.Context, r *rand.Rand, vms []*emul.Worker) {
--- a/internal/stand/soak/size.go
+++ b/internal/stand/soak/size.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/greengagelane/greengagelane/internal/stand/emul"
 )
 
 // Load is the size of the platform and the load of a run. The zero value of a field gives that of the short form.
@@ -17,6 +19,15 @@
 	RackSize    int  // machines of each pool in a rack
 	BurstJobs   int  // jobs of a burst; 0 for no bursts
 	Series      bool // series of faults that overlap around outages of the log
+
+	PoolSizes     []int  // number of VMs of each pool, the spare one last; it replaces VMs and Pools
+	Queues        int    // spread over the pools
+	JobsPerSecond int    // submitted all the while; 0 for none
+	FailingShare  int    // percentage of these jobs of which runs fail
+	Outages       int    // of the log, one after the other, instead of other faults; 0 for none
+	LongLists     bool   // jobs before each outage of which a VM lists more ends than a reply holds
+	LoseEntries   string // entries that are lost near the end of each outage, by their name in entryLosses
+	LoseVMs       string // VMs that are lost with them, by their name in vmLosses
 }
 
 // queuePools are the names of the pools. They differ in their partition of a job log of eight.
@@ -29,21 +40,47 @@
 			*n = value
 		}
 	}
+	if n := len(l.PoolSizes); n > 0 {
+		l.VMs, l.Pools = 0, n-1
+		for _, size := range l.PoolSizes {
+			l.VMs += size
+		}
+	}
 	set(&l.VMs, 11)
 	set(&l.Pools, 2)
+	set(&l.Queues, l.Pools)
 	set(&l.DataCentres, 1)
 	set(&l.Partitions, 4)
 	set(&l.RackSize, 4)
-	if l.Pools > len(queuePools) {
-		return fmt.Errorf("%d pools are asked for, at most %d are possible", l.Pools, len(queuePools))
+	if l.Pools > len(queuePools) || len(l.PoolSizes) == 1 {
+		return fmt.Errorf("1 to %d pools are possible besides the spare one", len(queuePools))
+	}
+	if l.Outages > 0 && (findEntryLoss(l.LoseEntries) == nil || findVMLoss(l.LoseVMs) == nil) {
+		return fmt.Errorf("no loss of entries is named %q or none of VMs %q", l.LoseEntries, l.LoseVMs)
 	}
 	return nil
 }
 
+// queues returns the queues that callers submit to, spread over the pools.
+func (l *Load) queues() []emul.Queue {
+	var list []emul.Queue
+	for i := range l.Queues {
+		list = append(list, emul.Queue{Name: "q" + string(rune('a'+i)), Pool: queuePools[i%l.Pools]})
+	}
+	return list
+}
+
 func (l *Load) poolNames() []string { return slices.Clone(queuePools[:l.Pools]) }
 
 // machines returns the number of machines by pool. The spare pool gets what remains, about as many as each other.
 func (l *Load) machines() map[string]int {
+	if n := len(l.PoolSizes); n > 0 {
+		machines := map[string]int{"rest": l.PoolSizes[n-1]}
+		for i, pool := range l.poolNames() {
+			machines[pool] = l.PoolSizes[i]
+		}
+		return machines
+	}
 	each := (l.VMs + l.Pools) / (l.Pools + 1)
 	machines := map[string]int{"rest": l.VMs - each*l.Pools}
 	for _, pool := range l.poolNames() {
@@ -77,10 +114,10 @@
 // Every fifth seed with series of faults is such a run.
 func (cfg *Config) plannedOnly() bool { return cfg.Load.Series && cfg.Seed%5 == 0 }
 
-// recordLag returns how long the record of a crashed VM stays in the VM list. Seeds with series of faults cover
-// what the platform allows.
+// recordLag returns how long the record of a crashed VM stays in the VM list. Seeds with series of faults or
+// outages cover what the platform allows.
 func (cfg *Config) recordLag() time.Duration {
-	if !cfg.Load.Series {
+	if !cfg.Load.Series && cfg.Load.Outages == 0 {
 		return 500 * time.Millisecond
 	}
 	return []time.Duration{500 * time.Millisecond, 1500 * time.Millisecond, 4500 * time.Millisecond}[cfg.Seed%3]
--- a/internal/stand/soak/soak.go
+++ b/internal/stand/soak/soak.go
@@ -83,10 +83,7 @@
 	}
 	harness := &Harness{
 		cfg: cfg, out: out, began: time.Now(), registry: &JobRegistry{jobs: map[string]*Job{}}, links: map[string]*Link{}, orderFaultTimes: map[string][]time.Time{}, movedAt: map[string]time.Time{}, reported: map[string]bool{},
-		pools: cfg.Load.poolNames(),
-	}
-	for i, pool := range harness.pools {
-		harness.queues = append(harness.queues, emul.Queue{Name: "q" + string(rune('a'+i)), Pool: pool})
+		pools: cfg.Load.poolNames(), queues: cfg.Load.queues(),
 	}
 	defer harness.close()
 	if err := harness.start(); err != nil {
@@ -167,9 +164,10 @@
 	}
 }
 
-// applyLoad runs the callers and injects faults for cfg.Duration, and returns the callers.
+// applyLoad runs the callers and injects faults for cfg.Duration or, if Load.Outages is set, until all outages have
+// ended, and returns the callers.
 func (harness *Harness) applyLoad() []*caller {
-	ctx, stop := context.WithTimeout(context.Background(), harness.cfg.Duration)
+	ctx, stop := harness.cfg.loadContext()
 	defer stop()
 	harness.submitWaiting(ctx)
 	var callers []*caller
@@ -184,6 +182,7 @@
 		}()
 	}
 	active.Go(func() { harness.submitBursts(ctx) })
+	active.Go(func() { harness.submitSteadily(ctx) })
 	flood := newFlood(harness)
 	callers = append(callers, flood)
 	probe := newProbe(harness)
@@ -198,6 +197,9 @@
 	}()
 	switch {
 	case harness.cfg.NoFaults:
+	case harness.cfg.Load.Outages > 0:
+		harness.injectOutages(ctx)
+		stop()
 	case harness.cfg.plannedOnly():
 		harness.injectPlanned(ctx)
 	default:
@@ -212,6 +214,13 @@
 	return append(callers, harness.extraCallers...)
 }
 
+func (cfg *Config) loadContext() (context.Context, context.CancelFunc) {
+	if cfg.Load.Outages > 0 && !cfg.NoFaults {
+		return context.WithCancel(context.Background())
+	}
+	return context.WithTimeout(context.Background(), cfg.Duration)
+}
+
 // addCaller adds the caller of jobs that belong to a fault to those whose jobs are checked.
 func (harness *Harness) addCaller(c *caller) {
 	harness.mu.Lock()
--- a/internal/stand/soak/soak_test.go
+++ b/internal/stand/soak/soak_test.go
@@ -34,10 +34,11 @@
 	return dir
 }
 
-// TestSoak runs the soak for 4 s with each seed. Each row that is not fresh is a regression case:
+// TestSoak runs the soak for 4 s, or one outage, with each seed. Each row that is not fresh is a regression case:
 // its seed once violated an invariant, for the cause in the row. Seeds marked fresh have not failed before.
 func TestSoak(t *testing.T) {
 	series := Load{VMs: 24, Pools: 3, DataCentres: 2, RackSize: 2, BurstJobs: 3, Series: true}
+	outage := Load{PoolSizes: []int{5, 5, 4}, Queues: 4, DataCentres: 2, JobsPerSecond: 6, FailingShare: 3, Outages: 1, LoseEntries: "all", LoseVMs: "all"}
 	tests := []struct {
 		seed     uint64
 		noFaults bool
@@ -53,13 +54,14 @@
 		{7, false, "fresh", Load{}},
 		{57106, false, "fresh, series of faults", series},
 		{57105, false, "fresh, planned work alone", series},
+		{61101, false, "jobs were shown as completed before that was stored: their tasks ran again once all entries and VMs were lost", outage},
 	}
 	program := buildProgram(t)
 	for _, tt := range tests {
 		t.Run(fmt.Sprintf("seed-%d", tt.seed), func(t *testing.T) {
 			t.Parallel()
 			entries := 3
-			if tt.load.Series {
+			if tt.load.Series || tt.load.Outages > 0 {
 				entries = 4
 			}
 			var events strings.Builder
