--- a/internal/stand/soak.go
+++ b/internal/stand/soak.go
@@ -35,6 +35,7 @@
 	fs.IntVar(&cfg.Load.Queues, "queues", 0, "number of queues, 0 for one a pool")
 	fs.IntVar(&cfg.Load.JobsPerSecond, "jobs-per-second", 0, "jobs submitted a second, each followed by a caller of its own, 0 for none")
 	fs.IntVar(&cfg.Load.FailingShare, "failing-share", 0, "percentage of these jobs of which runs fail")
+	fs.IntVar(&cfg.Load.LongRunningJobs, "long-running", 0, "number of long-running jobs submitted before the first outage")
 	fs.IntVar(&cfg.Load.Outages, "outages", 0, "number of outages of the log, one after the other, instead of other faults and of -length")
 	fs.BoolVar(&cfg.Load.LongLists, "long-lists", false, "submit jobs before each outage of which a VM lists more ends than a reply holds")
 	fs.StringVar(&cfg.Load.LoseEntries, "lose-entries", "all", "entries lost in each outage: none, owner, two, half, all or rolling")
--- a/internal/stand/soak/size.go
+++ b/internal/stand/soak/size.go
@@ -20,14 +20,15 @@
 	BurstJobs   int  // jobs of a burst; 0 for no bursts
 	Series      bool // series of faults that overlap around outages of the log
 
-	PoolSizes     []int  // number of VMs of each pool, the spare one last; it replaces VMs and Pools
-	Queues        int    // spread over the pools
-	JobsPerSecond int    // submitted all the while; 0 for none
-	FailingShare  int    // percentage of these jobs of which runs fail
-	Outages       int    // of the log, one after the other, instead of other faults; 0 for none
-	LongLists     bool   // jobs before each outage of which a VM lists more ends than a reply holds
-	LoseEntries   string // entries that are lost near the end of each outage, by their name in entryLosses
-	LoseVMs       string // VMs that are lost with them, by their name in vmLosses
+	PoolSizes       []int  // number of VMs of each pool, the spare one last; it replaces VMs and Pools
+	Queues          int    // spread over the pools
+	JobsPerSecond   int    // submitted all the while; 0 for none
+	FailingShare    int    // percentage of these jobs of which runs fail
+	LongRunningJobs int    // submitted before the first outage
+	Outages         int    // of the log, one after the other, instead of other faults; 0 for none
+	LongLists       bool   // jobs before each outage of which a VM lists more ends than a reply holds
+	LoseEntries     string // entries that are lost near the end of each outage, by their name in entryLosses
+	LoseVMs         string // VMs that are lost with them, by their name in vmLosses
 }
 
 // queuePools are the names of the pools. They differ in their partition of a job log of eight.
--- a/internal/stand/soak/steady.go
+++ b/internal/stand/soak/steady.go
@@ -75,12 +75,13 @@
 	return c.newJob("steps", steps)
 }
 
-// submitLongRunning submits a long-running job to each queue.
+// submitLongRunning submits Load.LongRunningJobs long-running jobs to the queues in turn.
 func (harness *Harness) submitLongRunning(ctx context.Context) {
 	c := newCaller(harness, harness.cfg.Seed, 1<<39)
-	for _, q := range harness.cfg.Load.queues() {
+	queues := harness.cfg.Load.queues()
+	for i := range harness.cfg.Load.LongRunningJobs {
 		j := c.newJob("long-running", []step{{Count: 3 + c.r.IntN(3), CPU: 700, EstimateMS: 100, LongRunning: true, MayMiss: 1, PerVM: 1}})
-		j.Queue = q.Name
+		j.Queue = queues[i%len(queues)].Name
 		c.submitJob(ctx, j)
 	}
 	harness.addCaller(c)
