--- a/internal/stand/soak/outages.go
+++ b/internal/stand/soak/outages.go
@@ -37,30 +37,26 @@
 	{"rolling", stopInTurn},
 }
 
-// vmLoss is a loss of VMs. pick chooses those that are lost.
+// vmLoss is a loss of VMs. pick chooses those that are lost from vms, which is not empty and has those with the most
+// ends that were not acknowledged first.
 type vmLoss struct {
 	name string
-	pick func(harness *Harness, r *rand.Rand) []*emul.Worker
+	pick func(vms []*emul.Worker, r *rand.Rand) []*emul.Worker
 }
 
 var vmLosses = []vmLoss{
-	{"none", func(*Harness, *rand.Rand) []*emul.Worker { return nil }},
-	{"one", func(harness *Harness, _ *rand.Rand) []*emul.Worker { return harness.vmsByEnds()[:1] }},
-	{"pool-rack", func(harness *Harness, r *rand.Rand) []*emul.Worker {
-		vms := harness.platform.VMs()
+	{"none", func([]*emul.Worker, *rand.Rand) []*emul.Worker { return nil }},
+	{"one", func(vms []*emul.Worker, _ *rand.Rand) []*emul.Worker { return vms[:1] }},
+	{"pool-rack", func(vms []*emul.Worker, r *rand.Rand) []*emul.Worker {
 		lost := vms[r.IntN(len(vms))]
 		return slices.DeleteFunc(vms, func(vm *emul.Worker) bool { return vm.Rack != lost.Rack || vm.Pool != lost.Pool })
 	}},
-	{"ends", func(harness *Harness, _ *rand.Rand) []*emul.Worker {
-		vms := harness.vmsByEnds()
-		return vms[:len(vms)/4]
-	}},
-	{"rack", func(harness *Harness, r *rand.Rand) []*emul.Worker {
-		vms := harness.platform.VMs()
+	{"ends", func(vms []*emul.Worker, _ *rand.Rand) []*emul.Worker { return vms[:len(vms)/4] }},
+	{"rack", func(vms []*emul.Worker, r *rand.Rand) []*emul.Worker {
 		rack := vms[r.IntN(len(vms))].Rack
 		return slices.DeleteFunc(vms, func(vm *emul.Worker) bool { return vm.Rack != rack })
 	}},
-	{"all", func(harness *Harness, _ *rand.Rand) []*emul.Worker { return harness.platform.VMs() }},
+	{"all", func(vms []*emul.Worker, _ *rand.Rand) []*emul.Worker { return vms }},
 }
 
 func findEntryLoss(name string) *entryLoss {
@@ -105,15 +101,19 @@
 	sleep(ctx, calm)
 }
 
-// loseAtOnce loses the entries and VMs that the load names. The VMs come back after 0.8 s, in half of the cases under their former IDs.
+// loseAtOnce loses the entries and VMs that the load names. The VMs come back soon, in half of the cases under their
+// former IDs.
 func (harness *Harness) loseAtOnce(r *rand.Rand) {
 	const vmsDown = 800 * time.Millisecond
 	var restarts sync.WaitGroup
 	defer restarts.Wait()
 	findEntryLoss(harness.cfg.Load.LoseEntries).lose(harness, r, &restarts)
-	lost, sameIDs := findVMLoss(harness.cfg.Load.LoseVMs).pick(harness, r), r.IntN(2) == 0
-	ends := 0
-	for _, vm := range lost {
+	vms := harness.vmsByEnds()
+	if len(vms) > 0 {
+		vms = findVMLoss(harness.cfg.Load.LoseVMs).pick(vms, r)
+	}
+	ends, sameIDs := 0, r.IntN(2) == 0
+	for _, vm := range vms {
 		ends += vm.PendingEnds()
 		if sameIDs {
 			harness.platform.CrashKeepingID(vm)
@@ -121,7 +121,7 @@
 			harness.platform.Crash(vm)
 		}
 	}
-	harness.log("lost: entries %s, %d VMs, with %d ends that were not acknowledged; the VMs come back under the same ids: %t", harness.cfg.Load.LoseEntries, len(lost), ends, sameIDs)
+	harness.log("lost: entries %s, %d VMs, with %d ends that were not acknowledged; the VMs come back under the same ids: %t", harness.cfg.Load.LoseEntries, len(vms), ends, sameIDs)
 	time.Sleep(vmsDown)
 	if err := harness.platform.Repair(); err != nil {
 		harness.reportViolation("%v", err)
