--- a/internal/drive/late_append_test.go
+++ b/internal/drive/late_append_test.go
@@ -4,6 +4,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -36,6 +37,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			c := newCluster(t, 3, map[string]int{"alpha": 2})
 			ids := jobIDs(2)
 			c.submit(0, ids[0], twoSteps)
@@ -95,11 +97,12 @@
 			release()
 			assert.Assert(t, tt.when < beforeOwnerRecord || refused, "no late append was refused")
 			c.emulator.CutOff()
-			for i := range c.nodes {
-				if i != owner {
-					c.awaitCompleted(i, ids...)
-				}
-			}
+			starts, next := c.startsOf(ids[1]), c.owner()
+			c.kill(next)
+			last := c.owner() // knows what the log holds
+			c.awaitCompleted(last, ids...)
+			time.Sleep(300 * time.Millisecond)
+			assert.Equal(t, c.startsOf(ids[1]), starts, "tasks of a job that was shown as completed start again")
 		})
 	}
 }
