--- a/internal/drive/relay_test.go
+++ b/internal/drive/relay_test.go
@@ -130,6 +130,71 @@
 	}
 }
 
+// TestDoubtfulAppendKeepsItsNumber guards against a flush that returns to the scheduler while a relay's call may still
+// be carried out: its sequence number would go to other records, for which the log would answer with the success of the
+// earlier ones.
+func TestDoubtfulAppendKeepsItsNumber(t *testing.T) {
+	tests := []struct {
+		name     string
+		inDoubt  bool // another entry sends the append, and the log leaves it unanswered
+		requeued bool // the flush returns to the scheduler
+	}{
+		{"refused on both ways", false, true},
+		{"refused by the log, in doubt with the relay", true, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			emulator, err := emul.NewPlatform(map[string]int{"alpha": 1}, 300*time.Millisecond)
+			assert.NilError(t, err)
+			defer emulator.Close()
+			answeredAt := time.Time{}
+			if tt.inDoubt {
+				answeredAt = time.Now()
+			}
+			helper, owner := relayNode(t, emulator, "helper", answeredAt), relayNode(t, emulator, "owner", time.Time{})
+			emulator.CutOff("owner")
+			owner.syncPeers.heardOf(helper.address, time.Now())
+			part := partitionWithJob(t, owner, 0)
+			part.number = 1
+			defer part.store.Close()
+			emulator.Store.SetFaults(func(s *emul.Store) { s.OnAppend = func(int, int64) bool { return true } })
+			const seq = 7
+			part.flushing, part.nextSequence = true, seq+1
+			f, err := part.scheduler.Flush(time.Now(), 1<<20)
+			assert.NilError(t, err)
+			if f == nil {
+				f = &sched.Flush{}
+			}
+			f.Records = append(f.Records, site.Record{Key: "k", Value: []byte("v")})
+			go part.append(f, nil, seq)
+			handleEvents := func(until func() bool) {
+				for end := time.Now().Add(4 * requeueAfter); time.Now().Before(end) && !until(); {
+					select {
+					case event := <-part.events:
+						event(time.Now())
+					case <-time.After(10 * time.Millisecond):
+					}
+				}
+			}
+			handleEvents(func() bool { return !part.flushing })
+			assert.Equal(t, !part.flushing, tt.requeued)
+			if tt.requeued {
+				assert.Equal(t, part.nextSequence, int64(seq))
+				return
+			}
+			emulator.Store.SetFaults(func(s *emul.Store) { s.OnAppend = nil })
+			emulator.Store.ReleaseHeld()
+			emulator.CutOff()
+			handleEvents(func() bool { return !part.flushing })
+			assert.Assert(t, !part.flushing, "the append has no result")
+			assert.Equal(t, part.nextSequence, int64(seq+1))
+			table, err := part.store.JobTable(t.Context(), part.number)
+			assert.NilError(t, err)
+			assert.Equal(t, table.End, int64(1), "the records are stored once")
+		})
+	}
+}
+
 // TestUnknownRelayOutcomeIsInDoubt guards against an outcome of a later version that is taken for a refusal: the sequence
 // number would go to other records, which the log would take for a repeat.
 func TestUnknownRelayOutcomeIsInDoubt(t *testing.T) {
