sched: only polls that a VM may still carry out delay runs on a VM that came back

A poll that could not be sent, or was refused, will not be carried out later, so a VM that comes back under its ID need not wait for it. TestOnlyPollsInDoubtDelayRuns

--- a/internal/sched/late_polls_test.go
+++ b/internal/sched/late_polls_test.go
@@ -145,3 +145,40 @@
 	}
 	t.Fatal("the task does not start again")
 }
+
+// TestOnlyPollsInDoubtDelayRuns guards against a VM that came back under its ID and waits for runs although no poll of its
+// earlier life can still be carried out.
+func TestOnlyPollsInDoubtDelayRuns(t *testing.T) {
+	tests := []struct {
+		name    string
+		result  error // of the last poll that acknowledged ends; nil for an answer
+		backAt  int   // ms
+		delayed bool
+	}{
+		{"answered", nil, 1000, false},
+		{"not sent", site.ErrNotDone, 1000, false},
+		{"not answered", errNoAnswer, 1000, true},
+		{"not answered, back much later", errNoAnswer, 20_000, false},
+	}
+	for _, tt := range tests {
+		r := &rebornVM{fixture: newFixture(t, testVM("a")), simVM: &simVM{id: "a"}}
+		r.reboot(0, 1)
+		r.submit(0, testJob(jobID, jobs.Step{Count: 1, CPU: 1000, EstimateMS: 100}))
+		assert.Equal(t, r.startAll(10), 1, tt.name)
+		r.finish(jobID+".0.0.0", site.Done)
+		r.pollOnce(100, false)
+		r.flush(110)
+		p, _ := r.s.NextPoll(at(120), "a", false)
+		assert.Equal(t, p.AckCursor, int64(1), tt.name)
+		if tt.result == nil {
+			r.s.HandlePoll(at(130), "a", at(120), &site.VMStatus{Born: 1, ClockMS: 1130, Answers: p})
+		} else {
+			r.s.HandlePollFailure(at(130), "a", tt.result)
+		}
+		r.reboot(tt.backAt, 2)
+		r.pollOnce(tt.backAt+10, true)
+		r.flush(tt.backAt + 20)
+		r.pollOnce(tt.backAt+30, false)
+		assert.Equal(t, !r.s.vms["a"].usable(at(tt.backAt+40), &r.s.policy), tt.delayed, tt.name)
+	}
+}
--- a/internal/sched/polls_in_doubt.go
+++ b/internal/sched/polls_in_doubt.go
@@ -19,8 +19,8 @@
 	p.sentAt = now
 }
 
-// answer records that the poll under way was answered, and so carried out.
-func (p *pollsInDoubt) answer() { p.sentAt = time.Time{} }
+// settle records that the poll under way was answered, and so carried out or refused, or that it was not sent.
+func (p *pollsInDoubt) settle() { p.sentAt = time.Time{} }
 
 // fail records that the poll under way, if any, was not answered.
 func (p *pollsInDoubt) fail() {
@@ -53,10 +53,10 @@
 // settlePolls records the answer to a status poll, and the first run end that it lists.
 func (v *vm) settlePolls(status *site.VMStatus) {
 	if status.Answers.AckCursor > 0 {
-		v.polls.acks.answer()
+		v.polls.acks.settle()
 	}
 	if status.Answers.UntilMS > 0 {
-		v.polls.renewals.answer()
+		v.polls.renewals.settle()
 	}
 	v.firstListed = 0
 	for i := range status.Ended {
--- a/internal/sched/replies.go
+++ b/internal/sched/replies.go
@@ -129,8 +129,13 @@
 		return
 	}
 	v.pollFailed = true
-	v.polls.acks.fail()
-	v.polls.renewals.fail()
+	if site.IsUnanswered(err) {
+		v.polls.acks.fail()
+		v.polls.renewals.fail()
+	} else {
+		v.polls.acks.settle()
+		v.polls.renewals.settle()
+	}
 	if v.failedAt.IsZero() {
 		v.failedAt = at
 	}
