drive: an owner waits for former owners that other claims have come after

Callers saw nothing of this so far; found by review. An owner that is cut off from the log and the other entries may renew leases until a VM tells it of the next owner. The next owner waits for that, but only if it is itself the one that comes after: it looked at the last owner alone. If an entry claimed the partition in between and ended at once, or if the owner's own first claim was stored without an answer, the last owner was known to have ended, and the wait was that for leases that begin no later than the claim: two runs at once on VMs that only the former owner reaches.

An owner now leaves its epoch under the key sole-owner once the owners before it have ended, or it has reached a VM and they have had the time to hear of it. A claim relies on the end of the last owner only if that holds its epoch.

No play of whole processes has shown it.

--- a/internal/drive/claim.go
+++ b/internal/drive/claim.go
@@ -120,7 +120,8 @@
 	}
 	part.scheduler = sched.New(epoch, part.node.policy, part.log)
 	part.scheduler.Restore(time.Now(), last.Epoch, table.Records)
-	if last.Epoch > 0 && !former.ended {
+	part.soleOwner = last.Epoch == 0 || (former.ended && part.lastWasSole)
+	if !part.soleOwner {
 		part.scheduler.FormerOwnerMayContinue()
 	}
 	part.claimed = claimedTable{lastEpoch: last.Epoch, tableEnd: table.End, records: len(table.Records)}
--- a/internal/drive/control_records.go
+++ b/internal/drive/control_records.go
@@ -14,6 +14,7 @@
 	ownerKey      = "owner"
 	epochKey      = "epoch"       // stored by a claimant to fence off the last owner if it did not yield
 	storedOnlyKey = "stored-only" // holds an owner's epoch: what was shown as completed up to then, and by that owner, is stored
+	soleOwnerKey  = "sole-owner"  // holds an owner's epoch: the owners before it renew no leases any more
 	waveKeyPrefix = "wave/"
 	ordersKey     = "orders"
 	maxClockSkew  = 2 * time.Second // between the wall clocks of two entries
@@ -71,10 +72,10 @@
 }
 
 // readControlRecords sets part.restored from the records of waves and orders and returns the
-// last owner, whose epoch is 0 if there is none. It sets part.storedOnly too.
+// last owner, whose epoch is 0 if there is none. It sets part.storedOnly and part.lastWasSole too.
 func (part *ownedPartition) readControlRecords(records []site.Record) ownerRecord {
 	var last ownerRecord
-	var storedOnlyEpoch int64
+	var storedOnlyEpoch, soleEpoch int64
 	part.restored = restoredFleet{waves: map[int64]waveRecord{}}
 	for _, r := range records {
 		switch {
@@ -90,6 +91,12 @@
 			} else {
 				storedOnlyEpoch = *e
 			}
+		case r.Key == soleOwnerKey:
+			if e, err := jobs.Decode[int64](r.Value); err != nil {
+				part.log.WithError(err).Warn("skipping the epoch of an owner beside which no other renewed leases: it cannot be decoded")
+			} else {
+				soleEpoch = *e
+			}
 		case strings.HasPrefix(r.Key, waveKeyPrefix):
 			if w, err := jobs.Decode[waveRecord](r.Value); err != nil {
 				part.log.WithError(err).Warn("skipping a wave record that cannot be decoded")
@@ -104,6 +111,6 @@
 			}
 		}
 	}
-	part.storedOnly = storedOnlyEpoch == last.Epoch
+	part.storedOnly, part.lastWasSole = storedOnlyEpoch == last.Epoch, soleEpoch == last.Epoch
 	return last
 }
--- a/internal/drive/partition.go
+++ b/internal/drive/partition.go
@@ -42,6 +42,7 @@
 	loaded         chan struct{}    // closed once the partition is claimed and its records are read
 	nextSequence   int64            // sequence number of the next append
 	storedOnly     bool             // what the last owner and those before have shown as completed is stored; set by the claim
+	lastWasSole    bool             // the owners before the last one renew no leases any more; set by the claim
 	lastTriedEpoch int64            // epoch of the last claim attempt; its records may be stored although it failed
 	appendTimeout  *retry.Estimator // used by the claim, then by the append in progress
 	relays         relay.Peers      // used by the append in progress
@@ -62,6 +63,9 @@
 	lastRoundAt    time.Time       // zero before the first round
 	unconfirmed    bool            // no decisions until the log has confirmed the ownership
 	pauses         int             // after which the ownership was, or is to be, confirmed
+	soleOwner      bool            // no earlier owner renews leases; set by the claim, or once all have heard of this one
+	soleRecorded   bool            // the record under soleOwnerKey is in pendingRecords or was
+	reachedAt      time.Time       // when the first VM had answered a status poll; zero before
 	pendingRecords []controlRecord // records of the mover, for the next flush
 	restored       restoredFleet   // control records read by the claim, for the mover; set before loaded is closed
 	mover          *mover          // nil unless this is the fleet partition
@@ -161,6 +165,7 @@
 			part.execute(ctx, now, a)
 		}
 	}
+	part.recordSoleOwner(now)
 	part.refuseHeld(now)
 	part.syncSessions(ctx)
 	stats := part.scheduler.Stats()
--- a/internal/drive/yield.go
+++ b/internal/drive/yield.go
@@ -7,6 +7,9 @@
 	"time"
 
 	"github.com/greengagelane/greengagelane/internal/peer"
+	"github.com/greengagelane/greengagelane/internal/sched"
+	"github.com/greengagelane/greengagelane/pkg/jobs"
+	"github.com/greengagelane/greengagelane/pkg/site"
 )
 
 const (
@@ -108,3 +111,27 @@
 	}()
 	return answer
 }
+
+// recordSoleOwner has the next flush tell later owners that the owners before this one renew no leases any more: they have
+// ended, or have heard of this owner from a VM. Without it, a later owner would see this one only, and not wait for them.
+func (part *ownedPartition) recordSoleOwner(now time.Time) {
+	if part.soleRecorded {
+		return
+	}
+	if !part.soleOwner {
+		if reached, _ := part.scheduler.ReachedVMs(); reached > 0 && part.reachedAt.IsZero() {
+			part.reachedAt = now
+		}
+		if part.reachedAt.IsZero() || now.Sub(part.reachedAt) <= sched.FormerOwnerNotice {
+			return
+		}
+		part.soleOwner = true
+	}
+	data, err := jobs.Encode(&part.scheduler.Epoch)
+	if err != nil {
+		part.log.WithError(err).Error("cannot encode the epoch")
+		return
+	}
+	part.soleRecorded = true
+	part.pendingRecords = append(part.pendingRecords, controlRecord{record: site.Record{Key: soleOwnerKey, Value: data}})
+}
--- a/internal/sched/vm.go
+++ b/internal/sched/vm.go
@@ -135,17 +135,17 @@
 // LongestPoll is the longest time that a VM delays its reply to a status poll.
 const LongestPoll = 2 * time.Second
 
-// formerOwnerNotice is the longest time after a claim for which a former owner that is cut off from the log and the
+// FormerOwnerNotice is the longest time after a claim for which a former owner that is cut off from the log and the
 // other entries goes on renewing leases: until its next call to a VM that the new owner has polled.
-const formerOwnerNotice = LongestPoll + 500*time.Millisecond
+const FormerOwnerNotice = LongestPoll + 500*time.Millisecond
 
-// FormerOwnerMayContinue tells a new owner that the former one may not know that it has lost the partition. Its runs on VMs
-// that this owner does not reach may last longer.
+// FormerOwnerMayContinue tells a new owner that the former one, or one before it, may not know that it has lost the
+// partition. Its runs on VMs that this owner does not reach may last longer.
 func (s *Scheduler) FormerOwnerMayContinue() {
 	for id, until := range s.unverified {
-		s.unverified[id] = until.Add(formerOwnerNotice)
+		s.unverified[id] = until.Add(FormerOwnerNotice)
 		if v := s.vms[id]; v != nil {
-			v.leasesEnd = v.leasesEnd.Add(formerOwnerNotice)
+			v.leasesEnd = v.leasesEnd.Add(FormerOwnerNotice)
 		}
 	}
 }
