drive: an owner that was paused denies no job before its ownership is confirmed

An owner that was paused confirms its ownership before it decides anything, but answered requests from memory at once. A job that a later owner had accepted meanwhile was unknown to it: as the answer to the look-up before a submission this lets another partition, to which the queue has moved, accept the job once more, so its tasks run twice; as the answer to a cancellation it counts as one while the tasks go on.

Until the ownership is confirmed, such a request is undecided, and the entry that asks tries again. TestPausedOwnerDeniesNoJob failed before in its rows of pauses ("no-such-job").

--- a/internal/drive/pause.go
+++ b/internal/drive/pause.go
@@ -13,8 +13,7 @@
 // orders of this one, which takes all VMs for silent after a long pause and starts their tasks
 // elsewhere. A record that was on its way before a further pause confirms nothing.
 func (part *ownedPartition) confirmOwnership(now time.Time) bool {
-	pause := now.Sub(part.lastRoundAt)
-	paused := !part.lastRoundAt.IsZero() && pause >= memberTTL
+	paused, pause := part.paused(now), now.Sub(part.lastRoundAt)
 	part.lastRoundAt = now
 	if !paused {
 		return !part.unconfirmed
@@ -36,3 +35,8 @@
 	})
 	return false
 }
+
+// paused reports whether another entry may have taken the partition over since the last round.
+func (part *ownedPartition) paused(now time.Time) bool {
+	return !part.lastRoundAt.IsZero() && now.Sub(part.lastRoundAt) >= memberTTL
+}
--- a/internal/drive/requests.go
+++ b/internal/drive/requests.go
@@ -112,7 +112,7 @@
 		}
 	case site.CancelJob:
 		if !part.scheduler.Cancel(now, c.ID) {
-			w.answer(site.Reply{Outcome: site.NoSuchJob})
+			w.answer(part.replyUnknown(now))
 			return
 		}
 		part.addWaiter(w)
@@ -123,10 +123,11 @@
 			return
 		}
 		if !ok {
-			if c.BeforeSubmit {
+			r := part.replyUnknown(now)
+			if c.BeforeSubmit && r.Outcome == site.NoSuchJob {
 				part.lookUps.record(now, c.ID)
 			}
-			w.answer(site.Reply{Outcome: site.NoSuchJob})
+			w.answer(r)
 			return
 		}
 		w.answer(site.Reply{Outcome: site.OK, State: state.String()})
@@ -135,6 +136,14 @@
 	}
 }
 
+// replyUnknown returns the reply to a request about a job that is not known. After a pause a later owner may know it.
+func (part *ownedPartition) replyUnknown(now time.Time) site.Reply {
+	if part.unconfirmed || part.paused(now) {
+		return site.Reply{Outcome: site.Undecided, Reason: "the partition may have another owner"}
+	}
+	return site.Reply{Outcome: site.NoSuchJob}
+}
+
 // submit passes a job to the scheduler. An accepted request waits until the job is stored. During a
 // log outage a new job is refused at once if it could not be in time even if it began now.
 func (part *ownedPartition) submit(now time.Time, j *jobs.Job, w *waiter) {
