sched: ends of runs of an unreadable job are not acknowledged

Callers saw nothing of this so far; found by review. An owner that cannot decode a record of a job keeps the job's records for one that can, such as an owner of another build. It did not know the job's tasks, so it took nothing from the ends of their runs, and acknowledged them. The next owner that read the records started done tasks again.

The VM keeps these ends, and those after them, until the job is cancelled or an owner can read it. If the VM's list of ends is cut off, all are acknowledged as before, since they would hide the ends of other jobs for good.

TestEndsOfUnreadableJobStayUnacknowledged failed before in both rows: a done task was started again. Not covered: a VM whose list is cut off, and the loss of the VM.

--- a/internal/sched/flush.go
+++ b/internal/sched/flush.go
@@ -83,8 +83,8 @@
 		}
 	}
 	for _, v := range s.vms {
-		if v.seenSeq > v.storedSeq {
-			f.cursors = append(f.cursors, Cursor{VM: v.ID, Incarnation: v.Born, Sequence: v.seenSeq})
+		if seq := s.lastAcknowledgeable(v); seq > v.storedSeq {
+			f.cursors = append(f.cursors, Cursor{VM: v.ID, Incarnation: v.Born, Sequence: seq})
 		}
 	}
 	if deferred > 0 {
--- a/internal/sched/observe.go
+++ b/internal/sched/observe.go
@@ -50,6 +50,7 @@
 		v.leasesEnd = now.Add(s.policy.localDuration(s.policy.MaxLease))
 	}
 	v.quarantinedUntil, v.probation, v.consecutiveFailures, v.quarantineTime, v.speed = time.Time{}, false, 0, 0, 0
+	v.unreadableEnds = nil
 }
 
 // releaseRun detaches a run that has certainly ended from its VM and task.
@@ -274,6 +275,9 @@
 		s.releaseRun(r, e.How.String())
 	}
 	j := s.jobs[id.Job]
+	if _, unreadable := s.unreadable[id.Job]; unreadable {
+		v.unreadableEnds = append(v.unreadableEnds, unreadableEnd{job: id.Job, sequence: e.Sequence})
+	}
 	if j == nil || j.state.Final() {
 		return
 	}
--- a/internal/sched/unreadable.go
+++ b/internal/sched/unreadable.go
@@ -69,3 +69,22 @@
 	s.jobs[id] = j
 	delete(s.unreadable, id)
 }
+
+// unreadableEnd is the end of a run of a job of which a record cannot be decoded.
+type unreadableEnd struct {
+	job      string
+	sequence int64
+}
+
+// lastAcknowledgeable returns the sequence number up to which a VM may forget run ends. It keeps those of unreadable jobs
+// for an owner that can decode their records, unless its list is cut off: then they hide the ends of other jobs.
+func (s *Scheduler) lastAcknowledgeable(v *vm) int64 {
+	v.unreadableEnds = slices.DeleteFunc(v.unreadableEnds, func(e unreadableEnd) bool {
+		_, unreadable := s.unreadable[e.job]
+		return !unreadable || e.sequence <= v.storedSeq
+	})
+	if len(v.unreadableEnds) == 0 || v.endsCut {
+		return v.seenSeq
+	}
+	return v.unreadableEnds[0].sequence - 1
+}
--- a/internal/sched/vm.go
+++ b/internal/sched/vm.go
@@ -34,6 +34,7 @@
 	leasesEnd           time.Time        // by then all leases granted so far have expired, on the local clock
 	seenSeq             int64            // run ends up to this sequence number are processed
 	storedSeq           int64            // run ends up to this sequence number have their effect in the job log
+	unreadableEnds      []unreadableEnd  // that it may still list
 	ackedSeq            int64            // run ends up to this sequence number were acknowledged to it
 	backoffUntil        time.Time        // no run is started before this time; set when the VM refuses a start
 	consecutiveFailures int              // failed runs since the last successful one; a stall counts as two
