sched: a VM that has answered a new owner is not waited for longer if it is lost

The wait for a former owner that may not know of the claim was added to the leases of all VMs. On a VM that had answered the new owner, and was lost then, tasks started again 2.5 s later than before, though the former owner renews no leases there: the VM refuses its lower fencing token.

The first answer bounds the leases of earlier owners.

--- a/internal/sched/former_owner_test.go
+++ b/internal/sched/former_owner_test.go
@@ -65,3 +65,32 @@
 	assert.Equal(t, len(r.starts(100+wait-10)), 0)
 	assert.Equal(t, len(r.starts(100+wait+10)), 1)
 }
+
+// TestVMThatAnsweredIsNotWaitedForLonger guards against a longer wait for a VM that is lost after it has answered a new owner:
+// the former one renews no leases there.
+func TestVMThatAnsweredIsNotWaitedForLonger(t *testing.T) {
+	const claimed, answered, rounds = 1000, 1010, 100 // ms
+	p := testPolicy()
+	wait := int((p.localDuration(p.Lease) + leaseMargin).Milliseconds())
+	for _, mayContinue := range []bool{false, true} {
+		r := newFixture(t, testVM("a"), testVM("b"))
+		r.submit(0, testJob(jobID, jobs.Step{Count: 1, CPU: 1000, EstimateMS: 60_000}))
+		run := r.starts(10)[0]
+		r.flush(20)
+		other := map[string]string{"a": "b", "b": "a"}[run.VM]
+		r.takeover(claimed, testVM("a"), testVM("b"))
+		if mayContinue {
+			r.s.FormerOwnerMayContinue()
+		}
+		r.poll(answered, run.VM, site.VMStatus{Running: []site.Run{running(run)}})
+		started := 0
+		for ms := answered + 10; started == 0 && ms < 20_000; ms += 10 {
+			r.poll(ms, other, site.VMStatus{})
+			r.flush(ms)
+			if len(r.starts(ms)) > 0 {
+				started = ms - answered
+			}
+		}
+		assert.Assert(t, started > wait-20 && started < wait+rounds, "former owner may continue: %t; started %d ms after the answer", mayContinue, started)
+	}
+}
--- a/internal/sched/unlisted.go
+++ b/internal/sched/unlisted.go
@@ -51,13 +51,18 @@
 // verifyVM marks a VM as verified once it has listed all that runs of earlier owners may have left there. As
 // long as its list of run ends is cut off, any task of an earlier owner may have ended there.
 func (s *Scheduler) verifyVM(now time.Time, v *vm) {
-	if !v.endsCut {
-		delete(s.unverified, v.ID)
+	if _, unverified := s.unverified[v.ID]; !unverified {
 		return
 	}
-	if _, unverified := s.unverified[v.ID]; unverified {
-		s.unverified[v.ID] = now.Add(s.policy.localDuration(s.policy.Lease) + leaseMargin)
+	until := now.Add(s.policy.localDuration(s.policy.Lease) + leaseMargin)
+	if v.leasesEnd.After(until) { // earlier owners have renewed none since the answer
+		v.leasesEnd = until
 	}
+	if v.endsCut {
+		s.unverified[v.ID] = until
+		return
+	}
+	delete(s.unverified, v.ID)
 }
 
 // endsWhenUnlisted reports whether a run has ended if a later status poll does not list it.
