--- a/internal/sched/observe.go
+++ b/internal/sched/observe.go
@@ -51,6 +51,7 @@
 	v.Born, v.seenSeq, v.storedSeq, v.ackedSeq, v.polled, v.ended, v.endsCut = born, 0, 0, 0, false, false, false
 	v.clockMS, v.clockAt, v.failedAt, v.lapsed = 0, time.Time{}, time.Time{}, false
 	v.quarantinedUntil, v.probation, v.consecutiveFailures, v.quarantineTime, v.speed = time.Time{}, false, 0, 0, 0
+	v.unreadableEnds = nil
 }
 
 // releaseRun detaches a run that has certainly ended from its VM and task.
@@ -297,6 +298,9 @@
 		s.releaseRun(r, e.How.String())
 	}
 	j := s.jobs[id.Job]
+	if _, unreadable := s.unreadable[id.Job]; unreadable {
+		v.unreadableEnds = append(v.unreadableEnds, unreadableEnd{job: id.Job, sequence: e.Sequence})
+	}
 	if j == nil || j.state.Final() {
 		return
 	}
