sched: a run has stalled only without progress since it began

The time without progress after which a run is stopped and its VM is quarantined counted from the decision to start it. An order that waited for longer than that, in the queue of a VM with hundreds of short tasks, made the run stall in the moment in which it was accepted: it was stopped, its VM was quarantined for up to 8 s, and its tasks went to the next VM's queue. Long-running tasks were stopped in the same way, without regard to the others of their step.

Progress now counts from the first answer or list that shows the run.

--- a/internal/sched/observe.go
+++ b/internal/sched/observe.go
@@ -227,10 +227,10 @@
 	}
 }
 
-// confirm records that the VM has begun a run.
+// confirm records that the VM has begun a run. Its order may have waited for long, so its progress counts from here on.
 func (r *run) confirm(now time.Time) {
 	if r.confirmedAt.IsZero() {
-		r.confirmedAt = now
+		r.confirmedAt, r.progressAt = now, now
 	}
 }
 
