sched: a long-running task whose start is not answered is looked for before it is stopped

A start without an answer was withdrawn at once.

The VM is now polled out of turn, and the stop waits until a poll shows that the run is not there, at most for as long as a VM's silence is borne. Other tasks are withdrawn at once as before, since their restart elsewhere is worth more. TestUnansweredStartsOfLongRunningTasks failed before: two stops although both VMs list the runs.

--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -108,6 +108,7 @@
 	lossCounted    bool      // the loss of a VM's incarnation counts against its task
 	heardAt        time.Time // when the VM had last answered a call before the start was ordered
 	nextStopAt     time.Time // no stop order is sent before this time
+	awaitsPoll     bool      // its stop waits for a status poll, which may list it
 	stopInFlight   bool      // a stop order is under way
 	stopConfirmed  bool      // the VM has confirmed a stop order
 	stopReason     string    // shown to operators
--- a/internal/sched/replies.go
+++ b/internal/sched/replies.go
@@ -50,6 +50,10 @@
 	case r.phase == starting:
 		r.phase = startUnverified
 		r.stopReason = "start not answered"
+		if r.step().Lasts { // a poll may list it; to stop it would take it away beside others that are away
+			r.awaitsPoll, r.nextStopAt = true, now.Add(s.policy.SilentAfter)
+			s.emit(PollVM{VM: v.ID})
+		}
 		s.log.WithError(err).WithFields(logrus.Fields{
 			"task": a.Order.Task, "run": r.number, "vm": v.ID, "repeated": a.Repeated, "refusal": refusal.String(),
 		}).Info("start order not answered; the run is stopped")
--- a/internal/sched/unlisted.go
+++ b/internal/sched/unlisted.go
@@ -24,6 +24,9 @@
 			r.endUnknown, r.missedAt = false, time.Time{}
 			continue
 		}
+		if r.awaitsPoll && r.answeredAt.Before(pollStart) {
+			r.awaitsPoll, r.nextStopAt = false, now
+		}
 		if !r.endsWhenUnlisted() || !r.answeredAt.Before(pollStart) {
 			continue
 		}
