--- a/internal/sched/vm.go
+++ b/internal/sched/vm.go
@@ -34,6 +34,7 @@
 	leasesEnd           time.Time        // by then all leases granted so far have expired, on the local clock
 	seenSeq             int64            // run ends up to this sequence number are processed
 	storedSeq           int64            // run ends up to this sequence number have their effect in the job log
+	unreadableEnds      []unreadableEnd  // that it may still list
 	ackedSeq            int64            // run ends up to this sequence number were acknowledged to it
 	firstListed         int64            // sequence number of the first run end that its last reply listed; 0 if it listed none
 	polls               vmPolls          // that it may still carry out
