sched: a status poll out of turn settles no other one

Callers saw nothing of this so far; found by review. A poll out of turn that could not be sent counted as the end of the poll that the poll loop had under way. If the VM left that one unanswered, it was forgotten: a VM that came back under its ID got runs at once, and the late poll could acknowledge their ends before the owner had seen them, so done tasks would start again.

A failed poll settles itself only. TestPollOutOfTurnSettlesNoOther failed before in its row with such a poll. The row "not sent" of TestOnlyPollsInDoubtDelayRuns settles its poll as a session does; what it asserts is as before.

--- a/internal/drive/session.go
+++ b/internal/drive/session.go
@@ -207,6 +207,9 @@
 	endedAt := time.Now()
 	s.part.post(func(now time.Time) {
 		if err != nil {
+			if !site.IsUnanswered(err) {
+				s.part.scheduler.SettlePoll(s.id, poll)
+			}
 			s.part.scheduler.HandlePollFailure(endedAt, s.id, err)
 			return
 		}
--- a/internal/sched/late_polls_test.go
+++ b/internal/sched/late_polls_test.go
@@ -173,6 +173,9 @@
 		if tt.result == nil {
 			r.s.HandlePoll(at(130), "a", at(120), &site.VMStatus{Born: 1, ClockMS: 1130, Answers: p})
 		} else {
+			if !site.IsUnanswered(tt.result) {
+				r.s.SettlePoll("a", &p)
+			}
 			r.s.HandlePollFailure(at(130), "a", tt.result)
 		}
 		r.reboot(tt.backAt, 2)
--- a/internal/sched/polls_in_doubt.go
+++ b/internal/sched/polls_in_doubt.go
@@ -50,14 +50,26 @@
 	return p.renewals.lastInDoubt()
 }
 
-// settlePolls records the answer to a status poll, and the first run end that it lists.
-func (v *vm) settlePolls(status *site.VMStatus) {
-	if status.Answers.AckCursor > 0 {
-		v.polls.acks.settle()
+// SettlePoll records that a status poll was answered, and so carried out or refused, or that it was not sent. Another one
+// may be under way.
+func (s *Scheduler) SettlePoll(id string, poll *site.StatusPoll) {
+	if v := s.vms[id]; v != nil {
+		v.polls.settle(poll)
+	}
+}
+
+func (p *vmPolls) settle(poll *site.StatusPoll) {
+	if poll.AckCursor > 0 {
+		p.acks.settle()
 	}
-	if status.Answers.UntilMS > 0 {
-		v.polls.renewals.settle()
+	if poll.UntilMS > 0 {
+		p.renewals.settle()
 	}
+}
+
+// settlePolls records the answer to a status poll, and the first run end that it lists.
+func (v *vm) settlePolls(status *site.VMStatus) {
+	v.polls.settle(&status.Answers)
 	v.firstListed = 0
 	for i := range status.Ended {
 		if n := status.Ended[i].Sequence; v.firstListed == 0 || n < v.firstListed {
--- a/internal/sched/replies.go
+++ b/internal/sched/replies.go
@@ -136,9 +136,6 @@
 	if site.IsUnanswered(err) {
 		v.polls.acks.fail()
 		v.polls.renewals.fail()
-	} else {
-		v.polls.acks.settle()
-		v.polls.renewals.settle()
 	}
 	if v.failedAt.IsZero() {
 		v.failedAt = at
