sched: a wait that begins anew shortens no lease

Callers saw nothing of this so far; found by review. After a pause the leases of all VMs that may hold runs of an earlier owner counted as those of an earlier owner, also where they end later: on a VM whose list of run ends is cut off and that has restarted with a start order under way, the longest lease. Its runs could be started elsewhere while they went on.

--- a/internal/sched/handover.go
+++ b/internal/sched/handover.go
@@ -100,7 +100,7 @@
 	for id := range s.unverified {
 		until := now.Add(s.policy.localDuration(s.policy.Lease) + leaseMargin + s.formerOwnerNotice)
 		s.unverified[id] = until
-		if v := s.vms[id]; v != nil {
+		if v := s.vms[id]; v != nil && until.After(v.leasesEnd) {
 			v.leasesEnd = until
 		}
 	}
