sched: long-running tasks start at once on a VM that came back under its ID

A VM that comes back under its ID gets no runs for up to 15 s while it may carry out an acknowledgement of its earlier life. An end that is acknowledged unseen costs such a task nothing: it starts again however its run ends.

TestLongRunningTasksStartOnVMThatCameBack failed before in its row of long-running tasks.

--- a/internal/sched/idle.go
+++ b/internal/sched/idle.go
@@ -14,9 +14,12 @@
 
 // recordIdle records what a round left idle, without VMs whose cores are all in use. Of the tasks that
 // waited in the round, only those beyond the quotas of their accounts could use it.
-func (p *pool) recordIdle(round int64, cands []*candidate) {
+func (p *pool) recordIdle(now time.Time, round int64, cands []*candidate) {
 	p.leftIdle, p.placedRound = p.leftIdle[:0], round
 	for _, c := range cands {
+		if now.Before(c.vm.lateAckUntil) {
+			continue
+		}
 		free := c.free
 		if c.reserved {
 			free = free.min(c.spare)
--- a/internal/sched/late_polls_test.go
+++ b/internal/sched/late_polls_test.go
@@ -185,3 +185,37 @@
 		assert.Equal(t, !r.s.vms["a"].usable(at(tt.backAt+40), &r.s.policy), tt.delayed, tt.name)
 	}
 }
+
+// TestLongRunningTasksStartOnVMThatCameBack guards against long-running tasks that wait for a poll of the VM's earlier life.
+func TestLongRunningTasksStartOnVMThatCameBack(t *testing.T) {
+	for _, lasts := range []bool{true, false} {
+		r := &rebornVM{fixture: newFixture(t, testVM("a")), simVM: &simVM{id: "a"}}
+		r.reboot(0, 1)
+		r.submit(0, testJob("00000000000000a1", jobs.Step{Count: 1, CPU: 1000, EstimateMS: 100}))
+		assert.Equal(t, r.startAll(10), 1)
+		r.finish("00000000000000a1.0.0.0", site.Done)
+		r.pollOnce(100, false)
+		r.flush(110)
+		late, ok := r.s.NextPoll(at(120), "a", false)
+		assert.Assert(t, ok && late.AckCursor == 1)
+		r.s.HandlePollFailure(at(220), "a", errNoAnswer)
+		r.reboot(400, 2)
+		list := []site.VM{testVM("a")}
+		list[0].Born = 2
+		r.s.SetVMs(at(400), list)
+		step := jobs.Step{Count: 1, CPU: 1000, EstimateMS: 100}
+		if lasts {
+			step.Lasts, step.MayMiss = true, 1
+		}
+		j := testJob("00000000000000a2", step)
+		j.SubmittedMS, j.TargetMS = at(400).UnixMilli(), 60_000
+		r.submit(400, j)
+		started := 0
+		for ms := 420; ms < 2000; ms += 20 {
+			r.pollOnce(ms, false)
+			r.flush(ms)
+			started += r.startAll(ms)
+		}
+		assert.Equal(t, started > 0, lasts, "long-running: %t", lasts)
+	}
+}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -53,7 +53,7 @@
 		j.consideredIn = s.round
 	}
 	p := s.pool(name)
-	defer func() { p.recordIdle(s.round, cands) }()
+	defer func() { p.recordIdle(now, s.round, cands) }()
 	if len(cands) == 0 {
 		return
 	}
@@ -107,14 +107,14 @@
 	}
 }
 
-// candidates returns the pool's VMs that may get new runs.
+// candidates returns the pool's VMs that may get new runs, some of them of long-running tasks only.
 func (s *Scheduler) candidates(now time.Time, pool string) []*candidate {
 	var cands []*candidate
 	if s.unguarded[pool] && now.Sub(s.listReceivedAt) > s.policy.CapacityNotice {
 		return nil
 	}
 	for _, v := range s.sortedVMs(pool) {
-		if !v.usable(now, &s.policy) {
+		if !v.takesLasting(now, &s.policy) {
 			continue
 		}
 		c := &candidate{vm: v, free: v.freeResources(), trial: v.onTrial(now)}
@@ -285,7 +285,7 @@
 // suits reports whether a task may run on a candidate, apart from the room there.
 func (s *Scheduler) suits(now time.Time, t *task, c *candidate) bool {
 	st := t.step
-	if st.Label != "" && !c.vm.Has(st.Label) {
+	if (st.Label != "" && !c.vm.Has(st.Label)) || (!st.Lasts && now.Before(c.vm.lateAckUntil)) {
 		return false
 	}
 	if st.PerVM > 0 && c.vm.countSameStep(t) >= st.PerVM {
--- a/internal/sched/vm.go
+++ b/internal/sched/vm.go
@@ -38,7 +38,7 @@
 	ackedSeq            int64            // run ends up to this sequence number were acknowledged to it
 	firstListed         int64            // sequence number of the first run end that its last reply listed; 0 if it listed none
 	polls               vmPolls          // that it may still carry out
-	lateAckUntil        time.Time        // no run is started before this time; see awaitLateCalls
+	lateAckUntil        time.Time        // no run but of a long-running task is started before this time; see awaitLateCalls
 	backoffUntil        time.Time        // no run is started before this time; set when the VM refuses a start
 	consecutiveFailures int              // failed runs since the last successful one; a stall counts as two
 	failedJob           string           // job of the last failure
@@ -88,12 +88,18 @@
 
 // usable reports whether the VM may get new runs.
 func (v *vm) usable(now time.Time, p *Policy) bool {
+	return v.takesLasting(now, p) && !now.Before(v.lateAckUntil)
+}
+
+// takesLasting reports whether the VM may get new runs of long-running tasks. They start again however they end, so an
+// end that is acknowledged unseen costs them nothing.
+func (v *vm) takesLasting(now time.Time, p *Policy) bool {
 	switch {
 	case !v.listed || !v.polled || v.pollFailed || !v.recorded || v.Draining || v.cordoned || len(v.orphans) > 0:
 		return false
 	case now.Sub(v.lastAnswer) > p.SilentAfter+time.Second:
 		return false
-	case now.Before(v.backoffUntil) || now.Before(v.quarantinedUntil) || now.Before(v.lateAckUntil):
+	case now.Before(v.backoffUntil) || now.Before(v.quarantinedUntil):
 		return false
 	}
 	return !v.probation || len(v.runs) == 0
