--- a/internal/stand/soak/size.go
+++ b/internal/stand/soak/size.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"strconv"
@@ -53,8 +54,11 @@
 	set(&l.DataCentres, 1)
 	set(&l.Partitions, 4)
 	set(&l.RackSize, 4)
-	if l.Pools > len(queuePools) || len(l.PoolSizes) == 1 {
-		return fmt.Errorf("1 to %d pools are possible besides the spare one", len(queuePools))
+	if l.Pools > len(queuePools) {
+		return fmt.Errorf("%d pools are asked for, at most %d are possible", l.Pools, len(queuePools))
+	}
+	if len(l.PoolSizes) == 1 {
+		return errors.New("a pool is needed besides the spare one")
 	}
 	if l.Outages > 0 && (findEntryLoss(l.LoseEntries) == nil || findVMLoss(l.LoseVMs) == nil) {
 		return fmt.Errorf("no loss of entries is named %q or none of VMs %q", l.LoseEntries, l.LoseVMs)
