--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -117,7 +117,7 @@
 	startedAt      time.Time
 	startInFlight  bool      // the start order is under way, also after a stop was decided
 	percent        int       // of the work, as last reported
-	progressAt     time.Time // when percent last changed
+	progressAt     time.Time // when percent last changed, or the run was confirmed
 	availableSince time.Time // since when a long-running task has been available; zero if it is not
 	reportedTailMS int       // tail latency of a task that serves requests, as last reported; of other tasks the CPU in use, which is ignored
 	speedPercent   int       // of full speed, as last ordered; -1 if unknown
