emul: FreePorts gives no port that a starting process still holds

FreePorts tries ports by listening on them. A process that is being started has copies of all sockets of its parent until it executes its program, also of these. The soak as a command starts one entry after the other and is not concerned.

No process is started now while the listeners are open.

--- a/internal/stand/emul/ports.go
+++ b/internal/stand/emul/ports.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 )
 
 // The ports lie below the kernel's range of ephemeral ports, so that no outgoing connection takes
@@ -72,8 +73,11 @@
 }
 
 // freeRange returns the n ports from first on, or nil if one of them is in use. It checks
-// each port by listening on it, and closes the listeners on return.
+// each port by listening on it, and closes the listeners on return. No process may be started meanwhile:
+// it would hold the listeners until it executes its program.
 func freeRange(first, n int) []int {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	var list []int
 	for p := first; p < first+n; p++ {
 		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
--- a/internal/stand/emul/ports_test.go
+++ b/internal/stand/emul/ports_test.go
@@ -1,6 +1,10 @@
 package emul
 
 import (
+	"fmt"
+	"net"
+	"os/exec"
+	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -27,3 +31,37 @@
 		}
 	}
 }
+
+// A process that is being started holds the sockets of its parent until it executes its program.
+func TestFreePortsBesideStartingProcesses(t *testing.T) {
+	stop := make(chan struct{})
+	var active sync.WaitGroup
+	for range 4 {
+		active.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					_ = exec.Command("true").Run()
+				}
+			}
+		})
+	}
+	defer active.Wait()
+	defer close(stop)
+	var own portBlocks
+	const rounds, n = 300, 4
+	for range rounds {
+		list, err := own.take(n)
+		assert.NilError(t, err)
+		for _, p := range list {
+			ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
+			assert.NilError(t, err)
+			assert.NilError(t, ln.Close())
+		}
+	}
+	for _, ln := range own.guard {
+		ln.Close()
+	}
+}
