--- a/internal/stand/emul/ports_test.go
+++ b/internal/stand/emul/ports_test.go
@@ -34,6 +34,7 @@
 
 // A process that is being started holds the sockets of its parent until it executes its program.
 func TestFreePortsBesideStartingProcesses(t *testing.T) {
+	_ = exec.Command("true").Run() // package os tries pidfds with a process of its own at the first start, without the lock
 	stop := make(chan struct{})
 	var active sync.WaitGroup
 	for range 4 {
