drive: an entry that has missed configurations asks again which partitions hold jobs of which queues

Callers saw a job run a second time after it had been shown as completed.

Evidence, from the entries' logs (10:23): queue qa moves from the pool of partition 0 to that of partition 3 (version 16) and back (20). 44.73 the job is accepted for partition 3. entry-3 is paused and then cut off from the log, with version 12 in force; 50.16 a read of the newest records gives it version 24. In both the queue has the same pool, so it sees no move. 53.23 it looks the job up nowhere and accepts its repeated submission for partition 0, of which it is the owner now. Both partitions run it.

After a failed read the operator's records are read anew, which gives the newest configuration alone. An entry took that for the next one. Where there may have been others between, by such a read or from another entry, it now knows no more about the queues than one that starts: it looks new jobs up in all partitions until their owners have named the queues of their jobs by a configuration at least as new.

TestMissedConfigurationsMayHaveMovedQueues failed in its row "some were missed" without the change.

--- a/internal/drive/confirm.go
+++ b/internal/drive/confirm.go
@@ -70,7 +70,7 @@
 		}
 		callCtx, cancel := n.logRestored.callContext(ctx)
 		began := time.Now()
-		changes, _, err := n.confirmWatch.Next(callCtx)
+		changes, snapshot, err := n.confirmWatch.Next(callCtx)
 		cancel()
 		if err != nil {
 			logrus.WithError(err).Info("configuration not confirmed after a takeover; retrying")
@@ -78,7 +78,7 @@
 			continue
 		}
 		for _, c := range changes {
-			n.applyOperatorChange(&c)
+			n.applyOperatorChange(&c, snapshot)
 		}
 		n.confirmed.record(began)
 	}
--- a/internal/drive/member.go
+++ b/internal/drive/member.go
@@ -247,7 +247,7 @@
 	dep := &dependency{name: "operator records"}
 	for ctx.Err() == nil {
 		began := time.Now()
-		changes, _, err := w.Next(ctx)
+		changes, snapshot, err := w.Next(ctx)
 		if ctx.Err() != nil {
 			return
 		}
@@ -258,16 +258,17 @@
 			continue
 		}
 		for _, c := range changes {
-			n.applyOperatorChange(&c)
+			n.applyOperatorChange(&c, snapshot)
 		}
 		n.confirmed.record(began)
 	}
 }
 
-func (n *Node) applyOperatorChange(c *site.Change) {
+// applyOperatorChange applies a change. A snapshot holds the newest configuration alone.
+func (n *Node) applyOperatorChange(c *site.Change, snapshot bool) {
 	switch {
 	case c.Config != nil:
-		n.setConfig(c.Config, "log")
+		n.setConfig(c.Config, "log", snapshot)
 	case c.Wave != nil:
 		n.mu.Lock()
 		defer n.mu.Unlock()
@@ -371,7 +372,7 @@
 	n.syncPeers.recordCall(address, began, true, confirmedAt(began, r.ConfigAgeMS))
 	n.hearOf(r.Entries, began)
 	if r.Config != nil {
-		n.setConfig(r.Config, address)
+		n.setConfig(r.Config, address, true)
 	}
 	if at := confirmedAt(began, r.ConfigAgeMS); !at.IsZero() {
 		n.confirmed.record(at)
--- a/internal/drive/node.go
+++ b/internal/drive/node.go
@@ -228,8 +228,9 @@
 	return list, n.vmsReadAt
 }
 
-// setConfig puts a configuration in force if it is newer than the current one.
-func (n *Node) setConfig(c *site.Config, from string) {
+// setConfig puts a configuration in force if it is newer than the current one. missed tells that there may have been
+// others between the two.
+func (n *Node) setConfig(c *site.Config, from string, missed bool) {
 	if old := n.config.Load(); old != nil && old.Version >= c.Version {
 		return
 	}
@@ -242,7 +243,7 @@
 			return
 		}
 		if n.config.CompareAndSwap(old, c) {
-			n.queues.configure(time.Now(), c)
+			n.queues.configure(time.Now(), c, missed)
 			n.accountLabels.setAccounts(c.Accounts)
 			logrus.WithFields(logrus.Fields{"version": c.Version, "from": from, "routes": len(c.Routes), "accounts": len(c.Accounts)}).Info("configuration in force")
 			return
--- a/internal/drive/queues.go
+++ b/internal/drive/queues.go
@@ -38,11 +38,12 @@
 	partitions int
 	keep       time.Duration           // how long jobs are known after their end
 	unknown    map[int]bool            // partitions whose owners have not answered yet
-	startedAt  time.Time               // of the entry; later moves are known from its configurations
-	firstSeen  int64                   // version of the first configuration; 0 before it
+	startedAt  time.Time               // of the entry, or when it last missed configurations; later moves are known from these
+	firstSeen  int64                   // version of the first configuration since; 0 before it
 	pools      map[string]formerPool   // by host and path prefix of a queue
 	movedAt    map[string]time.Time    // when a queue last changed its pool, by queue name
-	heldIn     map[string]map[int]bool // partitions that held jobs of a queue when this entry started, by queue name
+	heldIn     map[string]map[int]bool // partitions that held jobs of a queue at startedAt or soon after, by queue name
+	restarted  chan struct{}           // holds a token once partitions have become unknown again
 }
 
 // formerPool is the last pool of a queue. droppedAt is zero while the queue is in the configuration.
@@ -53,18 +54,32 @@
 
 func newQueueHistory(now time.Time, partitions int, keep time.Duration) *queueHistory {
 	h := &queueHistory{
-		partitions: partitions, keep: keep, startedAt: now, unknown: map[int]bool{}, pools: map[string]formerPool{}, movedAt: map[string]time.Time{}, heldIn: map[string]map[int]bool{},
+		partitions: partitions, keep: keep, startedAt: now, unknown: map[int]bool{}, pools: map[string]formerPool{}, movedAt: map[string]time.Time{}, restarted: make(chan struct{}, 1),
 	}
-	for p := range partitions {
+	h.restart(now)
+	return h
+}
+
+// restart forgets which partitions hold jobs of which queues; h.mu is held, but by newQueueHistory.
+func (h *queueHistory) restart(now time.Time) {
+	h.startedAt, h.firstSeen, h.heldIn = now, 0, map[string]map[int]bool{}
+	for p := range h.partitions {
 		h.unknown[p] = true
 	}
-	return h
+	select {
+	case h.restarted <- struct{}{}:
+	default:
+	}
 }
 
-// configure records the queues of a new configuration.
-func (h *queueHistory) configure(now time.Time, c *site.Config) {
+// configure records the queues of a new configuration. After missed ones, in which a queue may have moved away and back,
+// the entry knows no more about the queues than one that starts.
+func (h *queueHistory) configure(now time.Time, c *site.Config, missed bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if missed && h.firstSeen != 0 {
+		h.restart(now)
+	}
 	if h.firstSeen == 0 {
 		h.firstSeen = c.Version
 	}
@@ -138,12 +153,25 @@
 	return list
 }
 
-// learnQueues asks the owners of all partitions for the queues of their jobs until each has answered.
+// learnQueues asks the owners of all partitions for the queues of their jobs until each has answered, after the start and
+// each time that the history restarts.
 func (n *Node) learnQueues(ctx context.Context) {
+	for {
+		select {
+		case <-n.queues.restarted:
+			n.learnQueuesOnce(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (n *Node) learnQueuesOnce(ctx context.Context) {
+	began := time.Now()
 	for ctx.Err() == nil {
 		missing := n.queues.missing(time.Now())
 		if len(missing) == 0 {
-			logrus.WithField("took-ms", time.Since(n.startedAt).Milliseconds()).Info("queues of all partitions known")
+			logrus.WithField("took-ms", time.Since(began).Milliseconds()).Info("queues of all partitions known")
 			return
 		}
 		for _, p := range missing {
--- a/internal/drive/queues_test.go
+++ b/internal/drive/queues_test.go
@@ -54,7 +54,7 @@
 				for name, pool := range x.pools {
 					c.Routes = append(c.Routes, site.Route{Name: name, Host: "h", Prefix: "/" + name + "/", Pool: pool})
 				}
-				h.configure(start.Add(time.Duration(x.s)*time.Second), c)
+				h.configure(start.Add(time.Duration(x.s)*time.Second), c, false)
 			}
 			for p, queues := range x.learn {
 				h.learn(p, &queuesReply{Owner: true, Queues: queues})
@@ -65,6 +65,41 @@
 	}
 }
 
+// TestMissedConfigurationsMayHaveMovedQueues guards against a job that two partitions accept: an entry misses the
+// configurations by which a queue moved away and came back, and looks its jobs up nowhere else.
+func TestMissedConfigurationsMayHaveMovedQueues(t *testing.T) {
+	start := time.UnixMilli(1_700_000_000_000)
+	tests := []struct {
+		name    string
+		missed  bool
+		learned map[int][]string // after the newer configuration, by partition
+		lookUps string
+	}{
+		{"one follows the other", false, nil, "[]"},
+		{"some were missed", true, nil, "[1 2]"},
+		{"some were missed, owners have answered", true, map[int][]string{0: nil, 1: {"q"}, 2: nil}, "[1]"},
+	}
+	for _, tt := range tests {
+		n := New(&site.Settings{Entry: "e", IP: "127.0.0.1", Ports: []int{1, 2}, Log: site.LogSettings{Partitions: 3}})
+		n.queues = newQueueHistory(start, 3, time.Hour*24*365*100)
+		set := func(version int64, snapshot bool) {
+			c := &site.Config{Version: version, Routes: []site.Route{{Name: "q", Host: "h", Prefix: "/q/", Pool: "alpha"}}}
+			n.applyOperatorChange(&site.Change{Config: c}, snapshot)
+		}
+		set(5, true)
+		for p := range 3 {
+			n.queues.learn(p, &queuesReply{Owner: true, ConfigVersion: 5})
+		}
+		set(5, true) // nothing new
+		assert.Equal(t, fmt.Sprint(n.queues.elsewhere(start.Add(time.Second), "q", 0)), "[]", tt.name)
+		set(9, tt.missed)
+		for p, queues := range tt.learned {
+			n.queues.learn(p, &queuesReply{Owner: true, Queues: queues, ConfigVersion: 9})
+		}
+		assert.Equal(t, fmt.Sprint(n.queues.elsewhere(time.Now(), "q", 0)), tt.lookUps, tt.name)
+	}
+}
+
 // TestQueuesOfOwnerWithOlderConfiguration guards against a job that two partitions accept: an entry that has started after
 // its queue moved asks the owner of the former partition, which has not heard of the move, for its queues, and that owner
 // accepts the job later.
@@ -86,7 +121,7 @@
 	for _, tt := range tests {
 		h := newQueueHistory(start, 2, time.Minute)
 		configure := func(version int64) {
-			h.configure(start, &site.Config{Version: version, Routes: []site.Route{{Name: "q", Host: "h", Prefix: "/q/", Pool: "delta"}}})
+			h.configure(start, &site.Config{Version: version, Routes: []site.Route{{Name: "q", Host: "h", Prefix: "/q/", Pool: "delta"}}}, false)
 		}
 		if tt.first > 0 {
 			configure(tt.first)
