--- a/internal/drive/queues.go
+++ b/internal/drive/queues.go
@@ -60,7 +60,7 @@
 	return h
 }
 
-// restart forgets which partitions hold jobs of which queues; h.mu is held, but by newQueueHistory.
+// restart forgets which partitions hold jobs of which queues; h.mu is held, except in newQueueHistory.
 func (h *queueHistory) restart(now time.Time) {
 	h.startedAt, h.firstSeen, h.heldIn = now, 0, map[string]map[int]bool{}
 	for p := range h.partitions {
