drive: an aborted entry claims nothing

Cause: an entry that is aborted drops its partitions, and its membership ends only a little later. A join that is answered in between gives it partitions anew, which it claims although its servers are closed; the test then asks it for the job. It concerns tests alone, which abort entries in place of SIGKILL.

TestAbortedEntryClaimsNothing failed before.

--- a/internal/drive/member.go
+++ b/internal/drive/member.go
@@ -162,6 +162,9 @@
 	releaseBegan := n.releaseExcept(keep)
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.isAborted() {
+		return false
+	}
 	for p := range keep {
 		if part := n.partitions[p]; part != nil {
 			part.releasing.Store(false)
--- a/internal/drive/node.go
+++ b/internal/drive/node.go
@@ -180,10 +180,17 @@
 // abort ends the entry at once, as SIGKILL does: it neither leaves the group nor hands its
 // partitions over. Only tests call it.
 func (n *Node) abort() {
+	if !n.isAborted() {
+		close(n.aborted)
+	}
+}
+
+func (n *Node) isAborted() bool {
 	select {
 	case <-n.aborted:
+		return true
 	default:
-		close(n.aborted)
+		return false
 	}
 }
 
--- a/internal/drive/stop_test.go
+++ b/internal/drive/stop_test.go
@@ -35,3 +35,12 @@
 		assert.Check(t, time.Since(began).Seconds() < grace, "the entry ends after its grace of %v s", grace)
 	}
 }
+
+// TestAbortedEntryClaimsNothing guards against an entry that gets partitions by the answer to a join that it sent before it was aborted.
+func TestAbortedEntryClaimsNothing(t *testing.T) {
+	c := newCluster(t, 1, map[string]int{"alpha": 1})
+	n := c.nodes[c.owner()]
+	c.kill(0)
+	n.setOwned([]int{n.partitionOf("alpha")})
+	assert.Assert(t, !n.ownsAny(), "the aborted entry claims a partition")
+}
