sched, drive: the log tells for which VMs a new owner waits, and whether the log confirms an owner

The log of two runs at once told neither for which VMs the next owner waited, until when and why it stopped, nor that the former one went on without a confirmation. A claim now names the VMs with the time and the reason, each end of a wait how it ended, the start of an earlier owner's task the evidence that none runs, and an owner with runs says once that it has had no append accepted for 2.5 s, and at its loss on which VMs it had runs. At most 64 VMs a line and two lines a second for a partition. No change of behaviour.

--- a/internal/drive/claim.go
+++ b/internal/drive/claim.go
@@ -115,6 +115,7 @@
 			return err
 		}
 	}
+	claimBegan := time.Now()
 	if err := appendClaimRecord(ctx, part, epoch, table.End, ownerKey, &ownerRecord{Epoch: epoch, Address: part.node.address}); err != nil {
 		return fmt.Errorf("claim epoch %d: %w", epoch, err)
 	}
@@ -130,6 +131,8 @@
 	vms, readAt := part.node.vmsOf(part.number)
 	part.scheduler.SetVMs(time.Now(), vms)
 	part.scheduler.VMsReadAt(readAt)
+	part.logConfirmed = logConfirmation{at: claimBegan}
+	part.scheduler.LogWaits(part.lastRoundAt, whyWait(last.Epoch, former, yielded, part.soleOwner))
 	return nil
 }
 
--- a/internal/drive/flush.go
+++ b/internal/drive/flush.go
@@ -71,7 +71,7 @@
 					x.onStored()
 				}
 			}
-			part.post(func(now time.Time) { part.handleStored(now, f) })
+			part.post(func(now time.Time) { part.handleStored(now, f, began) })
 			return
 		}
 		if errors.Is(err, site.ErrFenced) || errors.Is(err, site.ErrSequence) {
@@ -190,8 +190,9 @@
 }
 
 // handleStored tells the scheduler that a flush is stored and sends the replies that waited
-// for it.
-func (part *ownedPartition) handleStored(now time.Time, f *sched.Flush) {
+// for it. began is when the first attempt to store it began.
+func (part *ownedPartition) handleStored(now time.Time, f *sched.Flush, began time.Time) {
+	part.recordLogConfirmation(now, began)
 	if !part.logDownSince.IsZero() {
 		part.log.WithField("after-ms", now.Sub(part.logDownSince).Milliseconds()).Info("appends to the job log succeed again")
 	}
--- a/internal/drive/node.go
+++ b/internal/drive/node.go
@@ -351,6 +351,7 @@
 	if part := n.lookupPartition(partition); part != nil && info.Address != n.address {
 		part.post(func(time.Time) {
 			if part.scheduler.Epoch < info.Epoch {
+				part.logLaterOwner(info, from)
 				part.scheduler.MarkFenced()
 			}
 		})
--- a/internal/drive/partition.go
+++ b/internal/drive/partition.go
@@ -63,6 +63,7 @@
 	lastRoundAt    time.Time       // the claim before the first round; zero before the claim
 	unconfirmed    bool            // no decisions until the log has confirmed the ownership
 	pauses         int             // after which the ownership was, or is to be, confirmed
+	logConfirmed   logConfirmation // of the ownership
 	soleOwner      bool            // no earlier owner renews leases; set by the claim, or once all have heard of this one
 	soleRecorded   bool            // the record under soleOwnerKey is in pendingRecords or was
 	reachedAt      time.Time       // when the first VM had answered a status poll; zero before
@@ -143,7 +144,7 @@
 		part.roundTime = min(time.Since(began), maxRoundTime)
 		timer.Reset(idleInterval)
 	}
-	part.log.WithField("epoch", part.scheduler.Epoch).Warn("partition lost to an owner with a higher epoch")
+	part.logLoss(time.Now())
 	part.node.removePartition(part)
 }
 
@@ -171,6 +172,7 @@
 		}
 	}
 	part.recordSoleOwner(now)
+	part.logUnconfirmed(now)
 	part.refuseHeld(now)
 	part.syncSessions(ctx)
 	stats := part.scheduler.Stats()
--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -42,13 +42,14 @@
 	for id, until := range s.unverified {
 		if v := s.vms[id]; now.After(until) && (v == nil || now.After(v.leasesEnd)) {
 			s.log.WithField("vm", id).Info("VM that may hold runs of an earlier owner did not answer; its leases have expired")
-			delete(s.unverified, id)
+			s.endWait(now, id, waitExpired)
 			if v != nil {
 				s.loseVM(now, v, false, "does not answer and its leases have expired")
 				v.lapsed = true
 			}
 		}
 	}
+	s.logWaitEnds(now)
 	for _, v := range s.vms {
 		silent := now.Sub(v.lastAnswer) > s.policy.Lease
 		if silent && now.After(v.leasesEnd) && len(v.runs) > 0 {
@@ -249,7 +250,7 @@
 // VM has enough free resources and deduct them from the candidate.
 func (s *Scheduler) start(now time.Time, t *task, v *vm, number int64) {
 	r := &run{task: t, vm: v, number: number, phase: starting, startInFlight: true, answeredAt: now, startedAt: now, progressAt: now, speedPercent: 100, startedFrom: t.nextCheckpoint(), heardAt: v.heardAt}
-	s.logStart(t, number, v)
+	s.logStart(now, t, number, v)
 	t.lastRun = number
 	t.unverified = false
 	if len(t.runs) == 0 {
--- a/internal/sched/ended.go
+++ b/internal/sched/ended.go
@@ -17,7 +17,7 @@
 	s.loseVM(now, v, true, "its machine is down")
 	s.releaseAnswered(v, "machine is down")
 	v.ended, v.endedAt, v.polled = true, now, false
-	delete(s.unverified, v.ID)
+	s.endWait(now, v.ID, waitDown)
 	s.unrecordVM(v)
 }
 
@@ -38,7 +38,7 @@
 		s.forgotten[v.ID] = v.polls
 	}
 	delete(s.vms, v.ID)
-	delete(s.unverified, v.ID)
+	s.endWait(now, v.ID, waitGone)
 	s.unrecordVM(v)
 }
 
--- a/internal/sched/handover.go
+++ b/internal/sched/handover.go
@@ -104,6 +104,9 @@
 			v.leasesEnd = until
 		}
 	}
+	if len(s.unverified) > 0 {
+		s.LogWaits(now, "this owner was paused")
+	}
 }
 
 // mayBeRunning reports whether an unverified task may be running on an unverified VM.
--- a/internal/sched/replies.go
+++ b/internal/sched/replies.go
@@ -44,7 +44,7 @@
 			r.phase = working // or ended already; a poll that begins later shows which
 		}
 	case err == nil && refusal == site.RefusedFence:
-		s.fenced = true
+		s.fencedBy(a.VM, "start")
 	case notBegun:
 		s.handleRefusedStart(now, r, refusal, err)
 	case r.phase == starting:
@@ -111,7 +111,7 @@
 		v.heardAt = now
 	}
 	if err == nil && refusal == site.RefusedFence {
-		s.fenced = true
+		s.fencedBy(a.VM, "stop")
 		return
 	}
 	r := v.runs[a.Task]
@@ -140,7 +140,9 @@
 	if v.failedAt.IsZero() {
 		v.failedAt = at
 	}
-	s.fenced = s.fenced || errors.Is(err, site.ErrFenced)
+	if errors.Is(err, site.ErrFenced) {
+		s.fencedBy(id, "status poll")
+	}
 }
 
 // answeringVM returns the VM that a call went to, nil if it is not known. It removes the VM
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -62,6 +62,7 @@
 	evacuateFrom time.Time
 	stats        Stats
 	acks         ackLog
+	waitLog      waitLog
 	encode       func(*jobs.Progress) ([]byte, error) // jobs.EncodeProgress; replaced by tests
 }
 
--- a/internal/sched/trace.go
+++ b/internal/sched/trace.go
@@ -39,12 +39,16 @@
 
 // logStart logs the start of a task which an earlier owner may have started too. known says whether this owner has
 // seen a run of it, or the end of one.
-func (s *Scheduler) logStart(t *task, number int64, v *vm) {
+func (s *Scheduler) logStart(now time.Time, t *task, number int64, v *vm) {
 	if !t.job.recovered || !t.job.beganBefore {
 		return
 	}
 	known := t.lastRun > 0 || len(t.failedRuns) > 0 || len(t.crashes) > 0
-	s.log.WithFields(logrus.Fields{
+	log := s.log
+	if t.unverified {
+		log = log.WithFields(s.startEvidence(now, t))
+	}
+	log.WithFields(logrus.Fields{
 		"task": t.id.String(), "run": number, "vm": v.ID, "epoch": s.Epoch, "last-run": t.lastRun,
 		"failed-runs": t.failedRuns, "crashes": len(t.crashes), "known": known,
 	}).Info("task of an earlier owner's job starts")
--- a/internal/sched/unlisted.go
+++ b/internal/sched/unlisted.go
@@ -65,7 +65,7 @@
 		s.unverified[v.ID] = until
 		return
 	}
-	delete(s.unverified, v.ID)
+	s.endWait(now, v.ID, waitAnswered)
 }
 
 // endsWhenUnlisted reports whether a run has ended if a later status poll does not list it.
