--- a/internal/sched/observe.go
+++ b/internal/sched/observe.go
@@ -298,6 +298,7 @@
 		s.releaseRun(r, e.How.String())
 	}
 	j := s.jobs[id.Job]
+	s.logOverlap(j, v, id, e)
 	if _, unreadable := s.unreadable[id.Job]; unreadable {
 		v.unreadableEnds = append(v.unreadableEnds, unreadableEnd{job: id.Job, sequence: e.Sequence})
 	}
--- a/internal/sched/trace.go
+++ b/internal/sched/trace.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/greengagelane/greengagelane/pkg/jobs"
+	"github.com/greengagelane/greengagelane/pkg/site"
 )
 
 // ackLogInterval is the shortest time between two log lines of acknowledged run ends.
@@ -40,7 +41,7 @@
 // logStart logs the start of a task which an earlier owner may have started too. known says whether this owner has
 // seen a run of it, or the end of one.
 func (s *Scheduler) logStart(now time.Time, t *task, number int64, v *vm) {
-	if !t.job.recovered || !t.job.beganBefore {
+	if !t.job.recovered || (!t.job.beganBefore && !(t.unverified && s.waitLog.unanswered())) {
 		return
 	}
 	known := t.lastRun > 0 || len(t.failedRuns) > 0 || len(t.crashes) > 0
@@ -54,6 +55,18 @@
 	}).Info("task of an earlier owner's job starts")
 }
 
+// logOverlap logs that a run of an earlier owner has ended as done although this owner has started the task.
+func (s *Scheduler) logOverlap(j *job, v *vm, id jobs.TaskID, e *site.RunEnd) {
+	if j == nil || e.How != site.Done || e.Run >= s.firstRunNumber() {
+		return
+	}
+	if t := j.findTask(id); t != nil && t.lastRun >= s.firstRunNumber() && !t.step.Lasts {
+		s.log.WithFields(logrus.Fields{
+			"task": e.Task, "run": e.Run, "vm": v.ID, "epoch": s.Epoch, "last-run": t.lastRun, "task-done": t.done,
+		}).Info("run of an earlier owner is done; the task was started again")
+	}
+}
+
 // Restored counts what a new owner has found in the job log.
 type Restored struct {
 	Jobs, Final, Completed int // Final counts Completed too
--- a/internal/sched/wait_log.go
+++ b/internal/sched/wait_log.go
@@ -101,6 +101,16 @@
 	log.Info("wait for VMs that may hold runs of an earlier owner has ended")
 }
 
+// unanswered reports whether VMs that may hold runs of an earlier owner have not answered since the claim.
+func (w *waitLog) unanswered() bool {
+	for _, x := range w.waits {
+		if x.end != waitAnswered {
+			return true
+		}
+	}
+	return false
+}
+
 // startEvidence says for the log why a task which an earlier owner may have started is not running: how many of the VMs
 // that the job log names have answered, which have not, and which it does not name.
 func (s *Scheduler) startEvidence(now time.Time, t *task) logrus.Fields {
--- a/internal/sched/wait_log_test.go
+++ b/internal/sched/wait_log_test.go
@@ -123,3 +123,50 @@
 	assert.Equal(t, refusals[0]["vm"], "a")
 	assert.Equal(t, refusals[0]["call"], "status poll")
 }
+
+// TestLogTellsThatDoneTaskWasStartedAgain guards against work done twice of which no line tells.
+func TestLogTellsThatDoneTaskWasStartedAgain(t *testing.T) {
+	tests := []struct {
+		how   site.How
+		lines int
+	}{{site.Done, 1}, {site.Failed, 0}, {site.Stopped, 0}}
+	for _, tt := range tests {
+		r := newFixture(t, testVM("a"))
+		r.submit(0, testJob(jobID, jobs.Step{Count: 1, CPU: 1000, EstimateMS: 500}))
+		first := r.starts(10)[0]
+		r.flush(20)
+		log, hook := test.NewNullLogger()
+		r.takeover(1000, testVM("a"), testVM("b"))
+		r.s.log = logrus.NewEntry(log)
+		r.poll(9000, "b", site.VMStatus{})
+		r.flush(9000)
+		assert.Equal(t, len(r.starts(9010)), 1)
+		r.poll(9100, "a", site.VMStatus{Ended: []site.RunEnd{end(1, first, tt.how)}})
+		found := lines(hook, "run of an earlier owner is done; the task was started again")
+		assert.Equal(t, len(found), tt.lines, "%s", tt.how)
+		if tt.lines > 0 {
+			assert.Equal(t, found[0]["run"], first.Order.Run)
+		}
+	}
+}
+
+// TestLogTellsOfStartsOfJobsNotKnownToHaveBegun guards against the second start of a task whose first one was not stored, nor
+// the begin of its job, and of which no line tells.
+func TestLogTellsOfStartsOfJobsNotKnownToHaveBegun(t *testing.T) {
+	for _, answers := range []bool{false, true} {
+		r := newFixture(t, testVM("a"))
+		r.submit(0, testJob(jobID, jobs.Step{Count: 1, CPU: 1000, EstimateMS: 500}))
+		assert.Equal(t, len(r.starts(10)), 1)
+		log, hook := test.NewNullLogger()
+		r.takeover(1000, testVM("a"), testVM("b"))
+		r.s.log = logrus.NewEntry(log)
+		r.s.LogWaits(at(1000), "former owner is silent")
+		if answers {
+			r.poll(1100, "a", site.VMStatus{})
+		}
+		r.poll(9000, "b", site.VMStatus{})
+		r.flush(9000)
+		assert.Equal(t, len(r.starts(9010)), 1)
+		assert.Equal(t, len(lines(hook, startLine)) == 1, !answers)
+	}
+}
