drive, sched: the authority of an owner that nothing confirms ends

Callers saw tasks run twice at once, or start again after their end (TWICE): an owner that is cut off from the job log and the other entries renewed leases and started tasks for as long as the cut lasted, on VMs that the next owner does not reach, while that one waited a bounded time for them.

Cause: a claim gave authority without an end. The next owner's wait of a lease and 2.5 s rested on the former owner hearing of it from a VM; a VM that only the former owner reaches tells it nothing.

Change: each accepted append confirms the ownership as of the begin of its first attempt (internal/tenure). 2.4 s later the owner renews no lease, starts and evacuates nothing and does not deny a job, until an append is accepted again. An owner with nothing to store appends its epoch once its confirmation is 1 s old. A claim is accepted after each append of the former owner, so its last lease ends 2.4 + 4.28 s after the claim at the latest, before the wait of 6.88 s is over, also with clocks that are 2 % slow.

TestCutOffOwnerStopsRenewingAndStarting fails without the check ("renewal: true != false", at the end and long after). The fixture of the tests of paused owners has a confirmed owner; their assertions stay.

--- a/internal/drive/confirm.go
+++ b/internal/drive/confirm.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/greengagelane/greengagelane/internal/tenure"
 	"github.com/greengagelane/greengagelane/pkg/site"
 	"github.com/greengagelane/greengagelane/platform"
 )
@@ -41,13 +42,7 @@
 	if c.at.IsZero() {
 		return 0, false
 	}
-	return elapsed(c.at, now), true
-}
-
-// elapsed returns the time from one moment to a later one. It is the larger of the times by the monotonic clock, which
-// does not count the time for which a machine is suspended, and by the time of day, which may be set back.
-func elapsed(from, to time.Time) time.Duration {
-	return max(to.Sub(from), to.Round(0).Sub(from.Round(0)), 0)
+	return tenure.Elapsed(c.at, now), true
 }
 
 // ageMS returns the age in milliseconds, -1 before the first confirmation.
--- a/internal/drive/confirm_log.go
+++ b/internal/drive/confirm_log.go
@@ -5,37 +5,35 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/greengagelane/greengagelane/internal/sched"
+	"github.com/greengagelane/greengagelane/internal/tenure"
 )
 
-// logConfirmation is the latest confirmation of the ownership by the job log.
-type logConfirmation struct {
-	at      time.Time // when the first attempt at the append began that the log has accepted
-	missed  bool      // a line says that there was none for long
-	started int       // runs started before
+// unconfirmedTime is what the log tells of the time since the latest confirmation of an ownership.
+type unconfirmedTime struct {
+	logged  bool // a line says that the authority has ended
+	started int  // runs started before
 }
 
-// logUnconfirmed logs, once until the next confirmation, that the owner of runs goes on without a confirmation by the job
-// log. Another entry may have claimed the partition since the last one.
-func (part *ownedPartition) logUnconfirmed(now time.Time) {
-	c := &part.logConfirmed
-	if c.missed || elapsed(c.at, now) <= sched.FormerOwnerNotice {
+// logExpired logs, once until the next confirmation, that the authority of an owner of runs has ended.
+func (part *ownedPartition) logExpired(now time.Time) {
+	if part.sinceConfirmed.logged || !part.tenure.Expired(now) {
 		return
 	}
 	held := part.scheduler.HeldVMs(now)
 	if len(held) == 0 {
 		return
 	}
-	c.missed = true
-	part.confirmationLog(now).WithField("held", held).Info("the job log has not confirmed the ownership for long; runs go on")
+	part.sinceConfirmed.logged = true
+	part.confirmationLog(now).WithField("held", held).Warn("ownership is not confirmed; no lease is renewed and no task started until it is")
 }
 
-// recordLogConfirmation records that the job log has accepted an append, of which the first attempt began at the given time.
-func (part *ownedPartition) recordLogConfirmation(now, began time.Time) {
-	if part.logConfirmed.missed {
-		part.confirmationLog(now).Info("the job log confirms the ownership again")
+// recordConfirmation records that a check of the ownership, begun at the given time, has found no later owner.
+func (part *ownedPartition) recordConfirmation(now, began time.Time) {
+	if part.sinceConfirmed.logged {
+		part.confirmationLog(now).Info("ownership is confirmed again")
 	}
-	part.logConfirmed = logConfirmation{at: began, started: part.scheduler.Stats().Started}
+	part.tenure.Confirm(began)
+	part.sinceConfirmed = unconfirmedTime{logged: part.sinceConfirmed.logged && part.tenure.Expired(now), started: part.scheduler.Stats().Started}
 }
 
 // logLoss logs that a later owner has claimed the partition, and on which VMs this one had runs.
@@ -53,8 +51,8 @@
 // confirmationLog returns the log with the time since the last confirmation, and how many runs were started since then.
 func (part *ownedPartition) confirmationLog(now time.Time) *logrus.Entry {
 	return part.log.WithFields(logrus.Fields{
-		"epoch": part.scheduler.Epoch, "confirmed-ms": elapsed(part.logConfirmed.at, now).Milliseconds(),
-		"started": part.scheduler.Stats().Started - part.logConfirmed.started,
+		"epoch": part.scheduler.Epoch, "confirmed-ms": tenure.Elapsed(part.tenure.ConfirmedAt, now).Milliseconds(),
+		"started": part.scheduler.Stats().Started - part.sinceConfirmed.started,
 	})
 }
 
--- a/internal/drive/confirm_log_test.go
+++ b/internal/drive/confirm_log_test.go
@@ -8,13 +8,13 @@
 	"github.com/sirupsen/logrus/hooks/test"
 	"gotest.tools/v3/assert"
 
-	"github.com/greengagelane/greengagelane/internal/sched"
+	"github.com/greengagelane/greengagelane/internal/tenure"
 )
 
 // TestLogTellsOnceThatOwnerIsUnconfirmed guards against an owner with runs that goes on without a confirmation by the job log
 // and of which no line tells, and against a line in each round.
 func TestLogTellsOnceThatOwnerIsUnconfirmed(t *testing.T) {
-	const unconfirmedLine, confirmedLine = "the job log has not confirmed the ownership for long; runs go on", "the job log confirms the ownership again"
+	const unconfirmedLine, confirmedLine = "ownership is not confirmed; no lease is renewed and no task started until it is", "ownership is confirmed again"
 	tests := []struct {
 		name   string
 		runs   bool
@@ -23,7 +23,7 @@
 		lines  int
 		again  int
 	}{
-		{"confirmed in time", true, []time.Duration{time.Second, sched.FormerOwnerNotice}, true, 0, 0},
+		{"confirmed in time", true, []time.Duration{time.Second, tenure.Validity - time.Millisecond}, true, 0, 0},
 		{"unconfirmed", true, []time.Duration{time.Second, 3 * time.Second, 4 * time.Second, time.Minute}, false, 1, 0},
 		{"confirmed late", true, []time.Duration{3 * time.Second}, true, 1, 1},
 		{"no runs", false, []time.Duration{3 * time.Second}, true, 0, 0},
@@ -36,18 +36,18 @@
 			log, hook := test.NewNullLogger()
 			part.log = logrus.NewEntry(log)
 			now := time.Now()
-			part.logConfirmed = logConfirmation{at: now}
+			part.tenure = tenure.Tenure{ConfirmedAt: now}
 			if tt.runs {
 				part.round(t.Context(), now)
 				assert.Equal(t, part.scheduler.Stats().Started, 1)
 			}
 			for _, d := range tt.rounds {
-				part.logUnconfirmed(now.Add(d))
+				part.logExpired(now.Add(d))
 			}
 			last := now.Add(tt.rounds[len(tt.rounds)-1])
 			if tt.stored {
-				part.recordLogConfirmation(last, last.Add(-10*time.Millisecond))
-				part.logUnconfirmed(last.Add(time.Second))
+				part.recordConfirmation(last, last.Add(-10*time.Millisecond))
+				part.logExpired(last.Add(time.Second))
 			}
 			count := map[string]int{}
 			for _, e := range hook.AllEntries() {
--- a/internal/drive/control_records.go
+++ b/internal/drive/control_records.go
@@ -12,7 +12,7 @@
 // clock skew to allow for when another entry reads them.
 const (
 	ownerKey      = "owner"
-	epochKey      = "epoch"       // stored by a claimant to fence off the last owner if it did not yield
+	epochKey      = "epoch"       // stored by a claimant to fence off the last owner if it did not yield, and by an owner to confirm its ownership
 	storedOnlyKey = "stored-only" // holds an owner's epoch: what was shown as completed up to then, and by that owner, is stored
 	soleOwnerKey  = "sole-owner"  // holds an owner's epoch: the owners before it renew no leases any more
 	waveKeyPrefix = "wave/"
--- a/internal/drive/flush.go
+++ b/internal/drive/flush.go
@@ -192,7 +192,7 @@
 // handleStored tells the scheduler that a flush is stored and sends the replies that waited
 // for it. began is when the first attempt to store it began.
 func (part *ownedPartition) handleStored(now time.Time, f *sched.Flush, began time.Time) {
-	part.recordLogConfirmation(now, began)
+	part.recordConfirmation(now, began)
 	if !part.logDownSince.IsZero() {
 		part.log.WithField("after-ms", now.Sub(part.logDownSince).Milliseconds()).Info("appends to the job log succeed again")
 	}
--- a/internal/drive/partition.go
+++ b/internal/drive/partition.go
@@ -10,6 +10,7 @@
 	"github.com/greengagelane/greengagelane/internal/relay"
 	"github.com/greengagelane/greengagelane/internal/retry"
 	"github.com/greengagelane/greengagelane/internal/sched"
+	"github.com/greengagelane/greengagelane/internal/tenure"
 	"github.com/greengagelane/greengagelane/internal/vmcall"
 	"github.com/greengagelane/greengagelane/pkg/site"
 	"github.com/greengagelane/greengagelane/platform"
@@ -63,7 +64,8 @@
 	lastRoundAt    time.Time       // the claim before the first round; zero before the claim
 	unconfirmed    bool            // no decisions until the log has confirmed the ownership
 	pauses         int             // after which the ownership was, or is to be, confirmed
-	logConfirmed   logConfirmation // of the ownership
+	tenure         tenure.Tenure   // of the ownership
+	sinceConfirmed unconfirmedTime // since the latest confirmation
 	soleOwner      bool            // no earlier owner renews leases; set by the claim, or once all have heard of this one
 	soleRecorded   bool            // the record under soleOwnerKey is in pendingRecords or was
 	reachedAt      time.Time       // when the first VM had answered a status poll; zero before
@@ -166,19 +168,21 @@
 	if now.Sub(part.cordonedAt) > cordonTTL {
 		part.scheduler.Uncordon()
 	}
+	part.scheduler.SetExpired(part.tenure.Expired(now))
 	if part.confirmOwnership(now) {
 		for _, a := range part.scheduler.Decide(now) {
 			part.execute(ctx, now, a)
 		}
 	}
 	part.recordSoleOwner(now)
-	part.logUnconfirmed(now)
+	part.logExpired(now)
 	part.refuseHeld(now)
 	part.syncSessions(ctx)
 	stats := part.scheduler.Stats()
 	countRuns(part.lastStats, stats)
 	part.lastStats = stats
 	part.recordRecovery(now)
+	part.requestConfirmation(now)
 	if !part.flushing && now.Sub(part.flushedAt) >= minFlushInterval && !now.Before(part.nextAppendAt) {
 		part.flush(now)
 	}
--- a/internal/drive/pause.go
+++ b/internal/drive/pause.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/greengagelane/greengagelane/internal/tenure"
 	"github.com/greengagelane/greengagelane/pkg/jobs"
 	"github.com/greengagelane/greengagelane/pkg/site"
 )
@@ -13,7 +14,7 @@
 // orders of this one, which takes all VMs for silent after a long pause and starts their tasks
 // elsewhere. A record that was on its way before a further pause confirms nothing.
 func (part *ownedPartition) confirmOwnership(now time.Time) bool {
-	paused, pause := part.paused(now), elapsed(part.lastRoundAt, now)
+	paused, pause := part.paused(now), tenure.Elapsed(part.lastRoundAt, now)
 	part.lastRoundAt = now
 	if !paused {
 		return !part.unconfirmed
@@ -39,5 +40,19 @@
 
 // paused reports whether another entry may have taken the partition over since the last round.
 func (part *ownedPartition) paused(now time.Time) bool {
-	return !part.lastRoundAt.IsZero() && elapsed(part.lastRoundAt, now) >= memberTTL
+	return !part.lastRoundAt.IsZero() && tenure.Elapsed(part.lastRoundAt, now) >= memberTTL
+}
+
+// requestConfirmation has the next flush store the epoch anew if the owner needs a confirmation and has nothing else to
+// store. The log refuses it if a later owner has claimed the partition.
+func (part *ownedPartition) requestConfirmation(now time.Time) {
+	if !part.tenure.Due(now) || part.scheduler.Retired() || part.flushing || len(part.pendingRecords) > 0 {
+		return
+	}
+	value, err := jobs.Encode(&part.scheduler.Epoch)
+	if err != nil {
+		part.log.WithError(err).Error("cannot encode the epoch")
+		return
+	}
+	part.pendingRecords = append(part.pendingRecords, controlRecord{record: site.Record{Key: epochKey, Value: value}})
 }
--- a/internal/drive/pause_test.go
+++ b/internal/drive/pause_test.go
@@ -52,6 +52,7 @@
 		if tt.held {
 			awaitConfirmed(t, part, now)
 			if !part.scheduler.Fenced() {
+				part.tenure.Confirm(now) // the append began by the machine's clock, which is behind
 				part.round(t.Context(), now.Add(idleInterval))
 			}
 		}
@@ -89,6 +90,7 @@
 	part.scheduler = sched.New(1, n.policy, part.log)
 	storeJob(t, part.scheduler, now)
 	part.cordonedAt = now
+	part.tenure.Confirm(now)
 	return part
 }
 
--- a/internal/drive/requests.go
+++ b/internal/drive/requests.go
@@ -138,9 +138,9 @@
 	}
 }
 
-// replyUnknown returns the reply to a request about a job that is not known. After a pause a later owner may know it.
+// replyUnknown returns the reply to a request about a job that is not known. A later owner may know it.
 func (part *ownedPartition) replyUnknown(now time.Time) site.Reply {
-	if part.unconfirmed || part.paused(now) {
+	if part.unconfirmed || part.paused(now) || part.tenure.Expired(now) {
 		return site.Reply{Outcome: site.Undecided, Reason: "the partition may have another owner"}
 	}
 	return site.Reply{Outcome: site.NoSuchJob}
--- a/internal/drive/session.go
+++ b/internal/drive/session.go
@@ -246,16 +246,7 @@
 // nextPoll returns the next status poll for a VM, false if the scheduler has none.
 func (part *ownedPartition) nextPoll(ctx context.Context, id string, verify bool) (site.StatusPoll, bool) {
 	p, err := runOnPartition(ctx, part, func(part *ownedPartition, now time.Time) *site.StatusPoll {
-		p, ok := part.scheduler.NextPoll(now, id, verify)
-		switch {
-		case !ok:
-			return nil
-		case !verify && p.UntilMS > 0: // the poll renews leases: the VM has runs
-			p.Wait = part.vmCalls.PollWait(pollWait)
-		case !verify:
-			p.Wait = part.vmCalls.PollWait(idlePollWait)
-		}
-		return &p
+		return part.pollAt(now, id, verify)
 	})
 	if err != nil || p == nil {
 		return site.StatusPoll{}, false
@@ -263,6 +254,21 @@
 	return *p, true
 }
 
+// pollAt returns the status poll for a VM as of now, nil if the scheduler has none.
+func (part *ownedPartition) pollAt(now time.Time, id string, verify bool) *site.StatusPoll {
+	part.scheduler.SetExpired(part.tenure.Expired(now))
+	p, ok := part.scheduler.NextPoll(now, id, verify)
+	switch {
+	case !ok:
+		return nil
+	case !verify && p.UntilMS > 0: // the poll renews leases: the VM has runs
+		p.Wait = part.vmCalls.PollWait(pollWait)
+	case !verify:
+		p.Wait = part.vmCalls.PollWait(idlePollWait)
+	}
+	return &p
+}
+
 // sleep returns after a time, or as soon as the context ends.
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- /dev/null
+++ b/internal/drive/tenure_test.go
@@ -0,0 +1,75 @@
+package drive
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/greengagelane/greengagelane/internal/tenure"
+	"github.com/greengagelane/greengagelane/pkg/jobs"
+	"github.com/greengagelane/greengagelane/pkg/site"
+)
+
+// TestCutOffOwnerStopsRenewingAndStarting guards against an owner that is cut off from the job log and goes on beside the
+// next one: it renews leases and starts tasks on VMs that the next one does not reach.
+func TestCutOffOwnerStopsRenewingAndStarting(t *testing.T) {
+	tests := []struct {
+		name      string
+		at        time.Duration // since the latest confirmation
+		confirmed bool          // again, just before
+		acts      bool
+	}{
+		{"just confirmed", 10 * time.Millisecond, false, true},
+		{"before the end", tenure.Validity - 50*time.Millisecond, false, true},
+		{"at the end", tenure.Validity, false, false},
+		{"long after", 30 * time.Second, false, false},
+		{"confirmed again", 30 * time.Second, true, true},
+	}
+	c := newCluster(t, 1, map[string]int{"alpha": 1})
+	for i, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			part := partitionWithJob(t, c.nodes[0], 70+i)
+			defer part.store.Close()
+			confirmed := time.Now()
+			part.tenure = tenure.Tenure{ConfirmedAt: confirmed}
+			part.flushing = true // the log does not answer
+			part.round(t.Context(), confirmed)
+			assert.Equal(t, part.scheduler.Stats().Started, 1)
+
+			now := confirmed.Add(tt.at)
+			part.lastRoundAt = now
+			job := &jobs.Job{ID: "00000000000000a2", Queue: "q", Pool: "pool", Steps: []jobs.Step{{Count: 1, CPU: 1000, EstimateMS: 500}}, MaxAttempts: 1, SubmittedMS: now.UnixMilli()}
+			assert.Assert(t, part.scheduler.Submit(now, job).Accepted)
+			f, err := part.scheduler.Flush(now, 1<<20)
+			assert.NilError(t, err)
+			part.scheduler.Flushed(f)
+			if tt.confirmed {
+				part.recordConfirmation(now, now.Add(-10*time.Millisecond))
+			}
+			poll := part.pollAt(now, "vm", false)
+			assert.Equal(t, poll.UntilMS > 0, tt.acts, "renewal")
+			part.scheduler.HandlePoll(now, "vm", now, &site.VMStatus{Born: 1, ClockMS: 1000 + tt.at.Milliseconds(), Running: []site.Run{{Task: "00000000000000a1.0.0.0", Run: 1, Percent: 50}}})
+			part.round(t.Context(), now)
+			assert.Equal(t, part.scheduler.Stats().Started, map[bool]int{true: 2, false: 1}[tt.acts])
+		})
+	}
+}
+
+// TestQuietOwnerAsksForConfirmation guards against an owner whose authority ends on a healthy day since it has nothing to
+// store.
+func TestQuietOwnerAsksForConfirmation(t *testing.T) {
+	c := newCluster(t, 1, map[string]int{"alpha": 1})
+	part := partitionWithJob(t, c.nodes[0], 80)
+	defer part.store.Close()
+	part.tenure = tenure.Tenure{}
+	part.round(t.Context(), time.Now())
+	assert.Assert(t, part.flushing)
+	select {
+	case f := <-part.events: // of the append
+		f(time.Now())
+	case <-time.After(testTimeout):
+		t.Fatal("the append has no result")
+	}
+	assert.Assert(t, !part.tenure.Expired(time.Now()))
+}
--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -16,7 +16,9 @@
 	s.expireLeases(now)
 	s.unrecordDrainedVMs()
 	s.judge(now)
-	s.evacuate(now)
+	if !s.expired {
+		s.evacuate(now)
+	}
 	for _, v := range s.vms {
 		for _, r := range v.runs {
 			s.watchRun(now, r)
@@ -29,7 +31,9 @@
 			j.createDueOccurrences(now, s.maxOpen(j))
 		}
 	}
-	s.place(now)
+	if !s.expired {
+		s.place(now)
+	}
 	actions := s.actions
 	s.actions = nil
 	return actions
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -49,6 +49,7 @@
 	losses            losses
 	actions           []Action
 	fenced            bool
+	expired           bool           // the authority of the owner has ended, see SetExpired
 	newJobsHeld       bool           // see HoldNewJobs
 	refusedTombstones []site.Record  // of dropped jobs, which the log has refused
 	recoveredHeld     bool           // tasks of an earlier owner's jobs are not started; see HoldRecovered
--- a/internal/sched/vm.go
+++ b/internal/sched/vm.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/greengagelane/greengagelane/internal/tenure"
 	"github.com/greengagelane/greengagelane/pkg/site"
 )
 
@@ -148,8 +149,8 @@
 const LongestPoll = 2 * time.Second
 
 // FormerOwnerNotice is the longest time after a claim for which a former owner that is cut off from the log and the
-// other entries goes on renewing leases: until its next call to a VM that the new owner has polled.
-const FormerOwnerNotice = LongestPoll + 500*time.Millisecond
+// other entries goes on renewing leases and starting tasks.
+const FormerOwnerNotice = tenure.Validity + tenure.ClockMargin
 
 // FormerOwnerMayContinue tells a new owner that the former one, or one before it, may not know that it has lost the
 // partition. Its runs on VMs that this owner does not reach may last longer.
@@ -248,5 +249,9 @@
 	return list
 }
 
+// SetExpired tells whether the authority of the owner has ended: another entry may own the partition. While it has, no
+// task is started, no run evacuated and no lease renewed.
+func (s *Scheduler) SetExpired(expired bool) { s.expired = expired }
+
 // MarkFenced records that a later owner has claimed the partition; Fenced then returns true.
 func (s *Scheduler) MarkFenced() { s.fenced = true }
