sched: no run is taken for lapsed before the ownership is confirmed after its lease

Cause: an owner that does not reach a VM released its runs once the leases that it had granted there had expired, and started their tasks elsewhere. Within the validity of its last confirmation, a later owner that reaches the VM may have adopted and renewed these runs: two runs at once. The same holds for the wait for runs of an earlier owner.

Change: such runs are released, and such waits end, only once a confirmation has begun after the leases ended, which proves that no later owner had claimed the partition by then. The owner asks for one at once. The scheduler holds the tenure itself.

In TestFormerOwnerIsNotForgottenByFurtherClaims the log confirms the owner in each round, as it would; the assertion stays.

--- a/internal/drive/claim.go
+++ b/internal/drive/claim.go
@@ -120,6 +120,7 @@
 		return fmt.Errorf("claim epoch %d: %w", epoch, err)
 	}
 	part.scheduler = sched.New(epoch, part.node.policy, part.log)
+	part.scheduler.SetTenure(&part.tenure)
 	part.lastRoundAt = time.Now() // a pause counts from here on
 	part.scheduler.Restore(part.lastRoundAt, last.Epoch, table.Records)
 	part.soleOwner = last.Epoch == 0 || (former.ended && part.lastWasSole)
--- a/internal/drive/former_owner_test.go
+++ b/internal/drive/former_owner_test.go
@@ -64,6 +64,7 @@
 			var waited time.Duration
 			for ; s.Stats().Started == 0 && waited < 20*time.Second; waited += 50 * time.Millisecond {
 				now := claimed.Add(waited)
+				part.tenure.Confirm(now)
 				s.SetVMs(now, vms)
 				s.HandlePoll(now, "free", now, &site.VMStatus{Born: 1, ClockMS: 1000 + waited.Milliseconds()})
 				f, err := s.Flush(now, 1<<20)
--- a/internal/drive/partition.go
+++ b/internal/drive/partition.go
@@ -168,7 +168,6 @@
 	if now.Sub(part.cordonedAt) > cordonTTL {
 		part.scheduler.Uncordon()
 	}
-	part.scheduler.SetExpired(part.tenure.Expired(now))
 	if part.confirmOwnership(now) {
 		for _, a := range part.scheduler.Decide(now) {
 			part.execute(ctx, now, a)
--- a/internal/drive/pause.go
+++ b/internal/drive/pause.go
@@ -46,7 +46,8 @@
 // requestConfirmation has the next flush store the epoch anew if the owner needs a confirmation and has nothing else to
 // store. The log refuses it if a later owner has claimed the partition.
 func (part *ownedPartition) requestConfirmation(now time.Time) {
-	if !part.tenure.Due(now) || part.scheduler.Retired() || part.flushing || len(part.pendingRecords) > 0 {
+	needed := part.tenure.Due(now) || part.scheduler.AwaitsConfirmation()
+	if !needed || part.scheduler.Retired() || part.flushing || len(part.pendingRecords) > 0 {
 		return
 	}
 	value, err := jobs.Encode(&part.scheduler.Epoch)
--- a/internal/drive/pause_test.go
+++ b/internal/drive/pause_test.go
@@ -88,6 +88,7 @@
 	part.ctx, part.cancel = t.Context(), func() {}
 	now := time.Now()
 	part.scheduler = sched.New(1, n.policy, part.log)
+	part.scheduler.SetTenure(&part.tenure)
 	storeJob(t, part.scheduler, now)
 	part.cordonedAt = now
 	part.tenure.Confirm(now)
@@ -130,6 +131,7 @@
 		status := &site.VMStatus{Born: 1, ClockMS: 1000}
 		vms := []site.VM{{ID: "vm", Born: 1, Pool: "pool", Address: "127.0.0.1:1", CPU: 8000, MemMB: 8000}, {ID: "free", Born: 1, Pool: "pool", Address: "127.0.0.1:2", CPU: 8000, MemMB: 8000}}
 		part.scheduler = sched.New(2, c.nodes[0].policy, part.log)
+		part.scheduler.SetTenure(&part.tenure)
 		part.scheduler.Restore(now.Add(-tt.claimed), 1, storeJob(t, sched.New(1, c.nodes[0].policy, part.log), now))
 		part.scheduler.SetVMs(now, vms)
 		part.scheduler.Decide(now.Add(-tt.pause))
--- a/internal/drive/session.go
+++ b/internal/drive/session.go
@@ -256,7 +256,6 @@
 
 // pollAt returns the status poll for a VM as of now, nil if the scheduler has none.
 func (part *ownedPartition) pollAt(now time.Time, id string, verify bool) *site.StatusPoll {
-	part.scheduler.SetExpired(part.tenure.Expired(now))
 	p, ok := part.scheduler.NextPoll(now, id, verify)
 	switch {
 	case !ok:
--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -13,10 +13,11 @@
 	if s.retired {
 		return nil
 	}
+	s.awaitsTenure = false
 	s.expireLeases(now)
 	s.unrecordDrainedVMs()
 	s.judge(now)
-	if !s.expired {
+	if !s.expired(now) {
 		s.evacuate(now)
 	}
 	for _, v := range s.vms {
@@ -31,7 +32,7 @@
 			j.createDueOccurrences(now, s.maxOpen(j))
 		}
 	}
-	if !s.expired {
+	if !s.expired(now) {
 		s.place(now)
 	}
 	actions := s.actions
@@ -44,7 +45,7 @@
 // once the leases of an earlier owner's runs have expired.
 func (s *Scheduler) expireLeases(now time.Time) {
 	for id, until := range s.unverified {
-		if v := s.vms[id]; now.After(until) && (v == nil || now.After(v.leasesEnd)) {
+		if v := s.vms[id]; s.certainlyAfter(now, until) && (v == nil || s.certainlyAfter(now, v.leasesEnd)) {
 			s.log.WithField("vm", id).Info("VM that may hold runs of an earlier owner did not answer; its leases have expired")
 			s.endWait(now, id, waitExpired)
 			if v != nil {
@@ -56,7 +57,7 @@
 	s.logWaitEnds(now)
 	for _, v := range s.vms {
 		silent := now.Sub(v.lastAnswer) > s.policy.Lease
-		if silent && now.After(v.leasesEnd) && len(v.runs) > 0 {
+		if silent && len(v.runs) > 0 && s.certainlyAfter(now, v.leasesEnd) {
 			s.loseVM(now, v, false, "does not answer and its leases have expired")
 			s.releaseRuns(v, "lease expired")
 			v.polled, v.lapsed = false, true
--- a/internal/sched/observe.go
+++ b/internal/sched/observe.go
@@ -108,7 +108,7 @@
 		v.polls.acks.send(now)
 	}
 	s.logAcknowledged(now, v, poll.AckCursor)
-	if !verify && !s.expired && len(v.runs) > 0 {
+	if !verify && !s.expired(now) && len(v.runs) > 0 {
 		poll.UntilMS = v.grantLease(now, &s.policy)
 		v.polls.renewals.send(now)
 	}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -10,6 +10,7 @@
 
 	"github.com/greengagelane/greengagelane/internal/fair"
 	"github.com/greengagelane/greengagelane/internal/shed"
+	"github.com/greengagelane/greengagelane/internal/tenure"
 	"github.com/greengagelane/greengagelane/pkg/jobs"
 	"github.com/greengagelane/greengagelane/pkg/site"
 )
@@ -49,7 +50,8 @@
 	losses            losses
 	actions           []Action
 	fenced            bool
-	expired           bool           // the authority of the owner has ended, see SetExpired
+	tenure            *tenure.Tenure // nil if the authority of the owner never ends
+	awaitsTenure      bool           // a wait for leases is over, but not confirmed to be
 	newJobsHeld       bool           // see HoldNewJobs
 	refusedTombstones []site.Record  // of dropped jobs, which the log has refused
 	recoveredHeld     bool           // tasks of an earlier owner's jobs are not started; see HoldRecovered
--- a/internal/sched/vm.go
+++ b/internal/sched/vm.go
@@ -249,9 +249,5 @@
 	return list
 }
 
-// SetExpired tells whether the authority of the owner has ended: another entry may own the partition. While it has, no
-// task is started, no run evacuated and no lease renewed.
-func (s *Scheduler) SetExpired(expired bool) { s.expired = expired }
-
 // MarkFenced records that a later owner has claimed the partition; Fenced then returns true.
 func (s *Scheduler) MarkFenced() { s.fenced = true }
