drive: a request about an unknown job asks all other partitions at once

A job may be held in the partition of its queue's former pool, so an entry that hears no-such-job from one owner asks the owners of all others, and a submission of a moved queue looks its job up in them first. It asked one after the other.

The owners are now asked at a time, 32 at most. A partition that holds the job decides the reply; otherwise one that could not tell does, as before.

--- a/internal/drive/route.go
+++ b/internal/drive/route.go
@@ -14,6 +14,7 @@
 const (
 	maxOwnerWait       = 1200 * time.Millisecond // for a request that no owner has received yet; a takeover takes about 1 s
 	ownerRetryInterval = 40 * time.Millisecond   // between two attempts to reach the owner
+	concurrentLookUps  = 32                      // partitions that a request asks at a time for a job
 	replyMargin        = 60 * time.Millisecond   // of the caller's time, reserved to return the reply
 )
 
@@ -103,16 +104,30 @@
 	return n.tryPartitions(ctx, c, others, notFound)
 }
 
-// tryPartitions sends a request to partitions until one of them knows the job.
+// tryPartitions sends a request to partitions, all at a time, until one of them holds the job. It returns notFound if none
+// knows it: each owner may have to ask the job log before it says so.
 func (n *Node) tryPartitions(ctx context.Context, c *jobCall, list []int, notFound site.Reply) site.Reply {
+	replies := make(chan site.Reply, len(list))
+	slots := make(chan struct{}, concurrentLookUps)
 	for _, p := range list {
-		other := *c
-		other.Partition = p
-		if r := n.callOwner(ctx, &other); r.Outcome != site.NoSuchJob {
+		go func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			other := *c
+			other.Partition = p
+			replies <- n.callOwner(ctx, &other)
+		}()
+	}
+	result, undecided := notFound, false
+	for range list {
+		switch r := <-replies; {
+		case r.Outcome == site.OK:
 			return r
+		case r.Outcome != site.NoSuchJob && !undecided:
+			result, undecided = r, true
 		}
 	}
-	return notFound
+	return result
 }
 
 // callOwner sends a request to the owner of its partition and retries while the partition
