drive: an owner denies a job only once the log has confirmed its ownership after the request came

Cause: a former owner, cut off or just healed, answered from memory while the next one had accepted the job. The next owner may claim 1.2 s after a cut begins; an end of the authority after 2.4 s leaves the denials between the two.

Change: a cancellation, a question and a look-up before a submission of a job that is not known wait as questions until an append has been accepted whose first attempt began after they came; then they are decided anew, as the job may have been accepted here meanwhile. If nothing else is stored, the owner stores its epoch; all waiting questions share the append. If appends fail (logDown) or the authority has ended, the reply is not-owner at once, and also when the partition ends: nothing was done, so the entry that asks turns to the next owner, and after 1.2 s without one refuses with a Retry-After, where undecided would hold its caller to the deadline. An owner after a pause says undecided as before. A question that times out no longer takes a submission of the same job with it (withdraw).

In TestPausedOwnerDeniesNoJob the row of an owner that was not paused now waits for the confirmation and asserts that there is no reply before it; its outcomes are the same.

--- a/internal/drive/flush.go
+++ b/internal/drive/flush.go
@@ -206,5 +206,6 @@
 			delete(part.waiters, id)
 		}
 	}
+	part.decideQuestions(now)
 	part.flush(now)
 }
--- a/internal/drive/partition.go
+++ b/internal/drive/partition.go
@@ -54,6 +54,7 @@
 	sessionCount atomic.Int64         // len(sessions), for other goroutines
 	waiters      map[string][]*waiter // by job identifier
 	lookUps      lookUps
+	questions    []question    // in the order in which they came
 	flushing     bool          // an append is in progress
 	flushedAt    time.Time     // start of the last append
 	logDownSince time.Time     // start of the current series of failed appends; zero if the last one succeeded
@@ -109,6 +110,7 @@
 	defer close(part.done)
 	defer part.store.Close()
 	defer part.cancel()
+	defer func() { part.dropQuestions(time.Now()) }()
 	if !part.claim(ctx) {
 		return
 	}
@@ -177,6 +179,7 @@
 	part.recordSoleOwner(now)
 	part.logExpired(now)
 	part.refuseHeld(now)
+	part.decideQuestions(now)
 	part.syncSessions(ctx)
 	stats := part.scheduler.Stats()
 	countRuns(part.lastStats, stats)
--- a/internal/drive/pause.go
+++ b/internal/drive/pause.go
@@ -43,10 +43,11 @@
 	return !part.lastRoundAt.IsZero() && tenure.Elapsed(part.lastRoundAt, now) >= memberTTL
 }
 
-// requestConfirmation has the next flush store the epoch anew if the owner needs a confirmation and has nothing else to
-// store. The log refuses it if a later owner has claimed the partition.
+// requestConfirmation has the next flush store the epoch anew if the owner or a question needs a confirmation and there is
+// nothing else to store. The log refuses it if a later owner has claimed the partition. All waiting questions share it.
 func (part *ownedPartition) requestConfirmation(now time.Time) {
-	if !part.tenure.Due(now) || part.scheduler.Retired() || part.flushing || len(part.pendingRecords) > 0 {
+	needed := len(part.questions) > 0 || part.tenure.Due(now)
+	if !needed || part.scheduler.Retired() || part.flushing || len(part.pendingRecords) > 0 {
 		return
 	}
 	value, err := jobs.Encode(&part.scheduler.Epoch)
--- a/internal/drive/requests.go
+++ b/internal/drive/requests.go
@@ -15,7 +15,9 @@
 	heldTo   time.Time // until which a submission waits for a log that does not answer
 	capped   bool      // heldTo is no later than the job's latest start
 	isCancel bool      // a cancellation waits until the job's final state is stored, a submission until the job is stored
-	reply    chan site.Reply
+	// confirmed is set once the log has confirmed the ownership since the request came.
+	confirmed bool
+	reply     chan site.Reply
 }
 
 // answer sends the reply unless the request already has one.
@@ -114,7 +116,7 @@
 		}
 	case site.CancelJob:
 		if !part.scheduler.Cancel(now, c.ID) {
-			w.answer(part.replyUnknown(now))
+			part.deny(now, c, w)
 			return
 		}
 		part.addWaiter(w)
@@ -125,11 +127,7 @@
 			return
 		}
 		if !ok {
-			r := part.replyUnknown(now)
-			if c.BeforeSubmit && r.Outcome == site.NoSuchJob {
-				part.lookUps.record(now, c.ID)
-			}
-			w.answer(r)
+			part.deny(now, c, w)
 			return
 		}
 		w.answer(site.Reply{Outcome: site.OK, State: state.String()})
@@ -138,12 +136,35 @@
 	}
 }
 
-// replyUnknown returns the reply to a request about a job that is not known. A later owner may know it.
-func (part *ownedPartition) replyUnknown(now time.Time) site.Reply {
-	if part.unconfirmed || part.paused(now) || part.tenure.Expired(now) {
-		return site.Reply{Outcome: site.Undecided, Reason: "the partition may have another owner"}
+// deny answers a request about a job that is not known. A later owner may have accepted the job, so the request waits
+// until the log has confirmed the ownership since it came; by then the job may be known here, too.
+func (part *ownedPartition) deny(now time.Time, c *jobCall, w *waiter) {
+	if w.confirmed {
+		if c.BeforeSubmit {
+			part.lookUps.record(now, c.ID)
+		}
+		w.answer(site.Reply{Outcome: site.NoSuchJob})
+		return
 	}
-	return site.Reply{Outcome: site.NoSuchJob}
+	part.onceConfirmed(now, func(now time.Time, confirmed bool) {
+		if !confirmed {
+			w.answer(part.replyUnconfirmed(now))
+			return
+		}
+		w.confirmed = true
+		part.handle(now, c, w)
+	})
+}
+
+// replyUnconfirmed returns the reply to a request about a job that is not known while the ownership is not confirmed.
+// Unless this owner is about to be confirmed after a pause, the entry that asks may turn to another owner at once, as
+// nothing was done.
+func (part *ownedPartition) replyUnconfirmed(now time.Time) site.Reply {
+	outcome := site.NotOwner
+	if part.unconfirmed || part.paused(now) {
+		outcome = site.Undecided
+	}
+	return site.Reply{Outcome: outcome, Reason: "the partition may have another owner"}
 }
 
 // submit passes a job to the scheduler. An accepted request waits until the job is stored. During a
@@ -181,7 +202,7 @@
 // withdraw ends the wait of a request that has timed out. A submitted job that was not sent to
 // the job log is dropped and refused; otherwise the reply is site.Undecided.
 func (part *ownedPartition) withdraw(w *waiter) {
-	if !w.isCancel && part.refuseUnstored(time.Now(), w.id) {
+	if w.job != nil && part.refuseUnstored(time.Now(), w.id) {
 		return
 	}
 	w.answer(site.Reply{Outcome: site.Undecided, Reason: "the job log has not answered"})
--- a/internal/drive/superseded_test.go
+++ b/internal/drive/superseded_test.go
@@ -44,6 +44,10 @@
 		for _, x := range calls {
 			w := &waiter{id: x.call.ID, isCancel: x.call.Kind == site.CancelJob, reply: make(chan site.Reply, 1)}
 			part.handle(now, &x.call, w)
+			if tt.pause < memberTTL {
+				assert.Equal(t, len(w.reply), 0, "%s, %s: answered before the log has confirmed the ownership", tt.name, x.name)
+				awaitReply(t, part, w)
+			}
 			select {
 			case r := <-w.reply:
 				assert.Equal(t, r.Outcome, tt.outcome, "%s, %s", tt.name, x.name)
