drive: an owner whose authority has ended does not count waiting jobs

A former owner that is cut off answered how many jobs of a queue wait from the jobs that it knows, for as long as the cut lasted, while the next owner accepted others: callers took a growing queue for a short one. Nothing ended that answer.

After the end of its authority the owner says not-owner; the entry that asks turns to the next one, and refuses after 1.2 s if none answers, as in an outage of the log for all.

TestExpiredOwnerCountsNoWaitingJobs fails before ("ok != not-owner", at the end).

--- a/internal/drive/question_test.go
+++ b/internal/drive/question_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/greengagelane/greengagelane/internal/tenure"
 	"github.com/greengagelane/greengagelane/pkg/jobs"
 	"github.com/greengagelane/greengagelane/pkg/site"
 	"github.com/greengagelane/greengagelane/platform"
@@ -141,3 +142,28 @@
 	assert.NilError(t, err)
 	return data
 }
+
+// TestExpiredOwnerCountsNoWaitingJobs guards against an owner that is cut off and goes on counting the jobs that it knows,
+// while the next one accepts others: its callers take a growing queue for a short one.
+func TestExpiredOwnerCountsNoWaitingJobs(t *testing.T) {
+	tests := []struct {
+		name    string
+		at      time.Duration // since the latest confirmation
+		outcome site.Outcome
+	}{
+		{"just confirmed", 10 * time.Millisecond, site.OK},
+		{"before the end", tenure.Validity - time.Millisecond, site.OK},
+		{"at the end", tenure.Validity, site.NotOwner},
+	}
+	c := newCluster(t, 1, map[string]int{"alpha": 1})
+	for i, tt := range tests {
+		part := partitionWithJob(t, c.nodes[0], 90+i)
+		defer part.store.Close()
+		now := time.Now()
+		part.lastRoundAt = now
+		part.tenure = tenure.Tenure{ConfirmedAt: now.Add(-tt.at)}
+		w := &waiter{reply: make(chan site.Reply, 1)}
+		part.handle(now, &jobCall{Kind: site.CountWaiting, Access: site.Access{Queue: "q"}}, w)
+		assert.Equal(t, (<-w.reply).Outcome, tt.outcome, tt.name)
+	}
+}
--- a/internal/drive/requests.go
+++ b/internal/drive/requests.go
@@ -132,6 +132,10 @@
 		}
 		w.answer(site.Reply{Outcome: site.OK, State: state.String()})
 	case site.CountWaiting:
+		if part.tenure.Expired(now) {
+			w.answer(part.replyUnconfirmed(now))
+			return
+		}
 		w.answer(site.Reply{Outcome: site.OK, Waiting: part.scheduler.Waiting(c.Queue)})
 	}
 }
@@ -156,9 +160,8 @@
 	})
 }
 
-// replyUnconfirmed returns the reply to a request about a job that is not known while the ownership is not confirmed.
-// Unless this owner is about to be confirmed after a pause, the entry that asks may turn to another owner at once, as
-// nothing was done.
+// replyUnconfirmed returns the reply to a request that changes nothing while the ownership is not confirmed.
+// Unless this owner is about to be confirmed after a pause, the entry that asks may turn to another owner at once.
 func (part *ownedPartition) replyUnconfirmed(now time.Time) site.Reply {
 	outcome := site.NotOwner
 	if part.unconfirmed || part.paused(now) {
