drive: an owner names the queues of its jobs only once the log has confirmed its ownership

An entry that starts asks the owners of all partitions for the queues of their jobs, and from then on looks a job up before a submission only where its queue has any. A former owner answered from memory, without the queues of the jobs that the next one had accepted; a job of such a queue could be accepted once more in another partition.

TestSupersededOwnerNamesNoQueues fails before ("true != false", later owner).

--- a/internal/drive/question.go
+++ b/internal/drive/question.go
@@ -1,6 +1,9 @@
 package drive
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // question is a request whose answer is true only if no other entry had claimed the partition when it came. It waits
 // for a confirmation of the ownership by the job log that begins after that.
@@ -47,3 +50,20 @@
 	}
 	part.questions = nil
 }
+
+// runOnceConfirmed is runOnPartition for a function whose result is true only if the log has confirmed the ownership since
+// the call.
+func runOnceConfirmed[T any](ctx context.Context, part *ownedPartition, f func(part *ownedPartition, now time.Time, confirmed bool) *T) (*T, error) {
+	ch := make(chan *T, 1)
+	part.post(func(now time.Time) {
+		part.onceConfirmed(now, func(now time.Time, confirmed bool) { ch <- f(part, now, confirmed) })
+	})
+	select {
+	case r := <-ch:
+		return r, nil
+	case <-part.done:
+		return nil, errNotOwner
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
--- a/internal/drive/question_test.go
+++ b/internal/drive/question_test.go
@@ -167,3 +167,55 @@
 		assert.Equal(t, (<-w.reply).Outcome, tt.outcome, tt.name)
 	}
 }
+
+// TestSupersededOwnerNamesNoQueues guards against an owner that is cut off for a while and then names the queues of its
+// jobs, without those that the next owner has accepted: an entry that starts would not look such a job up here before
+// another partition accepts it once more.
+func TestSupersededOwnerNamesNoQueues(t *testing.T) {
+	tests := []struct {
+		name    string
+		claimed bool // by a later owner
+		owner   bool
+	}{
+		{"owner", false, true},
+		{"later owner", true, false},
+	}
+	c := newCluster(t, 1, map[string]int{"alpha": 1})
+	n := c.nodes[0]
+	for i, tt := range tests {
+		part := partitionWithJob(t, n, 95+i)
+		defer part.store.Close()
+		part.loaded = make(chan struct{})
+		close(part.loaded)
+		n.mu.Lock()
+		n.partitions[part.number] = part
+		n.mu.Unlock()
+		if tt.claimed {
+			claimLater(t, part)
+		}
+		replies := make(chan *queuesReply, 1)
+		go func() {
+			r, _ := n.queuesLocal(t.Context(), &queuesCall{Partition: part.number})
+			replies <- r
+		}()
+		awaitEvents(t, part, 1)
+		part.lastRoundAt = time.Now()
+		var r *queuesReply
+		for end := time.Now().Add(testTimeout); r == nil; {
+			assert.Assert(t, time.Now().Before(end), "no reply")
+			select {
+			case r = <-replies:
+			case f := <-part.events:
+				f(time.Now())
+			case <-time.After(minFlushInterval):
+			}
+			part.round(t.Context(), time.Now())
+			if part.scheduler.Fenced() {
+				part.dropQuestions(time.Now())
+			}
+		}
+		assert.Equal(t, r.Owner, tt.owner, tt.name)
+		part.cancel()
+		n.removePartition(part)
+	}
+}
--- a/internal/drive/queues.go
+++ b/internal/drive/queues.go
@@ -207,15 +207,16 @@
 	return nil
 }
 
-// queuesLocal names the queues of the jobs in a partition of this entry.
+// queuesLocal names the queues of the jobs in a partition of this entry. A later owner may have jobs of other queues, so
+// the log has to confirm the ownership first.
 func (n *Node) queuesLocal(ctx context.Context, c *queuesCall) (*queuesReply, error) {
 	part := n.lookupPartition(c.Partition)
 	if part == nil || !part.isLoaded() {
 		return &queuesReply{}, nil
 	}
-	return runOnPartition(ctx, part, func(part *ownedPartition, _ time.Time) *queuesReply {
+	return runOnceConfirmed(ctx, part, func(part *ownedPartition, _ time.Time, confirmed bool) *queuesReply {
 		cfg := part.node.Config()
-		if cfg == nil || part.scheduler.Retired() || part.scheduler.Fenced() {
+		if !confirmed || cfg == nil || part.scheduler.Retired() || part.scheduler.Fenced() {
 			return &queuesReply{}
 		}
 		return &queuesReply{Owner: true, Queues: part.scheduler.Queues(), ConfigVersion: cfg.Version}
