drive, quota: a quota coordinator grants nothing once its authority has ended

An account could run more than its limit. A coordinator that is cut off from the log went on granting fractions to the owners that it reached. The next coordinator takes an owner that it does not reach for one that uses the even share after 5 s, as one without requests does after 4 s; but that owner got requests, and kept what the former coordinator had granted.

The coordinator now sends no requests once its authority has ended, 2.4 s after its latest confirmation. Its last request is held for 4 s, so the next coordinator waits for 7 s before it assumes the even share: 2.4 + 0.25 + 4 s, with clocks that are off by 2 %. That also covers the runs of an owner that was cut off, which end 6.7 s after its latest confirmation. The wait applies only to a partition that does not answer the new coordinator.

TestExpiredCoordinatorGrantsNothing fails without the check, TestFormerCoordinatorsGrantsEndInTime with a wait of 5 s ("1.475000 after 5.05s").

--- a/internal/drive/claim.go
+++ b/internal/drive/claim.go
@@ -131,7 +131,7 @@
 	vms, readAt := part.node.vmsOf(part.number)
 	part.scheduler.SetVMs(time.Now(), vms)
 	part.scheduler.VMsReadAt(readAt)
-	part.tenure.Confirm(claimBegan)
+	part.confirm(claimBegan)
 	part.scheduler.LogWaits(part.lastRoundAt, whyWait(last.Epoch, former, yielded, part.soleOwner))
 	return nil
 }
--- a/internal/drive/confirm_log.go
+++ b/internal/drive/confirm_log.go
@@ -32,10 +32,27 @@
 	if part.sinceConfirmed.logged {
 		part.confirmationLog(now).Info("ownership is confirmed again")
 	}
-	part.tenure.Confirm(began)
+	part.confirm(began)
 	part.sinceConfirmed = unconfirmedTime{logged: part.sinceConfirmed.logged && part.tenure.Expired(now), started: part.scheduler.Stats().Started}
 }
 
+// confirm records when a check of the ownership began that has found no later owner.
+func (part *ownedPartition) confirm(began time.Time) {
+	part.tenure.Confirm(began)
+	at := part.tenure.ConfirmedAt
+	part.confirmedAt.Store(&at)
+}
+
+// authorityEnded reports on any goroutine whether the authority of the owner has ended.
+func (part *ownedPartition) authorityEnded(now time.Time) bool {
+	at := part.confirmedAt.Load()
+	if at == nil {
+		return true
+	}
+	t := tenure.Tenure{ConfirmedAt: *at}
+	return t.Expired(now)
+}
+
 // logLoss logs that a later owner has claimed the partition, and on which VMs this one had runs.
 func (part *ownedPartition) logLoss(now time.Time) {
 	part.confirmationLog(now).WithField("held", part.scheduler.HeldVMs(now)).Warn("partition lost to an owner with a higher epoch")
--- a/internal/drive/fleet.go
+++ b/internal/drive/fleet.go
@@ -156,7 +156,7 @@
 		}
 	}
 	m.mu.Unlock()
-	m.quotas.addRequests(time.Now(), cfg, calls)
+	m.addQuotaRequests(time.Now(), cfg, calls)
 	reports, failed := m.fetchReports(ctx, calls)
 	for pool, err := range failed {
 		logrus.WithError(err).WithField("pool", pool).Info("no report of the pool; its machines are not moved")
--- a/internal/drive/partition.go
+++ b/internal/drive/partition.go
@@ -62,24 +62,25 @@
 	handedOver   chan struct{} // closed once the handover record is stored
 	releasing    atomic.Bool   // the partition is no longer assigned to this entry, which serves it until the handover
 
-	lastRoundAt    time.Time       // the claim before the first round; zero before the claim
-	unconfirmed    bool            // no decisions until the log has confirmed the ownership
-	pauses         int             // after which the ownership was, or is to be, confirmed
-	tenure         tenure.Tenure   // of the ownership
-	sinceConfirmed unconfirmedTime // since the latest confirmation
-	soleOwner      bool            // no earlier owner renews leases; set by the claim, or once all have heard of this one
-	soleRecorded   bool            // the record under soleOwnerKey is in pendingRecords or was
-	reachedAt      time.Time       // when the first VM had answered a status poll; zero before
-	pendingRecords []controlRecord // records of the mover, for the next flush
-	restored       restoredFleet   // control records read by the claim, for the mover; set before loaded is closed
-	mover          *mover          // nil unless this is the fleet partition
-	claimed        claimedTable    // set by the claim
-	claimedAt      time.Time       // when the log confirmed the claim
-	recovery       recovery        // since the claim
-	roundTime      time.Duration   // duration of the last round, capped
-	lastStats      sched.Stats     // already added to the metrics
-	cordonedAt     time.Time       // when cordons were last renewed
-	config         *site.Config    // whose accounts the scheduler has; nil before the first
+	lastRoundAt    time.Time                 // the claim before the first round; zero before the claim
+	unconfirmed    bool                      // no decisions until the log has confirmed the ownership
+	pauses         int                       // after which the ownership was, or is to be, confirmed
+	tenure         tenure.Tenure             // of the ownership
+	sinceConfirmed unconfirmedTime           // since the latest confirmation
+	confirmedAt    atomic.Pointer[time.Time] // of tenure, for other goroutines; nil before the claim
+	soleOwner      bool                      // no earlier owner renews leases; set by the claim, or once all have heard of this one
+	soleRecorded   bool                      // the record under soleOwnerKey is in pendingRecords or was
+	reachedAt      time.Time                 // when the first VM had answered a status poll; zero before
+	pendingRecords []controlRecord           // records of the mover, for the next flush
+	restored       restoredFleet             // control records read by the claim, for the mover; set before loaded is closed
+	mover          *mover                    // nil unless this is the fleet partition
+	claimed        claimedTable              // set by the claim
+	claimedAt      time.Time                 // when the log confirmed the claim
+	recovery       recovery                  // since the claim
+	roundTime      time.Duration             // duration of the last round, capped
+	lastStats      sched.Stats               // already added to the metrics
+	cordonedAt     time.Time                 // when cordons were last renewed
+	config         *site.Config              // whose accounts the scheduler has; nil before the first
 }
 
 func newOwnedPartition(ctx context.Context, n *Node, partition int) *ownedPartition {
--- a/internal/drive/quota.go
+++ b/internal/drive/quota.go
@@ -114,12 +114,20 @@
 			calls = append(calls, m.part.node.readCall(p.Name))
 		}
 	}
-	m.quotas.addRequests(time.Now(), cfg, calls)
+	m.addQuotaRequests(time.Now(), cfg, calls)
 	calls = slices.DeleteFunc(calls, func(c *reportCall) bool { return c.Quota == nil })
 	reports, _ := m.fetchReports(ctx, calls)
 	m.handleQuotaReplies(calls, reports)
 }
 
+// addQuotaRequests adds the coordinator's requests to the calls unless another entry may be the coordinator. An owner
+// that hears from this one only then falls back to the even share, which is what the other assumes that it uses.
+func (m *mover) addQuotaRequests(now time.Time, cfg *site.Config, calls []*reportCall) {
+	if !m.part.authorityEnded(now) {
+		m.quotas.addRequests(now, cfg, calls)
+	}
+}
+
 // handleQuotaReplies passes the owners' replies to the quota coordinator.
 func (m *mover) handleQuotaReplies(calls []*reportCall, reports map[string]*sched.Report) {
 	now := time.Now()
--- a/internal/drive/tenure_test.go
+++ b/internal/drive/tenure_test.go
@@ -73,3 +73,26 @@
 	}
 	assert.Assert(t, !part.tenure.Expired(time.Now()))
 }
+
+// TestExpiredCoordinatorGrantsNothing guards against a quota coordinator that is cut off from the log and goes on granting
+// fractions to owners that the next one does not reach: an account would run more than its limit.
+func TestExpiredCoordinatorGrantsNothing(t *testing.T) {
+	tests := []struct {
+		name   string
+		at     time.Duration // since the latest confirmation
+		grants bool
+	}{
+		{"just confirmed", 10 * time.Millisecond, true},
+		{"at the end", tenure.Validity, false},
+	}
+	cfg := &site.Config{Accounts: []site.Account{{Name: "a", Weight: 1, Limit: site.Resources{CPU: 1000}}}}
+	now := time.Now()
+	for _, tt := range tests {
+		part := &ownedPartition{}
+		part.confirm(now.Add(-tt.at))
+		m := &mover{part: part, quotas: newQuotaRounds(1)}
+		calls := []*reportCall{{Partition: 0, Pool: "alpha"}}
+		m.addQuotaRequests(now, cfg, calls)
+		assert.Equal(t, calls[0].Quota != nil, tt.grants, tt.name)
+	}
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -22,9 +22,10 @@
 	// most the even share.
 	SilentAfter = 4 * time.Second
 	// UnknownAfter is how long a new coordinator waits for the first reply of a partition before it
-	// assumes that the partition holds the even share. It exceeds SilentAfter and the leases of runs
-	// (4.3 s), with clocks off by 2 %.
-	UnknownAfter = 5 * time.Second
+	// assumes that the partition holds the even share. A former coordinator that is cut off may send
+	// requests until its authority has ended, and the last one holds for SilentAfter; the runs of an owner
+	// that is cut off last for a lease (4.3 s) after that. Clocks may be off by 2 %.
+	UnknownAfter = 7 * time.Second
 )
 
 // Grants are the fractions of the accounts' limits that a partition may use.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/greengagelane/greengagelane/internal/tenure"
 	"github.com/greengagelane/greengagelane/pkg/site"
 )
 
@@ -149,3 +150,28 @@
 	round()
 	assert.Assert(t, c.Pending(), "partition 0 has an owner that holds nothing yet")
 }
+
+// TestFormerCoordinatorsGrantsEndInTime guards against quota that is allocated twice when a new coordinator does not reach
+// an owner to which a former one, whose authority has not ended yet, still grants more than the even share.
+func TestFormerCoordinatorsGrantsEndInTime(t *testing.T) {
+	const callTimeout = 250 * time.Millisecond // for a request that the former coordinator has sent last
+	former, now := NewCoordinator(1), testStart
+	reached, unreached := &Holder{}, &Holder{}
+	busy := []Load{{Account: "a", Demand: site.Resources{CPU: 5 * limit}}}
+	for range 5 {
+		now = now.Add(150 * time.Millisecond)
+		exchangeAll(former, now, []int{0, 1}, oneAccount(), map[int]*Holder{0: reached, 1: unreached}, map[int][]Load{1: busy})
+	}
+	assert.Assert(t, unreached.Fraction(now, "a") > 0.9)
+	claimed, next := now, NewCoordinator(2) // just after the former one was confirmed
+	for now.Sub(claimed) < 2*UnknownAfter {
+		now = now.Add(50 * time.Millisecond)
+		if now.Sub(claimed) < tenure.Validity+callTimeout {
+			exchangeAll(former, now, []int{0, 1}, oneAccount(), map[int]*Holder{1: unreached}, map[int][]Load{1: busy})
+		}
+		exchangeAll(next, now, []int{0, 1}, oneAccount(), map[int]*Holder{0: reached}, map[int][]Load{0: busy})
+		sum := reached.Fraction(now, "a") + unreached.Fraction(now, "a")
+		assert.Assert(t, sum <= 1+epsilon, "%f after %s", sum, now.Sub(claimed))
+	}
+	assert.Equal(t, reached.Fraction(now, "a"), 0.5)
+}
