--- a/internal/drive/pause.go
+++ b/internal/drive/pause.go
@@ -46,7 +46,7 @@
 // requestConfirmation has the next flush store the epoch anew if the owner or a question needs a confirmation and there is
 // nothing else to store. The log refuses it if a later owner has claimed the partition. All waiting questions share it.
 func (part *ownedPartition) requestConfirmation(now time.Time) {
-	needed := len(part.questions) > 0 || part.tenure.Due(now)
+	needed := len(part.questions) > 0 || part.tenure.Due(now) || part.scheduler.AwaitsConfirmation()
 	if !needed || part.scheduler.Retired() || part.flushing || len(part.pendingRecords) > 0 {
 		return
 	}
