sched: a restarted VM gets runs only once the ownership is confirmed since the restart

Found by reading: a VM that restarts under its ID loses the fencing token of a later owner. Within the validity of its last confirmation, a former owner that polls the VM first starts a task there which the later one runs elsewhere, as the VM stays recorded in the job log, so that no append comes before the start.

Change: such a VM is a candidate once a confirmation has begun after the restart was seen; one is asked for at once.

'ownership is confirmed again' is logged only if the authority has not ended again, as after an append that took long.

--- a/internal/drive/confirm_log.go
+++ b/internal/drive/confirm_log.go
@@ -29,11 +29,13 @@
 
 // recordConfirmation records that a check of the ownership, begun at the given time, has found no later owner.
 func (part *ownedPartition) recordConfirmation(now, began time.Time) {
-	if part.sinceConfirmed.logged {
-		part.confirmationLog(now).Info("ownership is confirmed again")
-	}
+	gap := part.confirmationLog(now)
 	part.confirm(began)
-	part.sinceConfirmed = unconfirmedTime{logged: part.sinceConfirmed.logged && part.tenure.Expired(now), started: part.scheduler.Stats().Started}
+	if part.sinceConfirmed.logged && !part.tenure.Expired(now) {
+		gap.Info("ownership is confirmed again")
+		part.sinceConfirmed.logged = false
+	}
+	part.sinceConfirmed.started = part.scheduler.Stats().Started
 }
 
 // confirm records when a check of the ownership began that has found no later owner.
--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -45,7 +45,7 @@
 // once the leases of an earlier owner's runs have expired.
 func (s *Scheduler) expireLeases(now time.Time) {
 	for id, until := range s.unverified {
-		if v := s.vms[id]; s.certainlyAfter(now, until) && (v == nil || s.certainlyAfter(now, v.leasesEnd)) {
+		if v := s.vms[id]; s.confirmedAfter(now, until) && (v == nil || s.confirmedAfter(now, v.leasesEnd)) {
 			s.log.WithField("vm", id).Info("VM that may hold runs of an earlier owner did not answer; its leases have expired")
 			s.endWait(now, id, waitExpired)
 			if v != nil {
@@ -57,7 +57,7 @@
 	s.logWaitEnds(now)
 	for _, v := range s.vms {
 		silent := now.Sub(v.lastAnswer) > s.policy.Lease
-		if silent && len(v.runs) > 0 && s.certainlyAfter(now, v.leasesEnd) {
+		if silent && len(v.runs) > 0 && s.confirmedAfter(now, v.leasesEnd) {
 			s.loseVM(now, v, false, "does not answer and its leases have expired")
 			s.releaseRuns(v, "lease expired")
 			v.polled, v.lapsed = false, true
--- a/internal/sched/observe.go
+++ b/internal/sched/observe.go
@@ -50,6 +50,7 @@
 	s.awaitLateCalls(now, v)
 	v.Born, v.seenSeq, v.storedSeq, v.ackedSeq, v.polled, v.ended, v.endsCut = born, 0, 0, 0, false, false, false
 	v.clockMS, v.clockAt, v.failedAt, v.lapsed = 0, time.Time{}, time.Time{}, false
+	v.restartedAt = now
 	v.quarantinedUntil, v.probation, v.consecutiveFailures, v.quarantineTime, v.speed = time.Time{}, false, 0, 0, 0
 	v.unreadableEnds = nil
 }
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -114,7 +114,7 @@
 		return nil
 	}
 	for _, v := range s.sortedVMs(pool) {
-		if !v.takesLasting(now, &s.policy) {
+		if !v.takesLasting(now, &s.policy) || (!v.restartedAt.IsZero() && !s.confirmedAfter(now, v.restartedAt)) {
 			continue
 		}
 		c := &candidate{vm: v, free: v.freeResources(), trial: v.onTrial(now)}
--- a/internal/sched/tenure.go
+++ b/internal/sched/tenure.go
@@ -13,13 +13,14 @@
 // expired reports whether another entry may own the partition.
 func (s *Scheduler) expired(now time.Time) bool { return s.tenure != nil && s.tenure.Expired(now) }
 
-// certainlyAfter reports whether a moment at which leases end has passed and no later owner had claimed the partition by
-// then, which could have renewed them.
-func (s *Scheduler) certainlyAfter(now, leasesEnd time.Time) bool {
-	if s.tenure == nil || !now.After(leasesEnd) {
-		return now.After(leasesEnd)
+// confirmedAfter reports whether a moment has passed and no later owner had claimed the partition by then. Such an owner
+// could have renewed leases that were to end then, or started tasks elsewhere. If that is not known yet, the scheduler
+// awaits a confirmation.
+func (s *Scheduler) confirmedAfter(now, at time.Time) bool {
+	if s.tenure == nil || !now.After(at) {
+		return now.After(at)
 	}
-	confirmed := s.tenure.ConfirmedSince(leasesEnd)
+	confirmed := s.tenure.ConfirmedSince(at)
 	s.awaitsTenure = s.awaitsTenure || !confirmed
 	return confirmed
 }
--- a/internal/sched/tenure_test.go
+++ b/internal/sched/tenure_test.go
@@ -27,16 +27,16 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			r := newFixture(t, testVM("a"), testVM("b"))
-			var x tenure.Tenure
-			x.Confirm(at(0))
-			r.s.SetTenure(&x)
+			var authority tenure.Tenure
+			authority.Confirm(at(0))
+			r.s.SetTenure(&authority)
 			r.submit(0, testJob(jobID, jobs.Step{Count: 1, CPU: 1000, EstimateMS: 60000}))
 			run := r.starts(10)[0]
 			r.flush(20)
 			other := map[string]string{"a": "b", "b": "a"}[run.VM]
 			end := r.s.vms[run.VM].leasesEnd
 
-			x.Confirm(end.Add(tt.confirmed))
+			authority.Confirm(end.Add(tt.confirmed))
 			ms := int(end.Add(500 * time.Millisecond).Sub(at(0)).Milliseconds())
 			r.poll(ms, other, site.VMStatus{})
 			r.flush(ms)
@@ -60,11 +60,11 @@
 		other := map[string]string{"a": "b", "b": "a"}[run.VM]
 		r.takeover(1000, testVM("a"), testVM("b"))
 		end := r.s.unverified[run.VM]
-		var x tenure.Tenure
-		x.Confirm(end.Add(-time.Second))
-		r.s.SetTenure(&x)
+		var authority tenure.Tenure
+		authority.Confirm(end.Add(-time.Second))
+		r.s.SetTenure(&authority)
 		if confirmed {
-			x.Confirm(end.Add(100 * time.Millisecond))
+			authority.Confirm(end.Add(100 * time.Millisecond))
 		}
 		ms := int(end.Add(200 * time.Millisecond).Sub(at(0)).Milliseconds())
 		r.poll(ms, other, site.VMStatus{})
@@ -72,3 +72,53 @@
 		assert.Equal(t, len(r.starts(ms)) == 1, confirmed)
 	}
 }
+
+// TestRestartedVMGetsNoRunsUnconfirmed guards against an owner that starts a task on a VM which has restarted, and so lost
+// the fencing token of a later owner, while that one runs the task elsewhere.
+func TestRestartedVMGetsNoRunsUnconfirmed(t *testing.T) {
+	const restarted = 1000 // ms
+	tests := []struct {
+		name      string
+		confirmed int // ms
+		starts    int
+	}{
+		{"confirmed before the restart", restarted - 100, 0},
+		{"confirmed afterwards", restarted + 100, 1},
+	}
+	for _, tt := range tests {
+		r := newFixture(t, testVM("a"))
+		var authority tenure.Tenure
+		authority.Confirm(at(0))
+		r.s.SetTenure(&authority)
+		r.s.HandlePoll(at(restarted), "a", at(restarted), &site.VMStatus{Born: 2, ClockMS: 10})
+		r.flush(restarted)
+		authority.Confirm(at(tt.confirmed))
+		r.submit(restarted+150, testJob(jobID, jobs.Step{Count: 1, CPU: 1000, Lasts: true}))
+		assert.Equal(t, len(r.starts(restarted+200)), tt.starts, tt.name)
+		assert.Equal(t, r.s.AwaitsConfirmation(), tt.starts == 0, tt.name)
+	}
+}
+
+// TestExpiredOwnerEvacuatesNoRun guards against an owner that stops a run which a later one has adopted.
+func TestExpiredOwnerEvacuatesNoRun(t *testing.T) {
+	for _, expired := range []bool{false, true} {
+		r := newFixture(t, testVM("a"), testVM("b"))
+		var authority tenure.Tenure
+		authority.Confirm(at(0))
+		r.s.SetTenure(&authority)
+		r.submit(0, testJob(jobID, jobs.Step{Count: 1, CPU: 1000, Lasts: true, MayMiss: 1}))
+		run := r.starts(10)[0]
+		other := map[string]string{"a": "b", "b": "a"}[run.VM]
+		const ms = 20000
+		if !expired {
+			authority.Confirm(at(ms))
+		}
+		draining, free := testVM(run.VM), testVM(other)
+		draining.Draining = true
+		r.s.SetVMs(at(ms), []site.VM{draining, free})
+		r.poll(ms, run.VM, site.VMStatus{Running: []site.Run{running(run)}})
+		r.poll(ms, other, site.VMStatus{})
+		r.flush(ms)
+		assert.Equal(t, len(r.stops(ms+10)) == 0, expired)
+	}
+}
--- a/internal/sched/vm.go
+++ b/internal/sched/vm.go
@@ -21,6 +21,7 @@
 	pollFailed          bool             // the last status poll failed
 	failedAt            time.Time        // when a poll first failed since the last answer; zero if none has
 	trialPolledAt       time.Time        // when a poll was last ordered out of turn, see pollTrials
+	restartedAt         time.Time        // when its present incarnation, which has not heard of later owners, became known; zero if it is the first
 	ended               bool             // its incarnation has ended; only runs whose start orders are under way are left
 	endedAt             time.Time        // when that became known
 	lapsed              bool             // its runs were released when its leases expired; it may be cut off or gone
