drive: a test of the authority through a real claim

The tests of the authority's end gave the scheduler its tenure themselves. TestClaimGivesAuthorityThatEnds claims a partition: it fails if the claim does not set the tenure, and if an owner that waits for a confirmation does not ask for one.

--- a/internal/drive/tenure_test.go
+++ b/internal/drive/tenure_test.go
@@ -96,3 +96,39 @@
 		assert.Equal(t, calls[0].Quota != nil, tt.grants, tt.name)
 	}
 }
+
+// TestClaimGivesAuthorityThatEnds guards against an owner whose claim is not bounded by a confirmation, or is never confirmed
+// once it waits for that.
+func TestClaimGivesAuthorityThatEnds(t *testing.T) {
+	c := newCluster(t, 1, map[string]int{"alpha": 1})
+	former := partitionWithJob(t, c.nodes[0], 120)
+	defer former.store.Close()
+	vms := []site.VM{{ID: "free", Born: 1, Pool: "pool", Address: "127.0.0.1:2", CPU: 8000, MemMB: 8000}}
+	storeOwnedJob(t, former, []site.VM{{ID: "vm", Born: 1, Pool: "pool", Address: "127.0.0.1:1", CPU: 8000, MemMB: 8000}}, "127.0.0.1:1", true)
+	part := partitionWithJob(t, c.nodes[0], 120)
+	defer part.store.Close()
+	part.tenure = tenure.Tenure{}
+	assert.NilError(t, part.tryClaim(t.Context()))
+	claimed := time.Now()
+	assert.Assert(t, !part.tenure.Expired(claimed))
+	assert.Assert(t, part.tenure.Expired(claimed.Add(tenure.Validity)))
+
+	decide := func(now time.Time) int {
+		part.scheduler.SetVMs(now, vms)
+		part.scheduler.HandlePoll(now, "free", now, &site.VMStatus{Born: 1, ClockMS: 1000 + now.Sub(claimed).Milliseconds()})
+		f, err := part.scheduler.Flush(now, 1<<20)
+		assert.NilError(t, err)
+		if f != nil {
+			part.scheduler.Flushed(f)
+		}
+		part.scheduler.Decide(now)
+		return part.scheduler.Stats().Started
+	}
+	const leasesEnded = 10 * time.Second // after the claim
+	assert.Equal(t, decide(claimed.Add(leasesEnded)), 0)
+	part.requestConfirmation(claimed)
+	assert.Equal(t, len(part.pendingRecords), 1, "the end of a wait is to be confirmed")
+	part.tenure.Confirm(claimed.Add(leasesEnded))
+	decide(claimed.Add(leasesEnded + idleInterval)) // the losses are stored after it
+	assert.Equal(t, decide(claimed.Add(leasesEnded+2*idleInterval)), 1)
+}
