soak: cuts of single owners, outages at the begin of cuts, pauses beside them; a list of all runs

Silent cuts concerned whole data centres, while one of the users' records has single entries cut off, some beside an outage of the log. -cut-entries owner or two cuts these off, -cut-outage has the log away for all from the begin of each cut on, and -pauses holds for cuts, too.

TestSoakOwnersCutOff plays a single owner, alone and after an outage of 3 s.

--- a/internal/stand/soak/cutplan.go
+++ b/internal/stand/soak/cutplan.go
@@ -10,10 +10,23 @@
 	"github.com/greengagelane/greengagelane/internal/stand/emul"
 )
 
-// cutLinkSet are the links that the entries of a data centre lose in a cut.
+// cutEntrySet are the entries that are cut off with an owner.
+type cutEntrySet struct {
+	name       string
+	dataCentre bool // those of its data centre
+	others     int  // number of random others
+}
+
+var cutEntries = []cutEntrySet{
+	{"data-centre", true, 0},
+	{"owner", false, 0},
+	{"two", false, 1},
+}
+
+// cutLinkSet are the links that the entries lose in a cut.
 type cutLinkSet struct {
 	name         string
-	log, entries bool // to the log, and to and from the entries of other data centres
+	log, entries bool // to the log, and to and from the entries that are not cut off
 }
 
 var cutLinks = []cutLinkSet{
@@ -22,10 +35,11 @@
 	{"entries", false, true},
 }
 
-// reach tells which entries reach a VM while a data centre is cut off: those of the data centre, and the others.
+// reach tells which entries reach a VM during a cut: those that are cut off, and the others.
 type reach struct{ inside, outside bool }
 
-// cutVMSet is a choice of VMs that not all entries reach while a data centre is cut off. pick chooses for a VM.
+// cutVMSet is a choice of VMs that not all entries reach during a cut. pick chooses for a VM; the data centre is that of
+// the owner that is cut off.
 type cutVMSet struct {
 	name   string
 	weight int // relative frequency
@@ -57,6 +71,13 @@
 	return &cutVMs[i]
 }
 
+func findCutEntries(name string) *cutEntrySet {
+	if i := slices.IndexFunc(cutEntries, func(s cutEntrySet) bool { return s.name == name }); i >= 0 {
+		return &cutEntries[i]
+	}
+	return nil
+}
+
 func findCutLinks(name string) *cutLinkSet {
 	if i := slices.IndexFunc(cutLinks, func(s cutLinkSet) bool { return s.name == name }); i >= 0 {
 		return &cutLinks[i]
@@ -73,18 +94,20 @@
 
 // cutPlan describes one cut. Times are from its begin.
 type cutPlan struct {
-	length     time.Duration
-	next       time.Duration // until the next cut begins
-	links      *cutLinkSet
-	vms        *cutVMSet
-	apart      bool  // the entries of the data centre do not reach each other either
-	directions []int // seen from the data centre: Upstream is from it, Downstream to it
-	dropped    bool  // what was sent over connections that were open is lost, not held back
-	inventory  bool  // the fleet inventory is cut off with the log
-	logDelay   time.Duration
-	outage     time.Duration // of the log for all, with another entry cut off from all others
-	outageAt   time.Duration
-	events     []cutEvent
+	length      time.Duration
+	next        time.Duration // until the next cut begins
+	entries     *cutEntrySet
+	links       *cutLinkSet
+	vms         *cutVMSet
+	apart       bool  // the entries that are cut off do not reach each other either
+	directions  []int // seen from the entries that are cut off: Upstream is from them, Downstream to them
+	dropped     bool  // what was sent over connections that were open is lost, not held back
+	inventory   bool  // the fleet inventory is cut off with the log
+	logDelay    time.Duration
+	outage      time.Duration // of the log for all
+	silentEntry bool          // another entry is cut off from all entries during the outage
+	outageAt    time.Duration
+	events      []cutEvent
 }
 
 // cutEvent is the kill or pause of an owner during a cut.
@@ -93,7 +116,7 @@
 	inside    bool          // the owner is cut off
 }
 
-// drawCut draws a cut of any data centre.
+// drawCut draws a cut.
 func drawCut(load *Load, r *rand.Rand) *cutPlan {
 	const minLength, lengthSpread, minRest, maxRest = 3 * time.Second, 22 * time.Second, time.Second, 5 * time.Second
 	p := &cutPlan{length: minLength + time.Duration(r.Int64N(int64(lengthSpread))), directions: []int{Upstream, Downstream}}
@@ -101,7 +124,10 @@
 		p.length = load.CutLength
 	}
 	p.next = p.length + minRest + randomDuration(r, maxRest-minRest)
-	p.links, p.vms = &cutLinks[0], drawCutVMs(r)
+	p.entries, p.links, p.vms = &cutEntries[0], &cutLinks[0], drawCutVMs(r)
+	if load.CutEntries != "" {
+		p.entries = findCutEntries(load.CutEntries)
+	}
 	if load.CutLinks != "" {
 		p.links = findCutLinks(load.CutLinks)
 	}
@@ -111,6 +137,9 @@
 	if !load.PlainCuts {
 		p.vary(r)
 	}
+	if load.CutOutage > 0 {
+		p.outage, p.outageAt = min(load.CutOutage, p.length), 0
+	}
 	return p
 }
 
@@ -134,7 +163,7 @@
 		p.logDelay = randomDuration(r, maxLogDelay)
 	}
 	if r.IntN(4) == 0 {
-		p.outage, p.outageAt = min(randomDuration(r, maxOutage), p.length), within()
+		p.outage, p.outageAt, p.silentEntry = min(randomDuration(r, maxOutage), p.length), within(), true
 	}
 	for range r.IntN(maxEvents + 1) {
 		e := cutEvent{at: within(), inside: r.IntN(2) == 0}
@@ -147,14 +176,14 @@
 
 // String describes the cut for the event log.
 func (p *cutPlan) String() string {
-	text := []string{fmt.Sprintf("%s, links %s, VMs %s", p.length.Round(time.Millisecond), p.links.name, p.vms.name)}
+	text := []string{fmt.Sprintf("%s, entries %s, links %s, VMs %s", p.length.Round(time.Millisecond), p.entries.name, p.links.name, p.vms.name)}
 	for _, variant := range []struct {
 		name string
 		set  bool
 	}{
-		{"its entries are apart", p.apart},
-		{"from it alone", len(p.directions) == 1 && p.directions[0] == Upstream},
-		{"to it alone", len(p.directions) == 1 && p.directions[0] == Downstream},
+		{"the entries are apart", p.apart},
+		{"from them alone", len(p.directions) == 1 && p.directions[0] == Upstream},
+		{"to them alone", len(p.directions) == 1 && p.directions[0] == Downstream},
 		{"data is dropped", p.dropped},
 		{"without inventory", p.inventory},
 	} {
--- a/internal/stand/soak/cuts.go
+++ b/internal/stand/soak/cuts.go
@@ -21,6 +21,12 @@
 	ends     []func() // end the cuts of other links
 }
 
+// sides are the entries that are cut off with an owner, and the others.
+type sides struct {
+	owner, dataCentre string // the name of the owner and its data centre
+	inside, outside   []*Entry
+}
+
 // addPath cuts the path from an entry to a VM if the entry does not reach it.
 func (c *cut) addPath(entry string, path *vmPath) {
 	who := c.reachOf(path.vm)
@@ -49,7 +55,7 @@
 	c.ends = append(c.ends, func() { l.Heal(directions...) })
 }
 
-// injectCuts cuts data centres off, Load.Cuts times, and returns when all cuts have ended.
+// injectCuts cuts owners off, Load.Cuts times, and returns when all cuts have ended.
 func (harness *Harness) injectCuts(ctx context.Context) {
 	const calm = 3 * time.Second
 	r := rand.New(rand.NewPCG(harness.cfg.Seed, 8))
@@ -66,22 +72,22 @@
 	sleep(ctx, calm)
 }
 
-// cutOff cuts a data centre off, has the other events of the plan happen, and heals the cut.
+// cutOff cuts an owner off, has the other events of the plan happen, and heals the cut.
 func (harness *Harness) cutOff(ctx context.Context, number int, p *cutPlan, r *rand.Rand) {
 	var active sync.WaitGroup
-	dataCentre := harness.dataCentreOfJobs(r)
-	harness.log("cut %d: data centre %s for %s", number, dataCentre, p)
-	heal := harness.beginCut(number, dataCentre, p, r)
+	s := harness.drawSides(p.entries, r)
+	harness.log("cut %d: %s of data centre %s for %s", number, s.owner, s.dataCentre, p)
+	heal := harness.beginCut(number, s, p, r)
 	if p.logDelay > 0 {
 		defer harness.injectLogFault(func(s *emul.Store) { s.Delay = p.logDelay }, func(s *emul.Store) { s.Delay = 0 })()
 	}
 	if p.outage > 0 {
 		outageRand := rand.New(rand.NewPCG(r.Uint64(), 0))
-		active.Go(func() { harness.outageDuringCut(ctx, number, dataCentre, p, outageRand) })
+		active.Go(func() { harness.outageDuringCut(ctx, number, s, p, outageRand) })
 	}
 	for _, event := range p.events {
 		eventRand := rand.New(rand.NewPCG(r.Uint64(), 0))
-		active.Go(func() { harness.disturbOwner(ctx, dataCentre, event, eventRand) })
+		active.Go(func() { harness.disturbOwner(ctx, s, event, eventRand) })
 	}
 	sleep(ctx, p.length)
 	heal()
@@ -90,16 +96,15 @@
 }
 
 // beginCut begins a cut and returns the function that ends it.
-func (harness *Harness) beginCut(number int, dataCentre string, p *cutPlan, r *rand.Rand) (heal func()) {
-	inside, outside := harness.entriesOf(dataCentre)
+func (harness *Harness) beginCut(number int, s *sides, p *cutPlan, r *rand.Rand) (heal func()) {
 	pickRand := rand.New(rand.NewPCG(r.Uint64(), 0))
-	c := &cut{inside: map[string]bool{}, machines: map[string]reach{}, pick: func(vm *emul.Worker) reach { return p.vms.pick(vm, dataCentre, pickRand) }}
+	c := &cut{inside: map[string]bool{}, machines: map[string]reach{}, pick: func(vm *emul.Worker) reach { return p.vms.pick(vm, s.dataCentre, pickRand) }}
 	var touched []func(time.Time)
-	for _, e := range inside {
+	for _, e := range s.inside {
 		c.inside[e.Name] = true
 		touched = append(touched, harness.contact.begin(time.Now(), e.Name))
 	}
-	harness.cutLinks(c, p, inside, outside)
+	c.addLinks(p, s)
 	alone := harness.reachedAlone(c)
 	harness.mu.Lock()
 	harness.cuts = append(harness.cuts, c)
@@ -107,7 +112,7 @@
 		c.addPath(key.entry, path)
 	}
 	harness.mu.Unlock()
-	harness.log("cut %d: %s cut off, %d of %d machines reached by them alone: %s", number, joinNames(inside), len(alone), harness.cfg.Load.VMs, strings.Join(alone, " "))
+	harness.log("cut %d: %s cut off, %d of %d machines reached by them alone: %s", number, joinNames(s.inside), len(alone), harness.cfg.Load.VMs, strings.Join(alone, " "))
 	return func() {
 		harness.mu.Lock()
 		defer harness.mu.Unlock()
@@ -124,13 +129,13 @@
 	}
 }
 
-// cutLinks cuts the links of the entries of a data centre but those to VMs.
-func (harness *Harness) cutLinks(c *cut, p *cutPlan, inside, outside []*Entry) {
+// addLinks cuts the links of the entries that are cut off but those to VMs.
+func (c *cut) addLinks(p *cutPlan, s *sides) {
 	var reverse []int
 	for _, d := range p.directions {
 		reverse = append(reverse, Upstream+Downstream-d)
 	}
-	for _, e := range inside {
+	for _, e := range s.inside {
 		if p.links.log {
 			c.addLink(e.Log, p.dropped, p.directions...)
 		}
@@ -138,30 +143,34 @@
 			c.addLink(e.Fleet, p.dropped, p.directions...)
 		}
 		if p.links.entries {
-			for _, other := range outside {
+			for _, other := range s.outside {
 				c.addLink(other.peerLinks.links[e.Name], p.dropped, p.directions...)
 				c.addLink(e.peerLinks.links[other.Name], p.dropped, reverse...)
 			}
 		}
 		if p.apart {
-			for _, other := range inside {
+			for _, other := range s.inside {
 				c.addLink(other.peerLinks.links[e.Name], p.dropped, Upstream, Downstream)
 			}
 		}
 	}
 }
 
-// outageDuringCut makes the log silent or down for all entries, with an entry of another data centre cut off from all
+// outageDuringCut makes the log silent or down for all entries, in some plans with another entry cut off from all
 // others.
-func (harness *Harness) outageDuringCut(ctx context.Context, number int, dataCentre string, p *cutPlan, r *rand.Rand) {
-	_, outside := harness.entriesOf(dataCentre)
+func (harness *Harness) outageDuringCut(ctx context.Context, number int, s *sides, p *cutPlan, r *rand.Rand) {
 	silent := r.IntN(2) == 0
-	if sleep(ctx, p.outageAt); ctx.Err() != nil || len(outside) == 0 {
+	if sleep(ctx, p.outageAt); ctx.Err() != nil {
 		return
 	}
-	e := outside[r.IntN(len(outside))]
-	harness.log("cut %d: outage of the log for %s, silent: %t, %s is cut off from all entries", number, p.outage.Round(time.Millisecond), silent, e.Name)
+	harness.log("cut %d: outage of the log for %s, silent: %t", number, p.outage.Round(time.Millisecond), silent)
 	defer harness.injectLogFault(func(s *emul.Store) { s.Down, s.Silent = true, silent }, func(s *emul.Store) { s.Down, s.Silent = false, false })()
+	if !p.silentEntry || len(s.outside) == 0 {
+		sleep(ctx, p.outage)
+		return
+	}
+	e := s.outside[r.IntN(len(s.outside))]
+	harness.log("cut %d: %s is cut off from all entries", number, e.Name)
 	c, ended := &cut{}, harness.contact.begin(time.Now(), e.Name)
 	for _, other := range harness.entries {
 		if other != e {
@@ -177,14 +186,13 @@
 }
 
 // disturbOwner kills or pauses an owner, one that is cut off or another one.
-func (harness *Harness) disturbOwner(ctx context.Context, dataCentre string, event cutEvent, r *rand.Rand) {
+func (harness *Harness) disturbOwner(ctx context.Context, s *sides, event cutEvent, r *rand.Rand) {
 	if sleep(ctx, event.at); ctx.Err() != nil {
 		return
 	}
-	inside, outside := harness.entriesOf(dataCentre)
-	choice := outside
+	choice := s.outside
 	if event.inside {
-		choice = inside
+		choice = s.inside
 	}
 	if len(choice) == 0 {
 		return
@@ -205,8 +213,8 @@
 	e.Signal(syscall.SIGCONT)
 }
 
-// dataCentreOfJobs returns the data centre of the owner of a random record of the job log.
-func (harness *Harness) dataCentreOfJobs(r *rand.Rand) string {
+// ownerOfJobs returns the owner of a random record of the job log, a random entry if it has none.
+func (harness *Harness) ownerOfJobs(r *rand.Rand) *Entry {
 	store, total := harness.platform.Store, 0
 	for partition := range harness.cfg.Load.Partitions {
 		total += store.Records(partition)
@@ -217,22 +225,28 @@
 			continue
 		}
 		if e := harness.entryOfMember(store.Owner(partition)); e != nil {
-			return harness.cfg.Load.dataCentreOf(e.Name)
+			return e
 		}
 	}
-	return harness.cfg.Load.dataCentreOf(harness.randomEntry(r).Name)
+	return harness.randomEntry(r)
 }
 
-// entriesOf returns the entries of a data centre and the others.
-func (harness *Harness) entriesOf(dataCentre string) (inside, outside []*Entry) {
+// drawSides draws an owner and the entries that are cut off with it.
+func (harness *Harness) drawSides(set *cutEntrySet, r *rand.Rand) *sides {
+	owner := harness.ownerOfJobs(r)
+	s := &sides{owner: owner.Name, dataCentre: harness.cfg.Load.dataCentreOf(owner.Name)}
+	cutOff := map[*Entry]bool{owner: true}
+	for len(cutOff) < min(1+set.others, len(harness.entries)) {
+		cutOff[harness.randomEntry(r)] = true
+	}
 	for _, e := range harness.entries {
-		if harness.cfg.Load.dataCentreOf(e.Name) == dataCentre {
-			inside = append(inside, e)
+		if cutOff[e] || set.dataCentre && harness.cfg.Load.dataCentreOf(e.Name) == s.dataCentre {
+			s.inside = append(s.inside, e)
 		} else {
-			outside = append(outside, e)
+			s.outside = append(s.outside, e)
 		}
 	}
-	return inside, outside
+	return s
 }
 
 // reachedAlone returns the machines whose VMs only the entries that are cut off reach.
--- a/internal/stand/soak/cuts_test.go
+++ b/internal/stand/soak/cuts_test.go
@@ -7,10 +7,13 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/greengagelane/greengagelane/internal/stand/emul"
 )
 
 const (
@@ -135,6 +138,7 @@
 	}{
 		{"any", Load{Cuts: 1}, "", 3 * time.Second, 25 * time.Second},
 		{"plain", Load{Cuts: 1, CutLength: 4 * time.Second, CutVMs: "third", CutLinks: "log", PlainCuts: true}, "third", 4 * time.Second, 4 * time.Second},
+		{"beside an outage", Load{Cuts: 1, CutOutage: 2 * time.Second}, "", 3 * time.Second, 25 * time.Second},
 	}
 	for _, tt := range tests {
 		for seed := range uint64(100) {
@@ -143,9 +147,44 @@
 			assert.Assert(t, tt.vms == "" && p.vms.name != "none" || p.vms.name == tt.vms, "%s: %s", tt.name, p)
 			assert.Equal(t, p.links.log, true)
 			assert.Equal(t, p.links.entries, tt.load.CutLinks == "")
+			if tt.load.CutOutage > 0 {
+				assert.Assert(t, p.outage == tt.load.CutOutage && p.outageAt == 0, "%s: %s", tt.name, p)
+			}
 			if tt.load.PlainCuts {
 				assert.Assert(t, len(p.directions) == 2 && !p.apart && !p.dropped && p.outage == 0 && len(p.events) == 0, "%s: %s", tt.name, p)
 			}
 		}
 	}
 }
+
+// TestDrawSides guards against cuts of other entries than the load asks for.
+func TestDrawSides(t *testing.T) {
+	platform, err := emul.Start(emul.Options{Pools: map[string]int{"alpha": 1, "rest": 1}, Partitions: 1, RackSize: 1, DataCentres: []string{"z"}})
+	assert.NilError(t, err)
+	defer platform.Close()
+	harness := &Harness{platform: platform, cfg: Config{Entries: 7, Load: Load{DataCentres: 3}}}
+	for _, name := range harness.cfg.entryNames() {
+		harness.entries = append(harness.entries, &Entry{Name: name})
+	}
+	tests := []struct {
+		entries     string
+		least, most int
+	}{
+		{"data-centre", 2, 3},
+		{"owner", 1, 1},
+		{"two", 2, 2},
+	}
+	for _, tt := range tests {
+		for seed := range uint64(50) {
+			s := harness.drawSides(findCutEntries(tt.entries), rand.New(rand.NewPCG(seed, 0)))
+			n := len(s.inside)
+			assert.Assert(t, n >= tt.least && n <= tt.most && n+len(s.outside) == 7, "%s: %s", tt.entries, joinNames(s.inside))
+			assert.Assert(t, slices.ContainsFunc(s.inside, func(e *Entry) bool { return e.Name == s.owner }), tt.entries)
+			for _, e := range harness.entries {
+				if tt.entries == "data-centre" {
+					assert.Equal(t, slices.Contains(s.inside, e), harness.cfg.Load.dataCentreOf(e.Name) == s.dataCentre)
+				}
+			}
+		}
+	}
+}
--- a/internal/stand/soak/size.go
+++ b/internal/stand/soak/size.go
@@ -32,11 +32,13 @@
 	LoseEntries     string // entries that are lost near the end of each outage, by their name in entryLosses
 	LoseVMs         string // VMs that are lost with them, by their name in vmLosses
 
-	Cuts      int           // of data centres, one soon after the other, instead of other faults; 0 for none
-	CutLength time.Duration // of each; 0 for 3 to 25 s
-	CutLinks  string        // that the entries of the data centre lose, by their name in cutLinks; empty for all
-	CutVMs    string        // that these entries alone reach meanwhile, by their name in cutVMs; empty for any
-	PlainCuts bool          // nothing happens during cuts, and all are of the same kind
+	Cuts       int           // of owners, one soon after the other, instead of other faults but Pauses; 0 for none
+	CutLength  time.Duration // of each; 0 for 3 to 25 s
+	CutEntries string        // that are cut off, by their name in cutEntries; empty for those of a data centre
+	CutLinks   string        // that these entries lose, by their name in cutLinks; empty for all
+	CutVMs     string        // that these entries alone reach meanwhile, by their name in cutVMs; empty for any
+	CutOutage  time.Duration // of the log for all, from the begin of each cut on; 0 for none but those that are drawn
+	PlainCuts  bool          // nothing else is drawn to happen during cuts, and all are of the same kind
 }
 
 // queuePools are the names of the pools. They differ in their partition of a job log of eight.
@@ -70,6 +72,9 @@
 	if l.Outages > 0 && (findEntryLoss(l.LoseEntries) == nil || findVMLoss(l.LoseVMs) == nil) {
 		return fmt.Errorf("no loss of entries is named %q or none of VMs %q", l.LoseEntries, l.LoseVMs)
 	}
+	if l.CutEntries != "" && findCutEntries(l.CutEntries) == nil {
+		return fmt.Errorf("no entries to cut off are named %q", l.CutEntries)
+	}
 	if l.CutLinks != "" && findCutLinks(l.CutLinks) == nil || l.CutVMs != "" && findCutVMs(l.CutVMs) == nil {
 		return fmt.Errorf("no links to cut are named %q or no VMs %q", l.CutLinks, l.CutVMs)
 	}
--- a/internal/stand/soak/soak.go
+++ b/internal/stand/soak/soak.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -117,6 +119,9 @@
 			harness.reportViolation("EXIT %s", c)
 		}
 	}
+	if err := harness.writeRuns(); err != nil {
+		return nil, err
+	}
 	result := &Result{Violations: harness.violations, Summary: harness.summary()}
 	harness.log("%s", result.Summary)
 	return result, nil
@@ -209,6 +214,9 @@
 		harness.injectOutages(ctx)
 		stop()
 	case harness.cfg.Load.Cuts > 0:
+		if harness.cfg.Load.Pauses {
+			active.Go(func() { harness.injectPauses(ctx) })
+		}
 		harness.injectCuts(ctx)
 		stop()
 	case harness.cfg.plannedOnly():
@@ -385,6 +393,25 @@
 	fmt.Fprintf(harness.out, "%7.3f %s\n", time.Since(harness.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// writeRuns writes the runs that VMs recorded to a file beside the logs, with the times of the event log.
+func (harness *Harness) writeRuns() error {
+	f, err := os.Create(filepath.Join(harness.cfg.Dir, "runs.log"))
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	w := bufio.NewWriter(f)
+	for _, r := range harness.platform.Ledger.Runs() {
+		ended := "-"
+		if !r.End.IsZero() {
+			ended = fmt.Sprintf("%.3f", r.End.Sub(harness.began).Seconds())
+		}
+		fmt.Fprintf(w, "%.3f %s %s run %d on %s from %s %s acknowledged %t account %s cpu %d\n",
+			r.Start.Sub(harness.began).Seconds(), ended, r.Task, r.Run, r.VM, cmp.Or(r.Sender, "-"), cmp.Or(r.How, "running"), r.Acknowledged, cmp.Or(r.Account, "-"), r.Reserved.CPU)
+	}
+	return w.Flush()
+}
+
 func (harness *Harness) summary() string {
 	accepted, refused := 0, 0
 	for _, j := range harness.registry.All() {
--- a/internal/stand/soak/soak_test.go
+++ b/internal/stand/soak/soak_test.go
@@ -67,6 +67,24 @@
 	tt.run(t, buildProgram(t))
 }
 
+// TestSoakOwnersCutOff guards against the same by a single owner, also with an outage of the log at the begin of its cut.
+func TestSoakOwnersCutOff(t *testing.T) {
+	load := Load{
+		PoolSizes: []int{6, 6, 4}, Queues: 4, DataCentres: 2, RackSize: 2, JobsPerSecond: 6, FailingShare: 3, LongRunningJobs: 2,
+		Cuts: 1, CutLength: 16 * time.Second, CutEntries: "owner", CutVMs: "split", PlainCuts: true,
+	}
+	outage := load
+	outage.CutOutage = 3 * time.Second
+	tests := []soakCase{
+		{67401, false, "tasks ran twice at once: a cut-off owner went on beside the next one", load},
+		{67402, false, "the same after an outage of the log for all", outage},
+	}
+	program := buildProgram(t)
+	for _, tt := range tests {
+		t.Run(fmt.Sprintf("seed-%d", tt.seed), func(t *testing.T) { tt.run(t, program) })
+	}
+}
+
 // TestSoak runs the soak with each seed.
 func TestSoak(t *testing.T) {
 	series := Load{VMs: 24, Pools: 3, DataCentres: 2, RackSize: 2, BurstJobs: 3, Series: true}
