drive: no order for a machine is sent after the authority of the mover has ended

An order for a machine was sent after its record had been stored and a connection was idle, however long that took. A next mover gives a machine without a recent order of the record another one after the turn's time, so a machine could be ordered by two movers in turn, or emptied for a move that nobody wants any more; the platform fences the former one only once it has seen the next one's token for that machine.

Before it is sent, an order is now checked against the authority of the mover. One that is not sent is planned again like one without a reply.

TestExpiredMoverSendsNoOrder fails before ("true != false", at the end).

--- a/internal/drive/orders.go
+++ b/internal/drive/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -61,7 +62,11 @@
 	return jobs.Encode(&r)
 }
 
-// send sends an order on one of the connections for orders. It waits until one is idle.
+// errAuthorityEnded is the result of an order that is not sent, since another entry may be the mover.
+var errAuthorityEnded = fmt.Errorf("the authority of the mover has ended: %w", site.ErrNotDone)
+
+// send sends an order on one of the connections for orders. It waits until one is idle, and sends nothing if the authority
+// of the mover has ended by then.
 func (m *mover) send(ctx context.Context, o moves.Order) {
 	var fleet *platform.Fleet
 	select {
@@ -78,9 +83,12 @@
 	var refusal site.Refusal
 	var err error
 	epoch := m.part.scheduler.Epoch
-	if o.Kind == moves.Move {
+	switch {
+	case m.part.authorityEnded(time.Now()):
+		err = errAuthorityEnded
+	case o.Kind == moves.Move:
 		refusal, err = fleet.Move(ctx, o.Machine, o.Pool, epoch)
-	} else {
+	default:
 		refusal, err = fleet.Maintain(ctx, o.Machine, o.Wave, epoch)
 	}
 	logrus.WithError(err).WithFields(logrus.Fields{
--- a/internal/drive/tenure_test.go
+++ b/internal/drive/tenure_test.go
@@ -1,11 +1,13 @@
 package drive
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/greengagelane/greengagelane/internal/moves"
 	"github.com/greengagelane/greengagelane/internal/tenure"
 	"github.com/greengagelane/greengagelane/pkg/jobs"
 	"github.com/greengagelane/greengagelane/pkg/site"
@@ -96,3 +98,33 @@
 		assert.Equal(t, calls[0].Quota != nil, tt.grants, tt.name)
 	}
 }
+
+// TestExpiredMoverSendsNoOrder guards against an order that waits for a connection and is sent after the authority of the
+// mover has ended, when the next one may have ordered the machine elsewhere.
+func TestExpiredMoverSendsNoOrder(t *testing.T) {
+	tests := []struct {
+		name string
+		at   time.Duration // since the latest confirmation
+		sent bool
+	}{
+		{"at the end", tenure.Validity, false},
+		{"just confirmed", 10 * time.Millisecond, true},
+	}
+	c := newCluster(t, 1, map[string]int{"alpha": 1})
+	for i, tt := range tests {
+		part := partitionWithJob(t, c.nodes[0], 110+i)
+		defer part.store.Close()
+		m := newMover(part)
+		defer m.closeConns()
+		var machines []site.Machine
+		c.await("machine is up in its pool", func() bool {
+			var err error
+			machines, err = m.fleet.Machines(t.Context())
+			return err == nil && machines[0].State == site.Up && machines[0].Pool == "alpha"
+		})
+		part.tenure = tenure.Tenure{}
+		part.confirm(time.Now().Add(-tt.at))
+		m.send(t.Context(), moves.Order{Kind: moves.Move, Machine: machines[0].Name, Pool: "elsewhere"})
+		assert.Equal(t, slices.Contains(c.emulator.AcceptedOrders(), machines[0].Name+" elsewhere 0"), tt.sent, tt.name)
+	}
+}
