--- a/internal/drive/outage_test.go
+++ b/internal/drive/outage_test.go
@@ -17,6 +17,7 @@
 	c := newCluster(t, 2, map[string]int{"alpha": 2})
 	ids := jobIDs(2)
 	c.submit(0, ids[0], twoSteps)
+	c.await("queues of all partitions known", func() bool { return len(c.nodes[0].queues.missing(time.Now())) == 0 })
 	c.emulator.Store.SetFaults(func(s *emul.Store) { s.Down = true })
 	part := c.nodes[c.owner()].lookupPartition(c.nodes[0].partitionOf("alpha"))
 	type result struct {
--- a/internal/drive/queues.go
+++ b/internal/drive/queues.go
@@ -174,11 +174,18 @@
 			logrus.WithField("took-ms", time.Since(began).Milliseconds()).Info("queues of all partitions known")
 			return
 		}
+		var asked sync.WaitGroup
+		slots := make(chan struct{}, concurrentLookUps)
 		for _, p := range missing {
-			if r := n.askQueues(ctx, p); r != nil && r.Owner {
-				n.queues.learn(p, r)
-			}
+			asked.Go(func() {
+				slots <- struct{}{}
+				defer func() { <-slots }()
+				if r := n.askQueues(ctx, p); r != nil && r.Owner {
+					n.queues.learn(p, r)
+				}
+			})
 		}
+		asked.Wait()
 		sleep(ctx, queuesInterval)
 	}
 }
