--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -25,7 +25,7 @@
 	// assumes that the partition holds the even share. A former coordinator that is cut off may send
 	// requests until its authority has ended, and the last one holds for SilentAfter; the runs of an owner
 	// that is cut off last for a lease (4.3 s) after that. Clocks may be off by 2 %.
-	UnknownAfter = 7 * time.Second
+	UnknownAfter = 8500 * time.Millisecond
 )
 
 // Grants are the fractions of the accounts' limits that a partition may use.
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -6,7 +6,7 @@
 
 const (
 	// Validity is how long an owner may renew leases and start tasks after the begin of its latest confirmation.
-	Validity = 2400 * time.Millisecond
+	Validity = 3900 * time.Millisecond
 	// ClockMargin is by how much an owner with a slow clock may exceed Validity.
 	ClockMargin = 100 * time.Millisecond
 	// renewAfter is the age of the latest confirmation at which an owner that has nothing to store asks for another one.
