sched: a job waits until a VM has said that it runs or ran one of its tasks

The count now goes by what VMs say: an accepted order, a listed run or an end. What is stored of a job and what its caller is shown does not change. A job that an earlier owner has stored as begun counts as begun.

--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -15,7 +15,8 @@
 type job struct {
 	*jobs.Job
 	state       jobs.State
-	began       bool                // a task has started
+	began       bool                // a task has been ordered to start
+	runSeen     bool                // a VM has said that it runs or ran a task; a start order may still come to nothing before
 	beganAt     time.Time           // when this owner saw the first start; zero if an earlier one did
 	beganClass  shed.Class          // class of the job at beganAt
 	stored      bool                // the job log holds the job
@@ -230,7 +231,7 @@
 // restore loads the progress that the job log holds.
 func (j *job) restore(p *jobs.Progress) {
 	j.state, j.storedState, j.began, j.finalMS, j.reason = p.State, p.State, p.Began, p.FinalMS, p.Reason
-	j.beganBefore = p.Began
+	j.beganBefore, j.runSeen = p.Began, p.Began
 	j.createdOccs, j.doneOccs = p.Created, p.DoneOccurrences
 	for _, n := range p.Open {
 		j.addOccurrence(n)
@@ -275,5 +276,5 @@
 	}
 }
 
-// waiting reports whether no task has started.
-func (j *job) waiting() bool { return !j.began && !j.state.Final() }
+// waiting reports whether no task is known to have started.
+func (j *job) waiting() bool { return !j.runSeen && !j.state.Final() }
--- a/internal/sched/observe.go
+++ b/internal/sched/observe.go
@@ -254,6 +254,7 @@
 
 // confirm records that the VM has begun a run. Its order may have waited for long, so its progress counts from here on.
 func (r *run) confirm(now time.Time) {
+	r.task.job.runSeen = true
 	if r.confirmedAt.IsZero() {
 		r.confirmedAt, r.progressAt = now, now
 	}
@@ -314,6 +315,7 @@
 	t.keepCheckpoint(r, e.Run, endProgress(e.How), e.Checkpoint)
 	s.recordOutcome(now, v, id.Job, e.How)
 	s.markBegan(now, j)
+	j.runSeen = true
 	switch e.How {
 	case site.Done:
 		s.taskDone(now, j, t)
