--- a/internal/sched/loss.go
+++ b/internal/sched/loss.go
@@ -94,6 +94,15 @@
 // the VM was about to leave. ended is set if the incarnation has certainly ended, and is not cut off.
 func (s *Scheduler) loseVM(now time.Time, v *vm, ended bool, why string) {
 	lost := s.tasksOn(v)
+	if ended {
+		s.incarnationEndedAt = now
+		for _, x := range lost {
+			x.task.lostAt = now
+		}
+		for _, r := range v.runs {
+			r.task.lostAt = now
+		}
+	}
 	delete(s.losses.presumed, v.ID)
 	if len(lost) > 0 {
 		s.stats.LostVMs++
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -211,7 +211,10 @@
 	if t.done || len(t.runs) > 0 || now.Before(t.readyAt) || t.verdict() != blame.None || t.awaitsRecord() {
 		return false
 	}
-	return !t.unverified || (!s.recoveredHeld && !s.mayBeRunning(t))
+	if t.unverified && (s.recoveredHeld || s.mayBeRunning(t)) {
+		return false
+	}
+	return s.confirmedAfterLoss(now, t)
 }
 
 // startOn starts a task on a candidate and allocates its resources.
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -27,38 +27,39 @@
 type Scheduler struct {
 	Epoch int64 // of this owner; the fencing token of all its orders
 
-	policy            Policy
-	log               *logrus.Entry
-	jobs              map[string]*job
-	vms               map[string]*vm
-	forgotten         map[string]vmPolls // of VMs that are no longer in vms, as they may come back under their IDs
-	pools             map[string]*pool
-	queues            map[string]*queueStats
-	listReceivedAt    time.Time                // when the last VM list was received; zero before the first
-	unreadable        map[string]*jobs.Job     // of which a record cannot be decoded, by job ID; nil if it is that of the job itself
-	unverified        map[string]time.Time     // VMs that may hold runs of an earlier owner, with the end of those runs' leases
-	formerOwnerNotice time.Duration            // for which the former owner may go on renewing these leases after a claim; 0 if it has ended
-	recordedVMs       map[string]bool          // VMs that the record under vmsKey has to name
-	recordedVMsDirty  bool                     // recordedVMs has changed since it was last flushed
-	accounts          map[string]*site.Account // of the configuration, by name
-	unguarded         map[string]bool          // pools whose VMs start what exceeds their capacity
-	meanWeight        float64                  // of the accounts
-	buckets           map[string]*fair.Bucket  // of the accounts that have submitted jobs
-	offeredAt         map[string]offer         // first submissions, by job ID
-	round             int64                    // number of the last scheduling round; 1 before the first, which no pool and job has seen
-	quotas            quotas
-	losses            losses
-	actions           []Action
-	fenced            bool
-	tenure            *tenure.Tenure // nil if the authority of the owner never ends
-	awaitsTenure      bool           // a wait for leases is over, but not confirmed to be
-	newJobsHeld       bool           // see HoldNewJobs
-	refusedTombstones []site.Record  // of dropped jobs, which the log has refused
-	recoveredHeld     bool           // tasks of an earlier owner's jobs are not started; see HoldRecovered
-	retired           bool           // makes no more scheduling decisions; see Retire
-	handedOver        bool           // the handover record is stored
-	maxHandoverBytes  int            // size limit of the handover record
-	inherited         *inheritedRuns // nil if the previous owner left no handover record
+	policy             Policy
+	log                *logrus.Entry
+	jobs               map[string]*job
+	vms                map[string]*vm
+	forgotten          map[string]vmPolls // of VMs that are no longer in vms, as they may come back under their IDs
+	pools              map[string]*pool
+	queues             map[string]*queueStats
+	listReceivedAt     time.Time                // when the last VM list was received; zero before the first
+	unreadable         map[string]*jobs.Job     // of which a record cannot be decoded, by job ID; nil if it is that of the job itself
+	unverified         map[string]time.Time     // VMs that may hold runs of an earlier owner, with the end of those runs' leases
+	formerOwnerNotice  time.Duration            // for which the former owner may go on renewing these leases after a claim; 0 if it has ended
+	recordedVMs        map[string]bool          // VMs that the record under vmsKey has to name
+	recordedVMsDirty   bool                     // recordedVMs has changed since it was last flushed
+	accounts           map[string]*site.Account // of the configuration, by name
+	unguarded          map[string]bool          // pools whose VMs start what exceeds their capacity
+	meanWeight         float64                  // of the accounts
+	buckets            map[string]*fair.Bucket  // of the accounts that have submitted jobs
+	offeredAt          map[string]offer         // first submissions, by job ID
+	round              int64                    // number of the last scheduling round; 1 before the first, which no pool and job has seen
+	quotas             quotas
+	losses             losses
+	actions            []Action
+	incarnationEndedAt time.Time // when an incarnation of a VM was last known to have ended
+	fenced             bool
+	tenure             *tenure.Tenure // nil if the authority of the owner never ends
+	awaitsTenure       bool           // a wait for leases is over, but not confirmed to be
+	newJobsHeld        bool           // see HoldNewJobs
+	refusedTombstones  []site.Record  // of dropped jobs, which the log has refused
+	recoveredHeld      bool           // tasks of an earlier owner's jobs are not started; see HoldRecovered
+	retired            bool           // makes no more scheduling decisions; see Retire
+	handedOver         bool           // the handover record is stored
+	maxHandoverBytes   int            // size limit of the handover record
+	inherited          *inheritedRuns // nil if the previous owner left no handover record
 	// evacuateFrom is when evacuations may begin after a takeover. By then, runs that the
 	// previous owner ordered to stop are reported as ended. Until then, another evacuation
 	// could exceed a step's MayMiss.
--- a/internal/sched/tenure.go
+++ b/internal/sched/tenure.go
@@ -25,5 +25,15 @@
 	return confirmed
 }
 
+// confirmedAfterLoss reports whether no later owner had claimed the partition when the incarnation of the VM that may have run
+// a task was known to have ended. Such an owner may have read the end of the run before, and ended the incarnation itself.
+func (s *Scheduler) confirmedAfterLoss(now time.Time, t *task) bool {
+	at := t.lostAt
+	if t.unverified && s.incarnationEndedAt.After(at) { // which VMs may have run it is not always known
+		at = s.incarnationEndedAt
+	}
+	return s.tenure == nil || at.IsZero() || s.confirmedAfter(now, at)
+}
+
 // AwaitsConfirmation reports whether the last round has left something undecided until the ownership is confirmed.
 func (s *Scheduler) AwaitsConfirmation() bool { return s.awaitsTenure }
--- a/internal/sched/tenure_test.go
+++ b/internal/sched/tenure_test.go
@@ -122,3 +122,44 @@
 		assert.Equal(t, len(r.stops(ms+10)) == 0, expired)
 	}
 }
+
+// TestRunOfEndedVMIsNotRepeatedUnconfirmed guards against an owner that learns from the inventory that the machine of a run is
+// down, or that its VM has restarted, and starts the task again, while a later owner has acknowledged the end of the run and
+// moved the machine.
+func TestRunOfEndedVMIsNotRepeatedUnconfirmed(t *testing.T) {
+	const ended = 1000 // ms
+	ways := []struct {
+		name     string
+		takeover bool // the run is of an earlier owner
+		end      func(r *fixture, vm string)
+	}{
+		{"machine is down", false, func(r *fixture, vm string) { r.endVM(ended, vm) }},
+		{"VM restarted", false, func(r *fixture, vm string) {
+			r.s.HandlePoll(at(ended), vm, at(ended), &site.VMStatus{Born: 2, ClockMS: 10})
+		}},
+		{"machine is down, run of an earlier owner", true, func(r *fixture, vm string) { r.endVM(ended, vm) }},
+	}
+	for _, way := range ways {
+		for _, confirmed := range []int{ended - 100, ended + 100} {
+			r := newFixture(t, testVM("a"), testVM("b"))
+			r.submit(0, testJob(jobID, jobs.Step{Count: 1, CPU: 1000, EstimateMS: 60000}))
+			run := r.starts(10)[0]
+			r.flush(20)
+			if way.takeover {
+				r.takeover(500, testVM("a"), testVM("b"))
+			}
+			var authority tenure.Tenure
+			authority.Confirm(at(0))
+			r.s.SetTenure(&authority)
+			other := map[string]string{"a": "b", "b": "a"}[run.VM]
+			r.poll(900, other, site.VMStatus{})
+			way.end(r, run.VM)
+			r.flush(ended)
+			authority.Confirm(at(confirmed))
+			r.poll(ended+150, other, site.VMStatus{})
+			r.flush(ended + 150)
+			assert.Equal(t, len(r.starts(ended+200)), map[bool]int{true: 1, false: 0}[confirmed > ended], way.name)
+			assert.Equal(t, r.s.AwaitsConfirmation(), confirmed < ended, way.name)
+		}
+	}
+}
