--- a/internal/drive/yield.go
+++ b/internal/drive/yield.go
@@ -113,7 +113,7 @@
 }
 
 // recordSoleOwner has the next flush tell later owners that the owners before this one renew no leases any more: they have
-// ended, or have heard of this owner from a VM. Without it, a later owner would see this one only, and not wait for them.
+// ended, or their authority has. Without it, a later owner would see this one only, and not wait for them.
 func (part *ownedPartition) recordSoleOwner(now time.Time) {
 	if part.soleRecorded {
 		return
