--- a/internal/drive/admin.go
+++ b/internal/drive/admin.go
@@ -229,6 +229,11 @@
 	}
 	ch := make(chan *T, 1)
 	part.post(func(now time.Time) { ch <- f(part, now) })
+	return awaitResult(ctx, part, ch)
+}
+
+// awaitResult returns what the partition's goroutine sends. It fails with errNotOwner if the partition ends before.
+func awaitResult[T any](ctx context.Context, part *ownedPartition, ch <-chan *T) (*T, error) {
 	select {
 	case r := <-ch:
 		return r, nil
--- a/internal/drive/question.go
+++ b/internal/drive/question.go
@@ -58,14 +58,7 @@
 	part.post(func(now time.Time) {
 		part.onceConfirmed(now, func(now time.Time, confirmed bool) { ch <- f(part, now, confirmed) })
 	})
-	select {
-	case r := <-ch:
-		return r, nil
-	case <-part.done:
-		return nil, errNotOwner
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
+	return awaitResult(ctx, part, ch)
 }
 
 // confirmNow has the log confirm the ownership, and reports on any other goroutine than the partition's whether it has.
