sched: log which long-running tasks are not at work, and why

Cause: no line said that a long-running task waits, and why; 'job show' knew some of the reasons, not a wait for a confirmation, for the placement policy or for jobs that an earlier owner has shown.

Change: one line for each reason in 2 s and partition, with at most eight tasks and the VMs of the pool counted by why they get none. startable, candidates, allowed and 'job show' use the same reasons. No decision changes.

--- a/internal/drive/partition.go
+++ b/internal/drive/partition.go
@@ -171,11 +171,13 @@
 	if now.Sub(part.cordonedAt) > cordonTTL {
 		part.scheduler.Uncordon()
 	}
-	if part.confirmOwnership(now) {
+	decides := part.confirmOwnership(now)
+	if decides {
 		for _, a := range part.scheduler.Decide(now) {
 			part.execute(ctx, now, a)
 		}
 	}
+	part.scheduler.LogLastingWaits(now, decides)
 	part.recordSoleOwner(now)
 	part.logExpired(now)
 	part.refuseHeld(now)
--- a/internal/sched/explain.go
+++ b/internal/sched/explain.go
@@ -1,10 +1,6 @@
 package sched
 
-import (
-	"time"
-
-	"github.com/greengagelane/greengagelane/internal/blame"
-)
+import "time"
 
 // TaskView describes a task for operators.
 type TaskView struct {
@@ -67,31 +63,28 @@
 }
 
 func (s *Scheduler) whyWaiting(now time.Time, o *occurrence, t *task, cands []*candidate) string {
-	switch {
-	case t.done:
-		return "done"
-	case !t.job.stored:
-		return "its job is not stored yet"
-	case !o.stepReady(t.step):
-		return "earlier steps are not done"
-	case now.Before(t.readyAt):
-		return "its last run has just ended"
-	case t.verdict() != blame.None:
-		return "VMs crash while they run it; it is not started again"
-	case t.awaitsRecord():
-		return "a VM crashed while it ran it, and the job log does not hold that yet"
-	case t.unverified && s.mayBeRunning(t):
-		return "it may be running on a VM that has not answered since the takeover"
-	case !s.quotaAllows(now, t, startedTogether(t.step)):
-		return "its account is at its quota in this partition"
-	case len(cands) == 0:
-		return "no VM of the pool is in service"
-	case t.suspected():
-		return "a VM crashed while it ran it; it waits until the pool has room, or for a VM of its own"
-	case !t.step.heldSince.IsZero():
-		return "the room for it is reserved for a long-running task"
-	case s.bestCandidate(now, t, cands) == nil:
-		return "it fits on no VM now"
-	}
-	return "it starts in the next scheduling round"
+	return holdTexts[s.holdReason(now, o, t, cands)]
+}
+
+// holdTexts says for operators why a task waits.
+var holdTexts = map[holdReason]string{
+	heldNone:         "it starts in the next scheduling round",
+	heldDone:         "done",
+	heldJobRecord:    "its job is not stored yet",
+	heldSteps:        "earlier steps are not done",
+	heldRetired:      "the owner hands the partition over",
+	heldOwnership:    "the ownership of the partition is not confirmed",
+	heldLastEnd:      "its last run has just ended",
+	heldGivenUp:      "VMs crash while they run it; it is not started again",
+	heldCrashRecord:  "a VM crashed while it ran it, and the job log does not hold that yet",
+	heldShownJobs:    "the other entries are asked which jobs an earlier owner has shown as completed",
+	heldEarlierRun:   "it may be running on a VM that has not answered since the takeover",
+	heldConfirmation: "the loss of its VM may have been seen by a later owner; the ownership is not confirmed since",
+	heldQuota:        "its account is at its quota in this partition",
+	heldCapacity:     "the VMs may have shrunk since the VM list was read, and do not guard their capacity",
+	heldService:      "no VM of the pool is in service",
+	heldAdvice:       "the placement policy has not answered, or allows no VM with room",
+	heldTrial:        "a VM crashed while it ran it; it waits until the pool has room, or for a VM of its own",
+	heldReservation:  "the room for it is reserved for a long-running task",
+	heldRoom:         "it fits on no VM now",
 }
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -85,6 +85,7 @@
 	unverified   bool      // it may be running on an unverified VM
 	avoidVM      string    // VM on which it last failed or stalled
 	readyAt      time.Time // not started before
+	absentSince  time.Time // since when a long-running task has not been at work, as far as LogLastingWaits has seen; zero if it is
 	lostAt       time.Time // when the incarnation of a VM that may have run it was last known to have ended; zero if none was
 	runs         []*run
 }
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -110,11 +110,11 @@
 // candidates returns the pool's VMs that may get new runs, some of them of long-running tasks only.
 func (s *Scheduler) candidates(now time.Time, pool string) []*candidate {
 	var cands []*candidate
-	if s.unguarded[pool] && now.Sub(s.listReceivedAt) > s.policy.CapacityNotice {
+	if s.capacityUnknown(now, pool) {
 		return nil
 	}
 	for _, v := range s.sortedVMs(pool) {
-		if !v.takesLasting(now, &s.policy) || (!v.restartedAt.IsZero() && !s.confirmedAfter(now, v.restartedAt)) {
+		if s.vmHold(now, v) != vmOpen {
 			continue
 		}
 		c := &candidate{vm: v, free: v.freeResources(), trial: v.onTrial(now)}
@@ -127,6 +127,21 @@
 	return cands
 }
 
+// capacityUnknown reports whether the VMs of a pool may have shrunk since the VM list was read and start what exceeds
+// their capacity.
+func (s *Scheduler) capacityUnknown(now time.Time, pool string) bool {
+	return s.unguarded[pool] && now.Sub(s.listReceivedAt) > s.policy.CapacityNotice
+}
+
+// vmHold says why a VM gets no new run of a long-running task.
+func (s *Scheduler) vmHold(now time.Time, v *vm) vmHold {
+	hold := v.hold(now, &s.policy)
+	if hold == vmOpen && !v.restartedAt.IsZero() && !s.confirmedAfter(now, v.restartedAt) {
+		return vmRestarted
+	}
+	return hold
+}
+
 // sortJobs orders jobs of a pool for placement: long-running ones, then by class, priority and the
 // latest time at which they can be started to meet their objective. On a site with accounts, jobs
 // beyond the shares of their accounts go behind the others of their class.
@@ -208,13 +223,26 @@
 // startable reports whether a task has no run and may get one. A task that may still be
 // running under an earlier owner's order may not.
 func (s *Scheduler) startable(now time.Time, t *task) bool {
-	if t.done || len(t.runs) > 0 || now.Before(t.readyAt) || t.verdict() != blame.None || t.awaitsRecord() {
-		return false
-	}
-	if t.unverified && (s.recoveredHeld || s.mayBeRunning(t)) {
-		return false
-	}
-	return s.confirmedAfterLoss(now, t)
+	return !t.done && len(t.runs) == 0 && s.startHold(now, t) == heldNone
+}
+
+// startHold says why a task without a run may not get one, whatever VMs there are.
+func (s *Scheduler) startHold(now time.Time, t *task) holdReason {
+	switch {
+	case now.Before(t.readyAt):
+		return heldLastEnd
+	case t.verdict() != blame.None:
+		return heldGivenUp
+	case t.awaitsRecord():
+		return heldCrashRecord
+	case t.unverified && s.recoveredHeld:
+		return heldShownJobs
+	case t.unverified && s.mayBeRunning(t):
+		return heldEarlierRun
+	case !s.confirmedAfterLoss(now, t):
+		return heldConfirmation
+	}
+	return heldNone
 }
 
 // startOn starts a task on a candidate and allocates its resources.
@@ -279,22 +307,45 @@
 
 // allowed reports whether a task may run on a candidate.
 func (s *Scheduler) allowed(now time.Time, t *task, c *candidate) bool {
-	if (c.trial != nil && c.trial != t.job) || !c.fits(t.step.Step) || !s.suits(now, t, c) {
-		return false
+	return s.candidateHold(now, t, c) == vmOpen
+}
+
+// candidateHold says why a task may not run on a candidate.
+func (s *Scheduler) candidateHold(now time.Time, t *task, c *candidate) vmHold {
+	switch {
+	case c.trial != nil && c.trial != t.job:
+		return vmTrial
+	case !c.fits(t.step.Step):
+		return vmFull
+	}
+	if hold := s.unsuitable(now, t, c); hold != vmOpen {
+		return hold
+	}
+	if c.reserved && !t.step.Lasts && !s.mayUseReserved(now, t, c) {
+		return vmReserved
 	}
-	return !c.reserved || t.step.Lasts || s.mayUseReserved(now, t, c)
+	return vmOpen
 }
 
 // suits reports whether a task may run on a candidate, apart from the room there.
 func (s *Scheduler) suits(now time.Time, t *task, c *candidate) bool {
+	return s.unsuitable(now, t, c) == vmOpen
+}
+
+// unsuitable says why a task may not run on a candidate, apart from the room there.
+func (s *Scheduler) unsuitable(now time.Time, t *task, c *candidate) vmHold {
 	st := t.step
-	if (st.Label != "" && !c.vm.Has(st.Label)) || (!st.Lasts && now.Before(c.vm.lateAckUntil)) {
-		return false
-	}
-	if st.PerVM > 0 && c.vm.countSameStep(t) >= st.PerVM {
-		return false
-	}
-	return !t.job.Advice || s.hasTicket(now, t, c)
+	switch {
+	case st.Label != "" && !c.vm.Has(st.Label):
+		return vmLabel
+	case !st.Lasts && now.Before(c.vm.lateAckUntil):
+		return vmLateCall
+	case st.PerVM > 0 && c.vm.countSameStep(t) >= st.PerVM:
+		return vmSameStep
+	case t.job.Advice && !s.hasTicket(now, t, c):
+		return vmNoTicket
+	}
+	return vmOpen
 }
 
 // hasTicket reports whether the placement policy allows a task on a candidate.
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -67,6 +67,7 @@
 	stats        Stats
 	acks         ackLog
 	waitLog      waitLog
+	lastingLog   lastingLog
 	encode       func(*jobs.Progress) ([]byte, error) // jobs.EncodeProgress; replaced by tests
 }
 
--- a/internal/sched/vm.go
+++ b/internal/sched/vm.go
@@ -95,45 +95,64 @@
 
 // takesLasting reports whether the VM may get new runs of long-running tasks. They start again however they end, so an
 // end that is acknowledged unseen costs them nothing.
-func (v *vm) takesLasting(now time.Time, p *Policy) bool {
+func (v *vm) takesLasting(now time.Time, p *Policy) bool { return v.hold(now, p) == vmOpen }
+
+// hold says why the VM gets no new run of a long-running task.
+func (v *vm) hold(now time.Time, p *Policy) vmHold {
 	switch {
-	case !v.listed || !v.polled || v.pollFailed || !v.recorded || v.Draining || v.cordoned || len(v.orphans) > 0:
-		return false
-	case now.Sub(v.lastAnswer) > p.SilentAfter+time.Second:
-		return false
-	case now.Before(v.backoffUntil) || now.Before(v.quarantinedUntil):
-		return false
+	case !v.listed:
+		return vmUnlisted
+	case v.Draining:
+		return vmDraining
+	case v.cordoned:
+		return vmCordoned
+	case !v.polled:
+		return vmUnanswered
+	case v.pollFailed || now.Sub(v.lastAnswer) > p.SilentAfter+time.Second:
+		return vmSilent
+	case !v.recorded:
+		return vmUnrecorded
+	case len(v.orphans) > 0:
+		return vmOrphans
+	case now.Before(v.quarantinedUntil):
+		return vmQuarantined
+	case now.Before(v.backoffUntil):
+		return vmBackoff
+	case v.probation && len(v.runs) > 0:
+		return vmProbation
 	}
-	return !v.probation || len(v.runs) == 0
+	return vmOpen
 }
 
-// unusableReason says why the VM gets no new run, in the order of usable; empty if it may get one.
+// unusableReason says why the VM gets no new run, empty if it may get one.
 func (v *vm) unusableReason(now time.Time, p *Policy) string {
-	switch {
-	case v.usable(now, p):
-		return ""
-	case !v.listed:
+	hold := v.hold(now, p)
+	if now.Before(v.lateAckUntil) && (hold == vmOpen || hold == vmBackoff || hold == vmProbation) {
+		return "restarted under its ID; a call to its earlier incarnation may arrive within " + v.lateAckUntil.Sub(now).Round(100*time.Millisecond).String()
+	}
+	switch hold {
+	case vmUnlisted:
 		return "the platform's VM list does not contain it"
-	case v.Draining:
+	case vmDraining:
 		return "draining: the platform will take it out of its pool"
-	case v.cordoned:
+	case vmCordoned:
 		return "cordoned: about to be moved or maintained"
-	case !v.polled:
+	case vmUnanswered:
 		return "has not answered a status poll of this owner yet"
-	case v.pollFailed || now.Sub(v.lastAnswer) > p.SilentAfter+time.Second:
+	case vmSilent:
 		return "silent for " + now.Sub(v.lastAnswer).Round(100*time.Millisecond).String()
-	case !v.recorded:
+	case vmUnrecorded:
 		return "not recorded in the job log yet"
-	case len(v.orphans) > 0:
+	case vmOrphans:
 		return "holds runs that this owner does not track"
-	case now.Before(v.quarantinedUntil):
+	case vmQuarantined:
 		return "quarantined for another " + v.quarantinedUntil.Sub(now).Round(100*time.Millisecond).String()
-	case now.Before(v.lateAckUntil):
-		return "restarted under its ID; a call to its earlier incarnation may arrive within " + v.lateAckUntil.Sub(now).Round(100*time.Millisecond).String()
-	case now.Before(v.backoffUntil):
+	case vmBackoff:
 		return "refused a start; none is sent for another " + v.backoffUntil.Sub(now).Round(10*time.Millisecond).String()
+	case vmProbation:
+		return "on probation: one run at a time until one succeeds"
 	}
-	return "on probation: one run at a time until one succeeds"
+	return ""
 }
 
 // estimateClock returns the VM's clock as of now. It is ahead of the VM's actual clock by
