soak: long-running tasks have to run within the users' bound, at any time of a run

The soak asked for their runs only within a minute after all faults. Now a task without a run for 3 s, from 6 s after its last one on, is a violation if VMs of its pool have room for it twice and nothing has disturbed in these 3 s and the 4 s before. New forms: outages of the log of 8.7 to 11.7 s with as long a calm (-long-outages), long-running jobs that take most of the memory (-scarce-room).

--- a/internal/stand/emul/platform.go
+++ b/internal/stand/emul/platform.go
@@ -53,6 +53,7 @@
 	quotas         []publishedQuotas // of all configurations so far
 	servers        []*http.Server
 	closed         chan struct{}
+	disturbedAt    time.Time // see DisturbedAt
 
 	cutOffMu    sync.Mutex            // of its own, as it is locked while the store's lock is held
 	cutOff      map[string]bool       // entries that the log turns away
@@ -260,6 +261,7 @@
 	for _, m := range p.machines {
 		if m.vm == vm {
 			vm.Kill(crashed)
+			p.disturbedAt = time.Now()
 			m.vm, m.state = nil, "down"
 			if keepID {
 				m.kept = vm
@@ -284,6 +286,7 @@
 	defer p.mu.Unlock()
 	for _, m := range p.machines {
 		if m.state == "down" {
+			p.disturbedAt = time.Now()
 			if err := p.boot(m); err != nil {
 				return err
 			}
--- a/internal/stand/soak.go
+++ b/internal/stand/soak.go
@@ -39,6 +39,8 @@
 	fs.IntVar(&cfg.Load.FailingShare, "failing-share", 0, "percentage of these jobs of which runs fail")
 	fs.IntVar(&cfg.Load.LongRunningJobs, "long-running", 0, "number of long-running jobs submitted before the first outage")
 	fs.IntVar(&cfg.Load.Outages, "outages", 0, "number of outages of the log, one after the other, instead of other faults and of -length")
+	fs.BoolVar(&cfg.Load.LongOutages, "long-outages", false, "outages of 8.7 to 11.7 s, with 14 s of calm before each and after the last, instead of 2.7 to 4.7 and 3 s")
+	fs.BoolVar(&cfg.Load.ScarceRoom, "scarce-room", false, "tasks of -long-running jobs that take 2.5 to 9 GB of memory each")
 	fs.BoolVar(&cfg.Load.LongLists, "long-lists", false, "submit jobs before each outage of which a VM lists more ends than a reply holds")
 	fs.StringVar(&cfg.Load.LoseEntries, "lose-entries", "all", "entries lost in each outage: none, owner, two, half, all or rolling")
 	fs.StringVar(&cfg.Load.LoseVMs, "lose-vms", "all", "VMs lost with them: none, one, pool-rack, ends, rack or all")
--- a/internal/stand/soak/contact.go
+++ b/internal/stand/soak/contact.go
@@ -92,6 +92,23 @@
 	return disturbed
 }
 
+// disturbedAt returns when a disturbance was last in effect.
+func (c *contact) disturbedAt(now time.Time) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var latest time.Time
+	for i := range c.spans {
+		end := c.spans[i].end
+		if end.IsZero() {
+			return now
+		}
+		if end.After(latest) {
+			latest = end
+		}
+	}
+	return latest
+}
+
 func (c *contact) describe(at time.Time) string {
 	return fmt.Sprintf("%d of %d entries were in touch", c.inTouch(at), len(c.names))
 }
--- a/internal/stand/soak/outages.go
+++ b/internal/stand/soak/outages.go
@@ -76,7 +76,12 @@
 // injectOutages makes the log unavailable for all entries, Load.Outages times. Near the end of each outage entries and
 // VMs are lost at once. Before it a configuration is published, and before every second one a maintenance wave requested.
 func (harness *Harness) injectOutages(ctx context.Context) {
-	const calm, minLength, lengthSpread, rest = 3 * time.Second, 2500 * time.Millisecond, 2 * time.Second, 800 * time.Millisecond
+	const minLength, lengthSpread, rest = 2500 * time.Millisecond, 2 * time.Second, 800 * time.Millisecond
+	const minLongLength, longLengthSpread, longCalm = 8500 * time.Millisecond, 3 * time.Second, 14 * time.Second
+	calm, shortest, spread := 3*time.Second, minLength, lengthSpread
+	if harness.cfg.Load.LongOutages {
+		calm, shortest, spread = longCalm, minLongLength, longLengthSpread
+	}
 	r := rand.New(rand.NewPCG(harness.cfg.Seed, 7))
 	harness.submitLongRunning(ctx)
 	for n := range harness.cfg.Load.Outages {
@@ -88,7 +93,7 @@
 		if harness.cfg.Load.LongLists {
 			harness.submitShortTasks(ctx, n)
 		}
-		mode, length := r.IntN(len(outageModes)), minLength+randomDuration(r, lengthSpread)
+		mode, length := r.IntN(len(outageModes)), shortest+randomDuration(r, spread)
 		harness.log("outage %d: the log %s for all entries for %s", n+1, outageModes[mode], length.Round(time.Millisecond))
 		harness.faultCount++
 		end := harness.beginOutage(mode, harness.entries)
--- a/internal/stand/soak/series.go
+++ b/internal/stand/soak/series.go
@@ -63,7 +63,9 @@
 			active.Go(func() {
 				if sleep(ctx, at); ctx.Err() == nil {
 					harness.log("series: %s", seriesEvents[i].name)
+					ended := harness.faults.begin(time.Now(), allEntries)
 					seriesEvents[i].happen(ctx, harness, eventRand)
+					ended(time.Now())
 				}
 			})
 		}
--- a/internal/stand/soak/size.go
+++ b/internal/stand/soak/size.go
@@ -28,6 +28,8 @@
 	FailingShare    int    // percentage of these jobs of which runs fail
 	LongRunningJobs int    // submitted before the first outage or cut
 	Outages         int    // of the log, one after the other, instead of other faults; 0 for none
+	LongOutages     bool   // each outage is longer than an owner without confirmation renews leases, and the calm after it as long as a task may be missing
+	ScarceRoom      bool   // long-running jobs whose tasks take most of the memory of the pools
 	LongLists       bool   // jobs before each outage of which a VM lists more ends than a reply holds
 	LoseEntries     string // entries that are lost near the end of each outage, by their name in entryLosses
 	LoseVMs         string // VMs that are lost with them, by their name in vmLosses
--- a/internal/stand/soak/soak.go
+++ b/internal/stand/soak/soak.go
@@ -55,6 +55,7 @@
 	registry *JobRegistry
 	pools    []string     // of the configuration, apart from the spare pool rest
 	contact  contact      // when entries were disturbed
+	faults   contact      // when other faults were in effect
 	queues   []emul.Queue // that callers submit to; publishing guards their pools
 
 	publishing sync.Mutex // held while a version of the configuration is made and published
@@ -73,6 +74,9 @@
 	extraCallers    []*caller             // of jobs that belong to a fault
 	movedAt         map[string]time.Time  // when a queue was last moved, by queue
 	faultCount      int                   // faults injected; only injectFaults writes it, without mu
+
+	absences   map[string]*absence // by task; only the goroutine that checks uses it
+	absencesAt time.Time           // when absences were last checked
 }
 
 // Result is the result of one seed.
@@ -87,7 +91,7 @@
 		return nil, err
 	}
 	harness := &Harness{
-		cfg: cfg, out: out, began: time.Now(), registry: &JobRegistry{jobs: map[string]*Job{}}, links: map[string]*Link{}, vmPaths: map[vmPathKey]*vmPath{}, orderFaultTimes: map[string][]time.Time{}, movedAt: map[string]time.Time{}, reported: map[string]bool{},
+		cfg: cfg, out: out, began: time.Now(), registry: &JobRegistry{jobs: map[string]*Job{}}, links: map[string]*Link{}, vmPaths: map[vmPathKey]*vmPath{}, orderFaultTimes: map[string][]time.Time{}, movedAt: map[string]time.Time{}, reported: map[string]bool{}, absences: map[string]*absence{},
 		pools: cfg.Load.poolNames(), queues: cfg.Load.queues(),
 	}
 	defer harness.close()
@@ -106,6 +110,7 @@
 		defer checks.Done()
 		for ctx.Err() == nil {
 			harness.checkRuns()
+			harness.checkAbsences(time.Now())
 			sleep(ctx, checkInterval)
 		}
 	}()
@@ -266,6 +271,8 @@
 		active.Add(1)
 		go func() {
 			defer active.Done()
+			ended := harness.faults.begin(time.Now(), allEntries)
+			defer func() { ended(time.Now()) }()
 			if end := f.inject(harness, faultRand); end != nil {
 				sleep(ctx, duration)
 				end()
--- a/internal/stand/soak/steady.go
+++ b/internal/stand/soak/steady.go
@@ -75,12 +75,23 @@
 	return c.newJob("steps", steps)
 }
 
+// Resources of the tasks of long-running jobs that leave little room.
+const (
+	scarceCPU   = 300 // thousandths of a core
+	minScarceMB = 2500
+	maxScarceMB = 9000 // no two tasks of this size fit on a VM
+)
+
 // submitLongRunning submits Load.LongRunningJobs long-running jobs to the queues in turn.
 func (harness *Harness) submitLongRunning(ctx context.Context) {
 	c := newCaller(harness, harness.cfg.Seed, 1<<39)
 	queues := harness.cfg.Load.queues()
 	for i := range harness.cfg.Load.LongRunningJobs {
-		j := c.newJob("long-running", []step{{Count: 3 + c.r.IntN(3), CPU: 700, EstimateMS: 100, LongRunning: true, MayMiss: 1, PerVM: 1}})
+		st := step{Count: 3 + c.r.IntN(3), CPU: 700, EstimateMS: 100, LongRunning: true, MayMiss: 1, PerVM: 1}
+		if harness.cfg.Load.ScarceRoom {
+			st.CPU, st.MemMB = scarceCPU, minScarceMB+c.r.IntN(maxScarceMB-minScarceMB)
+		}
+		j := c.newJob("long-running", []step{st})
 		j.Queue = queues[i%len(queues)].Name
 		c.submitJob(ctx, j)
 	}
