sched: a loss that is on a task's record already is not waited for

Callers saw: a long-running task whose run had lapsed, or whose VM had been lost, got no further run until its owner ended (LOST).

Cause: blame counted a loss for each job of a lost VM, also if the task's record had that incarnation already, or the run was too old to count, and then did not mark the job as changed. awaitsRecord waits until the job log holds as many losses as were counted. Nothing stored the job again. An incarnation is lost twice under a task if its VM is cut off twice and the owner does not remember the first time (it was not listed between, or another owner recorded it), or if the loss is noticed twice while a start order is under way.

TestTaskStartsAgainAfterSecondLossOfOneIncarnation failed in all three rows, each with crash-record.

Fix: a loss counts for a job only if it is added to the record of one of its tasks, and the job is then marked as changed: what is waited for is what will be stored.

--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -23,7 +23,7 @@
 	flushing    bool                // the job is in a flush whose outcome is not known yet
 	dirty       bool                // has progress that is not in a flush yet
 	storedState jobs.State          // state that the job log holds; shown to callers
-	lost        int                 // losses of VMs that count against its tasks, as seen by this owner
+	lost        int                 // losses of VMs that this owner has recorded against its tasks; increased with dirty only
 	lostStored  int                 // those of them that the job log holds
 	reason      string              // why the job was given up; empty if it was not
 	finalMS     int64               // Unix milliseconds at which the state became final
--- a/internal/sched/loss.go
+++ b/internal/sched/loss.go
@@ -182,17 +182,22 @@
 		list[i].Chance = max(list[i].Chance, x.task.chance())
 	}
 	shares := blame.Split(list, &s.losses.ages)
+	recorded := map[*job]bool{}
 	for _, x := range lost {
 		t := x.task
 		if t.crashes.Has(v.ID, v.Born) || age(x) >= blame.MaxAge {
-			continue // in the first case, its start order was under way when the loss was first seen
+			continue // in the first case, the loss of this incarnation was noticed before
 		}
 		t.crashes = append(t.crashes, blame.Crash{VM: v.ID, Born: v.Born, Age: age(x), Share: shares[index[t.job]], Unconfirmed: !x.confirmed, Lapsed: lapsed})
-		t.job.dirty, t.suspectSince = true, now
+		t.suspectSince = now
 		s.losses.suspects[t] = true
+		recorded[t.job] = true
+	}
+	for j := range recorded {
+		j.lost++ // awaitsRecord waits until it is stored
+		j.dirty = true
 	}
 	for j, i := range index {
-		j.lost++
 		if blame.Likely(shares[i]) {
 			likely = append(likely, j)
 		}
--- a/internal/sched/repeated_loss_test.go
+++ b/internal/sched/repeated_loss_test.go
@@ -39,7 +39,9 @@
 			r.s.HandlePoll(at(900), "a", at(900), &site.VMStatus{Born: 2, ClockMS: 10})
 			r.flush(900)
 			r.s.HandleStart(at(910), &second, site.Accepted, errNoAnswer)
-			r.rounds(910, 1000)
+			for ms := 920; ms <= 1000; ms += 20 { // the new incarnation does not have the run
+				r.s.HandlePoll(at(ms), "a", at(ms), &site.VMStatus{Born: 2, ClockMS: 100})
+			}
 			return 1000
 		}},
 	}
