drive: the inventory tells a new owner which awaited VMs have ended

Callers saw: after a takeover no task of the partition that was not found running started for up to 8.4 s if a VM had been lost before (LOST by the users' bound for long-running ones), and the wait began anew with each further takeover.

Cause: a VM that the job log names and that does not answer holds back all tasks of the earlier owner. Only successive inventories told of ended VMs, for 2 s, to the owner of that time; an owner that claims the partition later is told nothing.

Change: the owner names in its report the VMs that it awaits and that the VM list does not have; the mover names those of them that no machine has by an inventory read since, and the owner takes these for ended.

--- a/internal/drive/fleet.go
+++ b/internal/drive/fleet.go
@@ -40,6 +40,7 @@
 	Coming    bool               // machines are moving to the pool
 	ReadOnly  bool               // leaves cordons and arrivals unchanged
 	Ended     []site.Incarnation // of the pool's VMs, that have ended according to the inventory
+	Missing   []string           // VMs of the last report's Awaited that no machine has, by an inventory that was read since
 	Quota     *quota.Request     // of the quota coordinator; nil on all but one call per partition, and without accounts that have a limit
 }
 
@@ -59,6 +60,7 @@
 	storedStarted       map[int64]int       // number of started machines in the stored wave record, -1 before the first; by wave number
 	waveStart           map[int64]time.Time // when the wave was requested, by wave number
 	inventoryReadAt     time.Time
+	reportedAt          time.Time  // when the reports of view arrived
 	mu                  sync.Mutex // guards planner, view, orderedAt, handingOver, and writes to storedStarted and waveStart, while the mover runs
 	view                moves.View
 	inventoryDependency *dependency
@@ -151,7 +153,7 @@
 			calls = append(calls, &reportCall{
 				Partition: m.part.node.partitionOf(p.Name), Pool: p.Name,
 				Cordons: m.planner.Cordons(&m.view, p.Name), Arrivals: m.planner.Arrivals(now, &m.view, p.Name),
-				Coming: m.planner.HasIncoming(&m.view, p.Name), Ended: m.lives.Ended(p.Name),
+				Coming: m.planner.HasIncoming(&m.view, p.Name), Ended: m.lives.Ended(p.Name), Missing: m.missingVMs(p.Name),
 			})
 		}
 	}
@@ -167,7 +169,7 @@
 		m.mu.Unlock()
 		return
 	}
-	m.view.Reports = reports
+	m.view.Reports, m.reportedAt = reports, time.Now()
 	orders := m.planner.Plan(time.Now(), &m.view)
 	states := m.planner.WaveStates(&m.view)
 	record := m.recordOrders(orders)
@@ -180,6 +182,15 @@
 	m.publishWaves(ctx, states)
 }
 
+// missingVMs returns the VMs for which the owner of a pool waits and that have ended.
+func (m *mover) missingVMs(pool string) []string {
+	r := m.view.Reports[pool]
+	if r == nil || len(r.Awaited) == 0 || !m.view.ReadStart.After(m.reportedAt) {
+		return nil
+	}
+	return moves.Missing(r.Awaited, m.view.Machines)
+}
+
 // logWaves logs some of the machines whose maintenance is still pending, for each wave.
 func (m *mover) logWaves(states []moves.WaveState) {
 	const maxLines = 4 // per wave
@@ -354,6 +365,7 @@
 		for _, e := range c.Ended {
 			part.scheduler.EndVM(now, e)
 		}
+		part.scheduler.EndAwaited(now, c.Missing)
 		if !c.ReadOnly {
 			part.scheduler.Cordon(now, c.Pool, c.Cordons)
 			part.scheduler.SetArrivals(now, c.Pool, c.Arrivals)
--- a/internal/moves/lives.go
+++ b/internal/moves/lives.go
@@ -1,6 +1,7 @@
 package moves
 
 import (
+	"slices"
 	"time"
 
 	"github.com/greengagelane/greengagelane/pkg/site"
@@ -56,6 +57,15 @@
 	}
 }
 
+// Missing returns those of the given VMs that no machine has according to an inventory.
+func Missing(vms []string, machines []site.Machine) []string {
+	present := make(map[string]bool, len(machines))
+	for i := range machines {
+		present[machines[i].VM] = true
+	}
+	return slices.DeleteFunc(slices.Clone(vms), func(vm string) bool { return present[vm] })
+}
+
 // Ended returns the incarnations of a pool's VMs that have ended recently.
 func (l *Lives) Ended(pool string) []site.Incarnation {
 	var list []site.Incarnation
--- a/internal/sched/ended.go
+++ b/internal/sched/ended.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/greengagelane/greengagelane/pkg/site"
@@ -21,6 +22,34 @@
 	s.unrecordVM(v)
 }
 
+// maxAwaited is the largest number of VMs in Report.Awaited.
+const maxAwaited = 64
+
+// awaitedVMs returns the VMs of Report.Awaited.
+func (s *Scheduler) awaitedVMs(pool string) []string {
+	var list []string
+	for id := range s.unverified {
+		if v := s.vms[id]; v != nil && v.Pool == pool && s.awaitsUnlisted(v) {
+			list = append(list, id)
+		}
+	}
+	slices.Sort(list)
+	return list[:min(len(list), maxAwaited)]
+}
+
+func (s *Scheduler) awaitsUnlisted(v *vm) bool {
+	return !v.listed && !s.listReceivedAt.IsZero() && v.lastAnswer.IsZero() && !v.ended
+}
+
+// EndAwaited handles the end of VMs of Report.Awaited that no machine has any more.
+func (s *Scheduler) EndAwaited(now time.Time, vms []string) {
+	for _, id := range vms {
+		if _, awaited := s.unverified[id]; awaited && s.vms[id] != nil && s.awaitsUnlisted(s.vms[id]) {
+			s.EndVM(now, site.Incarnation{VM: id, Born: s.vms[id].Born})
+		}
+	}
+}
+
 // RemoveVM drops a VM whose incarnation has certainly ended, and releases its runs.
 func (s *Scheduler) RemoveVM(now time.Time, id string) {
 	v := s.vms[id]
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -30,6 +30,9 @@
 	LateUsed       float64 // the part of Used of jobs past their objective
 	Excess         float64 // core-seconds of waiting tasks of jobs beyond their account's rate; part of Waiting
 	ExcessRate     float64 // the part of Rate of jobs beyond their account's rate
+	// Awaited are VMs that may hold runs of an earlier owner, have not answered since the takeover and are not in the
+	// VM list: they have ended, or are cut off from the platform.
+	Awaited []string
 	// Accounts is the load of each client account with jobs in the pool; nil on sites without
 	// accounts.
 	Accounts map[string]AccountReport
@@ -80,6 +83,7 @@
 		}
 		r.VMs = append(r.VMs, u)
 	}
+	r.Awaited = s.awaitedVMs(pool)
 	var longRunning []*jobs.Step
 	for _, j := range s.jobs {
 		if j.Pool != pool || j.state.Final() {
