sched: a pool whose room is split gets another VM for a long-running task

Callers saw: a long-running task that had run before an outage waits without end beside spare machines: the pool has the room, but on no single VM, as the others' tasks have started elsewhere since and stay there. A maintenance wave that has to empty one of these VMs waits with it.

Cause: the planner counts the least number of VMs that hold all long-running tasks, packed anew.

Change: if a task that an empty VM could hold finds neither room nor room that comes free for 2 s, its pool needs one VM more than it has.

--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -204,8 +204,8 @@
 		}
 		c := s.bestCandidate(now, t, cands)
 		if c == nil {
-			if st.Lasts && !j.order.excess {
-				s.reserve(now, t, cands)
+			if st.Lasts && !j.order.excess && !s.reserve(now, t, cands) {
+				s.recordLack(now, j.Pool, st.Step)
 			}
 			if !st.Lasts && !st.Fills {
 				s.pool(j.Pool).fullAt = now
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -101,6 +101,9 @@
 	if waits := s.pool(pool).trialsWait; !waits.IsZero() && now.Sub(waits) < trialPatience {
 		r.MinVMs++ // for a suspect
 	}
+	if s.pool(pool).lack.needsVM(now) {
+		r.MinVMs = max(r.MinVMs, len(r.VMs)+1) // their room is split among tasks that stay where they are
+	}
 	return r
 }
 
--- a/internal/sched/reserve.go
+++ b/internal/sched/reserve.go
@@ -25,15 +25,16 @@
 }
 
 // reserve reserves room for a long-running task on the candidate that can have it soonest, unless enough of the
-// pool's VMs are reserved. Only runs that end are waited for: long-running ones stay.
-func (s *Scheduler) reserve(now time.Time, t *task, cands []*candidate) {
+// pool's VMs are reserved. Only runs that end are waited for: long-running ones stay. It reports whether room may come
+// free.
+func (s *Scheduler) reserve(now time.Time, t *task, cands []*candidate) bool {
 	var best *candidate
 	var found reservation
 	limit := max(len(cands)/reservedShare, 1)
 	for _, c := range cands {
 		if c.reserved {
 			if limit--; limit == 0 {
-				return
+				return true
 			}
 			continue
 		}
@@ -47,6 +48,32 @@
 	if best != nil {
 		best.reservation = found
 	}
+	return best != nil
+}
+
+// lack is the time for which a pool has had no room for a long-running task, and none that comes free.
+type lack struct{ since, latest time.Time }
+
+const (
+	lackAfter = 2 * time.Second        // of lack, the pool needs another VM
+	lackGap   = 500 * time.Millisecond // between two rounds that find it, after which it counts as over
+)
+
+// recordLack records that a task finds no room, unless it fits on no VM of the pool's largest size.
+func (s *Scheduler) recordLack(now time.Time, pool string, st *jobs.Step) {
+	p, largest := s.pool(pool), s.largestVM(pool)
+	if st.Label != "" || !largest.fits(st) {
+		return
+	}
+	if now.Sub(p.lack.latest) > lackGap {
+		p.lack.since = now
+	}
+	p.lack.latest = now
+}
+
+// needsVM reports whether a long-running task waits for another VM.
+func (l *lack) needsVM(now time.Time) bool {
+	return now.Sub(l.latest) <= lackGap && l.latest.Sub(l.since) >= lackAfter
 }
 
 // roomFor returns the reservation of room for a task of a step on a candidate; ok is false if the runs that end
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -111,8 +111,9 @@
 	fullAt            time.Time      // when a task of another than a suspect's job last found no room
 	mostlyIdle        bool           // as of the last round that had jobs in the pool
 	lostAt            time.Time      // when a VM was last lost with its runs
-	trialsWait        time.Time      // when a suspect last found no VM without long-running tasks
-	placedRound       int64          // number of the last round that had jobs in the pool
+	lack              lack
+	trialsWait        time.Time // when a suspect last found no VM without long-running tasks
+	placedRound       int64     // number of the last round that had jobs in the pool
 
 	// The rest is used only on sites with accounts.
 	accounts   map[string]*accountLoad
--- a/internal/stand/soak/size.go
+++ b/internal/stand/soak/size.go
@@ -155,7 +155,7 @@
 
 // keepFinalS returns how many seconds the entries keep the final states of jobs, longer than a run takes.
 func (cfg *Config) keepFinalS() int {
-	if cfg.Load.Cuts > 0 {
+	if cfg.Load.Cuts > 0 || cfg.Load.LongOutages {
 		return 600
 	}
 	return 120
--- a/internal/stand/soak/steady.go
+++ b/internal/stand/soak/steady.go
@@ -92,7 +92,7 @@
 			st.CPU, st.MemMB = scarceCPU, minScarceMB+c.r.IntN(maxScarceMB-minScarceMB)
 		}
 		j := c.newJob("long-running", []step{st})
-		j.Queue = queues[i%len(queues)].Name
+		j.Queue, j.mayWait = queues[i%len(queues)].Name, harness.cfg.Load.ScarceRoom
 		c.submitJob(ctx, j)
 	}
 	harness.addCaller(c)
