drive: a claimant waits for owners of a later version that act for longer

An owner cannot act for longer beside entries of the build before, which wait for 4.0 s after a claim.

Change: a claimant waits for as long as the key validity says, if that is longer than its own notice. No owner of this version stores it.

--- a/internal/drive/claim.go
+++ b/internal/drive/claim.go
@@ -125,7 +125,7 @@
 	part.scheduler.Restore(part.lastRoundAt, last.Epoch, table.Records)
 	part.soleOwner = last.Epoch == 0 || (former.ended && part.lastWasSole)
 	if !part.soleOwner {
-		part.scheduler.FormerOwnerMayContinue()
+		part.scheduler.FormerOwnerMayContinue(part.formerNotice)
 	}
 	part.claimed = claimedTable{lastEpoch: last.Epoch, tableEnd: table.End, records: len(table.Records)}
 	unreadableJobs.Add(len(part.scheduler.Unreadable()))
--- a/internal/drive/control_records.go
+++ b/internal/drive/control_records.go
@@ -4,6 +4,8 @@
 	"strings"
 	"time"
 
+	"github.com/greengagelane/greengagelane/internal/sched"
+	"github.com/greengagelane/greengagelane/internal/tenure"
 	"github.com/greengagelane/greengagelane/pkg/jobs"
 	"github.com/greengagelane/greengagelane/pkg/site"
 )
@@ -15,9 +17,12 @@
 	epochKey      = "epoch"       // stored by a claimant to fence off the last owner if it did not yield, and by an owner to confirm its ownership
 	storedOnlyKey = "stored-only" // holds an owner's epoch: what was shown as completed up to then, and by that owner, is stored
 	soleOwnerKey  = "sole-owner"  // holds an owner's epoch: the owners before it renew no leases any more
+	validityKey   = "validity"    // holds the longest time, in milliseconds, for which an owner of a later version acts after a confirmation
 	waveKeyPrefix = "wave/"
 	ordersKey     = "orders"
 	maxClockSkew  = 2 * time.Second // between the wall clocks of two entries
+
+	maxValidity = 15 * time.Second // under validityKey; a longer one is taken for a mistake
 )
 
 // ownerRecord is the record with which an entry claims a partition.
@@ -72,11 +77,12 @@
 }
 
 // readControlRecords sets part.restored from the records of waves and orders and returns the
-// last owner, whose epoch is 0 if there is none. It sets part.storedOnly and part.lastWasSole too.
+// last owner, whose epoch is 0 if there is none. It sets part.storedOnly, part.lastWasSole and part.formerNotice too.
 func (part *ownedPartition) readControlRecords(records []site.Record) ownerRecord {
 	var last ownerRecord
 	var storedOnlyEpoch, soleEpoch int64
 	part.restored = restoredFleet{waves: map[int64]waveRecord{}}
+	part.formerNotice = sched.FormerOwnerNotice
 	for _, r := range records {
 		switch {
 		case r.Key == ownerKey:
@@ -97,6 +103,8 @@
 			} else {
 				soleEpoch = *e
 			}
+		case r.Key == validityKey:
+			part.readValidity(r.Value)
 		case strings.HasPrefix(r.Key, waveKeyPrefix):
 			if w, err := jobs.Decode[waveRecord](r.Value); err != nil {
 				part.log.WithError(err).Warn("skipping a wave record that cannot be decoded")
@@ -114,3 +122,18 @@
 	part.storedOnly, part.lastWasSole = storedOnlyEpoch == last.Epoch, soleEpoch == last.Epoch
 	return last
 }
+
+// readValidity extends the time for which former owners may go on by what one of a later version has stored. Owners of this
+// version store nothing under the key: entries of the version before do not read it.
+func (part *ownedPartition) readValidity(value []byte) {
+	ms, err := jobs.Decode[int64](value)
+	if err != nil {
+		part.log.WithError(err).Warn("skipping the validity of an owner's confirmation: it cannot be decoded")
+		return
+	}
+	validity := time.Duration(min(*ms, maxValidity.Milliseconds())) * time.Millisecond
+	if *ms > maxValidity.Milliseconds() {
+		part.log.WithField("validity-ms", *ms).Warn("validity of an owner's confirmation exceeds its limit")
+	}
+	part.formerNotice = max(part.formerNotice, validity+tenure.ClockMargin)
+}
--- a/internal/drive/partition.go
+++ b/internal/drive/partition.go
@@ -43,6 +43,7 @@
 	loaded         chan struct{}    // closed once the partition is claimed and its records are read
 	nextSequence   int64            // sequence number of the next append
 	storedOnly     bool             // what the last owner and those before have shown as completed is stored; set by the claim
+	formerNotice   time.Duration    // for which former owners may go on after the claim; set by the claim
 	lastWasSole    bool             // the owners before the last one renew no leases any more; set by the claim
 	lastTriedEpoch int64            // epoch of the last claim attempt; its records may be stored although it failed
 	appendTimeout  *retry.Estimator // used by the claim, then by the append in progress
--- a/internal/drive/yield.go
+++ b/internal/drive/yield.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/greengagelane/greengagelane/internal/peer"
-	"github.com/greengagelane/greengagelane/internal/sched"
 	"github.com/greengagelane/greengagelane/pkg/jobs"
 	"github.com/greengagelane/greengagelane/pkg/site"
 )
@@ -122,7 +121,7 @@
 		if reached, _ := part.scheduler.ReachedVMs(); reached > 0 && part.reachedAt.IsZero() {
 			part.reachedAt = now
 		}
-		if part.reachedAt.IsZero() || now.Sub(part.reachedAt) <= sched.FormerOwnerNotice {
+		if part.reachedAt.IsZero() || now.Sub(part.reachedAt) <= part.formerNotice {
 			return
 		}
 		part.soleOwner = true
--- a/internal/sched/former_owner_test.go
+++ b/internal/sched/former_owner_test.go
@@ -29,7 +29,7 @@
 			former := r.s
 
 			r.takeover(claimed, testVM("a"), testVM("b"))
-			r.s.FormerOwnerMayContinue()
+			r.s.FormerOwnerMayContinue(FormerOwnerNotice)
 			resumed := claimed + int(c.pause.Milliseconds())
 			if c.pause > 0 {
 				r.s.RestartVerification(at(resumed))
@@ -88,7 +88,7 @@
 		other := map[string]string{"a": "b", "b": "a"}[run.VM]
 		r.takeover(claimed, testVM("a"), testVM("b"))
 		if mayContinue {
-			r.s.FormerOwnerMayContinue()
+			r.s.FormerOwnerMayContinue(FormerOwnerNotice)
 		}
 		r.poll(answered, run.VM, site.VMStatus{Running: []site.Run{running(run)}})
 		started := 0
--- a/internal/sched/vm.go
+++ b/internal/sched/vm.go
@@ -168,18 +168,19 @@
 // LongestPoll is the longest time that a VM delays its reply to a status poll.
 const LongestPoll = 2 * time.Second
 
-// FormerOwnerNotice is the longest time after a claim for which a former owner that is cut off from the log and the
-// other entries goes on renewing leases and starting tasks.
+// FormerOwnerNotice is the longest time after a claim for which a former owner of this version that is cut off from the log
+// and the other entries goes on renewing leases and starting tasks.
 const FormerOwnerNotice = tenure.Validity + tenure.ClockMargin
 
 // FormerOwnerMayContinue tells a new owner that the former one, or one before it, may not know that it has lost the
 // partition. Its runs on VMs that this owner does not reach may last longer.
-func (s *Scheduler) FormerOwnerMayContinue() {
-	s.formerOwnerNotice = FormerOwnerNotice
+// It may do so for the given time after the claim.
+func (s *Scheduler) FormerOwnerMayContinue(notice time.Duration) {
+	s.formerOwnerNotice = notice
 	for id, until := range s.unverified {
-		s.unverified[id] = until.Add(FormerOwnerNotice)
+		s.unverified[id] = until.Add(notice)
 		if v := s.vms[id]; v != nil {
-			v.leasesEnd = v.leasesEnd.Add(FormerOwnerNotice)
+			v.leasesEnd = v.leasesEnd.Add(notice)
 		}
 	}
 }
