sched: the loss of a VM that answers again is withdrawn by any owner

Callers saw: a long-running task waits for up to 30 s before its last start, or is not started again, since VMs were lost under it that were only cut off.

Cause: the loss of an incarnation that answers again was withdrawn only by an owner that remembered that it had let the leases there lapse, not by the next owner, nor after the VM had not been listed for a while.

Evidence: TestLossOfVMThatAnswersAgainIsWithdrawn failed in these two rows.

Fix: the first answer of an incarnation to an owner shows that it had not ended, so every record of its loss is withdrawn then.

--- a/internal/sched/observe.go
+++ b/internal/sched/observe.go
@@ -135,7 +135,7 @@
 	}
 	v.clockMS, v.clockAt, v.lastAnswer, v.heardAt, v.pollFailed, v.failedAt = status.ClockMS, now, now, now, false, time.Time{}
 	v.settlePolls(status)
-	if v.lapsed { // it was cut off, and has not crashed
+	if v.lapsed || !v.polled { // a loss of this incarnation, also one that an earlier owner has recorded, was none: it was cut off
 		v.lapsed = false
 		s.losses.withdraw(v.ID, v.Born)
 	}
