sched: the log of long-running tasks that wait computes each pool's candidates once

Read as a newcomer: with many tasks that wait, the candidates of their pool and the counts of its VMs were computed for each of them, and only one was logged. No decision changes; TestLogTellsWhyLongRunningTaskWaits and the bound on lines hold.

--- a/internal/sched/lasting_log.go
+++ b/internal/sched/lasting_log.go
@@ -18,13 +18,6 @@
 // lastingLog keeps when long-running tasks that are not at work were last searched and logged.
 type lastingLog struct{ checkedAt, loggedAt time.Time }
 
-// lastingWait is a long-running task that is not at work.
-type lastingWait struct {
-	task   *task
-	reason holdReason
-	vms    []string // why the VMs of its pool get no run of it, with their number; nil if it has a run
-}
-
 // LogLastingWaits logs which long-running tasks have not been at work for a while, and why. decides is false if the
 // driver makes no decisions, since the ownership is not confirmed.
 func (s *Scheduler) LogLastingWaits(now time.Time, decides bool) {
@@ -33,16 +26,16 @@
 	}
 	s.lastingLog.checkedAt = now
 	due := now.Sub(s.lastingLog.loggedAt) >= lastingLogInterval
-	byReason := map[holdReason][]lastingWait{}
+	byReason, cands := map[holdReason][]*task{}, map[string][]*candidate{}
 	for _, t := range s.absentLasting(now) {
 		if due && now.Sub(t.absentSince) >= lastingWaitLogged {
-			w := s.lastingWait(now, t, decides)
-			byReason[w.reason] = append(byReason[w.reason], w)
+			reason := s.lastingHold(now, t, decides, cands)
+			byReason[reason] = append(byReason[reason], t)
 		}
 	}
 	for reason, list := range byReason {
 		s.lastingLog.loggedAt = now
-		s.logLastingWait(now, reason, list)
+		s.logLastingWait(now, reason, list, cands[list[0].job.Pool])
 	}
 }
 
@@ -81,15 +74,19 @@
 	return list
 }
 
-func (s *Scheduler) lastingWait(now time.Time, t *task, decides bool) lastingWait {
-	switch {
-	case len(t.runs) > 0:
-		return lastingWait{task: t, reason: t.runs[0].holdReason(now, &s.policy)}
-	case !decides:
-		return lastingWait{task: t, reason: heldOwnership}
+// lastingHold says why a long-running task is not at work. It adds the candidates of its pool to cands.
+func (s *Scheduler) lastingHold(now time.Time, t *task, decides bool, cands map[string][]*candidate) holdReason {
+	if len(t.runs) > 0 {
+		return t.runs[0].holdReason(now, &s.policy)
+	}
+	pool := t.job.Pool
+	if _, known := cands[pool]; !known {
+		cands[pool] = s.candidates(now, pool)
+	}
+	if !decides {
+		return heldOwnership
 	}
-	cands := s.candidates(now, t.job.Pool)
-	return lastingWait{t, s.holdReason(now, t.job.occurrences[t.id.Occurrence], t, cands), s.holdCounts(now, t, cands)}
+	return s.holdReason(now, t.job.occurrences[t.id.Occurrence], t, cands[pool])
 }
 
 // holdCounts counts the VMs of a task's pool by why they get no run of it.
@@ -113,21 +110,21 @@
 }
 
 // logLastingWait logs the tasks that wait for one reason, and what is known of the one that has waited for longest.
-func (s *Scheduler) logLastingWait(now time.Time, reason holdReason, list []lastingWait) {
+func (s *Scheduler) logLastingWait(now time.Time, reason holdReason, list []*task, cands []*candidate) {
 	first := list[0]
 	var names []string
-	for _, w := range list {
-		names = append(names, fmt.Sprintf("%s/%d", w.task.id, now.Sub(w.task.absentSince).Milliseconds()))
+	for _, t := range list[:min(len(list), maxLoggedTasks)] {
+		names = append(names, fmt.Sprintf("%s/%d", t.id, now.Sub(t.absentSince).Milliseconds()))
 	}
 	fields := logrus.Fields{
-		"reason": reason.String(), "count": len(list), "tasks": firstOf(names, maxLoggedTasks), "epoch": s.Epoch, "pool": first.task.job.Pool,
-		"last-run": first.task.lastRun, "crashes": len(first.task.crashes), "suspect": first.task.suspected(), "unverified": first.task.unverified,
+		"reason": reason.String(), "count": len(list), "tasks": names, "epoch": s.Epoch, "pool": first.job.Pool,
+		"last-run": first.lastRun, "crashes": len(first.crashes), "suspect": first.suspected(), "unverified": first.unverified,
 	}
-	if len(first.task.runs) > 0 {
-		r := first.task.runs[0]
+	if len(first.runs) > 0 {
+		r := first.runs[0]
 		fields["vm"], fields["run"], fields["ends-cut"], fields["answered-ms"] = r.vm.ID, r.number, r.vm.endsCut, now.Sub(r.vm.lastAnswer).Milliseconds()
 	} else {
-		fields["vms"], fields["waits-for"] = first.vms, len(s.unverified)
+		fields["vms"], fields["waits-for"] = s.holdCounts(now, first, cands), len(s.unverified)
 	}
 	s.log.WithFields(fields).Warn("long-running tasks are not at work")
 }
