usage: entries log a lack of processor time, with their work by kind

Callers of the queues with short tasks are served too late in their peaks, and nothing that an owner logged or counted could tell why: the hypotheses of docs/incidents/owner-short-of-processor-time.md differ in the processor time by kind of work, in the wait for the processor and in the wait of start orders.

An entry now counts its work by kind (start, order, poll, status, round, record, request, line) with the time apart from waits, and the wait of orders in the queues of VMs; both are metrics. Each second it reads how long goroutines waited for the processor; it warns when the mean is 10 ms or more, with all of these in the line.

--- a/internal/drive/flush.go
+++ b/internal/drive/flush.go
@@ -7,6 +7,7 @@
 
 	"github.com/greengagelane/greengagelane/internal/retry"
 	"github.com/greengagelane/greengagelane/internal/sched"
+	"github.com/greengagelane/greengagelane/internal/usage"
 	"github.com/greengagelane/greengagelane/pkg/site"
 )
 
@@ -27,6 +28,7 @@
 // flush starts an append of the pending records and the changed jobs, the latter up to the log's
 // size limit for one call.
 func (part *ownedPartition) flush(now time.Time) {
+	defer usage.Record.Since(time.Now())
 	part.scheduler.HoldNewJobs(!part.logDownSince.IsZero())
 	f, err := part.scheduler.Flush(now, part.node.settings.Log.CallBytes)
 	if err != nil {
@@ -98,7 +100,9 @@
 	began := time.Now()
 	callCtx, cancel := part.node.logRestored.callContext(ctx)
 	defer cancel()
+	waited := part.store.Waited()
 	err := part.store.AppendJobs(callCtx, a, part.appendTimeout.Timeout())
+	usage.Record.Add(time.Since(began) - (part.store.Waited() - waited))
 	if callCtx.Err() != nil {
 		return err
 	}
--- a/internal/drive/node.go
+++ b/internal/drive/node.go
@@ -21,6 +21,7 @@
 	"github.com/greengagelane/greengagelane/internal/peer"
 	"github.com/greengagelane/greengagelane/internal/sched"
 	"github.com/greengagelane/greengagelane/internal/shown"
+	"github.com/greengagelane/greengagelane/internal/usage"
 	"github.com/greengagelane/greengagelane/pkg/site"
 	"github.com/greengagelane/greengagelane/platform"
 )
@@ -133,6 +134,7 @@
 		defer s.Close()
 		go func() { failed <- s.ListenAndServe() }()
 	}
+	go usage.Watch(workCtx)
 	go n.watchOperator(workCtx)
 	go n.watchVMs(workCtx)
 	go n.watchAssignment(workCtx)
@@ -206,6 +208,7 @@
 
 func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	metrics.WritePrometheus(w, true)
+	usage.WriteMetrics(w)
 	n.accountLoads.write(w, time.Now(), n.accountLabels.label)
 }
 
--- a/internal/drive/partition.go
+++ b/internal/drive/partition.go
@@ -11,6 +11,7 @@
 	"github.com/greengagelane/greengagelane/internal/retry"
 	"github.com/greengagelane/greengagelane/internal/sched"
 	"github.com/greengagelane/greengagelane/internal/tenure"
+	"github.com/greengagelane/greengagelane/internal/usage"
 	"github.com/greengagelane/greengagelane/internal/vmcall"
 	"github.com/greengagelane/greengagelane/pkg/site"
 	"github.com/greengagelane/greengagelane/platform"
@@ -189,6 +190,7 @@
 	part.lastStats = stats
 	part.recordRecovery(now)
 	part.requestConfirmation(now)
+	usage.Round.Since(now)
 	if !part.flushing && now.Sub(part.flushedAt) >= minFlushInterval && !now.Before(part.nextAppendAt) {
 		part.flush(now)
 	}
--- a/internal/drive/requests.go
+++ b/internal/drive/requests.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/greengagelane/greengagelane/internal/usage"
 	"github.com/greengagelane/greengagelane/pkg/jobs"
 	"github.com/greengagelane/greengagelane/pkg/site"
 )
@@ -50,6 +51,7 @@
 	}
 	w := &waiter{id: c.ID, job: c.Job, isCancel: c.Kind == site.CancelJob, reply: make(chan site.Reply, 1)}
 	part.post(func(now time.Time) {
+		defer usage.Request.Since(now)
 		w.heldTo = now.Add(time.Duration(heldShare * float64(c.WaitMS) * float64(time.Millisecond)))
 		part.handle(now, c, w)
 	})
--- a/internal/drive/session.go
+++ b/internal/drive/session.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/greengagelane/greengagelane/internal/sched"
+	"github.com/greengagelane/greengagelane/internal/usage"
 	"github.com/greengagelane/greengagelane/internal/vmcall"
 	"github.com/greengagelane/greengagelane/pkg/site"
 	"github.com/greengagelane/greengagelane/platform"
@@ -33,13 +34,19 @@
 	calls  *vmcall.VM
 
 	mu          sync.Mutex
-	queue       []sched.Action
+	queue       []queuedOrder
 	wake        chan struct{}
 	senders     int
 	idleSenders int
 	lastDequeue time.Time // when an order was last taken from the queue
 }
 
+// queuedOrder is an order that waits to be sent.
+type queuedOrder struct {
+	action sched.Action
+	at     time.Time // when it was queued
+}
+
 func newVMSession(ctx context.Context, part *ownedPartition, id, addr string) *vmSession {
 	ctx, cancel := context.WithCancel(ctx)
 	s := &vmSession{part: part, id: id, addr: addr, cancel: cancel, calls: part.vmCalls.NewVM(), wake: make(chan struct{}, 1)}
@@ -85,7 +92,7 @@
 func (s *vmSession) enqueue(ctx context.Context, now time.Time, a sched.Action) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.queue = append(s.queue, a)
+	s.queue = append(s.queue, queuedOrder{a, now})
 	stuck := now.Sub(s.lastDequeue) > addSenderAfter
 	if s.senders == 0 || (s.idleSenders == 0 && stuck && s.senders < maxSenders) {
 		s.senders++
@@ -123,7 +130,8 @@
 	a := s.queue[0]
 	s.queue = s.queue[1:]
 	s.lastDequeue = time.Now()
-	return a, true
+	usage.OrderWaited(s.lastDequeue.Sub(a.at))
+	return a.action, true
 }
 
 // waitForOrder waits for an order. It returns false if the sender has to end; the first
@@ -169,8 +177,9 @@
 	attempts := 0
 	for repeat := true; repeat && ctx.Err() == nil; {
 		attempts++
-		sentAt := time.Now()
+		sentAt, waited := time.Now(), link.Waited()
 		refusal, err = s.sendOnce(ctx, link, a, s.calls.Timeout(sentAt.Sub(began)))
+		kindOfOrder(a).Add(time.Since(sentAt) - (link.Waited() - waited))
 		repeat = s.recordCall(err, time.Since(sentAt), attempts, time.Since(began))
 	}
 	orderDuration.UpdateDuration(began)
@@ -200,12 +209,15 @@
 // poll sends a status poll and passes the result to the scheduler.
 func (s *vmSession) poll(ctx context.Context, link *platform.VMLink, poll *site.StatusPoll) (sentAt time.Time, err error) {
 	sentAt = time.Now()
+	waited := link.Waited()
 	status, err := link.Poll(ctx, poll, s.calls.Timeout(0))
+	usage.Poll.Add(time.Since(sentAt) - (link.Waited() - waited))
 	if ctx.Err() != nil {
 		return sentAt, ctx.Err()
 	}
 	endedAt := time.Now()
 	s.part.post(func(now time.Time) {
+		defer usage.Status.Since(now)
 		if err != nil {
 			if !site.IsUnanswered(err) {
 				s.part.scheduler.SettlePoll(s.id, poll)
@@ -218,6 +230,13 @@
 	return sentAt, err
 }
 
+func kindOfOrder(a sched.Action) usage.Kind {
+	if _, ok := a.(sched.StartRun); ok {
+		return usage.Start
+	}
+	return usage.Order
+}
+
 func (s *vmSession) sendOnce(ctx context.Context, link *platform.VMLink, a sched.Action, timeout time.Duration) (site.Refusal, error) {
 	epoch := s.part.scheduler.Epoch
 	switch a := a.(type) {
--- a/internal/httpc/conn.go
+++ b/internal/httpc/conn.go
@@ -69,8 +69,14 @@
 	conn   net.Conn
 	r      *bufio.Reader
 	closed bool
+
+	waited time.Duration // of all requests; see Waited
 }
 
+// Waited returns the time for which requests so far have waited for the connection to open and for the first bytes of
+// their responses. It must not be called during a request.
+func (c *Conn) Waited() time.Duration { return c.waited }
+
 // New returns a Conn that opens its connection on the first request.
 func New(address string, dialTimeout time.Duration) *Conn {
 	return &Conn{Address: address, DialTimeout: dialTimeout}
@@ -117,7 +123,9 @@
 		return false, nil
 	}
 	d := net.Dialer{Timeout: c.DialTimeout, KeepAlive: -1}
+	began := time.Now()
 	conn, err := d.DialContext(ctx, "tcp", c.Address)
+	c.waited += time.Since(began)
 	if err != nil {
 		return false, err
 	}
@@ -140,11 +148,12 @@
 	}
 }
 
-// awaitFirstByte waits for the first byte of the response for at most firstByteTimeout. Then it
+// awaitFirstByte waits for the first byte of the response, for at most firstByteTimeout if that is set. Then it
 // sets the read deadline back to the whole timeout, for the rest of the response.
 func awaitFirstByte(conn net.Conn, r *bufio.Reader, firstByteTimeout, timeout time.Duration) error {
 	if firstByteTimeout <= 0 || firstByteTimeout >= timeout {
-		return nil
+		_, err := r.Peek(1)
+		return err
 	}
 	now := time.Now()
 	if err := conn.SetReadDeadline(now.Add(firstByteTimeout)); err != nil {
@@ -169,7 +178,10 @@
 	if _, err := conn.Write(c.encode(req)); err != nil {
 		return nil, err
 	}
-	if err := awaitFirstByte(conn, r, req.FirstByteTimeout, timeout); err != nil {
+	sentAt := time.Now()
+	err := awaitFirstByte(conn, r, req.FirstByteTimeout, timeout)
+	c.waited += time.Since(sentAt)
+	if err != nil {
 		return nil, err
 	}
 	res, err := readFinalResponse(r)
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -10,6 +10,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
+
+	"github.com/greengagelane/greengagelane/internal/usage"
 )
 
 const (
@@ -42,7 +44,7 @@
 // later are not written.
 func Start(out io.Writer, entry string) func() {
 	w := &writer{lines: make(chan []byte, bufferLines)}
-	logrus.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "15:04:05.000"})
+	logrus.SetFormatter(&countingFormatter{logrus.JSONFormatter{TimestampFormat: "15:04:05.000"}})
 	logrus.SetOutput(w)
 	logrus.AddHook(&entryHook{entry: entry})
 	quit, done := make(chan struct{}), make(chan struct{})
@@ -82,6 +84,15 @@
 	}
 }
 
+// countingFormatter counts the lines that it formats.
+type countingFormatter struct{ logrus.JSONFormatter }
+
+// Format formats a line.
+func (f *countingFormatter) Format(e *logrus.Entry) ([]byte, error) {
+	defer usage.Line.Since(time.Now())
+	return f.JSONFormatter.Format(e)
+}
+
 // entryHook adds the entry's name to each line.
 type entryHook struct{ entry string }
 
--- a/internal/stand/verbs.go
+++ b/internal/stand/verbs.go
@@ -24,6 +24,7 @@
 	{Name: "older", Short: "Runs the older system.", New: newOlderCommand},
 	{Name: "callers", Short: "Sends the load of a plan, then checks the promises.", New: newCallersCommand},
 	{Name: "soak", Short: "Runs entries that schedule jobs, injects faults, and checks invariants.", New: newSoakCommand},
+	{Name: "peak", Short: "Plays the peak of one large pool and reports the processor time of its owner.", New: newPeakCommand},
 	{Name: "site", Short: "Writes settings, release notes and the load plan of a site.", New: newSiteCommand},
 }
 
