sched: rounds and submissions leave out jobs that can no longer change, and walk runs as lists

Callers were served late in the peak of a pool, as its owner made one to ten rounds a second. A round took longer the more jobs had ended in the two minutes before, since these are kept for their callers and each loop over jobs passed them; each submission computed the largest VM of the pool several times over all VMs; the runs of each VM were walked as a map five times a round; each end of a run built the fields of a debug line that was not written.

Jobs whose final state is stored leave the set that rounds, submissions and flushes visit; a heap says which of them to drop. The largest VM is recorded as VMs are listed. A VM keeps its runs as a list beside the map. The chain of a job's remaining steps is computed when a step ends.

--- a/internal/drive/partition.go
+++ b/internal/drive/partition.go
@@ -233,8 +233,7 @@
 
 // syncSessions opens and closes sessions so that each VM of the partition has one.
 func (part *ownedPartition) syncSessions(ctx context.Context) {
-	addresses := part.scheduler.VMAddresses()
-	for id, addr := range addresses {
+	for id, addr := range part.scheduler.VMAddresses() {
 		if s := part.sessions[id]; s != nil && s.addr == addr {
 			continue
 		} else if s != nil {
@@ -243,7 +242,7 @@
 		part.sessions[id] = newVMSession(ctx, part, id, addr)
 	}
 	for id, s := range part.sessions {
-		if _, ok := addresses[id]; !ok {
+		if !part.scheduler.HasVM(id) {
 			s.cancel()
 			delete(part.sessions, id)
 		}
--- a/internal/sched/accounts.go
+++ b/internal/sched/accounts.go
@@ -64,7 +64,7 @@
 		return nil
 	}
 	reports := map[string]AccountReport{}
-	for _, j := range s.jobs {
+	for _, j := range s.live {
 		if j.Pool != pool || j.Account == "" || j.state.Final() {
 			continue
 		}
@@ -82,7 +82,7 @@
 		reports[account] = r
 	}
 	for _, v := range s.vms {
-		for _, x := range v.runs {
+		for _, x := range v.runList {
 			j := x.task.job
 			if j.Pool != pool || j.Account == "" {
 				continue
--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -124,7 +124,7 @@
 			continue
 		}
 		free := cores
-		for _, r := range v.runs {
+		for _, r := range v.runList {
 			used := largest.equivalentCores(r.step())
 			free -= used
 			if r.step().Lasts {
@@ -166,7 +166,7 @@
 func (s *Scheduler) waitingLoad(now time.Time, pool string) shed.Load {
 	var l shed.Load
 	largest, p, hasAccounts := s.largestVM(pool), s.pool(pool), len(s.accounts) > 0
-	for _, j := range s.jobs {
+	for _, j := range s.live {
 		if j.Pool != pool || j.state.Final() || j.LongRunning() {
 			continue
 		}
@@ -270,6 +270,13 @@
 // remainingChain returns the declared run time of the longest chain of steps that are not done, of the
 // occurrence that has the longest.
 func (j *job) remainingChain() time.Duration {
+	if !j.chainKnown {
+		j.chain, j.chainKnown = j.longestChain(), true
+	}
+	return j.chain
+}
+
+func (j *job) longestChain() time.Duration {
 	if len(j.occurrences) == 0 {
 		return j.CriticalPath()
 	}
--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -145,7 +145,7 @@
 		if usable {
 			u.total += float64(v.CPU) / 1000
 		}
-		for _, r := range v.runs {
+		for _, r := range v.runList {
 			cores := u.largest.equivalentCores(r.step())
 			if usable {
 				u.used += cores
--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -21,13 +21,13 @@
 		s.evacuate(now)
 	}
 	for _, v := range s.vms {
-		for _, r := range v.runs {
+		for _, r := range v.runList {
 			s.watchRun(now, r)
 		}
 	}
 	s.throttle(now)
 	s.pollTrials(now)
-	for _, j := range s.jobs {
+	for _, j := range s.live {
 		if !j.state.Final() && j.stored {
 			j.createDueOccurrences(now, s.maxOpen(j))
 		}
@@ -113,7 +113,7 @@
 		return
 	}
 	r.stopInFlight = true
-	s.emit(StopRun{VM: r.vm.ID, Task: r.task.id.String(), Run: r.number, Why: r.stopReason})
+	s.emit(StopRun{VM: r.vm.ID, Task: r.name, Run: r.number, Why: r.stopReason})
 }
 
 // stop marks a run to be stopped; sendStop sends the order.
@@ -134,7 +134,7 @@
 		if !v.Draining && !v.cordoned {
 			continue
 		}
-		for _, r := range v.runs {
+		for _, r := range v.runList {
 			if r.phase == working && s.mayEvacuate(now, r) {
 				s.log.WithFields(logrus.Fields{
 					"task": r.task.id.String(), "run": r.number, "vm": v.ID, "draining": v.Draining, "unavailable": s.countUnavailableOthers(now, r), "may-miss": r.step().MayMiss,
@@ -194,18 +194,18 @@
 	const interval = 500 * time.Millisecond // the tail latency that VMs report covers the last half second
 	for _, v := range s.vms {
 		worst := 0.0
-		for _, r := range v.runs {
+		for _, r := range v.runList {
 			if tail := r.step().TailMS; tail > 0 && r.phase == working {
 				worst = max(worst, float64(r.reportedTailMS)/float64(tail))
 			}
 		}
-		for _, r := range v.runs {
+		for _, r := range v.runList {
 			if !r.step().Fills || r.phase != working || now.Sub(r.throttledAt) < interval {
 				continue
 			}
 			if speed := nextSpeed(r.speedPercent, worst, &s.policy); speed != r.speedPercent {
 				r.speedPercent, r.throttledAt = speed, now
-				s.emit(ThrottleRun{VM: v.ID, Task: r.task.id.String(), Run: r.number, Percent: speed})
+				s.emit(ThrottleRun{VM: v.ID, Task: r.name, Run: r.number, Percent: speed})
 			}
 		}
 	}
@@ -254,7 +254,8 @@
 // start adds a run of a task on a VM and emits its start order. Its callers check that the
 // VM has enough free resources and deduct them from the candidate.
 func (s *Scheduler) start(now time.Time, t *task, v *vm, number int64) {
-	r := &run{task: t, vm: v, number: number, phase: starting, startInFlight: true, answeredAt: now, startedAt: now, progressAt: now, speedPercent: 100, startedFrom: t.nextCheckpoint(), heardAt: v.heardAt}
+	name := t.id.String()
+	r := &run{task: t, name: name, vm: v, number: number, phase: starting, startInFlight: true, answeredAt: now, startedAt: now, progressAt: now, speedPercent: 100, startedFrom: t.nextCheckpoint(), heardAt: v.heardAt}
 	s.logStart(now, t, number, v)
 	t.lastRun = number
 	t.unverified = false
@@ -262,13 +263,13 @@
 		t.step.withoutRun--
 	}
 	t.runs = append(t.runs, r)
-	v.runs[t.id.String()] = r
+	v.addRun(r)
 	s.quotas.countRuns(t, 1)
 	s.markBegan(now, t.job)
 	t.job.dirty = t.job.dirty || t.recordsPlace()
 	s.stats.Started++
 	s.emit(StartRun{VM: v.ID, Task: t.id, Order: site.Start{
-		Task: t.id.String(), Run: number, Spec: t.job.Spec, UntilMS: v.grantLease(now, &s.policy), Fence: s.Epoch,
+		Task: name, Run: number, Spec: t.job.Spec, UntilMS: v.grantLease(now, &s.policy), Fence: s.Epoch,
 		Checkpoint: r.startedFrom, Ticket: t.step.tickets[v.ID],
 	}})
 }
--- a/internal/sched/ended.go
+++ b/internal/sched/ended.go
@@ -81,7 +81,7 @@
 
 // releaseRuns releases all runs of a VM.
 func (s *Scheduler) releaseRuns(v *vm, why string) {
-	for _, r := range v.runs {
+	for _, r := range slices.Backward(v.runList) {
 		s.stats.Lost++
 		s.releaseRun(r, why)
 	}
@@ -90,7 +90,7 @@
 
 // releaseAnswered releases the runs of a VM but those whose start orders are under way.
 func (s *Scheduler) releaseAnswered(v *vm, why string) {
-	for _, r := range v.runs {
+	for _, r := range slices.Backward(v.runList) {
 		if !r.startInFlight {
 			s.stats.Lost++
 			s.releaseRun(r, why)
--- a/internal/sched/flush.go
+++ b/internal/sched/flush.go
@@ -14,11 +14,9 @@
 func (s *Scheduler) dropFinalJobs(now time.Time) []site.Record {
 	removed := s.refusedTombstones
 	s.refusedTombstones = nil
-	for id, j := range s.jobs {
-		if j.storedState.Final() && now.UnixMilli()-j.finalMS > s.policy.KeepFinal.Milliseconds() {
-			delete(s.jobs, id)
-			removed = append(removed, site.Record{Key: jobKeyPrefix + id}, site.Record{Key: progressKeyPrefix + id})
-		}
+	s.settleJobs()
+	for _, id := range s.removeSettledJobs(now.Add(-s.policy.KeepFinal)) {
+		removed = append(removed, site.Record{Key: jobKeyPrefix + id}, site.Record{Key: progressKeyPrefix + id})
 	}
 	return removed
 }
@@ -57,7 +55,7 @@
 	f := &Flush{Records: slices.Clone(tombstones), tombstones: tombstones, states: map[string]jobs.State{}, lost: map[string]int{}}
 	size, deferred := 0, 0
 	var held *job
-	for _, j := range s.jobs {
+	for _, j := range s.live {
 		switch {
 		case !j.dirty:
 			continue
@@ -68,14 +66,14 @@
 			deferred++
 			continue
 		}
-		n, ok := s.addJob(now, f, j)
+		n, ok := s.addRecords(now, f, j)
 		if !ok {
 			deferred++
 		}
 		size += n
 	}
 	if held != nil && len(f.Records) == 0 {
-		if _, ok := s.addJob(now, f, held); !ok {
+		if _, ok := s.addRecords(now, f, held); !ok {
 			deferred++
 		}
 	}
@@ -108,9 +106,9 @@
 	return f, nil
 }
 
-// addJob adds the records of a job to a flush and returns their size in bytes. If they cannot be encoded, it
+// addRecords adds the records of a job to a flush and returns their size in bytes. If they cannot be encoded, it
 // logs that and changes neither the job nor the flush.
-func (s *Scheduler) addJob(now time.Time, f *Flush, j *job) (size int, ok bool) {
+func (s *Scheduler) addRecords(now time.Time, f *Flush, j *job) (size int, ok bool) {
 	records, err := s.encodeJob(now, j)
 	if err != nil {
 		s.log.WithError(err).WithField("job", j.ID).Error("job cannot be encoded for the job log; it stays unstored, and no run end is acknowledged")
--- a/internal/sched/idle.go
+++ b/internal/sched/idle.go
@@ -48,7 +48,7 @@
 	if len(p.idle) == 0 {
 		return
 	}
-	for _, j := range s.jobs {
+	for _, j := range s.live {
 		if j.Pool == name && !j.state.Final() && j.consideredIn != s.round && s.firstTasksWithinQuota(now, j) {
 			p.takeIdle(j)
 		}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -39,6 +39,8 @@
 	copies       bool          // has a step whose tasks may have copies
 	objective    time.Duration // latency objective by the declared run times
 	order        orderKey      // as of the last call of sortJobs
+	chain        time.Duration // see remainingChain; valid if chainKnown is set
+	chainKnown   bool          // no step has ended, and no occurrence was added, since chain was computed
 }
 
 // occurrence is one execution of a job's steps.
@@ -103,6 +105,7 @@
 // run is one run of a task on a VM.
 type run struct {
 	task           *task
+	name           string // of the task
 	vm             *vm
 	number         int64
 	phase          phase
@@ -148,6 +151,7 @@
 func (j *job) addOccurrence(number int) {
 	o := newOccurrence(j, number)
 	j.occurrences[number] = o
+	j.chainKnown = false
 	for _, st := range o.steps {
 		for _, t := range st.tasks {
 			t.unverified = j.recovered
@@ -270,6 +274,7 @@
 	if t.step.done < t.step.Count {
 		return
 	}
+	j.chainKnown = false
 	o := j.occurrences[t.id.Occurrence]
 	o.stepsLeft--
 	if o.stepsLeft == 0 {
--- a/internal/sched/lasting_log.go
+++ b/internal/sched/lasting_log.go
@@ -43,7 +43,7 @@
 // for longest.
 func (s *Scheduler) absentLasting(now time.Time) []*task {
 	var list []*task
-	for _, j := range s.jobs {
+	for _, j := range s.live {
 		if !j.LongRunning() || j.state.Final() || !j.stored {
 			continue
 		}
--- a/internal/sched/loss.go
+++ b/internal/sched/loss.go
@@ -99,7 +99,7 @@
 		for _, x := range lost {
 			x.task.lostAt = now
 		}
-		for _, r := range v.runs {
+		for _, r := range v.runList {
 			r.task.lostAt = now
 		}
 	}
@@ -120,7 +120,7 @@
 		x.suspect = slices.ContainsFunc(lost, func(y lostTask) bool { return y.task.suspected() })
 		lapsed := !ended || now.Sub(v.heardAt) >= s.policy.Lease
 		x.likely = s.blame(now, x.at, v, lapsed, lost)
-		for _, r := range v.runs {
+		for _, r := range v.runList {
 			r.lossCounted = true
 		}
 	}
@@ -138,7 +138,7 @@
 // tasksOn returns the tasks that run on a VM, or may do so by the records of an earlier owner, ordered by task.
 func (s *Scheduler) tasksOn(v *vm) []lostTask {
 	var list []lostTask
-	for _, r := range v.runs {
+	for _, r := range v.runList {
 		if r.lossCounted && r.confirmedAt.IsZero() {
 			continue // its start order is still under way after the loss of an earlier incarnation
 		}
--- a/internal/sched/loss_log.go
+++ b/internal/sched/loss_log.go
@@ -16,7 +16,7 @@
 // does so soon after its start.
 func (s *Scheduler) logLostVM(now time.Time, v *vm, why string) {
 	runs := make([]*run, 0, len(v.runs))
-	for _, r := range v.runs {
+	for _, r := range v.runList {
 		runs = append(runs, r)
 	}
 	slices.SortFunc(runs, func(a, b *run) int {
--- a/internal/sched/observe.go
+++ b/internal/sched/observe.go
@@ -32,6 +32,7 @@
 			continue // the list is older than the VM's own answer
 		}
 		v.VM, v.listed = update, true
+		s.recordSize(&update)
 	}
 	for id, v := range s.vms {
 		v.listed = v.listed && listed[id]
@@ -57,8 +58,10 @@
 
 // releaseRun detaches a run that has certainly ended from its VM and task.
 func (s *Scheduler) releaseRun(r *run, why string) {
-	s.log.WithField("task", r.task.id.String()).WithField("run", r.number).WithField("vm", r.vm.ID).WithField("why", why).Debug("run released")
-	delete(r.vm.runs, r.task.id.String())
+	if s.log.Logger.IsLevelEnabled(logrus.DebugLevel) {
+		s.log.WithFields(logrus.Fields{"task": r.name, "run": r.number, "vm": r.vm.ID, "why": why}).Debug("run released")
+	}
+	r.vm.removeRun(r)
 	s.quotas.countRuns(r.task, -1)
 	if r.copy != nil {
 		s.logCopy(r, why)
@@ -145,7 +148,8 @@
 			v.seenSeq = e.Sequence
 		}
 	}
-	running := map[string]bool{}
+	running := s.listed
+	clear(running)
 	for i := range status.Running {
 		running[status.Running[i].Task] = true
 		s.handleListedRun(now, v, &status.Running[i])
@@ -210,14 +214,14 @@
 	case x.Run < t.lastRun && !s.mayBeCopy(t, x):
 		return "a later run has been seen"
 	}
-	r := &run{task: t, vm: v, number: x.Run, phase: working, answeredAt: now, confirmedAt: now, startedAt: s.losses.presumedStart(now, v.ID, x.Task), progressAt: now, speedPercent: 100, adopted: true}
+	r := &run{task: t, name: x.Task, vm: v, number: x.Run, phase: working, answeredAt: now, confirmedAt: now, startedAt: s.losses.presumedStart(now, v.ID, x.Task), progressAt: now, speedPercent: 100, adopted: true}
 	t.lastRun = max(t.lastRun, x.Run)
 	if len(t.runs) == 0 {
 		t.step.withoutRun--
 	}
 	t.runs = append(t.runs, r)
 	t.markCopy()
-	v.runs[x.Task] = r
+	v.addRun(r)
 	s.quotas.countRuns(t, 1)
 	s.markBegan(now, j)
 	s.updateProgress(now, r, x)
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -35,7 +35,7 @@
 	if s.quotas.limited {
 		s.refreshQuotas(now)
 	}
-	for _, j := range s.jobs {
+	for _, j := range s.live {
 		if !j.state.Final() && j.stored && len(j.occurrences) > 0 {
 			byPool[j.Pool] = append(byPool[j.Pool], j)
 		}
@@ -118,7 +118,7 @@
 			continue
 		}
 		c := &candidate{vm: v, free: v.freeResources(), trial: v.onTrial(now)}
-		for _, r := range v.runs {
+		for _, r := range v.runList {
 			c.usedCPU += r.step().CPU
 		}
 		c.exposure = v.crashLoss(now) * 1000 / float64(max(v.CPU, 1))
@@ -357,7 +357,7 @@
 // countSameStep returns how many tasks of the same step and occurrence are on a VM.
 func (v *vm) countSameStep(t *task) int {
 	n := 0
-	for _, r := range v.runs {
+	for _, r := range v.runList {
 		if r.task.step == t.step {
 			n++
 		}
--- a/internal/sched/quota.go
+++ b/internal/sched/quota.go
@@ -239,7 +239,7 @@
 // pools if the name is empty.
 func (s *Scheduler) demand(pool string) map[string]site.Resources {
 	demand := map[string]site.Resources{}
-	for _, j := range s.jobs {
+	for _, j := range s.live {
 		if j.Account == "" || !j.stored || j.state.Final() || (pool != "" && j.Pool != pool) {
 			continue
 		}
--- a/internal/sched/rack_loss.go
+++ b/internal/sched/rack_loss.go
@@ -88,7 +88,7 @@
 }
 
 func (v *vm) runsSuspect() bool {
-	for _, r := range v.runs {
+	for _, r := range v.runList {
 		if r.task.suspected() {
 			return true
 		}
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -7,6 +7,7 @@
 	"github.com/greengagelane/greengagelane/internal/quota"
 	"github.com/greengagelane/greengagelane/internal/shed"
 	"github.com/greengagelane/greengagelane/pkg/jobs"
+	"github.com/greengagelane/greengagelane/pkg/site"
 )
 
 // Report is the load of a pool, for the planner of VM moves and maintenance. Cores and
@@ -63,7 +64,7 @@
 	late := map[*job]bool{} // by job with runs: whether it is past its objective
 	for _, v := range s.sortedVMs(pool) {
 		u := VMReport{ID: v.ID, Runs: len(v.runs), Capacity: v.CPU, Cordoned: v.cordoned, Known: v.polled, Unstored: v.seenSeq > v.storedSeq, Unusable: v.unusableReason(now, &s.policy)}
-		for _, x := range v.runs {
+		for _, x := range v.runList {
 			u.CPU += x.step().CPU
 			if x.step().Lasts {
 				u.Lasting++
@@ -85,7 +86,7 @@
 	}
 	r.Awaited = s.awaitedVMs(pool)
 	var longRunning []*jobs.Step
-	for _, j := range s.jobs {
+	for _, j := range s.live {
 		if j.Pool != pool || j.state.Final() {
 			continue
 		}
@@ -131,13 +132,13 @@
 // largestVM returns the capacity of a pool's largest VM so far. It is kept when the pool
 // has no VMs.
 func (s *Scheduler) largestVM(pool string) resources {
-	p := s.pool(pool)
-	for _, v := range s.vms {
-		if v.Pool == pool {
-			p.largestVM = resources{cpu: max(p.largestVM.cpu, v.CPU), mem: max(p.largestVM.mem, v.MemMB), gpu: max(p.largestVM.gpu, v.GPU)}
-		}
-	}
-	return p.largestVM
+	return s.pool(pool).largestVM
+}
+
+// recordSize records the capacity of a VM in that of its pool's largest VM.
+func (s *Scheduler) recordSize(v *site.VM) {
+	p := s.pool(v.Pool)
+	p.largestVM = resources{cpu: max(p.largestVM.cpu, v.CPU), mem: max(p.largestVM.mem, v.MemMB), gpu: max(p.largestVM.gpu, v.GPU)}
 }
 
 // equivalentCores returns the size of a task in cores of a VM with capacity r, by the
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -30,7 +30,10 @@
 	policy             Policy
 	log                *logrus.Entry
 	jobs               map[string]*job
+	live               map[string]*job // jobs that may change; most others are final and kept for their callers
+	settled            settledJobs     // the others: their final state is stored
 	vms                map[string]*vm
+	listed             map[string]bool    // names of the tasks that the last status listed; buffer of HandlePoll
 	forgotten          map[string]vmPolls // of VMs that are no longer in vms, as they may come back under their IDs
 	pools              map[string]*pool
 	queues             map[string]*queueStats
@@ -132,7 +135,7 @@
 func New(epoch int64, p Policy, log *logrus.Entry) *Scheduler {
 	return &Scheduler{
 		Epoch: epoch, policy: p, log: log,
-		jobs: map[string]*job{}, vms: map[string]*vm{}, forgotten: map[string]vmPolls{}, pools: map[string]*pool{}, queues: map[string]*queueStats{},
+		jobs: map[string]*job{}, live: map[string]*job{}, vms: map[string]*vm{}, listed: map[string]bool{}, forgotten: map[string]vmPolls{}, pools: map[string]*pool{}, queues: map[string]*queueStats{},
 		unreadable: map[string]*jobs.Job{}, unverified: map[string]time.Time{}, recordedVMs: map[string]bool{}, offeredAt: map[string]offer{},
 		buckets: map[string]*fair.Bucket{}, round: 1, losses: newLosses(), encode: jobs.EncodeProgress,
 	}
@@ -186,7 +189,7 @@
 		}
 		restored := newJob(j)
 		restored.stored, restored.recovered = true, true
-		s.jobs[j.ID] = restored
+		s.addJob(restored)
 	case len(r.Key) > 2 && r.Key[:2] == progressKeyPrefix:
 		p, err := jobs.DecodeProgress(r.Value)
 		if err != nil {
@@ -213,6 +216,7 @@
 		for _, rec := range *list {
 			v := newVM(rec.VM)
 			s.vms[v.ID] = v
+			s.recordSize(&rec.VM)
 			s.recordedVMs[v.ID], v.recorded = true, true
 			wait := s.policy.localDuration(s.policy.Lease) + leaseMargin
 			s.unverified[v.ID] = now.Add(wait)
@@ -261,7 +265,7 @@
 // Waiting counts the accepted jobs of a queue of which no task has started.
 func (s *Scheduler) Waiting(queue string) int {
 	n := 0
-	for _, j := range s.jobs {
+	for _, j := range s.live {
 		if j.Queue == queue && j.stored && j.waiting() {
 			n++
 		}
--- a/internal/sched/submit.go
+++ b/internal/sched/submit.go
@@ -45,7 +45,7 @@
 		return a
 	}
 	added.dirty = true
-	s.jobs[j.ID] = added
+	s.addJob(added)
 	return Admission{Accepted: true}
 }
 
@@ -148,7 +148,7 @@
 	if j == nil || j.stored || j.flushing {
 		return false
 	}
-	delete(s.jobs, id)
+	s.removeJob(id)
 	return true
 }
 
--- a/internal/sched/trial.go
+++ b/internal/sched/trial.go
@@ -34,7 +34,7 @@
 
 // onTrial returns the job on trial on a VM, nil if there is none.
 func (v *vm) onTrial(now time.Time) *job {
-	for _, r := range v.runs {
+	for _, r := range v.runList {
 		if r.task.suspected() && now.Sub(r.startedAt) < r.task.trialTime() {
 			return r.task.job
 		}
@@ -263,7 +263,7 @@
 
 func (v *vm) countLasting() int {
 	n := 0
-	for _, r := range v.runs {
+	for _, r := range v.runList {
 		if r.step().Lasts {
 			n++
 		}
@@ -295,7 +295,7 @@
 // agesAt returns the ages that the VM's runs will have at a time.
 func (v *vm) agesAt(at time.Time) []time.Duration {
 	ages := make([]time.Duration, 0, len(v.runs))
-	for _, r := range v.runs {
+	for _, r := range v.runList {
 		ages = append(ages, at.Sub(r.startedAt))
 	}
 	return ages
@@ -304,7 +304,7 @@
 // crashLoss returns the core-seconds that would have to be done again if a VM crashed.
 func (v *vm) crashLoss(now time.Time) float64 {
 	var sum float64
-	for _, r := range v.runs {
+	for _, r := range v.runList {
 		cores := float64(r.step().CPU) / 1000
 		if r.step().Lasts {
 			sum += cores * lastingLoss
@@ -332,7 +332,7 @@
 // the age at which VMs crashed under them when the poll was sent. A run is as old as its confirmation: its order may
 // have been lost and repeated.
 func (s *Scheduler) clearOutlived(v *vm, pollStart time.Time) {
-	for _, r := range v.runs {
+	for _, r := range v.runList {
 		t, age := r.task, pollStart.Sub(r.confirmedAt)
 		if r.phase != working || r.endUnknown || (len(t.crashes) == 0 && t.cleared == 0) {
 			continue
--- a/internal/sched/unlisted.go
+++ b/internal/sched/unlisted.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -19,8 +20,8 @@
 // the VM may be about to go down: a run that it has confirmed is released only if it is missing once more, so that
 // the loss of the VM counts against its task.
 func (s *Scheduler) handleUnlistedRuns(now time.Time, v *vm, pollStart time.Time, running map[string]bool) {
-	for name, r := range v.runs {
-		if running[name] {
+	for _, r := range slices.Backward(v.runList) {
+		if running[r.name] {
 			r.endUnknown, r.missedAt = false, time.Time{}
 			continue
 		}
--- a/internal/sched/unreadable.go
+++ b/internal/sched/unreadable.go
@@ -43,7 +43,7 @@
 	for id := range s.unreadable {
 		if j := s.jobs[id]; j != nil {
 			s.unreadable[id] = j.Job
-			delete(s.jobs, id)
+			s.removeJob(id)
 		}
 	}
 }
@@ -66,7 +66,7 @@
 	}
 	j := newJob(record)
 	j.stored, j.recovered = true, true
-	s.jobs[id] = j
+	s.addJob(j)
 	delete(s.unreadable, id)
 }
 
--- a/internal/sched/vm.go
+++ b/internal/sched/vm.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"iter"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -26,7 +28,8 @@
 	endedAt             time.Time        // when that became known
 	lapsed              bool             // its runs were released when its leases expired; it may be cut off or gone
 	recorded            bool             // the job log names it as a VM that may hold runs; required before a start
-	runs                map[string]*run  // by task name
+	runs                map[string]*run  // by task name; changed by addRun and removeRun only
+	runList             []*run           // the values of runs
 	endsCut             bool             // its last list of run ends was cut off; others may have ended that this owner does not know of
 	orphans             map[string]int64 // numbers of runs that this owner does not track, by task name
 	clockMS             int64            // the VM's clock at clockAt; 0 before the first poll
@@ -55,6 +58,20 @@
 	return &vm{VM: v, runs: map[string]*run{}, orphans: map[string]int64{}}
 }
 
+// addRun adds a run.
+func (v *vm) addRun(r *run) {
+	v.runs[r.name] = r
+	v.runList = append(v.runList, r)
+}
+
+// removeRun removes a run. Those before it in runList keep their places.
+func (v *vm) removeRun(r *run) {
+	delete(v.runs, r.name)
+	if i := slices.Index(v.runList, r); i >= 0 {
+		v.runList = slices.Delete(v.runList, i, i+1)
+	}
+}
+
 // rack returns the label that names the VM's rack. The labels of a VM are its hardware
 // kind and its rack, of which only the rack contains a hyphen.
 func (v *vm) rack() string {
@@ -72,7 +89,7 @@
 
 func (v *vm) freeResources() resources {
 	r := resources{cpu: v.CPU, mem: v.MemMB, gpu: v.GPU}
-	for _, x := range v.runs {
+	for _, x := range v.runList {
 		s := x.step()
 		if !s.Fills { // a best-effort task uses only CPU that other tasks do not use
 			r.cpu -= s.CPU
@@ -262,13 +279,18 @@
 }
 
 // VMAddresses returns the addresses of the VMs to poll, by VM ID.
-func (s *Scheduler) VMAddresses() map[string]string {
-	list := map[string]string{}
-	for id, v := range s.vms {
-		list[id] = v.Address
+func (s *Scheduler) VMAddresses() iter.Seq2[string, string] {
+	return func(yield func(id, address string) bool) {
+		for id, v := range s.vms {
+			if !yield(id, v.Address) {
+				return
+			}
+		}
 	}
-	return list
 }
 
+// HasVM reports whether a VM is to be polled.
+func (s *Scheduler) HasVM(id string) bool { return s.vms[id] != nil }
+
 // MarkFenced records that a later owner has claimed the partition; Fenced then returns true.
 func (s *Scheduler) MarkFenced() { s.fenced = true }
