sched: fewer steps for each job and run of a round; links to VMs end with their session

A round of decisions in a pool of 480 VMs and some hundred waiting jobs walked the steps of each job to see whether it is long-running, sorted its occurrences, of which it has one, and followed three pointers for each run. Each call to a VM registered and dropped a hook on the context of the session.

Jobs know whether they are long-running and keep their open occurrences in order; a run points to its step; a run that has made progress lately is not asked for its limit; the hook is registered once for a link.

The test that builds a run sets its step.

--- a/internal/drive/session.go
+++ b/internal/drive/session.go
@@ -58,8 +58,8 @@
 // After a failed poll it verifies the VM, which may have restarted: the next poll does not
 // acknowledge ended runs and does not renew leases.
 func (s *vmSession) pollLoop(ctx context.Context) {
-	link := platform.NewVMLink(s.addr, s.id)
-	defer link.Close()
+	link, end := s.openLink(ctx)
+	defer end()
 	verify := true
 	failures := 0 // in a row
 	for ctx.Err() == nil {
@@ -87,6 +87,17 @@
 	}
 }
 
+// openLink returns a link to the VM and the function that closes it. It is closed when the session ends, too, so that its
+// calls need no context.
+func (s *vmSession) openLink(ctx context.Context) (link *platform.VMLink, end func()) {
+	link = platform.NewVMLink(s.addr, s.id)
+	stop := context.AfterFunc(ctx, link.Close)
+	return link, func() {
+		stop()
+		link.Close()
+	}
+}
+
 // enqueue queues an order. It starts a sender if there is none, or if all are busy and no
 // order has left the queue for longer than addSenderAfter.
 func (s *vmSession) enqueue(ctx context.Context, now time.Time, a sched.Action) {
@@ -107,8 +118,8 @@
 
 // sendLoop sends queued orders one at a time on a connection of its own.
 func (s *vmSession) sendLoop(ctx context.Context, first bool) {
-	link := platform.NewVMLink(s.addr, s.id)
-	defer link.Close()
+	link, end := s.openLink(ctx)
+	defer end()
 	for ctx.Err() == nil {
 		a, ok := s.dequeue()
 		if ok {
@@ -178,7 +189,7 @@
 	for repeat := true; repeat && ctx.Err() == nil; {
 		attempts++
 		sentAt, waited := time.Now(), link.Waited()
-		refusal, err = s.sendOnce(ctx, link, a, s.calls.Timeout(sentAt.Sub(began)))
+		refusal, err = s.sendOnce(link, a, s.calls.Timeout(sentAt.Sub(began)))
 		kindOfOrder(a).Add(time.Since(sentAt) - (link.Waited() - waited))
 		repeat = s.recordCall(err, time.Since(sentAt), attempts, time.Since(began))
 	}
@@ -210,7 +221,7 @@
 func (s *vmSession) poll(ctx context.Context, link *platform.VMLink, poll *site.StatusPoll) (sentAt time.Time, err error) {
 	sentAt = time.Now()
 	waited := link.Waited()
-	status, err := link.Poll(ctx, poll, s.calls.Timeout(0))
+	status, err := link.Poll(context.Background(), poll, s.calls.Timeout(0))
 	usage.Poll.Add(time.Since(sentAt) - (link.Waited() - waited))
 	if ctx.Err() != nil {
 		return sentAt, ctx.Err()
@@ -237,8 +248,8 @@
 	return usage.Order
 }
 
-func (s *vmSession) sendOnce(ctx context.Context, link *platform.VMLink, a sched.Action, timeout time.Duration) (site.Refusal, error) {
-	epoch := s.part.scheduler.Epoch
+func (s *vmSession) sendOnce(link *platform.VMLink, a sched.Action, timeout time.Duration) (site.Refusal, error) {
+	ctx, epoch := context.Background(), s.part.scheduler.Epoch
 	switch a := a.(type) {
 	case sched.StartRun:
 		return link.Start(ctx, &a.Order, timeout)
--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -193,7 +193,7 @@
 			all += work(&j.Steps[i], j.Steps[i].Count)
 		}
 	}
-	for _, o := range j.occurrences {
+	for _, o := range j.open {
 		for _, st := range o.steps {
 			all += work(st.Step, st.withoutRun)
 			running += float64(st.Count-st.done-st.withoutRun) * largest.equivalentCores(st.Step)
@@ -283,7 +283,7 @@
 	var longest int64
 	var buf [8]int64  // avoids an allocation for jobs with few steps
 	finish := buf[:0] // earliest end of each step, in ms from now
-	for _, o := range j.occurrences {
+	for _, o := range j.open {
 		finish = append(finish[:0], make([]int64, len(o.steps))...)
 		for i, st := range o.steps {
 			if st.done == st.Count {
--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -116,7 +116,7 @@
 // account do not count, since they cannot use the capacity.
 func (s *Scheduler) tasksWait(now time.Time, list []*job) bool {
 	for _, j := range list {
-		for _, o := range j.occurrences {
+		for _, o := range j.open {
 			for _, st := range o.steps {
 				if st.withoutRun > 0 && o.stepReady(st) && s.quotaAllows(now, st.tasks[0], startedTogether(st)) {
 					return true
@@ -172,7 +172,7 @@
 	}
 	q := s.queue(j.Queue)
 	work := u.largest.equivalentWork(j.Job)
-	for _, o := range j.sortedOccurrences() {
+	for _, o := range j.open {
 		due := timing.Submitted.Add(timing.Objective)
 		if j.Repeat > 0 {
 			due = due.Add(time.UnixMilli(j.DueMS(o.number)).Sub(timing.Submitted))
--- a/internal/sched/copies_test.go
+++ b/internal/sched/copies_test.go
@@ -273,7 +273,7 @@
 	st := newOccurrence(newJob(testJob(jobID, jobs.Step{Count: 1, CPU: 1000, EstimateMS: 500, Copies: true})), 0).steps[0]
 	record := func(tookMS int, x run) int {
 		before := r.s.queue("q").tasks.Samples()
-		x.task, x.vm, x.startedAt = st.tasks[0], v, at(0)
+		x.task, x.spec, x.vm, x.startedAt = st.tasks[0], st.Step, v, at(0)
 		st.tasks[0].runs = []*run{&x}
 		r.s.recordRun(at(tookMS), &x)
 		return r.s.queue("q").tasks.Samples() - before
--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -76,7 +76,7 @@
 	case startUnverified, stopping:
 		s.sendStop(now, r)
 	case working:
-		if !r.endUnknown && now.Sub(r.progressAt) > s.stallLimit(r) && now.Sub(r.vm.lastAnswer) < s.policy.SilentAfter && (r.percent < 100 || !r.step().Lasts) {
+		if stalledFor := now.Sub(r.progressAt); stalledFor > s.policy.StallAfter && !r.endUnknown && stalledFor > s.stallLimit(r) && now.Sub(r.vm.lastAnswer) < s.policy.SilentAfter && (r.percent < 100 || !r.step().Lasts) {
 			s.stats.Stalled++
 			r.task.avoidVM = r.vm.ID
 			s.recordStall(now, r.vm)
@@ -255,7 +255,7 @@
 // VM has enough free resources and deduct them from the candidate.
 func (s *Scheduler) start(now time.Time, t *task, v *vm, number int64) {
 	name := t.id.String()
-	r := &run{task: t, name: name, vm: v, number: number, phase: starting, startInFlight: true, answeredAt: now, startedAt: now, progressAt: now, speedPercent: 100, startedFrom: t.nextCheckpoint(), heardAt: v.heardAt}
+	r := &run{task: t, name: name, spec: t.step.Step, vm: v, number: number, phase: starting, startInFlight: true, answeredAt: now, startedAt: now, progressAt: now, speedPercent: 100, startedFrom: t.nextCheckpoint(), heardAt: v.heardAt}
 	s.logStart(now, t, number, v)
 	t.lastRun = number
 	t.unverified = false
--- a/internal/sched/explain.go
+++ b/internal/sched/explain.go
@@ -36,7 +36,7 @@
 		return v
 	}
 	cands := s.candidates(now, j.Pool)
-	for _, o := range j.sortedOccurrences() {
+	for _, o := range j.open {
 		for _, st := range o.steps {
 			for _, t := range st.tasks {
 				v.Tasks = append(v.Tasks, s.explainTask(now, o, t, cands))
--- a/internal/sched/fairness.go
+++ b/internal/sched/fairness.go
@@ -290,7 +290,7 @@
 // cores returns the cores of a job's runs and of its tasks that could start, in equivalent cores of a VM
 // with the given capacity.
 func (j *job) cores(largest resources) (used, wanted float64) {
-	for _, o := range j.occurrences {
+	for _, o := range j.open {
 		for _, st := range o.steps {
 			if st.done == st.Count {
 				continue
--- a/internal/sched/gangs.go
+++ b/internal/sched/gangs.go
@@ -72,7 +72,7 @@
 // unifyCheckpoints gives all tasks of each gang of a restored job one checkpoint. Earlier versions stored those
 // of the tasks apart.
 func (s *Scheduler) unifyCheckpoints(j *job) {
-	for _, o := range j.occurrences {
+	for _, o := range j.open {
 		for _, st := range o.steps {
 			if !st.Gang {
 				continue
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -1,8 +1,8 @@
 package sched
 
 import (
+	"cmp"
 	"slices"
-	"sort"
 	"time"
 
 	"github.com/greengagelane/greengagelane/internal/blame"
@@ -27,7 +27,8 @@
 	lostStored  int                 // those of them that the job log holds
 	reason      string              // why the job was given up; empty if it was not
 	finalMS     int64               // Unix milliseconds at which the state became final
-	occurrences map[int]*occurrence // open ones, which are created and not done, by number
+	occurrences map[int]*occurrence // open ones, which are created and not done, by number; changed by addOccurrence and finishTask only
+	open        []*occurrence       // the values of occurrences, ordered by number
 	createdOccs int                 // number of occurrences that have been created
 	doneOccs    int                 // number of occurrences that are done and dropped
 	// recovered is set on jobs of an earlier owner, whose tasks may be running on
@@ -37,6 +38,7 @@
 	beyondRate   bool          // beyond the rate of its account when it was accepted, as seen by this owner
 	consideredIn int64         // number of the last scheduling round that considered it
 	copies       bool          // has a step whose tasks may have copies
+	lasts        bool          // see LongRunning
 	objective    time.Duration // latency objective by the declared run times
 	order        orderKey      // as of the last call of sortJobs
 	chain        time.Duration // see remainingChain; valid if chainKnown is set
@@ -106,6 +108,7 @@
 type run struct {
 	task           *task
 	name           string // of the task
+	spec           *jobs.Step
 	vm             *vm
 	number         int64
 	phase          phase
@@ -133,13 +136,16 @@
 	throttledAt    time.Time // when speedPercent was last changed
 }
 
-func (r *run) step() *jobs.Step { return r.task.step.Step }
+func (r *run) step() *jobs.Step { return r.spec }
 
 func newJob(j *jobs.Job) *job {
 	copies := slices.ContainsFunc(j.Steps, func(st jobs.Step) bool { return copyableStep(&st) })
-	return &job{Job: j, occurrences: map[int]*occurrence{}, objective: j.Objective(), copies: copies}
+	return &job{Job: j, occurrences: map[int]*occurrence{}, objective: j.Objective(), copies: copies, lasts: j.LongRunning()}
 }
 
+// LongRunning reports whether the job runs until it is cancelled.
+func (j *job) LongRunning() bool { return j.lasts }
+
 // createDueOccurrences creates the occurrences that are due, as long as no more than maxOpen are open.
 func (j *job) createDueOccurrences(now time.Time, maxOpen int) {
 	for j.createdOccs < j.Occurrences() && len(j.occurrences) < maxOpen && now.UnixMilli() >= j.DueMS(j.createdOccs) {
@@ -151,6 +157,8 @@
 func (j *job) addOccurrence(number int) {
 	o := newOccurrence(j, number)
 	j.occurrences[number] = o
+	j.open = append(j.open, o)
+	slices.SortFunc(j.open, func(a, b *occurrence) int { return cmp.Compare(a.number, b.number) })
 	j.chainKnown = false
 	for _, st := range o.steps {
 		for _, t := range st.tasks {
@@ -172,16 +180,6 @@
 	return o
 }
 
-// sortedOccurrences returns the open occurrences ordered by number.
-func (j *job) sortedOccurrences() []*occurrence {
-	list := make([]*occurrence, 0, len(j.occurrences))
-	for _, o := range j.occurrences {
-		list = append(list, o)
-	}
-	sort.Slice(list, func(i, k int) bool { return list[i].number < list[k].number })
-	return list
-}
-
 // findTask returns a task of an open occurrence, nil if there is none. It creates
 // occurrences up to the task's: a VM may report a task of an occurrence that came due
 // under an earlier owner and that this owner has not created yet.
@@ -213,7 +211,7 @@
 	if j.state.Final() {
 		return p
 	}
-	for _, o := range j.sortedOccurrences() {
+	for _, o := range j.open {
 		p.Open = append(p.Open, o.number)
 		for _, st := range o.steps {
 			set := jobs.DoneSet{Occurrence: o.number, Step: st.number}
@@ -279,6 +277,7 @@
 	o.stepsLeft--
 	if o.stepsLeft == 0 {
 		delete(j.occurrences, o.number)
+		j.open = slices.DeleteFunc(slices.Clone(j.open), func(x *occurrence) bool { return x == o })
 		j.doneOccs++
 	}
 }
--- a/internal/sched/lasting_log.go
+++ b/internal/sched/lasting_log.go
@@ -47,7 +47,7 @@
 		if !j.LongRunning() || j.state.Final() || !j.stored {
 			continue
 		}
-		for _, o := range j.occurrences {
+		for _, o := range j.open {
 			for _, st := range o.steps {
 				if !st.Lasts || !o.stepReady(st) {
 					continue
--- a/internal/sched/observe.go
+++ b/internal/sched/observe.go
@@ -214,7 +214,7 @@
 	case x.Run < t.lastRun && !s.mayBeCopy(t, x):
 		return "a later run has been seen"
 	}
-	r := &run{task: t, name: x.Task, vm: v, number: x.Run, phase: working, answeredAt: now, confirmedAt: now, startedAt: s.losses.presumedStart(now, v.ID, x.Task), progressAt: now, speedPercent: 100, adopted: true}
+	r := &run{task: t, name: x.Task, spec: t.step.Step, vm: v, number: x.Run, phase: working, answeredAt: now, confirmedAt: now, startedAt: s.losses.presumedStart(now, v.ID, x.Task), progressAt: now, speedPercent: 100, adopted: true}
 	t.lastRun = max(t.lastRun, x.Run)
 	if len(t.runs) == 0 {
 		t.step.withoutRun--
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -1,9 +1,9 @@
 package sched
 
 import (
+	"cmp"
 	"maps"
 	"slices"
-	"sort"
 	"time"
 
 	"github.com/greengagelane/greengagelane/internal/blame"
@@ -70,7 +70,7 @@
 	}
 	for _, j := range list {
 		copies = copies || j.copies
-		for _, o := range j.sortedOccurrences() {
+		for _, o := range j.open {
 			for _, st := range o.steps {
 				if st.withoutRun > 0 && st.done < st.Count && o.stepReady(st) && (suspects[j] || !unplaced.covers(st.Step)) {
 					s.placeStep(now, j, st, cands, unplaced)
@@ -153,18 +153,17 @@
 			j.order = orderKey{rank: int(j.classAt(now, &t)), latestStart: t.LatestStart()}
 		}
 	}
-	sort.Slice(list, func(i, k int) bool {
-		a, b := list[i], list[k]
+	slices.SortFunc(list, func(a, b *job) int {
 		if a.order.rank != b.order.rank {
-			return a.order.rank < b.order.rank
+			return cmp.Compare(a.order.rank, b.order.rank)
 		}
 		if a.Priority != b.Priority {
-			return a.Priority < b.Priority
+			return cmp.Compare(a.Priority, b.Priority)
 		}
-		if !a.order.latestStart.Equal(b.order.latestStart) {
-			return a.order.latestStart.Before(b.order.latestStart)
+		if c := a.order.latestStart.Compare(b.order.latestStart); c != 0 {
+			return c
 		}
-		return a.ID < b.ID
+		return cmp.Compare(a.ID, b.ID)
 	})
 	if len(s.accounts) > 0 {
 		s.sortByShares(now, list)
--- a/internal/sched/quota.go
+++ b/internal/sched/quota.go
@@ -205,7 +205,7 @@
 	if !j.state.Final() {
 		j.createDueOccurrences(now, s.maxOpen(j))
 	}
-	for _, o := range j.occurrences {
+	for _, o := range j.open {
 		if j.state.Final() {
 			break
 		}
@@ -254,7 +254,7 @@
 
 // addReady adds what a job's ready tasks without a run need.
 func (j *job) addReady(r *site.Resources) {
-	for _, o := range j.occurrences {
+	for _, o := range j.open {
 		for _, st := range o.steps {
 			if st.withoutRun > 0 && o.stepReady(st) {
 				add(r, st.Step, st.withoutRun)
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -109,7 +109,7 @@
 }
 
 func (s *Scheduler) addDemand(j *job, largest resources, r *Report, withinObjective bool) {
-	for _, o := range j.occurrences {
+	for _, o := range j.open {
 		for _, st := range o.steps {
 			if st.Lasts || !o.stepReady(st) {
 				continue
--- a/internal/sched/submit.go
+++ b/internal/sched/submit.go
@@ -185,7 +185,7 @@
 		fields["began-after-ms"] = j.beganAt.Sub(submitted).Milliseconds()
 	}
 	s.log.WithFields(fields).Info("job ended")
-	for _, o := range j.occurrences {
+	for _, o := range j.open {
 		for _, st := range o.steps {
 			for _, t := range st.tasks {
 				delete(s.losses.suspects, t)
--- a/internal/sched/trace.go
+++ b/internal/sched/trace.go
@@ -84,7 +84,7 @@
 		if j.state == jobs.Completed {
 			r.Completed++
 		}
-		for _, o := range j.occurrences {
+		for _, o := range j.open {
 			for _, st := range o.steps {
 				r.TasksDone += st.done
 			}
--- a/internal/sched/trial.go
+++ b/internal/sched/trial.go
@@ -134,7 +134,7 @@
 
 // onTrial reports whether a suspect of a job runs and is not cleared yet.
 func (j *job) onTrial(now time.Time) bool {
-	for _, o := range j.occurrences {
+	for _, o := range j.open {
 		for _, st := range o.steps {
 			for _, t := range st.tasks {
 				if t.suspected() && len(t.runs) > 0 && now.Sub(t.runs[0].startedAt) < t.trialTime() {
@@ -162,7 +162,7 @@
 // other jobs take it.
 func (s *Scheduler) placeTrials(now time.Time, list []*job, cands []*candidate) {
 	for _, j := range list {
-		for _, o := range j.sortedOccurrences() {
+		for _, o := range j.open {
 			for _, st := range o.steps {
 				if !st.Lasts || st.Gang || st.withoutRun == 0 || !o.stepReady(st) || (j.Advice && !s.hasAdvice(now, st, cands)) {
 					continue
