sched: the load of a job is kept until one of its tasks gets, loses or ends a run; jobs are sorted by compact keys

Admission adds up the unstarted work of all waiting jobs 15 to 50 times a second while jobs are submitted, and each time computed the equivalent cores of each step; the sort of a round compared jobs through pointers; each candidate was an allocation of its own.

--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -181,25 +181,40 @@
 	return l
 }
 
+// jobLoad is the load of a job on VMs with a given capacity.
+type jobLoad struct {
+	largest   resources // capacity of the VMs
+	unstarted float64   // core-seconds of equivalent cores
+	running   float64   // equivalent cores
+}
+
 // unstartedWork returns the declared work, in core-seconds of equivalent cores on a VM with the given
 // capacity, of the tasks without a run in open occurrences, and the cores of the runs of the others.
 // Before the first occurrence is created, it returns the work of one occurrence.
 func (j *job) unstartedWork(largest resources) (all, running float64) {
+	if !j.loadKnown || j.load.largest != largest {
+		j.load, j.loadKnown = j.measureLoad(largest), true
+	}
+	return j.load.unstarted, j.load.running
+}
+
+func (j *job) measureLoad(largest resources) jobLoad {
+	l := jobLoad{largest: largest}
 	work := func(st *jobs.Step, n int) float64 {
 		return float64(n) * largest.equivalentCores(st) * float64(st.EstimateMS) / 1000
 	}
 	if len(j.occurrences) == 0 && j.createdOccs == 0 {
 		for i := range j.Steps {
-			all += work(&j.Steps[i], j.Steps[i].Count)
+			l.unstarted += work(&j.Steps[i], j.Steps[i].Count)
 		}
 	}
 	for _, o := range j.open {
 		for _, st := range o.steps {
-			all += work(st.Step, st.withoutRun)
-			running += float64(st.Count-st.done-st.withoutRun) * largest.equivalentCores(st.Step)
+			l.unstarted += work(st.Step, st.withoutRun)
+			l.running += float64(st.Count-st.done-st.withoutRun) * largest.equivalentCores(st.Step)
 		}
 	}
-	return all, running
+	return l
 }
 
 // class returns the urgency of a job.
--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -259,10 +259,7 @@
 	s.logStart(now, t, number, v)
 	t.lastRun = number
 	t.unverified = false
-	if len(t.runs) == 0 {
-		t.step.withoutRun--
-	}
-	t.runs = append(t.runs, r)
+	t.addRun(r)
 	v.addRun(r)
 	s.quotas.countRuns(t, 1)
 	s.markBegan(now, t.job)
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -43,6 +43,8 @@
 	order        orderKey      // as of the last call of sortJobs
 	chain        time.Duration // see remainingChain; valid if chainKnown is set
 	chainKnown   bool          // no step has ended, and no occurrence was added, since chain was computed
+	load         jobLoad       // see unstartedWork; valid if loadKnown is set
+	loadKnown    bool          // no task has got, lost or ended a run, and no occurrence was added, since load was computed
 }
 
 // occurrence is one execution of a job's steps.
@@ -159,7 +161,7 @@
 	j.occurrences[number] = o
 	j.open = append(j.open, o)
 	slices.SortFunc(j.open, func(a, b *occurrence) int { return cmp.Compare(a.number, b.number) })
-	j.chainKnown = false
+	j.chainKnown, j.loadKnown = false, false
 	for _, st := range o.steps {
 		for _, t := range st.tasks {
 			t.unverified = j.recovered
@@ -259,12 +261,32 @@
 	}
 }
 
+// addRun adds a run of the task.
+func (t *task) addRun(r *run) {
+	if len(t.runs) == 0 {
+		t.step.withoutRun--
+		t.job.loadKnown = false
+	}
+	t.runs = append(t.runs, r)
+}
+
+// removeRun removes a run of the task, which may then get another one.
+func (t *task) removeRun(r *run) {
+	if i := slices.Index(t.runs, r); i >= 0 {
+		t.runs = slices.Delete(t.runs, i, i+1)
+	}
+	if len(t.runs) == 0 && !t.done {
+		t.step.withoutRun++
+		t.job.loadKnown = false
+	}
+}
+
 // finishTask marks a task as done, and closes its occurrence after the last one.
 func (j *job) finishTask(t *task) {
 	if t.done {
 		return
 	}
-	t.done = true
+	t.done, j.loadKnown = true, false
 	if len(t.runs) == 0 {
 		t.step.withoutRun--
 	}
--- a/internal/sched/observe.go
+++ b/internal/sched/observe.go
@@ -66,16 +66,7 @@
 	if r.copy != nil {
 		s.logCopy(r, why)
 	}
-	t := r.task
-	for i, x := range t.runs {
-		if x == r {
-			t.runs = append(t.runs[:i], t.runs[i+1:]...)
-			break
-		}
-	}
-	if len(t.runs) == 0 && !t.done {
-		t.step.withoutRun++
-	}
+	r.task.removeRun(r)
 }
 
 // awaitLateCalls limits the harm of status polls that were sent to the earlier incarnation of a restarted VM and that
@@ -216,10 +207,7 @@
 	}
 	r := &run{task: t, name: x.Task, spec: t.step.Step, vm: v, number: x.Run, phase: working, answeredAt: now, confirmedAt: now, startedAt: s.losses.presumedStart(now, v.ID, x.Task), progressAt: now, speedPercent: 100, adopted: true}
 	t.lastRun = max(t.lastRun, x.Run)
-	if len(t.runs) == 0 {
-		t.step.withoutRun--
-	}
-	t.runs = append(t.runs, r)
+	t.addRun(r)
 	t.markCopy()
 	v.addRun(r)
 	s.quotas.countRuns(t, 1)
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -109,15 +109,18 @@
 
 // candidates returns the pool's VMs that may get new runs, some of them of long-running tasks only.
 func (s *Scheduler) candidates(now time.Time, pool string) []*candidate {
-	var cands []*candidate
 	if s.capacityUnknown(now, pool) {
 		return nil
 	}
-	for _, v := range s.sortedVMs(pool) {
+	vms := s.sortedVMs(pool)
+	list := make([]candidate, len(vms))
+	cands := make([]*candidate, 0, len(vms))
+	for i, v := range vms {
 		if s.vmHold(now, v) != vmOpen {
 			continue
 		}
-		c := &candidate{vm: v, free: v.freeResources(), trial: v.onTrial(now)}
+		c := &list[i]
+		c.vm, c.free, c.trial = v, v.freeResources(), v.onTrial(now)
 		for _, r := range v.runList {
 			c.usedCPU += r.step().CPU
 		}
@@ -153,23 +156,41 @@
 			j.order = orderKey{rank: int(j.classAt(now, &t)), latestStart: t.LatestStart()}
 		}
 	}
-	slices.SortFunc(list, func(a, b *job) int {
-		if a.order.rank != b.order.rank {
-			return cmp.Compare(a.order.rank, b.order.rank)
-		}
-		if a.Priority != b.Priority {
-			return cmp.Compare(a.Priority, b.Priority)
-		}
-		if c := a.order.latestStart.Compare(b.order.latestStart); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.ID, b.ID)
-	})
+	s.sortByOrder(list)
 	if len(s.accounts) > 0 {
 		s.sortByShares(now, list)
 	}
 }
 
+// sortedJob is a job with what sortByOrder compares.
+type sortedJob struct {
+	rank, priority int
+	latestStart    int64 // Unix nanoseconds
+	job            *job
+}
+
+// sortByOrder orders jobs by class, priority and latest start.
+func (s *Scheduler) sortByOrder(list []*job) {
+	s.sorting = s.sorting[:0]
+	for _, j := range list {
+		s.sorting = append(s.sorting, sortedJob{rank: j.order.rank, priority: j.Priority, latestStart: j.order.latestStart.UnixNano(), job: j})
+	}
+	slices.SortFunc(s.sorting, func(a, b sortedJob) int {
+		switch {
+		case a.rank != b.rank:
+			return cmp.Compare(a.rank, b.rank)
+		case a.priority != b.priority:
+			return cmp.Compare(a.priority, b.priority)
+		case a.latestStart != b.latestStart:
+			return cmp.Compare(a.latestStart, b.latestStart)
+		}
+		return cmp.Compare(a.job.ID, b.job.ID)
+	})
+	for i := range list {
+		list[i] = s.sorting[i].job
+	}
+}
+
 // orderKey holds what sortJobs orders a job by, besides its priority.
 type orderKey struct {
 	rank        int // -1 for a long-running job, else its class
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -34,6 +34,7 @@
 	settled            settledJobs     // the others: their final state is stored
 	vms                map[string]*vm
 	listed             map[string]bool    // names of the tasks that the last status listed; buffer of HandlePoll
+	sorting            []sortedJob        // buffer of sortByOrder
 	forgotten          map[string]vmPolls // of VMs that are no longer in vms, as they may come back under their IDs
 	pools              map[string]*pool
 	queues             map[string]*queueStats
