--- a/internal/drive/node.go
+++ b/internal/drive/node.go
@@ -134,7 +134,7 @@
 		defer s.Close()
 		go func() { failed <- s.ListenAndServe() }()
 	}
-	go usage.Watch(workCtx, usage.NewCollector(n.settings.MemoryMB))
+	go usage.Watch(workCtx)
 	go n.watchOperator(workCtx)
 	go n.watchVMs(workCtx)
 	go n.watchAssignment(workCtx)
--- a/internal/usage/watch.go
+++ b/internal/usage/watch.go
@@ -145,9 +145,8 @@
 	return false, false
 }
 
-// Watch logs when the process lacks processor time, and what it spends its time on, and adjusts the collector, until the
-// context ends.
-func Watch(ctx context.Context, c *Collector) {
+// Watch logs when the process lacks processor time, and what it spends its time on, until the context ends.
+func Watch(ctx context.Context) {
 	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
 	var s shortage
@@ -161,7 +160,6 @@
 		sample := TakeSample(time.Now())
 		v := Between(last, sample)
 		last = sample
-		c.adjust(v)
 		since := s.since
 		switch begins, ends := s.next(sample.At, v.Short()); {
 		case begins:
--- a/pkg/site/settings.go
+++ b/pkg/site/settings.go
@@ -28,10 +28,9 @@
 	// and first port, for example behind port forwarding.
 	Announce string         `json:"announce"`
 	Log      LogSettings    `json:"log"`
-	Fleet    FleetSettings  `json:"fleet"`               // fleet inventory, which lists and moves machines
-	Advice   ServiceAddress `json:"advice"`              // placement policy
-	Cores    float64        `json:"cores"`               // CPU that the process gets, in cores; may be a fraction
-	MemoryMB float64        `json:"memory-mb,omitempty"` // that the process may use, in MB; 0 if that is not known
+	Fleet    FleetSettings  `json:"fleet"`  // fleet inventory, which lists and moves machines
+	Advice   ServiceAddress `json:"advice"` // placement policy
+	Cores    float64        `json:"cores"`  // CPU that the process gets, in cores; may be a fraction
 	Bounds   Bounds         `json:"bounds"`
 	Policy   PolicySettings `json:"policy"`
 }
