drive: the time of records leaves out the append, whose body waits for the log

A body of a hundred kilobytes fills the windows of its connection, so that writing it waits for the log: half a second for seven appends in a peak, which the line on a lack of processor time gave as work.

--- a/internal/drive/flush.go
+++ b/internal/drive/flush.go
@@ -100,9 +100,7 @@
 	began := time.Now()
 	callCtx, cancel := part.node.logRestored.callContext(ctx)
 	defer cancel()
-	waited := part.store.Waited()
 	err := part.store.AppendJobs(callCtx, a, part.appendTimeout.Timeout())
-	usage.Record.Add(time.Since(began) - (part.store.Waited() - waited))
 	if callCtx.Err() != nil {
 		return err
 	}
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -21,7 +21,7 @@
 	Poll                // a status poll: encode, send, decode the answer
 	Status              // apply a status to the jobs: run ends and progress
 	Round               // a round of decisions
-	Record              // encode and append changed jobs
+	Record              // collect and encode changed jobs for the job log
 	Request             // a caller's request at the owner of its job
 	Line                // format a log line, wherever it is written
 )
