--- a/internal/usage/watch.go
+++ b/internal/usage/watch.go
@@ -11,8 +11,8 @@
 
 const (
 	watchInterval  = time.Second
-	shortWait      = 10 * time.Millisecond // mean wait for the processor from which a process is short of it; a VM's status is a tenth older then
-	repeatInterval = 5 * time.Second       // between two lines while it is
+	shortWait      = 5 * time.Millisecond // mean wait for the processor from which a process is short of it; a start and the status that shows its end each wait several times
+	repeatInterval = 5 * time.Second      // between two lines while it is
 )
 
 // Sample holds the counters of the process at one time.
