--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -110,7 +110,7 @@
 type run struct {
 	task           *task
 	name           string // of the task
-	spec           *jobs.Step
+	spec           *jobs.Step // of the task
 	vm             *vm
 	number         int64
 	phase          phase
