--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -109,7 +109,7 @@
 // run is one run of a task on a VM.
 type run struct {
 	task           *task
-	name           string // of the task
+	name           string     // of the task
 	spec           *jobs.Step // of the task
 	vm             *vm
 	number         int64
