--- a/internal/stand/peak/peak.go
+++ b/internal/stand/peak/peak.go
@@ -163,7 +163,7 @@
 	for until := time.Now().Add(timeout); time.Now().Before(until); time.Sleep(statePeriod) {
 		const first = "00000000000000ff"
 		if status, _ := l.call(http.MethodPost, first, l.body(1)); status == http.StatusOK {
-			if state, ok := l.follow(first); ok && state == "completed" {
+			if l.follow(first) {
 				return nil
 			}
 		}
@@ -195,7 +195,7 @@
 	if err != nil || status != http.StatusOK {
 		return
 	}
-	if state, _ := l.follow(id); state == "completed" {
+	if l.follow(id) {
 		l.record(sentAt, time.Since(sentAt))
 	}
 }
@@ -222,18 +222,18 @@
 	}
 }
 
-// follow asks for a job's state until it is completed, for drainTimeout at most.
-func (l *load) follow(id string) (state string, ok bool) {
+// follow asks for a job's state until it is completed, for drainTimeout at most, and reports whether it is.
+func (l *load) follow(id string) bool {
 	for until := time.Now().Add(drainTimeout); time.Now().Before(until); time.Sleep(statePeriod) {
 		var reply struct {
 			State string `json:"state"`
 		}
 		status, err := l.callInto(&reply, http.MethodGet, id, nil)
 		if err == nil && status == http.StatusOK && reply.State == "completed" {
-			return reply.State, true
+			return true
 		}
 	}
-	return "", false
+	return false
 }
 
 // body returns a job of one step after the other.
