moves, sched: cordons of machines that cannot be emptied end

Cause: a wave that was late cordoned all machines of the pool. Their long-running tasks may not become unavailable, since one task of the step has no VM any more, so the machines never became empty, no order was due, and nothing withdrew the cordons.

Change: owners report which VMs cannot be emptied (VMReport.Kept). The planner withdraws a cordon after 2 s of that and plans the machine again once its tasks may leave. A late wave leaves one machine of a pool in service.

Tests that uncordoned all VMs by Uncordon set an empty list of cordons now.

--- a/internal/drive/fleet.go
+++ b/internal/drive/fleet.go
@@ -24,7 +24,7 @@
 	planInterval      = 150 * time.Millisecond // between two planning rounds; short, since a burst of demand shows in the reports only after a few rounds
 	reportTimeout     = 250 * time.Millisecond // for one pool's report; enough for an entry that is slowed down by a factor of 5
 	inventoryInterval = 300 * time.Millisecond // between two reads of the inventory
-	cordonTTL         = 3 * time.Second        // a cordon that is not renewed expires after this
+	cordonTTL         = 3 * time.Second        // a pool's cordons that are not renewed expire after this
 	orderRetention    = 10 * time.Second       // how long orders stay in the stored record; longer than the platform's minimum time between orders of two movers (turn-ms) plus clock skew
 	startupDelay      = 800 * time.Millisecond // from the process start to the first plan, while other entries still join
 	grantInterval     = 40 * time.Millisecond  // between two rounds of quotas while the owner of a partition has none
@@ -369,7 +369,6 @@
 		if !c.ReadOnly {
 			part.scheduler.Cordon(now, c.Pool, c.Cordons)
 			part.scheduler.SetArrivals(now, c.Pool, c.Arrivals)
-			part.cordonedAt = now
 		}
 		reply := part.handleQuota(now, c.Quota)
 		r := part.scheduler.Report(now, c.Pool)
--- a/internal/drive/partition.go
+++ b/internal/drive/partition.go
@@ -81,7 +81,6 @@
 	recovery       recovery                  // since the claim
 	roundTime      time.Duration             // duration of the last round, capped
 	lastStats      sched.Stats               // already added to the metrics
-	cordonedAt     time.Time                 // when cordons were last renewed
 	config         *site.Config              // whose accounts the scheduler has; nil before the first
 }
 
@@ -170,9 +169,7 @@
 // round makes the scheduler's decisions, executes them and flushes changes to the job log.
 func (part *ownedPartition) round(ctx context.Context, now time.Time) {
 	part.applyConfig()
-	if now.Sub(part.cordonedAt) > cordonTTL {
-		part.scheduler.Uncordon()
-	}
+	part.scheduler.ExpireCordons(now, cordonTTL)
 	decides := part.confirmOwnership(now)
 	if decides {
 		for _, a := range part.scheduler.Decide(now) {
--- a/internal/drive/pause_test.go
+++ b/internal/drive/pause_test.go
@@ -90,7 +90,6 @@
 	part.scheduler = sched.New(1, n.policy, part.log)
 	part.scheduler.SetTenure(&part.tenure)
 	storeJob(t, part.scheduler, now)
-	part.cordonedAt = now
 	part.tenure.Confirm(now)
 	return part
 }
--- a/internal/moves/moves.go
+++ b/internal/moves/moves.go
@@ -101,11 +101,12 @@
 	index         index
 	frozen        map[string]time.Time // by machine: no order is sent before this time
 	sentOrders    []time.Time          // times of the orders within orderWindow, oldest first
+	keptSince     map[string]time.Time // by machine: since when its VM cannot be emptied, see sched.VMReport.Kept
 }
 
 // New returns a planner without intents or waves.
 func New(p Policy) *Planner {
-	return &Planner{policy: p, intents: map[string]*intent{}, waves: map[int64]*wave{}, unneededSince: map[string]time.Time{}, frozen: map[string]time.Time{}, demandHistory: map[string][]demandSample{}, histories: map[string]*surge.History{}, needs: map[string]need{}}
+	return &Planner{policy: p, intents: map[string]*intent{}, waves: map[int64]*wave{}, unneededSince: map[string]time.Time{}, frozen: map[string]time.Time{}, keptSince: map[string]time.Time{}, demandHistory: map[string][]demandSample{}, histories: map[string]*surge.History{}, needs: map[string]need{}}
 }
 
 // Freeze prevents orders for a machine until the given time. A new owner of the fleet
@@ -137,6 +138,7 @@
 func (p *Planner) Plan(now time.Time, v *View) []Order {
 	st := p.indexView(now, v)
 	p.observe(now, v.Reports)
+	p.observeKept(st)
 	p.dropFinished(st)
 	p.planWaves(st)
 	p.planMoves(st)
@@ -157,6 +159,10 @@
 			delete(p.intents, name) // the machine failed or left before the order was sent
 		case !in.issued && st.pools[in.Pool].Spare && st.now.Sub(in.plannedAt) > dispatchTimeout:
 			delete(p.intents, name) // more urgent orders use all that the platform accepts; its pool can use the machine meanwhile
+		case !in.issued && p.isStuck(st, m):
+			delete(p.intents, name) // its pool can use the machine until the runs on it may be stopped
+		case !in.issued && in.Kind == Move && st.now.Sub(in.plannedAt) > withdrawAfter*p.policy.MoveTime:
+			delete(p.intents, name) // the machine does not become empty; the demand may have changed since
 		case in.accepted && m.State != site.Up:
 			in.observed = true
 		case in.isUndispatched(st.now) && in.sent:
@@ -175,6 +181,10 @@
 // must not stay cordoned for it.
 const dispatchTimeout = 2 * time.Second
 
+// withdrawAfter is the time, as a multiple of Policy.MoveTime, after which a maintenance that is refused as busy, or a move
+// whose machine does not become empty, is withdrawn and planned anew.
+const withdrawAfter = 4
+
 // isUndispatched reports whether the last attempt has not been sent in time.
 func (in *intent) isUndispatched(now time.Time) bool {
 	return in.awaitingReply && !in.dispatched && now.Sub(in.issuedAt) > dispatchTimeout
@@ -316,7 +326,7 @@
 		p.markStarted(in)
 	case refusal == site.RefusedBusy:
 		in.retryAt = now.Add(p.policy.RetryDelay)
-		if in.Kind == Move || now.Sub(in.plannedAt) > 4*p.policy.MoveTime {
+		if in.Kind == Move || now.Sub(in.plannedAt) > withdrawAfter*p.policy.MoveTime {
 			delete(p.intents, o.Machine) // a move is dropped at once and planned anew, a maintenance only after retries for four move times
 		}
 	default:
--- a/internal/moves/waves.go
+++ b/internal/moves/waves.go
@@ -122,7 +122,7 @@
 			}
 			continue
 		}
-		if m == nil || w.started[name] || m.State != site.Up {
+		if m == nil || w.started[name] || m.State != site.Up || p.isStuck(st, m) {
 			continue
 		}
 		pending = append(pending, m)
@@ -189,7 +189,7 @@
 // poolAllowsMaintenance reports whether a machine's pool allows its maintenance now: at
 // most Policy.MaintenanceShare of the pool's machines, but at least one, may be out of
 // service or about to be. Machines that are moving into the pool do not count. A wave that
-// is late ignores this limit. A machine that the owner of its pool's partition does not
+// is late ignores this limit, but leaves a pool of several machines one in service. A machine that the owner of its pool's partition does not
 // report may not be maintained, as its runs are not known. The spare pool has no limit.
 func (p *Planner) poolAllowsMaintenance(st *state, m *machine, late bool) bool {
 	if st.pools[m.Pool].Spare {
@@ -199,5 +199,9 @@
 		return false
 	}
 	c := st.service[m.Pool]
-	return late || c.out < max(1, int(p.policy.MaintenanceShare*float64(c.total)))
+	limit := int(p.policy.MaintenanceShare * float64(c.total))
+	if late {
+		limit = c.total - 1
+	}
+	return c.out < max(1, limit)
 }
--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -159,7 +159,12 @@
 	if r.vm.Draining && !s.canPlaceElsewhere(now, r) {
 		return false
 	}
-	return s.countUnavailableOthers(now, r) < max(st.MayMiss, 1)
+	return !s.isKept(now, r)
+}
+
+// isKept reports whether a long-running run may not be stopped, since too many other tasks of its step are unavailable.
+func (s *Scheduler) isKept(now time.Time, r *run) bool {
+	return s.countUnavailableOthers(now, r) >= max(r.task.step.MayMiss, 1)
 }
 
 // countUnavailableOthers counts the other tasks of a run's step that are not available.
--- a/internal/sched/fuzz_test.go
+++ b/internal/sched/fuzz_test.go
@@ -249,7 +249,7 @@
 // cordon cordons a VM, or uncordons all.
 func (m *model) cordon(t *rapid.T) {
 	if rapid.Bool().Draw(t, "off") {
-		m.s.Uncordon()
+		m.s.Cordon(m.now, "pool", nil)
 		return
 	}
 	m.s.Cordon(m.now, "pool", []string{rapid.SampledFrom(m.vmIDs()).Draw(t, "vm")})
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -52,6 +52,7 @@
 	Capacity int    // thousandths of a core; 0 if not reported
 	Unstored bool   // it has reported ends of runs that the job log does not hold yet; they would be lost with it
 	Unusable string // why it gets no new run; empty if it may get one
+	Kept     bool   // it cannot be emptied now: it has a long-running run that may not be stopped
 }
 
 // Report returns the load of a pool.
@@ -68,6 +69,7 @@
 			u.CPU += x.step().CPU
 			if x.step().Lasts {
 				u.Lasting++
+				u.Kept = u.Kept || s.isKept(now, x)
 			} else {
 				cores := largest.equivalentCores(x.step())
 				r.Used += cores
@@ -197,6 +199,7 @@
 
 // Cordon keeps new runs off the given VMs of a pool and uncordons its other VMs.
 func (s *Scheduler) Cordon(now time.Time, pool string, ids []string) {
+	s.pool(pool).cordonsAt = now
 	set := map[string]bool{}
 	for _, id := range ids {
 		set[id] = true
@@ -211,9 +214,11 @@
 	}
 }
 
-// Uncordon uncordons all VMs of all pools.
-func (s *Scheduler) Uncordon() {
+// ExpireCordons uncordons the VMs of pools whose cordons were not renewed within the given time.
+func (s *Scheduler) ExpireCordons(now time.Time, ttl time.Duration) {
 	for _, v := range s.vms {
-		v.cordoned = false
+		if v.cordoned && now.Sub(s.pool(v.Pool).cordonsAt) > ttl {
+			v.cordoned = false
+		}
 	}
 }
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -106,6 +106,7 @@
 	loadAt            time.Time
 	arrivals          []shed.Arrival // expected by VM moves, as reported by the planner at arrivalsAt
 	arrivalsAt        time.Time
+	cordonsAt         time.Time      // when the planner last set or renewed its cordons
 	refused           map[string]int // refused jobs by client account
 	slack             time.Duration  // decaying mean over the jobs submitted: time that a job can wait and still meet its objective
 	taskTime          time.Duration  // decaying mean over the same jobs of Request.TaskTime
--- a/internal/sched/takeover_test.go
+++ b/internal/sched/takeover_test.go
@@ -144,7 +144,7 @@
 	r.poll(10, "a", site.VMStatus{})
 	r.starts(20)
 	r.flush(20)
-	r.s.Uncordon()
+	r.s.Cordon(at(25), "pool", nil)
 	r.submit(30, testJob(jobID, jobs.Step{Count: 1, CPU: 1000, EstimateMS: 500}))
 	assert.Equal(t, len(r.starts(40)), 0, "the job log does not name the VM")
 	r.poll(50, "a", site.VMStatus{})
