drive: a refused connection does not show that a former owner has ended

Cause: probeOwner took ECONNREFUSED for the end of the former owner's process, so that the claimant waited only for leases granted before its claim. A link that is cut may refuse connections as well; the process lived and renewed its lease.

Change: only the answer that the partition is not owned shows an end. It comes from the former process, which has stopped, or from a later one at its address.

A closed port now has to be waited for (TestOwnerThatRefusesConnectionsMayContinue, five rows), and a later process at the address stands for an ended one.

--- a/internal/drive/claim.go
+++ b/internal/drive/claim.go
@@ -134,6 +134,9 @@
 	part.scheduler.VMsReadAt(readAt)
 	part.confirm(claimBegan)
 	part.scheduler.LogWaits(part.lastRoundAt, whyWait(last.Epoch, former, yielded, part.soleOwner))
+	if !part.soleOwner && part.lastWasSole {
+		go part.awaitFormerEnd(ctx, last.Address, part.lastRoundAt)
+	}
 	return nil
 }
 
--- a/internal/drive/former_owner_test.go
+++ b/internal/drive/former_owner_test.go
@@ -12,28 +12,58 @@
 	"github.com/greengagelane/greengagelane/pkg/site"
 )
 
+// formerState is what another entry finds at the address of a former owner.
+type formerState int
+
+const (
+	ended   formerState = iota // a later process at its address does not own the partition
+	refuses                    // connections are refused
+	silent                     // connections are accepted, and no call is answered
+)
+
+// formerOwnerCase is a series of claims of a partition after the loss of its owner.
+type formerOwnerCase struct {
+	name   string
+	former formerState
+	sole   bool          // the former owner has recorded that the ones before it have ended
+	claims []int         // entries that claim the partition one after the other
+	owned  time.Duration // by all but the last; 0 if they end at once
+	notice bool          // the last one waits until the former owner has heard of a claim
+}
+
+const ownedForLong = sched.FormerOwnerNotice + time.Second
+
 // TestFormerOwnerIsNotForgottenByFurtherClaims guards against an owner that does not wait for one which is cut off and may
 // still renew leases, since a further owner between the two, or an earlier attempt of its own, has claimed the partition.
 func TestFormerOwnerIsNotForgottenByFurtherClaims(t *testing.T) {
+	playClaims(t, []formerOwnerCase{
+		{"former owner has ended", ended, true, []int{0}, 0, false},
+		{"former owner has ended, another entry between", ended, true, []int{1, 0}, idleInterval, false},
+		{"former owner has ended early, or is of the version before", ended, false, []int{0}, 0, true},
+		{"former owner is silent", silent, true, []int{0}, 0, true},
+		{"former owner is silent, another entry between", silent, true, []int{1, 0}, 0, true},
+		{"former owner is silent, another entry between, which owned for a short time", silent, true, []int{1, 0}, idleInterval, true},
+		{"former owner is silent, another entry between, which owned for long", silent, true, []int{1, 0}, ownedForLong, false},
+		{"former owner is silent, answer to the claim was lost", silent, true, []int{0, 0}, 0, true},
+	})
+}
+
+// TestOwnerThatRefusesConnectionsMayContinue guards against an owner that does not wait for one whose link refuses
+// connections: it may still renew leases, and the task of such a run would run twice at once (review/6).
+func TestOwnerThatRefusesConnectionsMayContinue(t *testing.T) {
+	playClaims(t, []formerOwnerCase{
+		{"one claim", refuses, true, []int{0}, 0, true},
+		{"another entry between", refuses, true, []int{1, 0}, 0, true},
+		{"another entry between, which owned for a short time", refuses, true, []int{1, 0}, idleInterval, true},
+		{"another entry between, which owned for long", refuses, true, []int{1, 0}, ownedForLong, false},
+		{"answer to the claim was lost", refuses, true, []int{0, 0}, 0, true},
+	})
+}
+
+// playClaims plays the claims and checks how long the last owner waits before it starts a task of the former one.
+func playClaims(t *testing.T, tests []formerOwnerCase) {
+	t.Helper()
 	const lease = 4 * time.Second
-	const long = sched.FormerOwnerNotice + time.Second
-	tests := []struct {
-		name   string
-		silent bool          // the former owner does not answer; otherwise its process has ended
-		sole   bool          // the former owner has recorded that the ones before it have ended
-		claims []int         // entries that claim the partition one after the other
-		owned  time.Duration // by all but the last; 0 if they end at once
-		notice bool          // the last one waits until the former owner has heard of a claim
-	}{
-		{"former owner has ended", false, true, []int{0}, 0, false},
-		{"former owner has ended, another entry between", false, true, []int{1, 0}, idleInterval, false},
-		{"former owner has ended early, or is of the version before", false, false, []int{0}, 0, true},
-		{"former owner is silent", true, true, []int{0}, 0, true},
-		{"former owner is silent, another entry between", true, true, []int{1, 0}, 0, true},
-		{"former owner is silent, another entry between, which owned for a short time", true, true, []int{1, 0}, idleInterval, true},
-		{"former owner is silent, another entry between, which owned for long", true, true, []int{1, 0}, long, false},
-		{"former owner is silent, answer to the claim was lost", true, true, []int{0, 0}, 0, true},
-	}
 	c := newCluster(t, 2, map[string]int{"alpha": 1})
 	vms := []site.VM{
 		{ID: "vm", Born: 1, Pool: "pool", Address: "127.0.0.1:1", CPU: 8000, MemMB: 8000},
@@ -43,7 +73,10 @@
 		t.Run(tt.name, func(t *testing.T) {
 			ln, err := net.Listen("tcp", "127.0.0.1:0")
 			assert.NilError(t, err)
-			if !tt.silent {
+			switch tt.former {
+			case ended:
+				servePeer(t, ln, answerYield(false))
+			case refuses:
 				ln.Close()
 			}
 			defer ln.Close()
--- a/internal/drive/yield.go
+++ b/internal/drive/yield.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"syscall"
 	"time"
 
 	"github.com/greengagelane/greengagelane/internal/peer"
@@ -17,6 +15,7 @@
 	// receives its assignment and reads the partition, which takes most of the delay if the log
 	// is slowed down by a factor of 30.
 	releaseDelay    = 1200 * time.Millisecond
+	reprobeInterval = 250 * time.Millisecond // before a former owner that has not answered a probe is asked again
 	probeExtraWait  = 50 * time.Millisecond  // how long the claimant still waits for the answer to the probe after it has read the partition
 	maxYieldTimeout = 600 * time.Millisecond // upper bound of the timeout for the owner's last append; also the timeout of the probe call
 	yieldReadFactor = 4                      // timeout for the owner's last append, as a multiple of the claimant's time to read the partition
@@ -62,7 +61,7 @@
 // probeAnswer is what is known of an earlier owner. Both fields are false if it does not answer.
 type probeAnswer struct {
 	owns  bool // it owns the partition
-	ended bool // it does not own the partition any more, or its process has ended
+	ended bool // it, or a later process at its address, says that it does not own the partition
 }
 
 // awaitProbe waits for the answer to a probe, for probeExtraWait at most.
@@ -103,7 +102,7 @@
 		defer cancel()
 		r, err := peer.Call[yieldCall, yieldReply](callCtx, part.node.peer(owner), yieldKind, &yieldCall{Partition: part.number, Probe: true})
 		if err != nil {
-			answer <- probeAnswer{ended: errors.Is(err, syscall.ECONNREFUSED)}
+			answer <- probeAnswer{} // a link that is cut may refuse connections to a process that runs
 			return
 		}
 		answer <- probeAnswer{owns: r.Yielded, ended: !r.Yielded}
@@ -111,6 +110,27 @@
 	return answer
 }
 
+// awaitFormerEnd asks a former owner that has not answered the claim until it, or a later process at its address, says that
+// it does not own the partition. It gives up once the former owner's authority has ended by itself.
+func (part *ownedPartition) awaitFormerEnd(ctx context.Context, owner string, claimed time.Time) {
+	for ctx.Err() == nil && time.Since(claimed) < part.formerNotice {
+		if answer := <-part.probeOwner(ctx, owner); answer.ended {
+			part.post(part.recordFormerEnd)
+			return
+		}
+		sleep(ctx, reprobeInterval)
+	}
+}
+
+// recordFormerEnd records that the former owner, which was the only one, renews no leases any more.
+func (part *ownedPartition) recordFormerEnd(now time.Time) {
+	if part.soleOwner {
+		return
+	}
+	part.soleOwner = true
+	part.scheduler.FormerOwnerHasEnded(now)
+}
+
 // recordSoleOwner has the next flush tell later owners that the owners before this one renew no leases any more: they have
 // ended, or their authority has. Without it, a later owner would see this one only, and not wait for them.
 func (part *ownedPartition) recordSoleOwner(now time.Time) {
--- a/internal/sched/former_owner_test.go
+++ b/internal/sched/former_owner_test.go
@@ -102,3 +102,44 @@
 		assert.Assert(t, started > wait-20 && started < wait+rounds, "former owner may continue: %t; started %d ms after the answer", mayContinue, started)
 	}
 }
+
+// TestEndOfFormerOwnerShortensTheWait guards against a wait for an owner that is known to have ended, and against one that ends
+// before the leases that it granted last.
+func TestEndOfFormerOwnerShortensTheWait(t *testing.T) {
+	p := testPolicy()
+	lease := p.localDuration(p.Lease) + leaseMargin
+	tests := []struct {
+		name  string
+		ended time.Duration // after the claim, when that became known; 0 if it did not
+		want  time.Duration // after the claim
+	}{
+		{"not known", 0, FormerOwnerNotice + lease},
+		{"soon", 500 * time.Millisecond, 500*time.Millisecond + lease},
+		{"at the end of its authority", FormerOwnerNotice, FormerOwnerNotice + lease},
+		{"later", FormerOwnerNotice + time.Second, FormerOwnerNotice + lease},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newFixture(t, testVM("a"), testVM("b"))
+			r.submit(0, testJob(jobID, jobs.Step{Count: 1, CPU: 1000, EstimateMS: 500}))
+			run := r.starts(10)[0]
+			other := map[string]string{"a": "b", "b": "a"}[run.VM]
+			const claimed, step = 100, 50
+			r.takeover(claimed, testVM("a"), testVM("b"))
+			r.s.FormerOwnerMayContinue(FormerOwnerNotice)
+			for ms := claimed; ms < claimed+20_000; ms += step {
+				if ended := at(claimed).Add(tt.ended); tt.ended > 0 && at(ms).Equal(ended) {
+					r.s.FormerOwnerHasEnded(ended)
+				}
+				r.poll(ms, other, site.VMStatus{})
+				r.flush(ms)
+				if len(r.starts(ms)) > 0 {
+					waited := at(ms).Sub(at(claimed))
+					assert.Assert(t, waited > tt.want && waited <= tt.want+step*time.Millisecond, "started after %s, not after %s", waited, tt.want)
+					return
+				}
+			}
+			t.Fatal("the task does not run again")
+		})
+	}
+}
--- a/internal/sched/vm.go
+++ b/internal/sched/vm.go
@@ -202,6 +202,25 @@
 	}
 }
 
+// FormerOwnerHasEnded tells a new owner that all former ones have ended by now, so that no lease of theirs lasts longer than
+// one that is granted now.
+func (s *Scheduler) FormerOwnerHasEnded(now time.Time) {
+	s.formerOwnerNotice = 0
+	last := now.Add(s.policy.localDuration(s.policy.Lease) + leaseMargin)
+	for id, until := range s.unverified {
+		if !until.After(last) {
+			continue
+		}
+		s.unverified[id] = last
+		if v := s.vms[id]; v != nil && v.leasesEnd.After(last) {
+			v.leasesEnd = last
+		}
+	}
+	if len(s.unverified) > 0 {
+		s.LogWaits(now, "former owner has ended since the claim")
+	}
+}
+
 // grantLease returns the end of a lease that begins now, on the VM's clock, and extends
 // leasesEnd accordingly.
 func (v *vm) grantLease(now time.Time, p *Policy) int64 {
