quota: tasks larger than an equal share of the limit take turns

Cause: the coordinator divides an account's limit by the needs of the partitions, and an owner starts a task only if it fits within its share. Two partitions whose tasks need over half of the limit got half each, for ever.

Change: owners report the largest task or gang that waits, and what long-running tasks use. Partitions whose largest task needs more than an equal division gives them have the turn one after the other, for a second each; an equal division has a turn between them if others wait.

--- a/internal/quota/allocate.go
+++ b/internal/quota/allocate.go
@@ -98,16 +98,10 @@
 		copy(target, c.defaults.sent)
 		return target
 	}
-	budget, sum := 1.0, 0.0
-	var claims []fair.Claim // of the partitions that reply
-	floor := floorShare / float64(max(c.count, 1))
+	budget := 1.0
 	for n, p := range c.partitions {
 		switch {
-		case p == nil:
-		case c.raisable(now, n):
-			target[n] = max(a.need[n], floor)
-			sum += target[n]
-			claims = append(claims, fair.Claim{Weight: 1, Demand: target[n]})
+		case p == nil || c.raisable(now, n):
 		case p.known:
 			target[n] = a.ceiling[n]
 			budget -= a.counted(n)
@@ -116,14 +110,34 @@
 		}
 	}
 	budget = max(budget, 0)
+	c.divide(now, a, target, budget, nobody)
+	if n := c.takeTurn(now, a, target, budget); n != nobody {
+		target[n] = c.turnShare(now, a, n, budget)
+		c.divide(now, a, target, budget-target[n], n)
+	}
+	return target
+}
+
+// divide divides a budget among the partitions that reply, but one: each gets its need, and an equal part of the rest.
+// If the needs exceed the budget, they are served max-min.
+func (c *Coordinator) divide(now time.Time, a *account, target []float64, budget float64, but int) {
+	sum := 0.0
+	var claims []fair.Claim
+	floor := floorShare / float64(max(c.count, 1))
+	for n := range target {
+		if n != but && c.raisable(now, n) {
+			target[n] = max(a.need[n], floor)
+			sum += target[n]
+			claims = append(claims, fair.Claim{Weight: 1, Demand: target[n]})
+		}
+	}
 	rest := max(budget-sum, 0) / float64(max(len(claims), 1))
 	level := fair.Level(budget, claims)
 	for n := range target {
-		if c.raisable(now, n) {
+		if n != but && c.raisable(now, n) {
 			target[n] = min(target[n], level) + rest
 		}
 	}
-	return target
 }
 
 // setFraction sets the fraction of the next request to a partition.
--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -51,6 +51,9 @@
 	ceiling []float64 // largest fraction that the owner may hold
 	used    []float64 // share of the limit that counts as running, by the last reply
 	need    []float64 // used plus the share of the waiting tasks
+	lasting []float64 // the part of used of long-running tasks
+	largest []float64 // share that the largest waiting task or gang needs; 0 if none waits
+	turns   turns
 	workAt  time.Time // when it last had work
 }
 
@@ -67,7 +70,7 @@
 // NewCoordinator returns a coordinator that knows nothing of what partitions hold. epoch is that of
 // the owner of the fleet partition.
 func NewCoordinator(epoch int64) *Coordinator {
-	return &Coordinator{epoch: epoch, defaults: &account{}, accounts: map[string]*account{}, limits: map[string]site.Account{}}
+	return &Coordinator{epoch: epoch, defaults: &account{turns: newTurns()}, accounts: map[string]*account{}, limits: map[string]site.Account{}}
 }
 
 // Fenced reports whether a coordinator with a higher epoch is known. Then this one does nothing more.
@@ -122,7 +125,8 @@
 // clearPartition removes a partition from all allocations.
 func (c *Coordinator) clearPartition(n int) {
 	for _, a := range append(slices.Clone(c.order), c.defaults) {
-		a.sent[n], a.ceiling[n], a.used[n], a.need[n] = 0, 0, 0, 0
+		a.sent[n], a.ceiling[n] = 0, 0
+		a.clearLoad(n)
 	}
 }
 
@@ -140,9 +144,15 @@
 func (a *account) grow(n int) {
 	for len(a.sent) < n {
 		a.sent, a.ceiling, a.used, a.need = append(a.sent, 0), append(a.ceiling, 0), append(a.used, 0), append(a.need, 0)
+		a.lasting, a.largest = append(a.lasting, 0), append(a.largest, 0)
 	}
 }
 
+// clearLoad records that an account has no work in a partition.
+func (a *account) clearLoad(n int) {
+	a.used[n], a.need[n], a.lasting[n], a.largest[n] = 0, 0, 0, 0
+}
+
 // HandleReply handles the reply of a partition's owner.
 func (c *Coordinator) HandleReply(now time.Time, n int, r *Reply) {
 	switch {
@@ -219,8 +229,9 @@
 	if c.limits[name].Limit == (site.Resources{}) {
 		return nil
 	}
-	a := &account{name: name, sent: slices.Clone(c.defaults.sent), ceiling: slices.Clone(c.defaults.ceiling), workAt: now}
+	a := &account{name: name, turns: newTurns(), sent: slices.Clone(c.defaults.sent), ceiling: slices.Clone(c.defaults.ceiling), workAt: now}
 	a.used, a.need = make([]float64, len(a.sent)), make([]float64, len(a.sent))
+	a.lasting, a.largest = make([]float64, len(a.sent)), make([]float64, len(a.sent))
 	c.accounts[name] = a
 	c.setOrder(append(c.order, a))
 	return a
@@ -242,7 +253,7 @@
 // setLoads sets the usage and need of all accounts in a partition.
 func (c *Coordinator) setLoads(now time.Time, n int, loads []Load) {
 	for _, a := range c.order {
-		a.used[n], a.need[n] = 0, 0
+		a.clearLoad(n)
 	}
 	for i := range loads {
 		l := &loads[i]
@@ -252,6 +263,7 @@
 		}
 		limit := c.limits[l.Account].Limit
 		a.used[n], a.need[n] = Share(l.Used, limit), min(Share(l.Used.Plus(l.Demand), limit), 1)
+		a.lasting[n], a.largest[n] = Share(l.Lasting, limit), Share(l.Largest, limit)
 		a.workAt = now
 	}
 }
--- a/internal/quota/model_test.go
+++ b/internal/quota/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -161,7 +162,10 @@
 	reply := o.holder.Handle(now, o.epoch, r)
 	for _, name := range []string{"a", "b"} {
 		if len(o.running[name])+len(o.waiting[name]) > 0 {
-			reply.Loads = append(reply.Loads, Load{Account: name, Used: site.Resources{CPU: total(o.running[name])}, Demand: site.Resources{CPU: total(o.waiting[name])}})
+			reply.Loads = append(reply.Loads, Load{
+				Account: name, Used: site.Resources{CPU: total(o.running[name])}, Demand: site.Resources{CPU: total(o.waiting[name])},
+				Largest: site.Resources{CPU: slices.Max(append([]int{0}, o.waiting[name]...))},
+			})
 		}
 	}
 	return reply
@@ -261,7 +265,7 @@
 	demand := func(t *rapid.T) {
 		o, a := owner(t), account(t)
 		for range rapid.IntRange(1, 30).Draw(t, "tasks") {
-			o.waiting[a] = append(o.waiting[a], rapid.IntRange(1, 100).Draw(t, "size"))
+			o.waiting[a] = append(o.waiting[a], rapid.IntRange(1, rapid.SampledFrom([]int{100, 100, 100, limit}).Draw(t, "largest")).Draw(t, "size"))
 		}
 	}
 	end := func(t *rapid.T) {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -6,7 +6,8 @@
 // The quota coordinator, the owner of the fleet partition, allocates to each partition a fraction of
 // each account's limit. The owner of a partition is the holder of its fractions. The coordinator's
 // requests are numbered; holders ignore those that others have overtaken. A fraction is raised only
-// as far as the largest fractions that all holders may have allow.
+// as far as the largest fractions that all holders may have allow. Partitions whose largest task needs more
+// than an equal division gives them take turns.
 //
 // The package has no clock and no network: the time and the messages are arguments.
 package quota
@@ -59,6 +60,10 @@
 	Account string
 	Used    site.Resources // by what counts as running
 	Demand  site.Resources // of ready tasks without a run
+	Lasting site.Resources // the part of Used of long-running tasks
+	// Largest is what the largest of the ready tasks or gangs needs that fit within the limit. A fraction below it keeps
+	// that task waiting, whatever ends in the partition. Owners of the version before leave it at zero.
+	Largest site.Resources
 }
 
 // Share returns the largest of the shares of a limit that an amount uses. Resources without a limit
--- a/internal/sched/quota.go
+++ b/internal/sched/quota.go
@@ -316,12 +316,56 @@
 	for account := range demand {
 		working[account] = true
 	}
+	lasting, largest := s.lastingUse(), s.largestStarts()
 	for account := range working {
-		reply.Loads = append(reply.Loads, quota.Load{Account: account, Used: s.quotas.running(account), Demand: demand[account]})
+		reply.Loads = append(reply.Loads, quota.Load{
+			Account: account, Used: s.quotas.running(account), Demand: demand[account],
+			Lasting: lasting[account], Largest: largest[account],
+		})
 	}
 	return reply
 }
 
+// lastingUse returns what the tracked runs of long-running tasks use, by account.
+func (s *Scheduler) lastingUse() map[string]site.Resources {
+	use := map[string]site.Resources{}
+	for _, v := range s.vms {
+		for _, r := range v.runList {
+			if account := r.task.job.Account; account != "" && r.step().Lasts {
+				u := use[account]
+				add(&u, r.step(), 1)
+				use[account] = u
+			}
+		}
+	}
+	return use
+}
+
+// largestStarts returns what the largest of each account's ready tasks without a run needs, or of its gangs, among those that
+// fit within its limit.
+func (s *Scheduler) largestStarts() map[string]site.Resources {
+	largest := map[string]site.Resources{}
+	for _, j := range s.live {
+		limit, known := s.quotas.limits[j.Account]
+		if !known || !j.stored || j.state.Final() {
+			continue
+		}
+		for _, o := range j.open {
+			for _, st := range o.steps {
+				if st.withoutRun == 0 || !o.stepReady(st) {
+					continue
+				}
+				var one site.Resources
+				add(&one, st.Step, startedTogether(st))
+				if share := quota.Share(one, limit); share <= 1 && share > quota.Share(largest[j.Account], limit) {
+					largest[j.Account] = one
+				}
+			}
+		}
+	}
+	return largest
+}
+
 // handedQuotas is the part of the handover record with the fractions. It follows the handover in the
 // record's value, as a value of its own: a version without quotas decodes the first value only.
 type handedQuotas struct {
--- a/internal/sched/quota_test.go
+++ b/internal/sched/quota_test.go
@@ -312,3 +312,32 @@
 		})
 	}
 }
+
+// TestLoadNamesLargestStart guards against a quota coordinator that does not know which share the tasks of a partition need to
+// start at all.
+func TestLoadNamesLargestStart(t *testing.T) {
+	const limit = 10_000
+	tests := []struct {
+		name             string
+		steps            []jobs.Step
+		largest, lasting int // thousandths of a core
+	}{
+		{"largest of several", []jobs.Step{{Count: 2, CPU: 6000}, {Count: 2, CPU: 7000}}, 7000, 0},
+		{"gang", []jobs.Step{{Count: 3, CPU: 3000, Gang: true}, {Count: 1, CPU: 6000}}, 9000, 0},
+		{"above the limit", []jobs.Step{{Count: 1, CPU: 11_000}, {Count: 4, CPU: 3000, Gang: true}, {Count: 1, CPU: 6000}}, 6000, 0},
+		{"not ready", []jobs.Step{{Count: 1, CPU: 6000}, {Count: 1, CPU: 7000, After: []int{0}}}, 6000, 0},
+		{"long-running task at work", []jobs.Step{{Count: 1, CPU: 2000, Lasts: true}, {Count: 1, CPU: 6000}}, 6000, 2000},
+		{"all at work", []jobs.Step{{Count: 2, CPU: 1000}}, 0, 0},
+	}
+	for _, tt := range tests {
+		r := newFixture(t, testVM("a"))
+		r.s.SetAccounts(accountsWithLimit(limit))
+		r.grant(1, 0.25)
+		r.submit(2, quotaJob(jobID, "acme", tt.steps...))
+		r.starts(10)
+		loads := r.grant(20, 0.25).Loads
+		assert.Equal(t, len(loads), 1, tt.name)
+		assert.Equal(t, loads[0].Largest.CPU, tt.largest, tt.name)
+		assert.Equal(t, loads[0].Lasting.CPU, tt.lasting, tt.name)
+	}
+}
