drive: waiting jobs are counted in all partitions of their queue

Cause: a job stays in the partition of the pool that its queue had when it was accepted, and dispatch asked the owner of the present partition alone.

Change: the count is the sum over the partitions of all pools that the queue has had, those whose owners have named it, and those that have not answered that yet. If one of them does not answer, there is no count.

--- a/internal/drive/admin.go
+++ b/internal/drive/admin.go
@@ -147,33 +147,51 @@
 }
 
 // handleJobRequest submits a job, or shows or cancels it in the partition that holds it.
-// The job's pool is not known, so it asks all partitions in turn.
+// The job's pool is not known, so it asks all partitions. One whose owner does not answer may hold the job only if no
+// other does.
 func (n *Node) handleJobRequest(ctx context.Context, req *JobRequest) (*JobResponse, error) {
 	if req.Submit != nil {
 		return n.submitForOperator(ctx, req.Submit)
 	}
-	for p := range n.settings.Log.Partitions {
-		c := &jobCall{Partition: p, Kind: site.ShowJob, ID: req.ID, Access: site.Access{Operator: true}}
-		if req.Cancel {
-			c.Kind = site.CancelJob
-		}
-		r := n.callOwner(ctx, c)
-		if r.Outcome == site.NoSuchJob {
-			continue
-		}
-		resp := &JobResponse{Partition: p, Reply: r}
-		if r.Outcome == site.OK && !req.Cancel {
-			view, err := retryOwner(ctx, func() (*sched.JobView, error) { return n.explain(ctx, c) })
-			if err != nil {
-				return nil, fmt.Errorf("explain job %s: %w", req.ID, err)
-			}
-			resp.View = view
+	c := &jobCall{Kind: site.ShowJob, ID: req.ID, Access: site.Access{Operator: true}}
+	if req.Cancel {
+		c.Kind = site.CancelJob
+	}
+	all := make([]int, n.settings.Log.Partitions)
+	for p := range all {
+		all[p] = p
+	}
+	replies := n.askPartitions(ctx, c, all)
+	var undecided *JobResponse
+	for range all {
+		switch r := <-replies; {
+		case r.Outcome == site.OK:
+			return n.explained(ctx, c, &JobResponse{Partition: r.partition, Reply: r.Reply})
+		case r.Outcome != site.NoSuchJob && undecided == nil:
+			undecided = &JobResponse{Partition: r.partition, Reply: r.Reply}
 		}
-		return resp, nil
+	}
+	if undecided != nil {
+		return undecided, nil
 	}
 	return nil, fmt.Errorf("job %s: %w", req.ID, errUnknownJob)
 }
 
+// explained adds the state of a job and its tasks to the response to a request that shows it.
+func (n *Node) explained(ctx context.Context, c *jobCall, resp *JobResponse) (*JobResponse, error) {
+	if c.Kind != site.ShowJob {
+		return resp, nil
+	}
+	held := *c
+	held.Partition = resp.Partition
+	view, err := retryOwner(ctx, func() (*sched.JobView, error) { return n.explain(ctx, &held) })
+	if err != nil {
+		return nil, fmt.Errorf("explain job %s: %w", c.ID, err)
+	}
+	resp.View = view
+	return resp, nil
+}
+
 // explain returns the state of a job and its tasks from the owner of its partition.
 func (n *Node) explain(ctx context.Context, c *jobCall) (*sched.JobView, error) {
 	return askOwner(ctx, n, c.Partition, explainKind, c, n.explainLocal)
--- a/internal/drive/admin_test.go
+++ b/internal/drive/admin_test.go
@@ -186,3 +186,31 @@
 	assert.Equal(t, len(labels), maxAccountLabels+1)
 	assert.Equal(t, l.label(""), noAccount)
 }
+
+// TestOperatorFindsJobBesideMissingOwner guards against an operator's request that fails as one partition has no owner, while
+// another one holds the job.
+func TestOperatorFindsJobBesideMissingOwner(t *testing.T) {
+	const held, id = 1, "00000000000000a1"
+	c := newCluster(t, 1, map[string]int{"alpha": 1})
+	part := partitionWithJob(t, c.nodes[0], 99)
+	defer part.store.Close()
+	n := New(&site.Settings{Entry: "asked", IP: "127.0.0.1", Ports: []int{1, 2}, Log: site.LogSettings{Partitions: held + 1}})
+	n.partitions[held] = part
+	tests := []struct {
+		name string
+		req  JobRequest
+		want string // state, or outcome of a cancellation
+	}{
+		{"show", JobRequest{ID: id}, "queued"},
+		{"cancel", JobRequest{ID: id, Cancel: true}, ""},
+	}
+	for _, tt := range tests {
+		var resp *JobResponse
+		var err error
+		serveWhile(t, part, func() { resp, err = n.handleJobRequest(t.Context(), &tt.req) })
+		assert.NilError(t, err, tt.name)
+		assert.Equal(t, resp.Reply.Outcome, site.OK, tt.name)
+		assert.Equal(t, resp.Partition, held, tt.name)
+		assert.Equal(t, resp.Reply.State, tt.want, tt.name)
+	}
+}
--- a/internal/drive/queues.go
+++ b/internal/drive/queues.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -36,14 +37,15 @@
 type queueHistory struct {
 	mu         sync.Mutex
 	partitions int
-	keep       time.Duration           // how long jobs are known after their end
-	unknown    map[int]bool            // partitions whose owners have not answered yet
-	startedAt  time.Time               // of the entry, or when it last missed configurations; later moves are known from these
-	firstSeen  int64                   // version of the first configuration since; 0 before it
-	pools      map[string]formerPool   // by host and path prefix of a queue
-	movedAt    map[string]time.Time    // when a queue last changed its pool, by queue name
-	heldIn     map[string]map[int]bool // partitions that held jobs of a queue at startedAt or soon after, by queue name
-	restarted  chan struct{}           // holds a token once partitions have become unknown again
+	keep       time.Duration              // how long jobs are known after their end
+	unknown    map[int]bool               // partitions whose owners have not answered yet
+	startedAt  time.Time                  // of the entry, or when it last missed configurations; later moves are known from these
+	firstSeen  int64                      // version of the first configuration since; 0 before it
+	pools      map[string]formerPool      // by host and path prefix of a queue
+	movedAt    map[string]time.Time       // when a queue last changed its pool, by queue name
+	seenPools  map[string]map[string]bool // pools that a queue has had in the configurations of this entry, by queue name
+	heldIn     map[string]map[int]bool    // partitions that held jobs of a queue at startedAt or soon after, by queue name
+	restarted  chan struct{}              // holds a token once partitions have become unknown again
 }
 
 // formerPool is the last pool of a queue. droppedAt is zero while the queue is in the configuration.
@@ -54,7 +56,7 @@
 
 func newQueueHistory(now time.Time, partitions int, keep time.Duration) *queueHistory {
 	h := &queueHistory{
-		partitions: partitions, keep: keep, startedAt: now, unknown: map[int]bool{}, pools: map[string]formerPool{}, movedAt: map[string]time.Time{}, restarted: make(chan struct{}, 1),
+		partitions: partitions, keep: keep, startedAt: now, unknown: map[int]bool{}, pools: map[string]formerPool{}, seenPools: map[string]map[string]bool{}, movedAt: map[string]time.Time{}, restarted: make(chan struct{}, 1),
 	}
 	h.restart(now)
 	return h
@@ -92,6 +94,10 @@
 			h.movedAt[r.Name] = now
 		}
 		h.pools[key] = formerPool{pool: r.Pool}
+		if h.seenPools[r.Name] == nil {
+			h.seenPools[r.Name] = map[string]bool{}
+		}
+		h.seenPools[r.Name][r.Pool] = true
 	}
 	for key, last := range h.pools {
 		switch {
@@ -153,6 +159,20 @@
 	return list
 }
 
+// holders returns the partitions that may hold jobs of a queue, the given one among them. partitionOf returns that of a
+// pool. Unlike elsewhere, it has no end: a job may wait for any time.
+func (h *queueHistory) holders(queue string, partition int, partitionOf func(pool string) int) []int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	found := map[int]bool{partition: true}
+	for pool := range h.seenPools[queue] {
+		found[partitionOf(pool)] = true
+	}
+	maps.Copy(found, h.unknown)
+	maps.Copy(found, h.heldIn[queue])
+	return slices.Sorted(maps.Keys(found))
+}
+
 // learnQueues asks the owners of all partitions for the queues of their jobs until each has answered, after the start and
 // each time that the history restarts.
 func (n *Node) learnQueues(ctx context.Context) {
--- a/internal/drive/route.go
+++ b/internal/drive/route.go
@@ -85,6 +85,9 @@
 			return r
 		}
 	}
+	if c.Kind == site.CountWaiting {
+		return n.countWaiting(ctx, c)
+	}
 	r := n.callOwner(ctx, c)
 	if r.Outcome == site.NoSuchJob {
 		return n.tryOtherPartitions(ctx, c, r)
@@ -107,7 +110,28 @@
 // tryPartitions sends a request to partitions, all at a time, until one of them holds the job. It returns notFound if none
 // knows it: each owner may have to ask the job log before it says so.
 func (n *Node) tryPartitions(ctx context.Context, c *jobCall, list []int, notFound site.Reply) site.Reply {
-	replies := make(chan site.Reply, len(list))
+	replies := n.askPartitions(ctx, c, list)
+	result, undecided := notFound, false
+	for range list {
+		switch r := <-replies; {
+		case r.Outcome == site.OK:
+			return r.Reply
+		case r.Outcome != site.NoSuchJob && !undecided:
+			result, undecided = r.Reply, true
+		}
+	}
+	return result
+}
+
+// partitionReply is the reply to a request by the owner of a partition.
+type partitionReply struct {
+	site.Reply
+	partition int
+}
+
+// askPartitions sends a request to partitions, some at a time. The channel gets one reply for each.
+func (n *Node) askPartitions(ctx context.Context, c *jobCall, list []int) <-chan partitionReply {
+	replies := make(chan partitionReply, len(list))
 	slots := make(chan struct{}, concurrentLookUps)
 	for _, p := range list {
 		go func() {
@@ -115,19 +139,26 @@
 			defer func() { <-slots }()
 			other := *c
 			other.Partition = p
-			replies <- n.callOwner(ctx, &other)
+			replies <- partitionReply{n.callOwner(ctx, &other), p}
 		}()
 	}
-	result, undecided := notFound, false
+	return replies
+}
+
+// countWaiting counts the waiting jobs of a queue in all partitions that may hold some: jobs stay with the pool that the queue
+// had when they were accepted. If an owner does not answer, there is no count.
+func (n *Node) countWaiting(ctx context.Context, c *jobCall) site.Reply {
+	list := n.queues.holders(c.Queue, c.Partition, n.partitionOf)
+	replies := n.askPartitions(ctx, c, list)
+	total := site.Reply{Outcome: site.OK}
 	for range list {
-		switch r := <-replies; {
-		case r.Outcome == site.OK:
-			return r
-		case r.Outcome != site.NoSuchJob && !undecided:
-			result, undecided = r, true
+		r := <-replies
+		if r.Outcome != site.OK {
+			return r.Reply
 		}
+		total.Waiting += r.Waiting
 	}
-	return result
+	return total
 }
 
 // callOwner sends a request to the owner of its partition and retries while the partition
