sched: a start that a later life of its VM has carried out is not taken for one of the former

Cause: the answer to a start order was taken for one of the life of the VM that the owner knew. Its run was released when the later life became known, its lease was reckoned by the former life's clock, and the next owner counted it with the usual length.

Change: the owner reads the VM's clock in the reply to a start, and learns from it how long the lease lasts and, where the clock can tell, which life has answered. Runs that a former life did not certainly have stay until a poll of the later one or the end of their leases. An end in the inventory carries the age of that inventory.

Tests changed: VMs of the crash tests no longer list runs of a life that has crashed, and confirm stops, as the scheduler asks them now; start orders in tests tell the clock; the model caps leases; TestLives checks the age.

--- a/internal/drive/fleet.go
+++ b/internal/drive/fleet.go
@@ -153,7 +153,7 @@
 			calls = append(calls, &reportCall{
 				Partition: m.part.node.partitionOf(p.Name), Pool: p.Name,
 				Cordons: m.planner.Cordons(&m.view, p.Name), Arrivals: m.planner.Arrivals(now, &m.view, p.Name),
-				Coming: m.planner.HasIncoming(&m.view, p.Name), Ended: m.lives.Ended(p.Name), Missing: m.missingVMs(p.Name),
+				Coming: m.planner.HasIncoming(&m.view, p.Name), Ended: m.lives.Ended(time.Now(), p.Name), Missing: m.missingVMs(p.Name),
 			})
 		}
 	}
--- a/internal/drive/run_cost_test.go
+++ b/internal/drive/run_cost_test.go
@@ -201,7 +201,8 @@
 func (p *peakPlay) start(a sched.StartRun) {
 	began := time.Now()
 	p.server.prepare(`{"clockMs":`, strconv.FormatInt(p.clock(), 10), `}`)
-	refusal, err := p.vm.Start(p.t.Context(), &a.Order, time.Second)
+	refusal, clockMS, err := p.vm.Start(p.t.Context(), &a.Order, time.Second)
+	a.ClockMS = clockMS
 	p.s.HandleStart(p.now, &a, refusal, err)
 	p.times[costStart] += time.Since(began)
 	assert.NilError(p.t, err)
--- a/internal/drive/session.go
+++ b/internal/drive/session.go
@@ -184,12 +184,13 @@
 	}
 	began := time.Now()
 	var refusal site.Refusal
+	var clockMS int64
 	var err error
 	attempts := 0
 	for repeat := true; repeat && ctx.Err() == nil; {
 		attempts++
 		sentAt, waited := time.Now(), link.Waited()
-		refusal, err = s.sendOnce(link, a, s.calls.Timeout(sentAt.Sub(began)))
+		refusal, clockMS, err = s.sendOnce(link, a, s.calls.Timeout(sentAt.Sub(began)))
 		kindOfOrder(a).Add(time.Since(sentAt) - (link.Waited() - waited))
 		repeat = s.recordCall(err, time.Since(sentAt), attempts, time.Since(began))
 	}
@@ -200,7 +201,7 @@
 	s.part.post(func(now time.Time) {
 		switch a := a.(type) {
 		case sched.StartRun:
-			a.Repeated = attempts > 1
+			a.Repeated, a.ClockMS = attempts > 1, clockMS
 			s.part.scheduler.HandleStart(now, &a, refusal, err)
 		case sched.StopRun:
 			s.part.scheduler.HandleStop(now, &a, refusal, err)
@@ -248,17 +249,20 @@
 	return usage.Order
 }
 
-func (s *vmSession) sendOnce(link *platform.VMLink, a sched.Action, timeout time.Duration) (site.Refusal, error) {
+// sendOnce sends an order. clockMS is the VM's clock in the reply to a start, 0 if it is not known.
+func (s *vmSession) sendOnce(link *platform.VMLink, a sched.Action, timeout time.Duration) (refusal site.Refusal, clockMS int64, err error) {
 	ctx, epoch := context.Background(), s.part.scheduler.Epoch
 	switch a := a.(type) {
 	case sched.StartRun:
 		return link.Start(ctx, &a.Order, timeout)
 	case sched.StopRun:
-		return link.Stop(ctx, a.Task, a.Run, epoch, timeout)
+		refusal, err = link.Stop(ctx, a.Task, a.Run, epoch, timeout)
+		return refusal, 0, err
 	case sched.ThrottleRun:
-		return link.Throttle(ctx, a.Task, a.Run, a.Percent, epoch, timeout)
+		refusal, err = link.Throttle(ctx, a.Task, a.Run, a.Percent, epoch, timeout)
+		return refusal, 0, err
 	}
-	return site.Accepted, site.ErrNotDone
+	return site.Accepted, 0, site.ErrNotDone
 }
 
 // recordCall records the outcome of an attempt at a call and reports whether to repeat the call at once.
--- a/internal/moves/lives.go
+++ b/internal/moves/lives.go
@@ -67,11 +67,13 @@
 }
 
 // Ended returns the incarnations of a pool's VMs that have ended recently.
-func (l *Lives) Ended(pool string) []site.Incarnation {
+func (l *Lives) Ended(now time.Time, pool string) []site.Incarnation {
 	var list []site.Incarnation
 	for _, e := range l.ended {
 		if e.pool == pool {
-			list = append(list, e.Incarnation)
+			x := e.Incarnation
+			x.AgeMS = now.Sub(e.at).Milliseconds()
+			list = append(list, x)
 		}
 	}
 	return list
--- a/internal/moves/lives_test.go
+++ b/internal/moves/lives_test.go
@@ -40,12 +40,14 @@
 			l.Observe(time.Unix(int64(i), 0), view, func(vm string) int64 { return born[vm] })
 		}
 		got := ""
-		for _, e := range l.Ended("pool") {
+		now := time.Unix(int64(len(tt.views)), 0)
+		for _, e := range l.Ended(now, "pool") {
 			got += e.VM
 			assert.Equal(t, e.Born, born[e.VM], tt.name)
+			assert.Assert(t, e.AgeMS >= 1000, "%s: the last inventory was read a second ago", tt.name)
 		}
 		assert.Equal(t, got, tt.want, tt.name)
-		assert.Equal(t, len(l.Ended("other")), 0, tt.name)
+		assert.Equal(t, len(l.Ended(now, "other")), 0, tt.name)
 	}
 }
 
@@ -57,5 +59,5 @@
 	l.Observe(time.Unix(0, 0), []site.Machine{machine}, func(string) int64 { return 7 })
 	l.Observe(time.Unix(1, 0), []site.Machine{machine}, func(string) int64 { return 9 })
 	l.Observe(time.Unix(2, 0), []site.Machine{{Name: "m", Pool: "pool"}}, func(string) int64 { return 9 })
-	assert.DeepEqual(t, l.Ended("pool"), []site.Incarnation{{VM: "i-1", Born: 7}})
+	assert.DeepEqual(t, l.Ended(time.Unix(3, 0), "pool"), []site.Incarnation{{VM: "i-1", Born: 7, AgeMS: 1000}})
 }
--- a/internal/sched/action.go
+++ b/internal/sched/action.go
@@ -17,6 +17,8 @@
 	// Repeated is set for HandleStart if an earlier attempt was not answered: it may have been carried
 	// out, or may still be.
 	Repeated bool
+	// ClockMS is set for HandleStart to the VM's clock in the reply, in ms; 0 if the reply does not tell.
+	ClockMS int64
 }
 
 // StopRun stops a run. Its reply goes to Scheduler.HandleStop.
--- a/internal/sched/crash_test.go
+++ b/internal/sched/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
@@ -21,12 +22,13 @@
 	*fixture
 	names []string // of the VMs
 	born  map[string]int64
-	lives int // of all VMs
+	lives int             // of all VMs
+	ended map[string]bool // runs that VMs had when they crashed, as VM, task and number
 	ms    int
 }
 
 func newCrashSite(t *testing.T, vms int) *crashSite {
-	c := &crashSite{fixture: &fixture{t: t, s: New(1, testPolicy(), quietLog()), jobLog: map[string][]byte{}}, born: map[string]int64{}}
+	c := &crashSite{fixture: &fixture{t: t, s: New(1, testPolicy(), quietLog()), jobLog: map[string][]byte{}}, born: map[string]int64{}, ended: map[string]bool{}}
 	for i := range vms {
 		c.boot(fmt.Sprintf("vm%d", i))
 	}
@@ -51,12 +53,34 @@
 	c.s.SetVMs(at(c.ms), list)
 }
 
+func runKey(r *run) string { return fmt.Sprint(r.vm.ID, " ", r.name, " ", r.number) }
+
+// orders runs a scheduling round and returns its start orders. VMs that are up confirm the stop orders.
+func (c *crashSite) orders(ms int) []StartRun {
+	c.t.Helper()
+	var list []StartRun
+	for _, a := range c.s.Decide(at(ms)) {
+		switch a := a.(type) {
+		case StartRun:
+			list = append(list, a)
+		case StopRun:
+			if slices.Contains(c.names, a.VM) {
+				c.s.HandleStop(at(ms), &a, site.Accepted, nil)
+			}
+		}
+	}
+	return list
+}
+
 // pollAll has each VM that is up answer a status poll with the runs that the scheduler has there.
 func (c *crashSite) pollAll() {
 	for _, name := range c.names {
 		status := site.VMStatus{Born: c.born[name], ClockMS: int64(c.ms) + 1000}
 		if v := c.s.vms[name]; v != nil && v.Born == c.born[name] {
 			for task, r := range v.runs {
+				if c.ended[runKey(r)] {
+					continue
+				}
 				percent := 50
 				if r.step().Lasts {
 					percent = 100
@@ -71,6 +95,11 @@
 
 // crash ends a VM. It returns as the given incarnation 3 s later, or not at all.
 func (c *crashSite) crash(name, returnsAs string) {
+	if v := c.s.vms[name]; v != nil {
+		for _, r := range v.runList {
+			c.ended[runKey(r)] = true
+		}
+	}
 	for i, n := range c.names {
 		if n == name {
 			c.names = append(c.names[:i:i], c.names[i+1:]...)
--- a/internal/sched/ended.go
+++ b/internal/sched/ended.go
@@ -8,6 +8,10 @@
 	"github.com/greengagelane/greengagelane/pkg/site"
 )
 
+// moverDelay bounds the time from the mover's call to its arrival at the owner of a pool, which Incarnation.AgeMS does not
+// count.
+const moverDelay = 250 * time.Millisecond
+
 // EndVM handles the end of a VM's incarnation that the inventory shows. It releases its runs long before their
 // leases expire.
 func (s *Scheduler) EndVM(now time.Time, e site.Incarnation) {
@@ -16,10 +20,16 @@
 		return
 	}
 	s.loseVM(now, v, true, "its machine is down")
-	s.releaseAnswered(v, "machine is down")
+	shown := now
+	if e.AgeMS > 0 {
+		shown = now.Add(-time.Duration(e.AgeMS)*time.Millisecond - moverDelay)
+	}
+	s.releaseFormer(v, "machine is down", shown)
 	v.ended, v.endedAt, v.polled = true, now, false
 	s.endWait(now, v.ID, waitDown)
-	s.unrecordVM(v)
+	if len(v.runs) == 0 { // those that are left may be on a later incarnation
+		s.unrecordVM(v)
+	}
 }
 
 // maxAwaited is the largest number of VMs in Report.Awaited.
@@ -67,6 +77,7 @@
 		s.forgotten[v.ID] = v.polls
 	}
 	delete(s.vms, v.ID)
+	s.forgetLongLease(v.ID)
 	s.endWait(now, v.ID, waitGone)
 	s.unrecordVM(v)
 }
@@ -87,14 +98,3 @@
 	}
 	v.orphans = map[string]int64{}
 }
-
-// releaseAnswered releases the runs of a VM but those whose start orders are under way.
-func (s *Scheduler) releaseAnswered(v *vm, why string) {
-	for _, r := range slices.Backward(v.runList) {
-		if !r.startInFlight {
-			s.stats.Lost++
-			s.releaseRun(r, why)
-		}
-	}
-	v.orphans = map[string]int64{}
-}
--- a/internal/sched/flush.go
+++ b/internal/sched/flush.go
@@ -51,6 +51,10 @@
 			return nil, err
 		}
 	}
+	leases, err := s.longLeasesRecord(now)
+	if err != nil {
+		return nil, err
+	}
 	tombstones := s.dropFinalJobs(now)
 	f := &Flush{Records: slices.Clone(tombstones), tombstones: tombstones, states: map[string]jobs.State{}, lost: map[string]int{}}
 	size, deferred := 0, 0
@@ -84,6 +88,7 @@
 			f.recordedVMs = append(f.recordedVMs, id)
 		}
 	}
+	f.Records = append(f.Records, leases...)
 	for _, v := range s.vms {
 		if seq := s.lastAcknowledgeable(v); seq > v.storedSeq {
 			f.cursors = append(f.cursors, Cursor{VM: v.ID, Incarnation: v.Born, Sequence: seq})
@@ -193,7 +198,7 @@
 // FlushRefused records that the job log has stored nothing of a flush.
 func (s *Scheduler) FlushRefused(f *Flush) {
 	s.refusedTombstones = append(s.refusedTombstones, f.tombstones...)
-	s.recordedVMsDirty = true
+	s.recordedVMsDirty, s.longLeasesDirty = true, true
 	for _, id := range f.addedJobs {
 		if j := s.jobs[id]; j != nil {
 			j.flushing = false
--- a/internal/sched/fuzz_test.go
+++ b/internal/sched/fuzz_test.go
@@ -241,7 +241,7 @@
 			m.s.EndVM(m.now, site.Incarnation{VM: id, Born: v.born})
 		}
 		if earlier := m.earlier[id]; earlier != 0 && rapid.Bool().Draw(t, "late") {
-			m.s.EndVM(m.now, site.Incarnation{VM: id, Born: earlier})
+			m.s.EndVM(m.now, site.Incarnation{VM: id, Born: earlier, AgeMS: m.now.Sub(v.bornAt).Milliseconds()})
 		}
 	}
 }
--- a/internal/sched/handover.go
+++ b/internal/sched/handover.go
@@ -98,7 +98,7 @@
 // owner has not polled them: until such a poll, an earlier owner that does not know of the claim renews leases there.
 func (s *Scheduler) RestartVerification(now time.Time) {
 	for id := range s.unverified {
-		until := now.Add(s.policy.localDuration(s.policy.Lease) + leaseMargin + s.formerOwnerNotice)
+		until := s.afterLongLease(id, now.Add(s.policy.localDuration(s.policy.Lease)+leaseMargin+s.formerOwnerNotice))
 		s.unverified[id] = until
 		if v := s.vms[id]; v != nil && until.After(v.leasesEnd) {
 			v.leasesEnd = until
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -116,6 +116,9 @@
 	phase          phase
 	answeredAt     time.Time // when the last order was answered; polls begun later show its effect
 	confirmedAt    time.Time // when the VM first accepted or listed it; zero if it may not have begun
+	incarnation    int64     // of the VM that certainly has it, by its start; 0 if it may be an earlier or later one
+	onLater        bool      // a later incarnation of the VM than the known one has answered its start order
+	leaseEnd       time.Time // by which the lease has ended that its start order has granted; zero if its reply did not tell
 	lossCounted    bool      // the loss of a VM's incarnation counts against its task
 	heardAt        time.Time // when the VM had last answered a call before the start was ordered
 	nextStopAt     time.Time // no stop order is sent before this time
--- a/internal/sched/loss.go
+++ b/internal/sched/loss.go
@@ -121,7 +121,7 @@
 		lapsed := !ended || now.Sub(v.heardAt) >= s.policy.Lease
 		x.likely = s.blame(now, x.at, v, lapsed, lost)
 		for _, r := range v.runList {
-			r.lossCounted = true
+			r.lossCounted = r.lossCounted || !r.onLater
 		}
 	}
 	s.checkLostTogether(now, x)
@@ -139,8 +139,8 @@
 func (s *Scheduler) tasksOn(v *vm) []lostTask {
 	var list []lostTask
 	for _, r := range v.runList {
-		if r.lossCounted && r.confirmedAt.IsZero() {
-			continue // its start order is still under way after the loss of an earlier incarnation
+		if r.onLater || (r.lossCounted && r.confirmedAt.IsZero()) {
+			continue // its start order has reached a later incarnation, or is still under way after the loss of an earlier one
 		}
 		list = append(list, lostTask{r.task, r.startedAt, !r.confirmedAt.IsZero()})
 	}
--- a/internal/sched/model_test.go
+++ b/internal/sched/model_test.go
@@ -36,6 +36,7 @@
 	delayed       []delayedOrder
 	latePolls     []latePoll
 	verify        map[string]bool // VMs whose last poll got no reply
+	cut           map[string]bool // VMs that calls do not reach
 	ackedDone     map[string]bool // tasks with a done run whose end was acknowledged
 	ackedFailures map[string]int  // number of acknowledged failed runs, by task
 	ackedCancels  map[string]bool // jobs whose cancellation was acknowledged
@@ -55,7 +56,7 @@
 
 func newModel(t *rapid.T, copies bool) *model {
 	m := &model{
-		t: t, now: at(0), copies: copies, earlier: map[string]int64{}, copyOrders: map[string]int64{}, vms: map[string]*simVM{}, jobLog: map[string][]byte{}, verify: map[string]bool{},
+		t: t, now: at(0), copies: copies, earlier: map[string]int64{}, copyOrders: map[string]int64{}, vms: map[string]*simVM{}, jobLog: map[string][]byte{}, verify: map[string]bool{}, cut: map[string]bool{},
 		ackedDone: map[string]bool{}, ackedFailures: map[string]int{}, ackedCancels: map[string]bool{}, done: map[string]bool{}, jobs: map[string]*jobs.Job{}, shown: map[string]bool{}, accepted: map[string]bool{}, told: true,
 	}
 	m.s = m.newScheduler(1)
@@ -135,6 +136,12 @@
 	if v == nil || !v.up || v.born != o.born {
 		return site.Accepted, site.ErrNotDone
 	}
+	if m.cut[o.vm] {
+		return site.Accepted, errNoAnswer
+	}
+	if o.start != nil {
+		o.start.ClockMS = v.clock(m.now)
+	}
 	if o.fence < v.fence {
 		return site.RefusedFence, nil
 	}
@@ -150,7 +157,7 @@
 }
 
 func (m *model) start(v *simVM, o *site.Start) site.Refusal {
-	v.renew(m.now, o.UntilMS)
+	v.renew(m.now, min(o.UntilMS, v.clock(m.now)+testPolicy().MaxLease.Milliseconds()))
 	run, runs := v.running[o.Task]
 	switch {
 	case o.UntilMS <= v.clock(m.now):
@@ -321,7 +328,7 @@
 	}
 	pollStart := m.now
 	m.advance(10 * time.Millisecond)
-	if !v.up {
+	if !v.up || m.cut[id] {
 		m.verify[id] = true
 		m.s.HandlePollFailure(m.now, id, errors.New("no answer"))
 		return
@@ -330,12 +337,7 @@
 		m.s.HandlePollFailure(m.now, id, site.ErrFenced)
 		return
 	}
-	status := &site.VMStatus{ClockMS: v.clock(m.now), Born: v.born, Answers: nextPoll}
-	for name, run := range v.running {
-		status.Running = append(status.Running, site.Run{Task: name, Run: run, Percent: 50})
-	}
-	status.Ended = append(status.Ended, v.ends[:min(len(v.ends), maxSimEnds)]...)
-	status.EndsCut = len(status.Ended) == maxSimEnds
+	status := m.status(v, nextPoll)
 	if rapid.IntRange(0, 5).Draw(t, "lost look") == 0 {
 		m.verify[id] = true
 		m.s.HandlePollFailure(m.now, id, errors.New("no answer"))
@@ -345,6 +347,17 @@
 	m.s.HandlePoll(m.now, id, pollStart, status)
 }
 
+// status returns what a VM answers to a status poll.
+func (m *model) status(v *simVM, p site.StatusPoll) *site.VMStatus {
+	status := &site.VMStatus{ClockMS: v.clock(m.now), Born: v.born, Answers: p}
+	for name, run := range v.running {
+		status.Running = append(status.Running, site.Run{Task: name, Run: run, Percent: 50})
+	}
+	status.Ended = append(status.Ended, v.ends[:min(len(v.ends), maxSimEnds)]...)
+	status.EndsCut = len(status.Ended) == maxSimEnds
+	return status
+}
+
 // carryOutPoll carries a status poll out, unless the VM has seen a higher fencing token.
 func (m *model) carryOutPoll(v *simVM, p *site.StatusPoll) bool {
 	if p.Fence < v.fence {
--- a/internal/sched/observe.go
+++ b/internal/sched/observe.go
@@ -42,16 +42,23 @@
 // VMsReadAt sets when the VM list that SetVMs passed was read, if that was some time ago.
 func (s *Scheduler) VMsReadAt(at time.Time) { s.listReceivedAt = at }
 
-// handleNewIncarnation releases the runs of a VM's earlier incarnation. A start order
-// in flight may reach the new incarnation, which cannot tell that it was meant for the
-// earlier one, so its run stays until the reply and a later poll are known.
+// handleNewIncarnation releases the runs that the VM's earlier incarnation certainly had. A start order that was sent to it
+// may have reached the new one, which has the same ID, so the run stays until a poll of the new one shows whether it has it.
 func (s *Scheduler) handleNewIncarnation(now time.Time, v *vm, born int64) {
 	s.loseVM(now, v, true, "VM restarted")
-	s.releaseAnswered(v, "VM restarted")
+	s.releaseFormer(v, "VM restarted", time.Time{})
 	s.awaitLateCalls(now, v)
+	s.awaitFormerStarts(now, v)
+	s.recordedVMsDirty = s.recordedVMsDirty || s.recordedVMs[v.ID] // the next owner compares the incarnations
 	v.Born, v.seenSeq, v.storedSeq, v.ackedSeq, v.polled, v.ended, v.endsCut = born, 0, 0, 0, false, false, false
-	v.clockMS, v.clockAt, v.failedAt, v.lapsed = 0, time.Time{}, time.Time{}, false
+	v.clockMS, v.clockAt, v.firstClockMS, v.polledAt, v.failedAt, v.lapsed = 0, time.Time{}, 0, time.Time{}, time.Time{}, false
 	v.restartedAt = now
+	for _, r := range v.runList {
+		if !r.onLater {
+			r.confirmedAt = time.Time{} // the present incarnation may not have begun it
+		}
+		r.onLater = false
+	}
 	v.quarantinedUntil, v.probation, v.consecutiveFailures, v.quarantineTime, v.speed = time.Time{}, false, 0, 0, 0
 	v.unreadableEnds = nil
 }
@@ -74,17 +81,23 @@
 // whose sequence numbers begin anew, and renews its leases.
 func (s *Scheduler) awaitLateCalls(now time.Time, v *vm) {
 	v.leasesEnd, v.lateAckUntil = time.Time{}, time.Time{}
-	if len(v.runs) > 0 {
-		v.leasesEnd = now.Add(s.policy.localDuration(s.policy.MaxLease))
+	s.forgetLongLease(v.ID)
+	for _, r := range v.runList {
+		until := r.leaseEnd
+		if until.IsZero() || r.startInFlight || r.phase == startUnverified {
+			until = now.Add(s.policy.localDuration(s.policy.MaxLease))
+		}
+		v.leasesEnd = latest(v.leasesEnd, until)
 	}
 	if until := v.polls.renewals.lastInDoubt().Add(s.policy.LateCall); until.After(now) {
-		v.leasesEnd = until.Add(s.policy.localDuration(s.policy.MaxLease))
+		v.leasesEnd = latest(v.leasesEnd, until.Add(s.policy.localDuration(s.policy.MaxLease)))
 	}
 	if until := v.polls.acks.lastInDoubt().Add(s.policy.LateCall); until.After(now) {
 		v.lateAckUntil = until
 		s.log.WithFields(logrus.Fields{"vm": v.ID, "pool": v.Pool, "for-ms": until.Sub(now).Milliseconds()}).Info("VM restarted under its ID; it gets no runs while it may still carry out an acknowledgement that was sent to its earlier incarnation")
 	}
 	v.polls = vmPolls{}
+	s.noteLongLease(now, v)
 }
 
 // NextPoll returns the next status poll of a VM. With verify, which is set after a failed
@@ -128,6 +141,9 @@
 		s.handleNewIncarnation(now, v, status.Born)
 	}
 	v.clockMS, v.clockAt, v.lastAnswer, v.heardAt, v.pollFailed, v.failedAt = status.ClockMS, now, now, now, false, time.Time{}
+	if v.polledAt = pollStart; v.firstClockMS == 0 {
+		v.firstClockMS = status.ClockMS
+	}
 	v.settlePolls(status)
 	if v.lapsed || !v.polled { // a loss of this incarnation, also one that an earlier owner has recorded, was none: it was cut off
 		v.lapsed = false
@@ -161,6 +177,7 @@
 // adopted is an orphan run.
 func (s *Scheduler) handleListedRun(now time.Time, v *vm, x *site.Run) {
 	if r := v.runs[x.Task]; r != nil && r.number == x.Run {
+		r.incarnation, r.onLater = v.Born, false
 		s.updateProgress(now, r, x)
 		return
 	}
@@ -205,7 +222,7 @@
 	case x.Run < t.lastRun && !s.mayBeCopy(t, x):
 		return "a later run has been seen"
 	}
-	r := &run{task: t, name: x.Task, spec: t.step.Step, vm: v, number: x.Run, phase: working, answeredAt: now, confirmedAt: now, startedAt: s.losses.presumedStart(now, v.ID, x.Task), progressAt: now, speedPercent: 100, adopted: true}
+	r := &run{task: t, name: x.Task, spec: t.step.Step, vm: v, number: x.Run, phase: working, answeredAt: now, confirmedAt: now, startedAt: s.losses.presumedStart(now, v.ID, x.Task), progressAt: now, speedPercent: 100, adopted: true, incarnation: v.Born}
 	t.lastRun = max(t.lastRun, x.Run)
 	t.addRun(r)
 	t.markCopy()
--- a/internal/sched/replies.go
+++ b/internal/sched/replies.go
@@ -34,8 +34,11 @@
 	if accepted {
 		r.confirm(now)
 	}
+	if err == nil {
+		s.readOrderClock(now, v, r, a)
+	}
 	switch {
-	case v.ended:
+	case v.ended && (!accepted || r.incarnation == v.Born || a.ClockMS == 0):
 		s.stats.Lost++
 		s.settleLost(r, accepted, notBegun)
 		s.releaseRun(r, "machine is down")
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -17,9 +17,10 @@
 
 // Keys and key prefixes of the records in the job log; see also handoverKey and runTimesKey.
 const (
-	jobKeyPrefix      = "j/"  // followed by the job ID; holds the job, which never changes
-	progressKeyPrefix = "p/"  // followed by the job ID; holds the progress of the job
-	vmsKey            = "vms" // VMs that may hold runs of this partition
+	jobKeyPrefix      = "j/"          // followed by the job ID; holds the job, which never changes
+	progressKeyPrefix = "p/"          // followed by the job ID; holds the progress of the job
+	longLeasesKey     = "long-leases" // leases that may be longer than usual
+	vmsKey            = "vms"         // VMs that may hold runs of this partition
 )
 
 // Scheduler holds the jobs of one partition of the job log and the VMs of their pools.
@@ -44,6 +45,8 @@
 	formerOwnerNotice  time.Duration            // for which the former owner may go on renewing these leases after a claim; 0 if it has ended
 	recordedVMs        map[string]bool          // VMs that the record under vmsKey has to name
 	recordedVMsDirty   bool                     // recordedVMs has changed since it was last flushed
+	longLeases         map[string]time.Time     // ends of leases that may be longer than Policy.Lease, by VM
+	longLeasesDirty    bool                     // longLeases has changed since it was last flushed
 	accounts           map[string]*site.Account // of the configuration, by name
 	unguarded          map[string]bool          // pools whose VMs start what exceeds their capacity
 	meanWeight         float64                  // of the accounts
@@ -138,7 +141,7 @@
 	return &Scheduler{
 		Epoch: epoch, policy: p, log: log,
 		jobs: map[string]*job{}, live: map[string]*job{}, vms: map[string]*vm{}, listed: map[string]bool{}, forgotten: map[string]vmPolls{}, pools: map[string]*pool{}, queues: map[string]*queueStats{},
-		unreadable: map[string]*jobs.Job{}, unverified: map[string]time.Time{}, recordedVMs: map[string]bool{}, offeredAt: map[string]offer{},
+		unreadable: map[string]*jobs.Job{}, unverified: map[string]time.Time{}, recordedVMs: map[string]bool{}, longLeases: map[string]time.Time{}, offeredAt: map[string]offer{},
 		buckets: map[string]*fair.Bucket{}, round: 1, losses: newLosses(), encode: jobs.EncodeProgress,
 	}
 }
@@ -160,6 +163,7 @@
 			s.restoreFailed(now, r, err)
 		}
 	}
+	s.awaitLongLeases()
 	if _, unlisted := s.unverified[unlistedVMs]; unlisted {
 		s.inherited = nil // it names VMs of the list
 	}
@@ -210,6 +214,8 @@
 			return err
 		}
 		s.applyQueueRecords(*list)
+	case r.Key == longLeasesKey:
+		return s.restoreLongLeases(now, r.Value)
 	case r.Key == vmsKey:
 		list, err := jobs.Decode[[]recordedVM](r.Value)
 		if err != nil {
--- a/internal/sched/trial.go
+++ b/internal/sched/trial.go
@@ -334,7 +334,7 @@
 func (s *Scheduler) clearOutlived(v *vm, pollStart time.Time) {
 	for _, r := range v.runList {
 		t, age := r.task, pollStart.Sub(r.confirmedAt)
-		if r.phase != working || r.endUnknown || (len(t.crashes) == 0 && t.cleared == 0) {
+		if r.phase != working || r.confirmedAt.IsZero() || r.endUnknown || (len(t.crashes) == 0 && t.cleared == 0) {
 			continue
 		}
 		if n := len(t.crashes); n > 0 && age >= t.crashes.ClearedAfter() {
--- a/internal/sched/unlisted.go
+++ b/internal/sched/unlisted.go
@@ -34,7 +34,7 @@
 		r.endUnknown, r.availableSince = true, time.Time{}
 		switch {
 		case v.endsCut:
-		case r.phase == working && r.missedAt.IsZero():
+		case r.phase == working && r.missedAt.IsZero() && !r.confirmedAt.IsZero():
 			r.missedAt = now
 			s.emit(PollVM{VM: v.ID})
 		case r.phase != working || pollStart.After(r.missedAt):
@@ -58,7 +58,7 @@
 	if _, unverified := s.unverified[v.ID]; !unverified {
 		return
 	}
-	until := now.Add(s.policy.localDuration(s.policy.Lease) + leaseMargin)
+	until := s.afterLongLease(v.ID, now.Add(s.policy.localDuration(s.policy.Lease)+leaseMargin))
 	if v.leasesEnd.After(until) { // earlier owners have renewed none since the answer
 		v.leasesEnd = until
 	}
--- a/internal/sched/vm.go
+++ b/internal/sched/vm.go
@@ -34,6 +34,8 @@
 	orphans             map[string]int64 // numbers of runs that this owner does not track, by task name
 	clockMS             int64            // the VM's clock at clockAt; 0 before the first poll
 	clockAt             time.Time        // when clockMS was received
+	firstClockMS        int64            // the VM's clock at the first answer of its incarnation
+	polledAt            time.Time        // when the poll was sent that was last answered; its incarnation was up after that
 	lastAnswer          time.Time        // when a poll was last answered
 	heardAt             time.Time        // when a poll or an order was last answered; zero if none was
 	leasesEnd           time.Time        // by then all leases granted so far have expired, on the local clock
@@ -206,8 +208,9 @@
 // one that is granted now.
 func (s *Scheduler) FormerOwnerHasEnded(now time.Time) {
 	s.formerOwnerNotice = 0
-	last := now.Add(s.policy.localDuration(s.policy.Lease) + leaseMargin)
+	usual := now.Add(s.policy.localDuration(s.policy.Lease) + leaseMargin)
 	for id, until := range s.unverified {
+		last := s.afterLongLease(id, usual)
 		if !until.After(last) {
 			continue
 		}
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -97,6 +97,8 @@
 type Incarnation struct {
 	VM   string
 	Born int64 // its start, Unix milliseconds
+	// AgeMS is how long ago, in ms, the inventory was read that shows its end; 0 if that is not known.
+	AgeMS int64
 }
 
 // VMStatus is a VM's answer to a status poll.
