--- a/internal/sched/rebirth_test.go
+++ b/internal/sched/rebirth_test.go
@@ -185,3 +185,28 @@
 		})
 	}
 }
+
+// TestUnansweredStartOfEarlierLife guards against a task that starts a second time beside its first run: a start order that was
+// not answered was carried out by a later incarnation of its VM, of which no owner hears before the VM is cut off.
+func TestUnansweredStartOfEarlierLife(t *testing.T) {
+	const reboot, order, cut, takeover = 400, 500, 600, 900
+	for _, nextOwner := range []bool{false, true} {
+		r := &rebornVM{fixture: newFixture(t, testVM("a")), simVM: &simVM{id: "a"}}
+		r.reboot(-60_000, 1)
+		r.pollOnce(100, false)
+		r.reboot(reboot, 2)
+		r.submit(order-10, testJob(jobID, jobs.Step{Count: 1, CPU: 1000, EstimateMS: 60_000}))
+		x := r.orderOne(order)
+		r.renew(at(order+5), min(x.Order.UntilMS, r.clock(at(order+5))+testPolicy().MaxLease.Milliseconds()))
+		r.s.HandleStart(at(cut), &x, site.Accepted, errNoAnswer)
+		r.flush(cut)
+		r.s.SetVMs(at(cut), listed(1))
+		from := cut
+		if nextOwner {
+			from = takeover
+			r.takeover(takeover, testVM("b"))
+		}
+		started := r.awaitStart(from, nil)
+		assert.Check(t, !at(started).Before(r.lease), "next owner: %t; starts %s before the lease of its first run ends", nextOwner, r.lease.Sub(at(started)))
+	}
+}
