sched: a run that was answered before its VM's end was seen is not doubtful

Cause: the end of a VM in the inventory counted as 250 ms older than the mover's call says, for the time of the call.

Change: the age counts as the call says. A row of TestCrashesAreNotTakenForRebirths, of a VM that had just begun, fails without the change.

--- a/internal/sched/ended.go
+++ b/internal/sched/ended.go
@@ -8,23 +8,15 @@
 	"github.com/greengagelane/greengagelane/pkg/site"
 )
 
-// moverDelay bounds the time from the mover's call to its arrival at the owner of a pool, which Incarnation.AgeMS does not
-// count.
-const moverDelay = 250 * time.Millisecond
-
 // EndVM handles the end of a VM's incarnation that the inventory shows. It releases its runs long before their
-// leases expire.
+// leases expire. A later incarnation is taken not to have answered a start within the time of the mover's call.
 func (s *Scheduler) EndVM(now time.Time, e site.Incarnation) {
 	v := s.vms[e.VM]
 	if v == nil || v.Born != e.Born || v.ended {
 		return
 	}
 	s.loseVM(now, v, true, "its machine is down")
-	shown := now
-	if e.AgeMS > 0 {
-		shown = now.Add(-time.Duration(e.AgeMS)*time.Millisecond - moverDelay)
-	}
-	s.releaseFormer(v, "machine is down", shown)
+	s.releaseFormer(v, "machine is down", now.Add(-time.Duration(e.AgeMS)*time.Millisecond))
 	v.ended, v.endedAt, v.polled = true, now, false
 	s.endWait(now, v.ID, waitDown)
 	if len(v.runs) == 0 { // those that are left may be on a later incarnation
--- a/internal/sched/rebirth_test.go
+++ b/internal/sched/rebirth_test.go
@@ -154,6 +154,7 @@
 		{"down", 60_000, down, false, false},
 		{"down, listed by a poll", 60_000, down, true, false},
 		{"down, one second old", 1000, down, false, false},
+		{"down, just begun", 0, down, false, false},
 		{"restarted", 60_000, restarted, false, false},
 		{"restarted, listed by a poll", 1000, restarted, true, false},
 		{"restarted and back, just begun", 0, restarted, false, true},
