review: case 11, an entry runs out of descriptors as machines move

Cause: the first sender of a VM's session outlives it, with an open connection, until the partition passes on.

--- a/review/stand3/cases.go
+++ b/review/stand3/cases.go
@@ -49,7 +49,7 @@
 }
 
 func (l *lab) completed(id string) bool {
-	return strings.Contains(l.show(l.entries[0], id), "completed")
+	return strings.Contains(l.show(l.entries[0], service+"/"+id), "completed")
 }
 
 // playCancel cancels a job while its worker leaves calls unanswered, and checks that none of its work units starts later
@@ -297,16 +297,15 @@
 	return nil
 }
 
-// playReborn cuts one of several workers off, restarts it under its ID behind the cut, and checks that no two runs of a work
-// unit go on at the same time.
+// playReborn lets one of several workers crash, silently, as a job is handed in, brings it back under its ID after some
+// seconds, and checks that no two runs of a work unit go on at the same time.
 func playReborn(l *lab) error {
 	const (
 		job     = "00000000000000f1"
 		units   = 60
-		cutFor  = 5400 * time.Millisecond
-		crashAt = 4800 * time.Millisecond // the leases on the worker have ended before
+		darkFor = 5 * time.Second
 	)
-	workers, err := l.addMachines(6, "a", true)
+	workers, err := l.addMachines(8, "a", true)
 	if err != nil {
 		return err
 	}
@@ -317,23 +316,18 @@
 	l.onStart = l.checkTwice(workers)
 	w := workers[0] // an empty pool fills its workers one after the other
 	if l.trouble {
-		l.record("worker %s is cut off", w.id)
 		w.gate.set(true)
+		w.end("crash, dark")
 	}
-	cutAt, cutEnds := time.Now(), time.After(cutFor)
+	back := time.After(darkFor)
 	if got := l.submit(l.entries[1], job, &step{Count: units, CPU: 1000, MemMB: 500, EstimateMS: 20_000}); got != http.StatusOK {
 		return fmt.Errorf("the job was not accepted: %d", got)
 	}
-	time.Sleep(crashAt - time.Since(cutAt))
+	<-back
 	if l.trouble {
-		w.end("crash behind the cut")
 		if err := w.boot(); err != nil {
 			return err
 		}
-	}
-	<-cutEnds
-	if l.trouble {
-		l.record("worker %s is not cut off any more", w.id)
 		w.gate.set(false)
 	}
 	time.Sleep(8 * time.Second)
@@ -355,3 +349,54 @@
 		}()
 	}
 }
+
+// playMoved lets a worker fall silent and brings it back under its ID at another address, and checks that the work units of a
+// job that was handed in meanwhile run in the end.
+func playMoved(l *lab) error {
+	const (
+		job      = "0000000000000fa1"
+		units    = 40
+		silence  = 2 * time.Second
+		finishIn = 14 * time.Second // finish_s
+		idleFor  = 3 * time.Second
+	)
+	workers, err := l.addMachines(8, "a", true)
+	if err != nil {
+		return err
+	}
+	if err := l.begin(3, &step{Count: 2, CPU: 1000, MemMB: 100, EstimateMS: 300}); err != nil {
+		return err
+	}
+	time.Sleep(4 * time.Second)
+	w := workers[0] // an empty pool fills its workers one after the other
+	if l.trouble {
+		l.record("worker %s falls silent", w.id)
+		w.gate.set(true)
+	}
+	if got := l.submit(l.entries[1], job, &step{Count: units, CPU: 1000, MemMB: 500, EstimateMS: 1000}); got != http.StatusOK {
+		return fmt.Errorf("the job was not accepted: %d", got)
+	}
+	time.Sleep(silence)
+	if l.trouble {
+		w.end("crash")
+		if err := w.bootElsewhere(); err != nil {
+			return err
+		}
+	}
+	time.Sleep(finishIn)
+	idleSince := time.Now()
+	for end := time.Now().Add(3 * idleFor); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		running := 0
+		for _, w := range workers {
+			running += len(w.runs())
+		}
+		if running > 0 || l.completed(job) {
+			idleSince = time.Now()
+		}
+		if time.Since(idleSince) > idleFor {
+			l.fail("job %s is not completed, and none of its work units has run for %s, though all workers are idle: %s", job, idleFor, l.show(l.entries[0], service+"/"+job))
+			break
+		}
+	}
+	return nil
+}
--- a/review/stand3/lab.go
+++ b/review/stand3/lab.go
@@ -31,9 +31,12 @@
 	cloud   *cloud
 	entries []*entry
 	trouble bool
-	dir     string // of the settings and logs
-	startAt time.Time
-	servers []*http.Server
+	files   int // limit of the descriptors of an entry; 0 for none
+	// ordersPerS is dutyPerS of the settings.
+	ordersPerS int
+	dir        string // of the settings and logs
+	startAt    time.Time
+	servers    []*http.Server
 
 	mu       sync.Mutex
 	out      *os.File
@@ -59,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &lab{store: emul.NewStore(partitions), out: out, dir: dir, trouble: os.Getenv("TROUBLE") != "0", startAt: time.Now(), units: map[string][]unit{}}
+	l := &lab{store: emul.NewStore(partitions), out: out, dir: dir, trouble: os.Getenv("TROUBLE") != "0", startAt: time.Now(), units: map[string][]unit{}, ordersPerS: 64}
 	l.cloud = &cloud{lab: l, machines: map[string]*machine{}}
 	return l, nil
 }
@@ -139,17 +142,17 @@
 	return ln.Addr().String(), nil
 }
 
-// configure writes the operator's configuration: a queue q whose jobs a service runs. There is no spare pool, so that no
-// machine is moved.
-func (l *lab) configure(service string) error {
-	data, err := json.Marshal(map[string]any{
-		"version": 1,
-		"routes": []map[string]any{{
-			"name": "q", "host": host, "pathPrefix": "/q/", "service": service, "timeoutMs": 3000, "targetRuntimeMs": 600, "priority": 0, "maxAttempts": 3, "stretch": 1.6,
-		}},
-		"services": []map[string]any{{"name": service, "rejectsOverload": true}},
-		"limits":   map[string]any{"maxBodyBytes": 262144},
-	})
+// configure writes the operator's configuration: services, each with a queue of its name whose jobs it runs. There is no
+// spare pool.
+func (l *lab) configure(services ...string) error {
+	routes, rows := []map[string]any{}, []map[string]any{}
+	for _, name := range services {
+		routes = append(routes, map[string]any{
+			"name": name, "host": host, "pathPrefix": "/" + name + "/", "service": name, "timeoutMs": 3000, "targetRuntimeMs": 600, "priority": 0, "maxAttempts": 3, "stretch": 1.6,
+		})
+		rows = append(rows, map[string]any{"name": name, "rejectsOverload": true, "spare": false})
+	}
+	data, err := json.Marshal(map[string]any{"version": 1, "routes": routes, "services": rows, "limits": map[string]any{"maxBodyBytes": 262144}})
 	if err == nil {
 		l.store.Put("keyed.op", "config", data)
 	}
@@ -181,7 +184,7 @@
 		settings, err := json.Marshal(map[string]any{
 			"entry": e.name, "data-centre": "z1", "ip": "127.0.0.1", "ports": ports[:2], "callers": e.callers, "ready": e.ready,
 			"log":   map[string]any{"address": logAddress, "partitions": partitions, "record-bytes": 262144, "call-bytes": 2097152, "min-ttl-ms": 1000},
-			"fleet": map[string]any{"address": cloudAddress, "orders-per-s": 64}, "advice": map[string]any{"address": ""}, "cores": 0.4,
+			"fleet": map[string]any{"address": cloudAddress, "orders-per-s": l.ordersPerS}, "advice": map[string]any{"address": ""}, "cores": 0.4,
 			"bounds": map[string]any{
 				"hold-ms": maxHold.Milliseconds(), "stop-grace-ms": 400, "capacity-notice-ms": 3000, "shutdown-grace-s": 6, "keep-final-s": 120,
 				"move-s": moveTime.Seconds(), "turn-ms": 3000,
@@ -198,6 +201,9 @@
 			return err
 		}
 		e.cmd = exec.Command("target/greengagelane", "schedule")
+		if l.files > 0 {
+			e.cmd = exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d && exec target/greengagelane schedule", l.files))
+		}
 		e.cmd.Env = append(os.Environ(), "GREENGAGELANE_CONFIG="+file)
 		e.cmd.Stdout, e.cmd.Stderr = e.log, e.log
 		e.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -245,6 +251,9 @@
 	Requires   string `json:"requires,omitempty"`
 	Lasts      bool   `json:"longRunning,omitempty"`
 	MayMiss    int    `json:"mayMiss,omitempty"`
+	PerWorker  int    `json:"antiAffinity,omitempty"`
+
+	queue string // of the job; the first one if it is empty
 }
 
 // submit hands a job of one step in at an entry and returns the status of the response, 0 without one.
@@ -256,14 +265,21 @@
 	if err != nil {
 		return 0
 	}
-	return l.call(e, http.MethodPost, id, body)
+	queue := s.queue
+	if queue == "" {
+		queue = service
+	}
+	return l.call(e, http.MethodPost, queue+"/"+id, body)
 }
 
-func (l *lab) cancel(e *entry, id string) int { return l.call(e, http.MethodDelete, id, nil) }
+func (l *lab) cancel(e *entry, id string) int {
+	return l.call(e, http.MethodDelete, service+"/"+id, nil)
+}
 
-func (l *lab) call(e *entry, method, id string, body []byte) int {
+// call makes a call for a job, at the path of its queue and ID.
+func (l *lab) call(e *entry, method, path string, body []byte) int {
 	const timeout = 3 * time.Second
-	req, err := http.NewRequest(method, "http://"+e.callers+"/q/"+id, bytes.NewReader(body))
+	req, err := http.NewRequest(method, "http://"+e.callers+"/"+path, bytes.NewReader(body))
 	if err != nil {
 		return 0
 	}
@@ -273,12 +289,12 @@
 	c := http.Client{Timeout: timeout}
 	res, err := c.Do(req)
 	if err != nil {
-		l.record("client %s %s at %s: %v", method, id, e.name, err)
+		l.record("client %s %s at %s: %v", method, path, e.name, err)
 		return 0
 	}
 	defer res.Body.Close()
 	text, _ := io.ReadAll(res.Body)
-	l.record("client %s %s at %s: %d %s", method, id, e.name, res.StatusCode, bytes.TrimSpace(text))
+	l.record("client %s %s at %s: %d %s", method, path, e.name, res.StatusCode, bytes.TrimSpace(text))
 	return res.StatusCode
 }
 
@@ -298,14 +314,15 @@
 	}
 }
 
-// show returns the body of the response to a GET for a job.
-func (l *lab) show(e *entry, id string) string {
-	req, err := http.NewRequest(http.MethodGet, "http://"+e.callers+"/q/"+id, nil)
+// show returns the body of the response to a GET for a job, at the path of its queue and ID; empty without a response.
+func (l *lab) show(e *entry, path string) string {
+	req, err := http.NewRequest(http.MethodGet, "http://"+e.callers+"/"+path, nil)
 	if err != nil {
 		return ""
 	}
 	req.Host = host
-	c := http.Client{Timeout: time.Second}
+	req.Close = true
+	c := http.Client{Timeout: 3 * time.Second}
 	res, err := c.Do(req)
 	if err != nil {
 		return ""
--- a/review/stand3/worker.go
+++ b/review/stand3/worker.go
@@ -14,6 +14,7 @@
 
 const (
 	heartbeat    = 1500 * time.Millisecond // between two writes of a worker's record
+	silentBeats  = 3                       // after which a worker's record is removed
 	maxHold      = 10 * time.Second        // longest lease
 	startupTime  = 300 * time.Millisecond  // until a work unit that lasts is at work
 	stopTime     = 20 * time.Millisecond   // that a stop takes, well within stopGraceMs
@@ -84,9 +85,22 @@
 	mute bool // leaves all calls unanswered, and does nothing for them
 	// late tells for how long an order to start a run is on its way, 0 for no delay. A delayed one is not answered, and the
 	// boot that is up then carries it out.
-	late func(b *callBody) time.Duration
-	life *life // nil while it is down
-	seq  int64
+	late   func(b *callBody) time.Duration
+	life   *life // nil while it is down
+	seq    int64
+	beatAt time.Time // of the last heartbeat
+}
+
+// bootElsewhere starts a worker behind a gate under its ID at another address. Its former gate stays as it is.
+func (w *worker) bootElsewhere() error {
+	g, err := newGate()
+	if err != nil {
+		return err
+	}
+	w.mu.Lock()
+	w.gate, w.address = g, ""
+	w.mu.Unlock()
+	return w.boot()
 }
 
 // boot starts the worker under its ID and writes its record before it takes calls.
@@ -133,12 +147,24 @@
 	l.server.Close()
 	runs := slices.Collect(maps.Values(l.running))
 	w.lab.record("worker %s has ended (%s) with %d runs", w.id, why, len(runs))
+	time.AfterFunc(time.Until(w.beatAt.Add(silentBeats*heartbeat)), w.expire)
 	return runs
 }
 
+// expire removes the worker's record after some heartbeats of silence.
+func (w *worker) expire() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.life == nil && time.Since(w.beatAt) >= silentBeats*heartbeat {
+		w.lab.record("worker %s: its record is removed", w.id)
+		w.lab.store.Put("keyed.servers", w.id, nil)
+	}
+}
+
 // writeRecord writes the worker's record in the store; w.mu is held.
 func (w *worker) writeRecord() {
 	w.seq++
+	w.beatAt = time.Now()
 	address := w.address
 	if w.gate != nil {
 		address = w.gate.ln.Addr().String()
