review: case 15 is the cancelled job

Cause: AVAIL isn't among what counts; the start of a cancelled job's work units is. Change: the cancelled job takes the place of the outage of the machine list, whose scenario stays in the stand-in.

--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -3,4 +3,4 @@
 # disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/greengagelane ] && [ -x target/review-stand3 ] || exit 2
-exec target/review-stand3 cloud review/15
+exec target/review-stand3 cancel review/15
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -22,7 +22,7 @@
 func main() { os.Exit(run()) }
 
 func run() int {
-	cases := map[string]func(*lab) error{"cancel": playCancel, "kind": playKind, "cloud": playCloud, "late": playLate, "reborn": playReborn, "moved": playMoved, "files": playFiles}
+	cases := map[string]func(*lab) error{"cancel": playCancel, "kind": playKind, "cloud": playCloud, "late": playLate, "reborn": playReborn, "files": playFiles}
 	if len(os.Args) != argCount || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand3 CASE FOLDER")
 		return notRun
--- a/review/stand3/worker.go
+++ b/review/stand3/worker.go
@@ -91,18 +91,6 @@
 	beatAt time.Time // of the last heartbeat
 }
 
-// bootElsewhere starts a worker behind a gate under its ID at another address. Its former gate stays as it is.
-func (w *worker) bootElsewhere() error {
-	g, err := newGate()
-	if err != nil {
-		return err
-	}
-	w.mu.Lock()
-	w.gate, w.address = g, ""
-	w.mu.Unlock()
-	return w.boot()
-}
-
 // boot starts the worker under its ID and writes its record before it takes calls.
 func (w *worker) boot() error {
 	at := w.address
