review: case 11 with three entries, and by both parts of its rule

Cause: with more than one entry jobs get answers from the others; the ones of the pool stay queued. Change: the case runs three entries and asks for the last jobs first, for an answer and for something running.

--- a/review/stand3/files.go
+++ b/review/stand3/files.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -44,7 +45,6 @@
 		dutyPerS = 215
 		finishIn = 14 * time.Second // finish_s
 		asking   = 12 * time.Second
-		attempts = 3 // of a client that asks for a job
 	)
 	services := []string{service, other}
 	for i := range machines {
@@ -56,13 +56,12 @@
 		return err
 	}
 	l.files, l.ordersPerS = maxFds, dutyPerS
-	if err := l.startEntries(1); err != nil {
+	if err := l.startEntries(3); err != nil {
 		return err
 	}
 	if err := l.awaitReady(); err != nil {
 		return err
 	}
-	e := l.entries[0]
 	var mu sync.Mutex
 	var accepted []string // paths of jobs
 	var clients sync.WaitGroup
@@ -74,7 +73,7 @@
 		}
 		clients.Go(func() {
 			id := fmt.Sprintf("%016x", 0xd000000+n)
-			if l.submit(e, id, &step{Count: units, CPU: 16_000, MemMB: 100, EstimateMS: 400, queue: queue}) == http.StatusOK {
+			if l.submit(l.entries[n%len(l.entries)], id, &step{Count: units, CPU: 16_000, MemMB: 100, EstimateMS: 400, queue: queue}) == http.StatusOK {
 				mu.Lock()
 				accepted = append(accepted, queue+"/"+id)
 				mu.Unlock()
@@ -82,26 +81,83 @@
 		})
 		time.Sleep(interval)
 		if n%40 == 0 {
-			l.record("entry %s has %d descriptors open; %d workers have come since the start", e.name, e.openFiles(), l.cloud.lives())
+			l.recordFiles()
 		}
 	}
 	clients.Wait()
 	l.record("the traffic has ended; %d jobs were accepted", len(accepted))
 	time.Sleep(finishIn)
-	l.record("entry %s has %d descriptors open", e.name, e.openFiles())
-	for end := time.Now().Add(asking); time.Now().Before(end) && l.broken() == 0; { // jobs among those accepted
-		path := accepted[rand.IntN(len(accepted))]
-		state := ""
-		for range attempts {
-			if state = l.show(e, path); state != "" {
-				break
-			}
-		}
-		l.record("client GET %s: %s", path, strings.TrimSpace(state))
-		time.Sleep(interval)
-		if state == "" {
-			l.fail("job %s was accepted, and gets no answer %s after the end of the traffic", path, finishIn)
+	l.recordFiles()
+	end := time.Now().Add(asking)
+	for _, path := range slices.Backward(accepted) { // the last ones first
+		if time.Now().After(end) || l.broken() > 0 {
+			break
 		}
+		l.checkLost(path, machines)
 	}
 	return nil
 }
+
+// checkLost checks, finish_s after the end of the traffic, that an accepted job gets an answer, and that it doesn't go without
+// a run for 3 s while nearly all workers are idle.
+func (l *lab) checkLost(path string, machines int) {
+	const (
+		attempts = 3 // of a client that asks for a job
+		idleFor  = 3 * time.Second
+		tick     = 50 * time.Millisecond
+	)
+	ask := func() (state string) {
+		for k := 0; k < attempts && state == ""; k++ {
+			state = strings.TrimSpace(l.show(l.entries[rand.IntN(len(l.entries))], path))
+		}
+		l.record("client GET %s: %s", path, state)
+		return state
+	}
+	pending := func(state string) bool {
+		return strings.Contains(state, "queued") || strings.Contains(state, "running")
+	}
+	state := ask()
+	if state == "" {
+		l.fail("job %s was accepted, and gets no answer", path)
+		return
+	}
+	if !pending(state) {
+		return
+	}
+	_, id, _ := strings.Cut(path, "/")
+	for end := time.Now().Add(idleFor); time.Now().Before(end); time.Sleep(tick) {
+		if of, all := l.cloud.runsOf(id); of > 0 || all > machines/4 {
+			return
+		}
+	}
+	if state = ask(); pending(state) {
+		l.fail("job %s was accepted, is shown as %s, and has had nothing running for %s beside idle workers", path, state, idleFor)
+	}
+}
+
+// recordFiles records how many descriptors the entries have open.
+func (l *lab) recordFiles() {
+	var list []int
+	for _, e := range l.entries {
+		list = append(list, e.openFiles())
+	}
+	l.record("the entries have %d descriptors open; %d workers have come since the start", list, l.cloud.lives())
+}
+
+// runsOf counts the runs of a job and those of all jobs.
+func (c *cloud) runsOf(id string) (of, all int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, m := range c.machines {
+		if m.worker == nil {
+			continue
+		}
+		for _, r := range m.worker.runs() {
+			all++
+			if strings.HasPrefix(r.task, id+".") {
+				of++
+			}
+		}
+	}
+	return of, all
+}
