--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the cases in review/REPORT-3.md into target/.
 set -e
 cd "$(dirname "$0")/.."
-go build -o target/review-stand3 ./review/stand3
+go build -tags review -o target/review-stand3 ./review/stand3
--- a/review/stand3/cases.go
+++ b/review/stand3/cases.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -59,7 +61,7 @@
 		job      = "00000000000000c1"
 		overtime = 350 * time.Millisecond // beyond cancel_ms, for which the worker leaves calls unanswered
 	)
-	workers, err := l.addMachines(8, "a", false)
+	workers, err := l.addMachines(12, "a", false)
 	if err != nil {
 		return err
 	}
--- a/review/stand3/files.go
+++ b/review/stand3/files.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -124,14 +126,17 @@
 	if !pending(state) {
 		return
 	}
-	_, id, _ := strings.Cut(path, "/")
+	queue, id, _ := strings.Cut(path, "/")
+	most, least := 0, machines // of the service's workers that are in use at once, and that are up
 	for end := time.Now().Add(idleFor); time.Now().Before(end); time.Sleep(tick) {
-		if of, all := l.cloud.runsOf(id); of > 0 || all > machines/4 {
+		of, inUse, up := l.cloud.useOf(queue, id)
+		if of > 0 || 2*inUse >= up || up-inUse < 2 {
 			return
 		}
+		most, least = max(most, inUse), min(least, up)
 	}
 	if state = ask(); pending(state) {
-		l.fail("job %s was accepted, is shown as %s, and has had nothing running for %s beside idle workers", path, state, idleFor)
+		l.fail("job %s was accepted, is shown as %s, and has had nothing running for %s; of its service's workers %d were in use at most, and %d up at least", path, state, idleFor, most, least)
 	}
 }
 
@@ -144,20 +149,24 @@
 	l.record("the entries have %d descriptors open; %d workers have come since the start", list, l.cloud.lives())
 }
 
-// runsOf counts the runs of a job and those of all jobs.
-func (c *cloud) runsOf(id string) (of, all int) {
+// useOf counts the runs of a job, the workers of a service that run something, and those that are up.
+func (c *cloud) useOf(service, id string) (of, inUse, up int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, m := range c.machines {
-		if m.worker == nil {
+		if m.worker == nil || m.pool != service || m.state != "up" {
 			continue
 		}
-		for _, r := range m.worker.runs() {
-			all++
+		up++
+		runs := m.worker.runs()
+		if len(runs) > 0 {
+			inUse++
+		}
+		for _, r := range runs {
 			if strings.HasPrefix(r.task, id+".") {
 				of++
 			}
 		}
 	}
-	return of, all
+	return of, inUse, up
 }
--- a/review/stand3/lab.go
+++ b/review/stand3/lab.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command stand3 plays the cases of review/REPORT-3.md that are scripts: it starts stand-ins of the platform and its
 // workers on loopback, starts entries as processes, plays a scenario and checks one rule by what clients, workers and the
 // platform have seen.
