sched, drive: withdraw start orders that wait when their runs are released

Cause: a start order waits in the queue of its VM's session, whose senders give each order up to 0.8 s. Nothing asked at the moment of the attempt whether the scheduler still had the run. The next incarnation's clock begins anew, so it does not refuse such an order as late.

Change: each start order has a Dispatch, which its sender asks before each attempt. The scheduler closes it when it releases the run or the incarnation ends. An order closed before its first attempt has certainly not begun: its task starts elsewhere at once. Orders that wait for a VM that gets no new runs are withdrawn, and no start is sent once the owner's authority has ended.

Test drivers that stand for the sender ask the Dispatch as it does.

--- a/internal/drive/metrics.go
+++ b/internal/drive/metrics.go
@@ -37,6 +37,7 @@
 	add("stopped", current.Stopped-last.Stopped)
 	add("lost", current.Lost-last.Lost)
 	add("stalled", current.Stalled-last.Stalled)
+	add("withdrawn", current.Withdrawn-last.Withdrawn)
 	metrics.GetOrCreateCounter(`greengagelane_vms_lost_total`).Add(current.LostVMs - last.LostVMs)
 	metrics.GetOrCreateCounter(`greengagelane_jobs_given_up_total`).Add(current.GivenUp - last.GivenUp)
 	metrics.GetOrCreateCounter(`greengagelane_jobs_too_large_total`).Add(current.TooLarge - last.TooLarge)
--- a/internal/drive/session.go
+++ b/internal/drive/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -187,17 +188,21 @@
 	var clockMS int64
 	var err error
 	attempts := 0
-	for repeat := true; repeat && ctx.Err() == nil; {
+	for repeat := true; repeat && ctx.Err() == nil && s.mayAttempt(a); {
 		attempts++
 		sentAt, waited := time.Now(), link.Waited()
 		refusal, clockMS, err = s.sendOnce(link, a, s.calls.Timeout(sentAt.Sub(began)))
 		kindOfOrder(a).Add(time.Since(sentAt) - (link.Waited() - waited))
 		repeat = s.recordCall(err, time.Since(sentAt), attempts, time.Since(began))
 	}
-	orderDuration.UpdateDuration(began)
 	if ctx.Err() != nil {
 		return
 	}
+	if attempts == 0 {
+		err = errNotSent
+	} else {
+		orderDuration.UpdateDuration(began)
+	}
 	s.part.post(func(now time.Time) {
 		switch a := a.(type) {
 		case sched.StartRun:
@@ -211,6 +216,17 @@
 	})
 }
 
+// errNotSent is the result of an order that no longer holds when its turn comes.
+var errNotSent = fmt.Errorf("order not sent: %w", site.ErrNotDone)
+
+// mayAttempt reports whether an order still holds, right before an attempt to send it.
+func (s *vmSession) mayAttempt(a sched.Action) bool {
+	if x, ok := a.(sched.StartRun); ok {
+		return !s.part.authorityEnded(time.Now()) && x.Dispatch.Attempt()
+	}
+	return true
+}
+
 // pollNow polls the VM's status out of turn. As in a poll after a failed one, the VM does not delay its reply.
 func (s *vmSession) pollNow(ctx context.Context, link *platform.VMLink) {
 	if poll, ok := s.part.nextPoll(ctx, s.id, true); ok {
--- a/internal/sched/action.go
+++ b/internal/sched/action.go
@@ -19,6 +19,8 @@
 	Repeated bool
 	// ClockMS is set for HandleStart to the VM's clock in the reply, in ms; 0 if the reply does not tell.
 	ClockMS int64
+	// Dispatch is asked before each attempt. An order that it keeps from being sent at all gets no reply.
+	Dispatch *Dispatch
 }
 
 // StopRun stops a run. Its reply goes to Scheduler.HandleStop.
--- a/internal/sched/crash_load_test.go
+++ b/internal/sched/crash_load_test.go
@@ -258,6 +258,9 @@
 func (p *crashPlay) execute(now time.Time, a Action) {
 	switch x := a.(type) {
 	case StartRun:
+		if !x.Dispatch.Attempt() {
+			return
+		}
 		v := p.vms[x.VM]
 		if v == nil {
 			p.s.HandleStart(now, &x, site.Accepted, errors.New("no answer"))
--- a/internal/sched/crash_model_test.go
+++ b/internal/sched/crash_model_test.go
@@ -130,6 +130,9 @@
 	answered := rapid.IntRange(0, 3).Draw(t, "lost") > 0
 	switch a := a.(type) {
 	case StartRun:
+		if !a.Dispatch.Attempt() {
+			return
+		}
 		v := m.vms[a.VM]
 		if !v.up || m.cut[a.VM] {
 			m.s.HandleStart(m.now, &a, site.Accepted, errNoAnswer)
--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -14,6 +14,7 @@
 		return nil
 	}
 	s.awaitsTenure = false
+	s.withdrawHeld(now)
 	s.expireLeases(now)
 	s.unrecordDrainedVMs()
 	s.judge(now)
@@ -260,7 +261,7 @@
 // VM has enough free resources and deduct them from the candidate.
 func (s *Scheduler) start(now time.Time, t *task, v *vm, number int64) {
 	name := t.id.String()
-	r := &run{task: t, name: name, spec: t.step.Step, vm: v, number: number, phase: starting, startInFlight: true, answeredAt: now, startedAt: now, progressAt: now, speedPercent: 100, startedFrom: t.nextCheckpoint(), heardAt: v.heardAt}
+	r := &run{task: t, name: name, spec: t.step.Step, vm: v, number: number, phase: starting, startInFlight: true, startOrder: &Dispatch{}, answeredAt: now, startedAt: now, progressAt: now, speedPercent: 100, startedFrom: t.nextCheckpoint(), heardAt: v.heardAt}
 	s.logStart(now, t, number, v)
 	t.lastRun = number
 	t.unverified = false
@@ -270,7 +271,7 @@
 	s.markBegan(now, t.job)
 	t.job.dirty = t.job.dirty || t.recordsPlace()
 	s.stats.Started++
-	s.emit(StartRun{VM: v.ID, Task: t.id, Order: site.Start{
+	s.emit(StartRun{VM: v.ID, Task: t.id, Dispatch: r.startOrder, Order: site.Start{
 		Task: name, Run: number, Spec: t.job.Spec, UntilMS: v.grantLease(now, &s.policy), Fence: s.Epoch,
 		Checkpoint: r.startedFrom, Ticket: t.step.tickets[v.ID],
 	}})
--- a/internal/sched/fuzz_test.go
+++ b/internal/sched/fuzz_test.go
@@ -122,6 +122,9 @@
 	for _, a := range m.pending {
 		switch a := a.(type) {
 		case StartRun:
+			if !a.Dispatch.Attempt() {
+				continue
+			}
 			m.delayed = append(m.delayed, delayedOrder{vm: a.VM, born: m.vms[a.VM].born, start: &a, fence: a.Order.Fence})
 		case StopRun:
 			m.delayed = append(m.delayed, delayedOrder{vm: a.VM, born: m.vms[a.VM].born, stop: &a, fence: m.s.Epoch})
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -130,6 +130,7 @@
 	missedAt       time.Time // when a complete list first lacked it; zero if none has
 	startedAt      time.Time
 	startInFlight  bool      // the start order is under way, also after a stop was decided
+	startOrder     *Dispatch // of its start order; nil if an earlier owner has started it
 	percent        int       // of the work, as last reported
 	progressAt     time.Time // when percent last changed, or the run was confirmed
 	availableSince time.Time // since when a long-running task has been available; zero if it is not
--- a/internal/sched/loss.go
+++ b/internal/sched/loss.go
@@ -93,6 +93,7 @@
 // loseVM logs the loss of a VM's incarnation and splits the blame for it among the jobs that it ran, unless
 // the VM was about to leave. ended is set if the incarnation has certainly ended, and is not cut off.
 func (s *Scheduler) loseVM(now time.Time, v *vm, ended bool, why string) {
+	s.withdrawStarts(now, v, why)
 	lost := s.tasksOn(v)
 	if ended {
 		s.incarnationEndedAt = now
--- a/internal/sched/loss_test.go
+++ b/internal/sched/loss_test.go
@@ -17,6 +17,7 @@
 	var list []StartRun
 	for _, a := range r.s.Decide(at(ms)) {
 		if x, ok := a.(StartRun); ok {
+			assert.Assert(r.t, x.Dispatch.Attempt())
 			list = append(list, x)
 		}
 	}
--- a/internal/sched/observe.go
+++ b/internal/sched/observe.go
@@ -63,11 +63,12 @@
 	v.unreadableEnds = nil
 }
 
-// releaseRun detaches a run that has certainly ended from its VM and task.
+// releaseRun detaches a run that has certainly ended from its VM and task. Its start order is not sent any more.
 func (s *Scheduler) releaseRun(r *run, why string) {
 	if s.log.Logger.IsLevelEnabled(logrus.DebugLevel) {
 		s.log.WithFields(logrus.Fields{"task": r.name, "run": r.number, "vm": r.vm.ID, "why": why}).Debug("run released")
 	}
+	r.startOrder.recall()
 	r.vm.removeRun(r)
 	s.quotas.countRuns(r.task, -1)
 	if r.copy != nil {
--- a/internal/sched/rebirth.go
+++ b/internal/sched/rebirth.go
@@ -72,6 +72,7 @@
 	for _, r := range slices.Backward(v.runList) {
 		doubtful := r.incarnation == 0 && r.answeredAt.After(noLaterBefore) && (laterUp || r.phase != startUnverified)
 		if r.startInFlight || r.onLater || doubtful {
+			r.startOrder.recall()   // its lease is by the clock of the former incarnation
 			r.stopConfirmed = false // it was the former incarnation that confirmed the stop
 			continue
 		}
--- a/internal/sched/rebirth_model_test.go
+++ b/internal/sched/rebirth_model_test.go
@@ -40,6 +40,9 @@
 	m.advance(callTime)
 	switch a := a.(type) {
 	case StartRun:
+		if !a.Dispatch.Attempt() {
+			return
+		}
 		refusal, err := m.execute(delayedOrder{vm: a.VM, born: m.vms[a.VM].born, start: &a, fence: a.Order.Fence})
 		m.s.HandleStart(m.now, &a, refusal, err)
 	case StopRun:
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -82,6 +82,7 @@
 // counts runs that were released without a report of their end.
 type Stats struct {
 	Started, Done, Failed, Stopped, Lost, Refused, Stalled int
+	Withdrawn                                              int // runs whose start orders were withdrawn before they were sent; Started counts them too
 	LostVMs                                                int // incarnations of VMs that were lost with runs
 	GivenUp                                                int // jobs that were given up because a task crashed VMs
 	TooLarge                                               int // jobs that failed because the job log could not hold their progress
--- a/internal/sched/scheduler_test.go
+++ b/internal/sched/scheduler_test.go
@@ -106,6 +106,7 @@
 	var list []StartRun
 	for _, a := range r.s.Decide(at(ms)) {
 		if s, ok := a.(StartRun); ok {
+			assert.Assert(r.t, s.Dispatch.Attempt())
 			list = append(list, s)
 			s.ClockMS = int64(ms) + 1000 // as in poll
 			r.s.HandleStart(at(ms), &s, site.Accepted, nil)
