sched: stop runs whose unanswered start orders may reach a later incarnation

Cause: a stop that an incarnation has confirmed, or a run that has ended there, keeps a late start from being carried out there only. The owner forgot the order when it released the run, and told the next incarnation nothing.

Change: the owner remembers start orders of which an attempt was not answered, by VM ID, as long as they may arrive, and has each later incarnation stop their runs until it confirms that. A stop order names the incarnation that it was decided for; an answer no longer confirms a stop for the next one.

--- a/internal/sched/action.go
+++ b/internal/sched/action.go
@@ -12,6 +12,7 @@
 // StartRun starts a run. Its reply goes to Scheduler.HandleStart.
 type StartRun struct {
 	VM    string
+	Born  int64 // start of the VM's incarnation that the order is meant for
 	Task  jobs.TaskID
 	Order site.Start
 	// Repeated is set for HandleStart if an earlier attempt was not answered: it may have been carried
@@ -26,6 +27,7 @@
 // StopRun stops a run. Its reply goes to Scheduler.HandleStop.
 type StopRun struct {
 	VM   string
+	Born int64 // start of the VM's incarnation that was known when the order was given
 	Task string
 	Run  int64
 	Why  string // reason; not sent to the VM
--- a/internal/sched/cut_ends_test.go
+++ b/internal/sched/cut_ends_test.go
@@ -48,7 +48,7 @@
 			for _, x := range p.runs {
 				r := p.s.vms["a"].runs[x.Order.Task]
 				p.s.stop(at(90), r, "test")
-				p.s.HandleStop(at(95), &StopRun{VM: "a", Task: x.Order.Task, Run: x.Order.Run}, site.Accepted, nil)
+				p.s.HandleStop(at(95), &StopRun{VM: "a", Born: 1, Task: x.Order.Task, Run: x.Order.Run}, site.Accepted, nil)
 			}
 			cut(p, 100)
 		}},
--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -26,6 +26,7 @@
 			s.watchRun(now, r)
 		}
 	}
+	s.stopLateStarts(now)
 	s.throttle(now)
 	s.pollTrials(now)
 	for _, j := range s.live {
@@ -114,7 +115,7 @@
 		return
 	}
 	r.stopInFlight = true
-	s.emit(StopRun{VM: r.vm.ID, Task: r.name, Run: r.number, Why: r.stopReason})
+	s.emit(StopRun{VM: r.vm.ID, Born: r.vm.Born, Task: r.name, Run: r.number, Why: r.stopReason})
 }
 
 // stop marks a run to be stopped; sendStop sends the order.
@@ -271,7 +272,7 @@
 	s.markBegan(now, t.job)
 	t.job.dirty = t.job.dirty || t.recordsPlace()
 	s.stats.Started++
-	s.emit(StartRun{VM: v.ID, Task: t.id, Dispatch: r.startOrder, Order: site.Start{
+	s.emit(StartRun{VM: v.ID, Born: v.Born, Task: t.id, Dispatch: r.startOrder, Order: site.Start{
 		Task: name, Run: number, Spec: t.job.Spec, UntilMS: v.grantLease(now, &s.policy), Fence: s.Epoch,
 		Checkpoint: r.startedFrom, Ticket: t.step.tickets[v.ID],
 	}})
--- a/internal/sched/model_test.go
+++ b/internal/sched/model_test.go
@@ -27,31 +27,32 @@
 // model is a scheduler with simulated VMs, a job log, lost and delayed messages, and the
 // oracle's record of what VMs ran and what was acknowledged.
 type model struct {
-	t             *rapid.T
-	now           time.Time
-	s             *Scheduler
-	vms           map[string]*simVM
-	jobLog        map[string][]byte
-	pending       []Action
-	delayed       []delayedOrder
-	latePolls     []latePoll
-	verify        map[string]bool // VMs whose last poll got no reply
-	cut           map[string]bool // VMs that calls do not reach
-	ackedDone     map[string]bool // tasks with a done run whose end was acknowledged
-	ackedFailures map[string]int  // number of acknowledged failed runs, by task
-	ackedCancels  map[string]bool // jobs whose cancellation was acknowledged
-	done          map[string]bool // tasks with a done run, acknowledged or not
-	jobs          map[string]*jobs.Job
-	flushing      *Flush
-	earlier       map[string]int64 // start of the incarnation before the present one, by VM
-	lastBorn      int              // start of the latest incarnation
-	copies        bool             // the jobs' first steps allow copies, which a warm queue starts readily
-	copyOrders    map[string]int64 // highest run number ordered as a copy, by task
-	shown         map[string]bool  // jobs that were shown as completed
-	accepted      map[string]bool  // jobs whose callers know that they are accepted
-	olderOwners   bool             // owners are of the version before and show jobs as completed before that is stored
-	told          bool             // this owner was told of the jobs in shown
-	copyRuns      int              // runs that started beside another one of their task
+	t              *rapid.T
+	now            time.Time
+	s              *Scheduler
+	vms            map[string]*simVM
+	jobLog         map[string][]byte
+	pending        []Action
+	delayed        []delayedOrder
+	latePolls      []latePoll
+	verify         map[string]bool // VMs whose last poll got no reply
+	cut            map[string]bool // VMs that calls do not reach
+	ackedDone      map[string]bool // tasks with a done run whose end was acknowledged
+	ackedFailures  map[string]int  // number of acknowledged failed runs, by task
+	ackedCancels   map[string]bool // jobs whose cancellation was acknowledged
+	done           map[string]bool // tasks with a done run, acknowledged or not
+	jobs           map[string]*jobs.Job
+	flushing       *Flush
+	earlier        map[string]int64 // start of the incarnation before the present one, by VM
+	lastBorn       int              // start of the latest incarnation
+	copies         bool             // the jobs' first steps allow copies, which a warm queue starts readily
+	copyOrders     map[string]int64 // highest run number ordered as a copy, by task
+	shown          map[string]bool  // jobs that were shown as completed
+	accepted       map[string]bool  // jobs whose callers know that they are accepted
+	olderOwners    bool             // owners are of the version before and show jobs as completed before that is stored
+	told           bool             // this owner was told of the jobs in shown
+	carriedOutLate int              // start orders, by a later life of their VM
+	copyRuns       int              // runs that started beside another one of their task
 }
 
 func newModel(t *rapid.T, copies bool) *model {
--- a/internal/sched/observe.go
+++ b/internal/sched/observe.go
@@ -193,7 +193,7 @@
 		s.log.WithFields(logrus.Fields{"task": x.Task, "run": x.Run, "vm": v.ID, "why": why}).Info("orphan run cannot be adopted; stopping it")
 	}
 	v.orphans[x.Task] = x.Run
-	s.emit(StopRun{VM: v.ID, Task: x.Task, Run: x.Run, Why: "not a run of this owner"})
+	s.emit(StopRun{VM: v.ID, Born: v.Born, Task: x.Task, Run: x.Run, Why: "not a run of this owner"})
 }
 
 // adopt tracks a run of an earlier owner. It returns the reason if the run cannot be
--- a/internal/sched/replies.go
+++ b/internal/sched/replies.go
@@ -15,6 +15,9 @@
 // as old if the run has been on the VM and has ended.
 func (s *Scheduler) HandleStart(now time.Time, a *StartRun, refusal site.Refusal, err error) {
 	notBegun := !a.Repeated && ((err == nil && refusal != site.Accepted) || errors.Is(err, site.ErrNotDone) || errors.Is(err, site.ErrOtherIncarnation))
+	if a.Repeated || (site.IsUnanswered(err) && !errors.Is(err, site.ErrOtherIncarnation)) {
+		s.recordLateStart(now, a)
+	}
 	if notBegun && errors.Is(err, site.ErrOtherIncarnation) {
 		s.releaseNotBegun(a)
 	}
@@ -106,6 +109,7 @@
 
 // HandleStop handles the reply to a stop order.
 func (s *Scheduler) HandleStop(now time.Time, a *StopRun, refusal site.Refusal, err error) {
+	s.settleLateStart(now, a, refusal, err)
 	v := s.answeringVM(now, a.VM, err)
 	if v == nil {
 		return
@@ -126,6 +130,9 @@
 		r.nextStopAt = now.Add(s.policy.Backoff)
 		return
 	}
+	if a.Born != v.Born {
+		return // an earlier incarnation may have confirmed it
+	}
 	r.stopConfirmed, r.answeredAt = true, now
 }
 
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -34,9 +34,10 @@
 	live               map[string]*job // jobs that may change; most others are final and kept for their callers
 	settled            settledJobs     // the others: their final state is stored
 	vms                map[string]*vm
-	listed             map[string]bool    // names of the tasks that the last status listed; buffer of HandlePoll
-	sorting            []sortedJob        // buffer of sortByOrder
-	forgotten          map[string]vmPolls // of VMs that are no longer in vms, as they may come back under their IDs
+	listed             map[string]bool         // names of the tasks that the last status listed; buffer of HandlePoll
+	sorting            []sortedJob             // buffer of sortByOrder
+	forgotten          map[string]vmPolls      // of VMs that are no longer in vms, as they may come back under their IDs
+	lateStarts         map[string][]*lateStart // by VM, also of those that are no longer in vms
 	pools              map[string]*pool
 	queues             map[string]*queueStats
 	listReceivedAt     time.Time                // when the last VM list was received; zero before the first
@@ -141,7 +142,7 @@
 func New(epoch int64, p Policy, log *logrus.Entry) *Scheduler {
 	return &Scheduler{
 		Epoch: epoch, policy: p, log: log,
-		jobs: map[string]*job{}, live: map[string]*job{}, vms: map[string]*vm{}, listed: map[string]bool{}, forgotten: map[string]vmPolls{}, pools: map[string]*pool{}, queues: map[string]*queueStats{},
+		jobs: map[string]*job{}, live: map[string]*job{}, vms: map[string]*vm{}, listed: map[string]bool{}, forgotten: map[string]vmPolls{}, lateStarts: map[string][]*lateStart{}, pools: map[string]*pool{}, queues: map[string]*queueStats{},
 		unreadable: map[string]*jobs.Job{}, unverified: map[string]time.Time{}, recordedVMs: map[string]bool{}, longLeases: map[string]time.Time{}, offeredAt: map[string]offer{},
 		buckets: map[string]*fair.Bucket{}, round: 1, losses: newLosses(), encode: jobs.EncodeProgress,
 	}
