sched: release runs that are to be stopped if their start orders wait

Cause: the start orders waited in the queue of a VM that did not answer. The decision to stop their runs did not reach them: they were sent when their turn came, and the stop orders followed.

Change: stopping a run withdraws its start order. A run whose order was not sent is released; after an attempt no further one follows.

--- a/internal/drive/dispatch_test.go
+++ b/internal/drive/dispatch_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -107,6 +108,13 @@
 	awaitUsable(true)
 	silence(silent, true)
 	c.submit(0, job, `{"spec":"x","steps":[{"count":60,"cpu":100,"memMb":10,"estimateMs":8000}]}`)
+	c.await("the tasks are ordered", func() bool {
+		started, err := runOnPartition(t.Context(), part, func(part *ownedPartition, _ time.Time) *int {
+			n := part.scheduler.Stats().Started
+			return &n
+		})
+		return err == nil && *started >= 62
+	})
 	return c, silent
 }
 
@@ -126,3 +134,18 @@
 	}
 	assert.Equal(t, c.emulator.Ledger.FirstViolation(), "")
 }
+
+// TestQueuedStartsOfCancelledJob guards against tasks that start seconds after the cancellation of their job was acknowledged:
+// their start orders have waited for a VM that did not answer (review/15).
+func TestQueuedStartsOfCancelledJob(t *testing.T) {
+	job := jobIDs(1)[0]
+	c, silent := silentVMCluster(t, job)
+	status, _ := c.call(0, http.MethodDelete, "/q/"+job, "")
+	assert.Equal(t, status, http.StatusOK)
+	time.Sleep(2 * time.Second) // the orders are valid for 4 s
+	silence(silent, false)
+	time.Sleep(1500 * time.Millisecond)
+	for _, r := range c.emulator.Ledger.Runs() {
+		assert.Assert(t, !strings.HasPrefix(r.Task, job), "run %d of %s starts on %s", r.Run, r.Task, r.VM)
+	}
+}
--- a/internal/sched/decide.go
+++ b/internal/sched/decide.go
@@ -118,11 +118,12 @@
 	s.emit(StopRun{VM: r.vm.ID, Born: r.vm.Born, Task: r.name, Run: r.number, Why: r.stopReason})
 }
 
-// stop marks a run to be stopped; sendStop sends the order.
+// stop marks a run to be stopped; sendStop sends the order. A run whose start order has not been sent yet is released instead.
 func (s *Scheduler) stop(now time.Time, r *run, why string) {
-	if r.phase == stopping {
+	if r.phase == stopping || s.withdrawStart(now, r, why) {
 		return
 	}
+	r.startOrder.recall()
 	s.stats.Stopped++
 	r.phase, r.stopConfirmed, r.nextStopAt, r.stopReason = stopping, false, now, why
 }
--- a/internal/sched/dispatch_test.go
+++ b/internal/sched/dispatch_test.go
@@ -66,6 +66,44 @@
 	}
 }
 
+// TestQueuedStartsOfRunsToBeStopped guards against tasks that start after the cancellation of their job was acknowledged, or
+// after another run of theirs is done: their start orders have waited for a VM (review/15).
+func TestQueuedStartsOfRunsToBeStopped(t *testing.T) {
+	cancel := func(r *fixture, _ *StartRun) { assert.Assert(r.t, r.s.Cancel(at(100), jobID)) }
+	done := func(r *fixture, x *StartRun) { // of a run on a VM that was cut off
+		r.poll(100, "b", site.VMStatus{Ended: []site.RunEnd{{Sequence: 1, Task: x.Order.Task, Run: x.Order.Run - 1, How: site.Done}}})
+	}
+	for name, change := range map[string]func(r *fixture, x *StartRun){"job is cancelled": cancel, "another run is done": done} {
+		for _, sent := range []bool{false, true} {
+			r := newFixture(t, testVM("a"))
+			r.submit(0, testJob(jobID, jobs.Step{Count: 3, CPU: 1000, EstimateMS: 9000}))
+			var first *StartRun
+			orders := 0
+			for _, a := range r.s.Decide(at(10)) {
+				x := a.(StartRun)
+				orders++
+				assert.Assert(t, !sent || x.Dispatch.Attempt(), name)
+				if first == nil {
+					first = &x
+				}
+			}
+			assert.Equal(t, orders, 3)
+			r.s.SetVMs(at(20), listed(1))
+			change(r, first)
+			assert.Assert(t, !first.Dispatch.Attempt(), "%s, sent before: %t", name, sent)
+			stops := len(r.stopsOf(110, first))
+			assert.Equal(t, stops > 0, sent, "%s: an order that was not sent needs no stop", name)
+			if name == "job is cancelled" {
+				want := 0
+				if sent {
+					want = orders
+				}
+				assert.Equal(t, len(r.s.vms["a"].runs), want)
+			}
+		}
+	}
+}
+
 // TestMemberOfGangThatIsNotSent guards against members of a gang that wait for one whose start order was withdrawn.
 func TestMemberOfGangThatIsNotSent(t *testing.T) {
 	r := newFixture(t, testVM("a"), testVM("b"))
--- a/internal/sched/observe.go
+++ b/internal/sched/observe.go
@@ -347,7 +347,7 @@
 		tasks = t.step.tasks // success of one member completes the whole gang
 	}
 	for _, x := range tasks {
-		for _, r := range x.runs {
+		for _, r := range slices.Backward(x.runs) {
 			s.stop(now, r, "another run of the task is done")
 		}
 		j.finishTask(x)
--- a/internal/sched/submit.go
+++ b/internal/sched/submit.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -189,7 +190,7 @@
 		for _, st := range o.steps {
 			for _, t := range st.tasks {
 				delete(s.losses.suspects, t)
-				for _, r := range t.runs {
+				for _, r := range slices.Backward(t.runs) {
 					s.stop(now, r, "job "+state.String())
 				}
 			}
